--- /dev/null
+++ b/cmd/rattanpaddle/main.go
@@ -0,0 +1,5 @@
+// Command rattanpaddle is the entry instance, the operators' client and the
+// embedded default in one program.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/rpcore/peer.go
@@ -0,0 +1,118 @@
+package rpcore
+
+import (
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// PeerMessage is a message between instances. Exactly one of the pointers is
+// set. A receiver that knows none of the fields that are set ignores the
+// message, so that a newer version can add kinds.
+type PeerMessage struct {
+	Heartbeat       *Heartbeat       `cbor:"heartbeat,omitempty"`
+	DocumentPush    *DocumentPush    `cbor:"document_push,omitempty"`
+	DocumentRequest *DocumentRequest `cbor:"document_request,omitempty"`
+	Demand          *Demand          `cbor:"demand,omitempty"`
+	DemandAnswer    *DemandAnswer    `cbor:"demand_answer,omitempty"`
+	ReportShare     *ReportShare     `cbor:"report_share,omitempty"`
+	LeavingNotice   *LeavingNotice   `cbor:"leaving_notice,omitempty"`
+	TicketRequest   *TicketRequest   `cbor:"ticket_request,omitempty"`
+	TicketGrant     *TicketGrant     `cbor:"ticket_grant,omitempty"`
+	TicketRelease   *TicketRelease   `cbor:"ticket_release,omitempty"`
+}
+
+// DocumentVersion names a version of a document.
+type DocumentVersion struct {
+	Service string `cbor:"service"`
+	Version uint64 `cbor:"version"`
+}
+
+// Heartbeat is sent to every peer once a second.
+type Heartbeat struct {
+	Identity
+	Leaving bool `cbor:"leaving"`
+	// Digest is a hash over the versions of all documents in force. Documents
+	// lists them; it is sent only when the last heartbeat of the receiver had
+	// another digest.
+	Digest    uint64            `cbor:"digest"`
+	Documents []DocumentVersion `cbor:"documents,omitempty"`
+	// LeavingEndpoints lists endpoints that the sender knows to be leaving.
+	LeavingEndpoints []LeavingNotice `cbor:"leaving_endpoints,omitempty"`
+	// Waiting counts the requests in the sender's queues by rank.
+	Waiting [rpdocument.RankCount]int `cbor:"waiting"`
+}
+
+// DocumentPush carries a document to a peer that may not have it.
+type DocumentPush struct {
+	DocumentRow
+	Body []byte `cbor:"body"`
+}
+
+// DocumentRequest asks a peer for its version of documents.
+type DocumentRequest struct {
+	Services []string `cbor:"services"`
+}
+
+// Demand tells the home of a model that requests wait for a replica.
+type Demand struct {
+	Model   ModelKey        `cbor:"model"`
+	Adapter string          `cbor:"adapter,omitempty"`
+	Rank    rpdocument.Rank `cbor:"rank"`
+	Waiting int             `cbor:"waiting"`
+	// Oldest is the longest wait among them.
+	Oldest        time.Duration `cbor:"oldest"`
+	FailureDomain FailureDomain `cbor:"failure_domain"`
+}
+
+// DemandAnswer says that the home has taken up a demand, and when a replica
+// is expected.
+type DemandAnswer struct {
+	Model    ModelKey      `cbor:"model"`
+	Adapter  string        `cbor:"adapter,omitempty"`
+	Expected time.Duration `cbor:"expected"`
+	// Impossible says why no replica can come, where that is so.
+	Impossible string `cbor:"impossible,omitempty"`
+}
+
+// ReportShare passes on a report of an engine that the sender polls.
+type ReportShare struct {
+	Report EngineReport `cbor:"report"`
+}
+
+// LeavingNotice says that an incarnation of an endpoint is leaving or gone.
+type LeavingNotice struct {
+	Endpoint    EndpointID  `cbor:"endpoint"`
+	Incarnation Incarnation `cbor:"incarnation"`
+}
+
+// TicketKind says what a ticket is for.
+type TicketKind string
+
+// The kinds.
+const (
+	// TicketWeights admits one load from the weight store.
+	TicketWeights TicketKind = "weights"
+	// TicketAdapter admits one adapter load.
+	TicketAdapter TicketKind = "adapter"
+)
+
+// TicketRequest asks the load scheduler for permission to start a load.
+type TicketRequest struct {
+	Nonce   Nonce           `cbor:"nonce"`
+	Kind    TicketKind      `cbor:"kind"`
+	Rank    rpdocument.Rank `cbor:"rank"`
+	Waiting int             `cbor:"waiting"`
+}
+
+// TicketGrant admits the load; it expires unless it is renewed by another
+// TicketRequest with the same nonce.
+type TicketGrant struct {
+	Nonce Nonce         `cbor:"nonce"`
+	Lease time.Duration `cbor:"lease"`
+}
+
+// TicketRelease ends a load.
+type TicketRelease struct {
+	Nonce Nonce `cbor:"nonce"`
+}
--- /dev/null
+++ b/pkg/rpcore/state.go
@@ -0,0 +1,129 @@
+package rpcore
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// State is the view of one instance and the only state of the reducer. Its
+// zero value works after a Start event.
+type State struct {
+	self     Identity
+	limits   Limits
+	policy   Policy
+	rng      *rand.Rand
+	now      time.Time
+	draining bool
+	out      []Effect
+
+	alarms    alarms
+	table     tableOps
+	members   memberView
+	documents documentView
+	replicas  replicaView
+	tickets   ticketView
+	requests  requestView
+	claims    claimView
+}
+
+// Reduce applies one event and returns what has to be done. The slice is
+// valid until the next call.
+func (s *State) Reduce(ev Event) []Effect {
+	clear(s.out)
+	s.out = s.out[:0]
+	if at := ev.event().At; at.After(s.now) {
+		s.now = at
+	}
+	s.apply(ev)
+	s.fireAlarms()
+	s.emitAlarm()
+	return s.out
+}
+
+func (s *State) apply(ev Event) {
+	switch ev := ev.(type) {
+	case Start:
+		s.start(ev)
+	case Tick:
+		// fireAlarms does the work.
+	case RequestArrived:
+		s.requestArrived(ev.Request)
+	case RequestAbandoned:
+		s.requestAbandoned(ev.Request)
+	case AttemptFirstToken:
+		s.attemptFirstToken(ev)
+	case AttemptEnded:
+		s.attemptEnded(ev)
+	case MembersListed:
+		s.membersListed(ev.Members)
+	case ListUnavailable:
+		s.listUnavailable()
+	case EngineReported:
+		s.engineReported(ev.Report, true)
+	case EngineUnreachable:
+		s.engineUnreachable(ev)
+	case CacheEventsReceived:
+		s.cacheEventsReceived(ev)
+	case OrderAnswered:
+		s.orderAnswered(ev)
+	case TableReadDone:
+		s.tableReadDone(ev)
+	case TableWriteDone:
+		s.tableWriteDone(ev)
+	case DocumentLoaded:
+		s.documentLoaded(ev)
+	case DocumentSubmitted:
+		s.documentSubmitted(ev)
+	case DocumentStored:
+		s.documentStored(ev)
+	case PeerReceived:
+		s.peerReceived(ev)
+	case PeerLost:
+		s.peerLost(ev.Peer)
+	case DrainRequested:
+		s.drainRequested()
+	}
+}
+
+func (s *State) start(ev Start) {
+	s.self = ev.Self
+	s.limits = ev.Limits.withDefaults()
+	s.policy = ev.Policy
+	s.rng = rand.New(rand.NewPCG(ev.Seed, ev.Seed^0x9e3779b97f4a7c15))
+	s.startMembers()
+	s.startDocuments()
+	s.startReplicas()
+	s.startRequests()
+}
+
+func (s *State) emit(effect Effect) {
+	s.out = append(s.out, effect)
+}
+
+func (s *State) note(part, text string) {
+	s.emit(Note{Part: part, Text: text})
+}
+
+// newNonce returns a nonce that no other State or earlier incarnation has.
+func (s *State) newNonce() Nonce {
+	s.table.nonces++
+	return Nonce(formatNonce(s.self, s.table.nonces))
+}
+
+func (l Limits) withDefaults() Limits {
+	setDefault(&l.WeightLoads, DefaultWeightLoads)
+	setDefault(&l.WeightLoadsPerSecond, DefaultWeightLoadsPerSecond)
+	setDefault(&l.AdapterLoads, DefaultAdapterLoads)
+	setDefault(&l.EngineConcurrency, DefaultEngineConcurrency)
+	setDefault(&l.RequestsInProgress, DefaultRequestsInProgress)
+	setDefault(&l.DrainTimeout, DefaultDrainTimeout)
+	setDefault(&l.ColdStartEstimate, DefaultColdStartEstimate)
+	return l
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/pkg/rpdocument/problem.go
@@ -0,0 +1,19 @@
+package rpdocument
+
+import "fmt"
+
+// Problem is one thing that is wrong with a document.
+type Problem struct {
+	// Line counts from 1; it is 0 where the problem has no line.
+	Line int `json:"line" cbor:"line"`
+	// Key is the TOML key, such as models[2].memory.
+	Key string `json:"key" cbor:"key"`
+	// Wrong says what is wrong and Fix what to write instead, in one sentence
+	// each.
+	Wrong string `json:"wrong" cbor:"wrong"`
+	Fix   string `json:"fix" cbor:"fix"`
+}
+
+func (p Problem) Error() string {
+	return fmt.Sprintf("line %d: %s: %s %s", p.Line, p.Key, p.Wrong, p.Fix)
+}
--- /dev/null
+++ b/pkg/rpdocument/rank.go
@@ -0,0 +1,81 @@
+package rpdocument
+
+import "fmt"
+
+// Rank is the priority class of a request. The zero value means that the
+// caller named none, so the document decides.
+type Rank int
+
+const (
+	// RankUnset leaves the choice to the document.
+	RankUnset Rank = iota
+	// RankUrgent is work that someone waits for.
+	RankUrgent
+	// RankNormal is work with a deadline of seconds to minutes.
+	RankNormal
+	// RankBackground is work that may wait but must be done.
+	RankBackground
+)
+
+// Ranks lists the ranks that requests can have, most urgent first.
+var Ranks = [...]Rank{RankUrgent, RankNormal, RankBackground}
+
+// RankCount is the number of ranks that requests can have.
+const RankCount = len(Ranks)
+
+var rankNames = [...]string{"", "urgent", "normal", "background"}
+
+// Index returns the position of the rank in Ranks, or -1 for RankUnset and
+// unknown values.
+func (r Rank) Index() int {
+	if r < RankUrgent || r > RankBackground {
+		return -1
+	}
+	return int(r) - 1
+}
+
+// String returns the name used in documents and headers.
+func (r Rank) String() string {
+	if r < 0 || int(r) >= len(rankNames) {
+		return fmt.Sprintf("rank(%d)", int(r))
+	}
+	return rankNames[r]
+}
+
+// ParseRank returns the rank with the given name.
+func ParseRank(name string) (Rank, error) {
+	for i, n := range rankNames {
+		if i > 0 && n == name {
+			return Rank(i), nil
+		}
+	}
+	return RankUnset, UnknownRankError{Name: name}
+}
+
+// MarshalText encodes the rank by name.
+func (r Rank) MarshalText() ([]byte, error) {
+	return []byte(r.String()), nil
+}
+
+// UnmarshalText decodes a rank from its name; an empty name is RankUnset.
+func (r *Rank) UnmarshalText(text []byte) error {
+	if len(text) == 0 {
+		*r = RankUnset
+		return nil
+	}
+	rank, err := ParseRank(string(text))
+	if err != nil {
+		return err
+	}
+	*r = rank
+	return nil
+}
+
+// UnknownRankError reports a rank name that does not exist.
+type UnknownRankError struct {
+	Name string
+}
+
+func (e UnknownRankError) Error() string {
+	return fmt.Sprintf("unknown rank %q: write urgent, normal or background", e.Name)
+}
--- /dev/null
+++ b/pkg/rpverdict/verdict.go
@@ -0,0 +1,77 @@
+// Package rpverdict says what is known about a request that did not get its
+// answer: whether it may have run, why it was refused and when a retry makes
+// sense.
+//
+// # Usage
+//
+// An edge that fails to deliver a request reports a Verdict. It starts from
+// NotRun and moves to MayHaveRun as soon as one byte that could start the work
+// has left for an endpoint:
+//
+//	verdict := rpverdict.NotRun
+//	if written > 0 {
+//		verdict = rpverdict.MayHaveRun
+//	}
+//
+// A request that the system will not serve is answered with a Refusal:
+//
+//	refusal := rpverdict.Refuse(rpverdict.CodeQueueFull, "The queue of rank normal is full.")
+//	refusal.RetryAfter = 2 * time.Second
+//
+// Codes are part of the public interface and never change their meaning.
+package rpverdict
+
+import "fmt"
+
+// Verdict says whether a request may have run at an endpoint. The zero value
+// is NotRun.
+type Verdict int
+
+const (
+	// NotRun means that no byte that could start the work left for an
+	// endpoint, or that the endpoint itself said that it did not start.
+	NotRun Verdict = iota
+	// MayHaveRun means that the work may have started. It is the verdict
+	// whenever NotRun and Ran can't be shown.
+	MayHaveRun
+	// Ran means that an endpoint answered the request in full.
+	Ran
+)
+
+var verdictNames = [...]string{"not_run", "may_have_run", "ran"}
+
+// String returns the name used in refusals and reports.
+func (v Verdict) String() string {
+	if v < 0 || int(v) >= len(verdictNames) {
+		return fmt.Sprintf("verdict(%d)", int(v))
+	}
+	return verdictNames[v]
+}
+
+// MarshalText encodes the verdict by name.
+func (v Verdict) MarshalText() ([]byte, error) {
+	if v < 0 || int(v) >= len(verdictNames) {
+		return nil, UnknownVerdictError{Name: v.String()}
+	}
+	return []byte(verdictNames[v]), nil
+}
+
+// UnmarshalText decodes a verdict from its name.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	for i, name := range verdictNames {
+		if name == string(text) {
+			*v = Verdict(i)
+			return nil
+		}
+	}
+	return UnknownVerdictError{Name: string(text)}
+}
+
+// UnknownVerdictError reports a verdict that this version does not know.
+type UnknownVerdictError struct {
+	Name string
+}
+
+func (e UnknownVerdictError) Error() string {
+	return fmt.Sprintf("unknown verdict %q", e.Name)
+}
