--- a/pkg/rpcore/endpoint.go
+++ b/pkg/rpcore/endpoint.go
@@ -13,6 +13,12 @@
 	// leaving is set by the first evidence from any source and holds until
 	// another incarnation is listed.
 	leaving bool
+	// refused says that leaving rests on a refused connection alone, which the
+	// next report refutes.
+	refused  bool
+	listedAt time.Time
+	// sharedAt is the time at which the report was last sent to the peers.
+	sharedAt time.Time
 	// report is the newest report of the incarnation; reportedAt is the time
 	// at which it reached this instance, zero where there is none.
 	report     EngineReport
--- a/pkg/rpcore/peer.go
+++ b/pkg/rpcore/peer.go
@@ -32,6 +32,9 @@
 type Heartbeat struct {
 	Identity
 	Leaving bool `cbor:"leaving"`
+	// Answer marks the reply to a heartbeat of an instance outside the
+	// sender's peer set; it gets no reply itself.
+	Answer bool `cbor:"answer,omitempty"`
 	// Digest is a hash over the versions of all documents in force. Documents
 	// lists them; it is sent only when the last heartbeat of the receiver had
 	// another digest.
@@ -43,10 +46,12 @@
 	Waiting [rpdocument.RankCount]int `cbor:"waiting"`
 }
 
-// DocumentPush carries a document to a peer that may not have it.
+// DocumentPush tells a peer of a document. Without Body it is a notice, and a
+// receiver that lacks the version asks for it: most peers hear of a change
+// from several others, and a body is large.
 type DocumentPush struct {
 	DocumentRow
-	Body []byte `cbor:"body"`
+	Body []byte `cbor:"body,omitempty"`
 }
 
 // DocumentRequest asks a peer for its version of documents.
--- a/pkg/rpcore/request.go
+++ b/pkg/rpcore/request.go
@@ -61,3 +61,6 @@
 
 // documentChanged reacts to a new document in force.
 func (s *State) documentChanged(_ string) {}
+
+// reportReadiness tells the front whether callers may come.
+func (s *State) reportReadiness() {}
--- a/pkg/rpcore/row.go
+++ b/pkg/rpcore/row.go
@@ -68,8 +68,24 @@
 	Hash       string    `cbor:"hash" json:"hash"`
 	Editor     string    `cbor:"editor" json:"editor"`
 	AcceptedAt time.Time `cbor:"accepted_at" json:"accepted_at"`
-	// Submission is the nonce of the accepting submission.
+	// Submission is the id of the accepting submission.
 	Submission string `cbor:"submission" json:"submission"`
+	// History lists earlier versions, the newest first, at most
+	// DocumentHistoryLimit. A submitter whose answer was lost finds its own
+	// submission here after another operator accepted a later version.
+	History []AcceptedVersion `cbor:"history,omitempty" json:"history,omitempty"`
+}
+
+// DocumentHistoryLimit bounds the earlier versions that a document row names.
+const DocumentHistoryLimit = 20
+
+// AcceptedVersion is an earlier version of a document.
+type AcceptedVersion struct {
+	Version    uint64    `cbor:"version" json:"version"`
+	Hash       string    `cbor:"hash" json:"hash"`
+	Editor     string    `cbor:"editor" json:"editor"`
+	AcceptedAt time.Time `cbor:"accepted_at" json:"accepted_at"`
+	Submission string    `cbor:"submission" json:"submission"`
 }
 
 // SlotState says how far a replica slot is.
--- a/pkg/rpdocument/document.go
+++ b/pkg/rpdocument/document.go
@@ -16,7 +16,11 @@
 // again.
 package rpdocument
 
-import "time"
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+)
 
 // Document is the accepted form of one service document.
 type Document struct {
@@ -162,3 +166,9 @@
 func Parse(_ []byte) (*Document, []Problem) {
 	return nil, nil
 }
+
+// Hash returns the SHA-256 sum (hex) under which a body is stored.
+func Hash(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
