--- a/pkg/rpcore/state.go
+++ b/pkg/rpcore/state.go
@@ -45,7 +45,9 @@
 	case Start:
 		s.start(ev)
 	case Tick:
-		// fireAlarms does the work.
+		// fireAlarms does the work. A timer may fire early by its resolution;
+		// the alarm then has to be announced again.
+		s.alarms.announced = time.Time{}
 	case RequestArrived:
 		s.requestArrived(ev.Request)
 	case RequestAbandoned:
