Parse service documents and report every problem at once

go-toml stops at the first value of a wrong type and gives no line for a value that is out of range. internal/rptoml decodes into a generic tree, keeps the line of each key from the syntax tree and reports unknown keys, wrong types and failed checks together. rpdocument checks all bounds with it, fills in the defaults and says in sentences what a new document changes and costs.

--- /dev/null
+++ b/internal/rptoml/index.go
@@ -0,0 +1,165 @@
+package rptoml
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+const (
+	// maxIndexDepth bounds the key parts of an indexed key. Without a bound,
+	// a small file with thousands of nested lists needs an index whose size
+	// is the square of the nesting.
+	maxIndexDepth = 8
+	// maxPartLength bounds the length of one key part, in bytes. A long table
+	// name would otherwise be repeated for each key of the table.
+	maxPartLength = 64
+)
+
+// lineIndex maps keys to lines.
+type lineIndex struct {
+	newlines []int
+	lines    map[string]int
+	// tables counts the entries of lists of tables.
+	tables map[string]int
+}
+
+// indexLines returns the line of each key of a body that is valid TOML.
+func indexLines(body []byte) map[string]int {
+	ix := &lineIndex{lines: map[string]int{}, tables: map[string]int{}}
+	for i, c := range body {
+		if c == '\n' {
+			ix.newlines = append(ix.newlines, i)
+		}
+	}
+	var parser unstable.Parser
+	parser.Reset(body)
+	var table keyPath
+	for parser.NextExpression() {
+		node := parser.Expression()
+		switch node.Kind {
+		case unstable.Table:
+			table = ix.table(node)
+		case unstable.ArrayTable:
+			table = ix.listEntry(node)
+		case unstable.KeyValue:
+			ix.keyValue(table, node)
+		}
+	}
+	return ix.lines
+}
+
+// keyPath is a key with the number of its parts.
+type keyPath struct {
+	text  string
+	depth int
+}
+
+func (p keyPath) part(name string) keyPath {
+	if p.depth >= maxIndexDepth {
+		return keyPath{text: p.text, depth: p.depth + 1}
+	}
+	return keyPath{text: joinKey(p.text, name), depth: p.depth + 1}
+}
+
+func (p keyPath) entry(n int) keyPath {
+	if p.depth >= maxIndexDepth {
+		return keyPath{text: p.text, depth: p.depth + 1}
+	}
+	return keyPath{text: fmt.Sprintf("%s[%d]", p.text, n), depth: p.depth + 1}
+}
+
+func (ix *lineIndex) table(node *unstable.Node) keyPath {
+	var path keyPath
+	keys := node.Key()
+	for keys.Next() {
+		path = ix.enter(path).part(string(keys.Node().Data))
+		ix.record(path, keys.Node())
+	}
+	return path
+}
+
+func (ix *lineIndex) listEntry(node *unstable.Node) keyPath {
+	path := ix.table(node)
+	n := ix.tables[path.text]
+	ix.tables[path.text]++
+	path = path.entry(n)
+	ix.record(path, node.Child())
+	return path
+}
+
+// enter returns the last entry of a list of tables, and other keys unchanged.
+func (ix *lineIndex) enter(path keyPath) keyPath {
+	if n := ix.tables[path.text]; n > 0 {
+		return path.entry(n - 1)
+	}
+	return path
+}
+
+func (ix *lineIndex) keyValue(path keyPath, node *unstable.Node) {
+	keys := node.Key()
+	for keys.Next() {
+		path = path.part(string(keys.Node().Data))
+		ix.record(path, keys.Node())
+	}
+	ix.value(path, node.Value())
+}
+
+func (ix *lineIndex) value(path keyPath, node *unstable.Node) {
+	if path.depth >= maxIndexDepth {
+		return
+	}
+	children := node.Children()
+	switch node.Kind {
+	case unstable.Array:
+		for n := 0; children.Next(); n++ {
+			ix.record(path.entry(n), children.Node())
+			ix.value(path.entry(n), children.Node())
+		}
+	case unstable.InlineTable:
+		for children.Next() {
+			ix.keyValue(path, children.Node())
+		}
+	}
+}
+
+// record keeps the first line of a key. A node without a range, such as a
+// list in a list, has the line of what holds it.
+func (ix *lineIndex) record(path keyPath, node *unstable.Node) {
+	if _, ok := ix.lines[path.text]; ok || path.text == "" {
+		return
+	}
+	if node.Raw.Length == 0 {
+		ix.lines[path.text] = ix.lines[parentKey(path.text)]
+		return
+	}
+	ix.lines[path.text] = sort.SearchInts(ix.newlines, int(node.Raw.Offset)) + 1
+}
+
+// joinKey appends a part to a key; a part that is not a bare key is quoted.
+func joinKey(key, part string) string {
+	if !isBareKey(part) {
+		part = strconv.Quote(Shorten(part))
+	} else {
+		part = Shorten(part)
+	}
+	if key == "" {
+		return part
+	}
+	return key + "." + part
+}
+
+func isBareKey(part string) bool {
+	return part != "" && strings.Trim(part, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-") == ""
+}
+
+// Shorten bounds a text of the file that a message repeats.
+func Shorten(text string) string {
+	if len(text) <= maxPartLength {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxPartLength], "") + "..."
+}
--- a/pkg/rpdocument/bytes.go
+++ b/pkg/rpdocument/bytes.go
@@ -5,6 +5,8 @@
 	"math"
 	"strconv"
 	"strings"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rptoml"
 )
 
 // Bytes is an amount of memory. TOML writes it as a string such as "12GiB".
@@ -59,6 +61,14 @@
 	Text string
 }
 
-func (e InvalidBytesError) Error() string {
-	return fmt.Sprintf("%q is not an amount of memory: write a whole number with a unit, such as \"12GiB\"", e.Text)
+func (e InvalidBytesError) Error() string { return e.Wrong() + " " + e.Fix() }
+
+// Wrong says what is wrong.
+func (e InvalidBytesError) Wrong() string {
+	return fmt.Sprintf("%q is not an amount of memory.", rptoml.Shorten(e.Text))
+}
+
+// Fix says what to write instead.
+func (e InvalidBytesError) Fix() string {
+	return `Write a whole number with a unit, such as "12GiB".`
 }
--- a/pkg/rpdocument/document.go
+++ b/pkg/rpdocument/document.go
@@ -13,11 +13,16 @@
 // Parse reports every problem of a document at once, each with its line, its
 // key, what is wrong and what to write instead. A document that Parse accepts
 // is within all bounds of this package, so no later step has to check sizes
-// again.
+// again. Optional keys that the document lacks have their defaults.
+//
+// Diff says in sentences what a new document changes and what the change
+// costs:
+//
+//	for _, change := range rpdocument.Diff(accepted, doc) {
+//		fmt.Println(change)
+//	}
 package rpdocument
 
-import "time"
-
 // Document is the accepted form of one service document.
 type Document struct {
 	// Format is the version of the document format, now 1.
@@ -108,24 +113,6 @@
 	Rank       Rank `toml:"rank"`
 }
 
-// Duration is a time.Duration that TOML writes as a string such as "250ms".
-type Duration time.Duration
-
-// UnmarshalText parses a Go duration.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	if err != nil {
-		return err
-	}
-	*d = Duration(v)
-	return nil
-}
-
-// MarshalText formats the duration.
-func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
-}
-
 // Model returns the model with the given name.
 func (d *Document) Model(name string) (*Model, bool) {
 	for i := range d.Models {
@@ -157,8 +144,3 @@
 		return &d.Ranks.Normal
 	}
 }
-
-// Parse decodes a document and returns it, or every problem it has.
-func Parse(_ []byte) (*Document, []Problem) {
-	return nil, nil
-}
--- a/pkg/rpdocument/problem.go
+++ b/pkg/rpdocument/problem.go
@@ -14,6 +14,14 @@
 	Fix   string `json:"fix" cbor:"fix"`
 }
 
+// Error returns the problem on one line; parts that it lacks are left out.
 func (p Problem) Error() string {
-	return fmt.Sprintf("line %d: %s: %s %s", p.Line, p.Key, p.Wrong, p.Fix)
+	text := p.Wrong + " " + p.Fix
+	if p.Key != "" {
+		text = p.Key + ": " + text
+	}
+	if p.Line > 0 {
+		text = fmt.Sprintf("line %d: %s", p.Line, text)
+	}
+	return text
 }
--- a/pkg/rpdocument/rank.go
+++ b/pkg/rpdocument/rank.go
@@ -1,6 +1,10 @@
 package rpdocument
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rptoml"
+)
 
 // Rank is the priority class of a request. The zero value means that the
 // caller named none, so the document decides.
@@ -76,6 +80,14 @@
 	Name string
 }
 
-func (e UnknownRankError) Error() string {
-	return fmt.Sprintf("unknown rank %q: write urgent, normal or background", e.Name)
+func (e UnknownRankError) Error() string { return e.Wrong() + " " + e.Fix() }
+
+// Wrong says what is wrong.
+func (e UnknownRankError) Wrong() string {
+	return fmt.Sprintf("%q is not a rank.", rptoml.Shorten(e.Name))
+}
+
+// Fix says what to write instead.
+func (e UnknownRankError) Fix() string {
+	return "Write urgent, normal or background, in double quotes."
 }
