--- /dev/null
+++ b/internal/rpmetric/metric.go
@@ -0,0 +1,179 @@
+// Package rpmetric holds the Prometheus metrics of an instance. All metrics
+// are in one table, from which docs/metrics.md is generated.
+//
+// # Usage
+//
+//	metrics := rpmetric.New()
+//	metrics.RequestEnded(rpdocument.RankUrgent, rpmetric.CodeOK)
+//	router.Handle("/metrics", metrics.Handler())
+//
+// Labels have fixed sets of values and never hold the names of models,
+// services, endpoints or callers, so the number of time series does not grow
+// with use. The zero value of Metrics drops everything.
+package rpmetric
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// Metrics holds the metrics of one instance. It is safe for concurrent use.
+type Metrics struct {
+	registry   *prometheus.Registry
+	counters   map[string]*prometheus.CounterVec
+	gauges     map[string]*prometheus.GaugeVec
+	histograms map[string]*prometheus.HistogramVec
+	labels     map[string][]label
+}
+
+// New returns metrics with a registry of their own.
+func New() *Metrics {
+	m := &Metrics{
+		registry:   prometheus.NewRegistry(),
+		counters:   map[string]*prometheus.CounterVec{},
+		gauges:     map[string]*prometheus.GaugeVec{},
+		histograms: map[string]*prometheus.HistogramVec{},
+		labels:     map[string][]label{},
+	}
+	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	for _, row := range table {
+		m.register(row)
+	}
+	return m
+}
+
+func (m *Metrics) register(row metric) {
+	labels := make([]string, len(row.labels))
+	for i := range row.labels {
+		labels[i] = row.labels[i].name
+	}
+	m.labels[row.name] = row.labels
+	opts := prometheus.Opts{Name: row.name, Help: row.help}
+	switch row.kind {
+	case kindCounter:
+		m.counters[row.name] = prometheus.NewCounterVec(prometheus.CounterOpts(opts), labels)
+		m.registry.MustRegister(m.counters[row.name])
+	case kindGauge:
+		m.gauges[row.name] = prometheus.NewGaugeVec(prometheus.GaugeOpts(opts), labels)
+		m.registry.MustRegister(m.gauges[row.name])
+	case kindHistogram:
+		m.histograms[row.name] = prometheus.NewHistogramVec(
+			prometheus.HistogramOpts{Name: row.name, Help: row.help, Buckets: row.buckets}, labels)
+		m.registry.MustRegister(m.histograms[row.name])
+	}
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler {
+	if m.registry == nil {
+		return http.NotFoundHandler()
+	}
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// bounded replaces values that a label does not list.
+func (m *Metrics) bounded(name string, values []string) []string {
+	for i, label := range m.labels[name] {
+		if !slices.Contains(label.values, values[i]) {
+			values[i] = otherValue
+		}
+	}
+	return values
+}
+
+func (m *Metrics) add(name string, n float64, values ...string) {
+	if vec := m.counters[name]; vec != nil {
+		vec.WithLabelValues(m.bounded(name, values)...).Add(n)
+	}
+}
+
+func (m *Metrics) set(name string, n float64, values ...string) {
+	if vec := m.gauges[name]; vec != nil {
+		vec.WithLabelValues(m.bounded(name, values)...).Set(n)
+	}
+}
+
+func (m *Metrics) observe(name string, d time.Duration, values ...string) {
+	if vec := m.histograms[name]; vec != nil {
+		vec.WithLabelValues(m.bounded(name, values)...).Observe(d.Seconds())
+	}
+}
+
+// ReadDone is the outcome of a read that was answered.
+const ReadDone = "done"
+
+// RequestEnded counts a request. The code is CodeOK, CodeAbandoned or that of
+// the refusal.
+func (m *Metrics) RequestEnded(rank rpdocument.Rank, code string) {
+	m.add(nameRequests, 1, rank.String(), code)
+}
+
+// FirstToken records the time from arrival to the first token.
+func (m *Metrics) FirstToken(rank rpdocument.Rank, d time.Duration) {
+	m.observe(nameFirstToken, d, rank.String())
+}
+
+// AttemptEnded counts an attempt.
+func (m *Metrics) AttemptEnded(reason rpcore.AttemptReason) {
+	m.add(nameAttempts, 1, string(reason))
+}
+
+// Queue sets the number of waiting requests of a rank.
+func (m *Metrics) Queue(rank rpdocument.Rank, waiting int) {
+	m.set(nameQueue, float64(waiting), rank.String())
+}
+
+// RequestsInProgress sets the number of requests that the instance holds.
+func (m *Metrics) RequestsInProgress(n int) { m.set(nameInProgress, float64(n)) }
+
+// LoadEnded counts a load order, and its time where it was carried out.
+func (m *Metrics) LoadEnded(place rpcore.CheckpointPlace, result rpcore.OrderResult, d time.Duration) {
+	m.add(nameLoads, 1, string(place), string(result))
+	if result == rpcore.OrderDone {
+		m.observe(nameLoadSeconds, d, string(place))
+	}
+}
+
+// TableRead counts a read of the table.
+func (m *Metrics) TableRead(unavailable bool, d time.Duration) {
+	outcome := ReadDone
+	if unavailable {
+		outcome = string(rpcore.WriteUnavailable)
+	}
+	m.add(nameTableOps, 1, "read", outcome)
+	m.observe(nameTableSeconds, d, "read")
+}
+
+// TableWrite counts a transaction.
+func (m *Metrics) TableWrite(outcome rpcore.WriteOutcome, d time.Duration) {
+	m.add(nameTableOps, 1, "write", string(outcome))
+	m.observe(nameTableSeconds, d, "write")
+}
+
+// PeerMessage counts a message between instances; the direction is sent,
+// received or dropped.
+func (m *Metrics) PeerMessage(direction string, message rpcore.PeerMessage) {
+	m.add(namePeerMessages, 1, direction, peerKind(message))
+}
+
+// ReducerEvent counts an event and the time that the reducer took for it.
+func (m *Metrics) ReducerEvent(d time.Duration) {
+	m.add(nameReducerEvents, 1)
+	m.add(nameReducerSeconds, d.Seconds())
+}
+
+// SubmissionEnded counts a submitted document.
+func (m *Metrics) SubmissionEnded(result rpcore.SubmissionResult) {
+	m.add(nameSubmissions, 1, string(result))
+}
+
+// DocumentsInForce sets the number of documents in force.
+func (m *Metrics) DocumentsInForce(n int) { m.set(nameDocuments, float64(n)) }
--- /dev/null
+++ b/internal/rpmetric/metric_test.go
@@ -0,0 +1,76 @@
+package rpmetric
+
+import (
+	"net/http/httptest"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// Guards against a page that differs from the metrics of the program.
+func TestDocs(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile("../../docs/metrics.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(page)).To(Equal(Docs()), "run: go run ./cmd/rattanpaddle docs metrics > docs/metrics.md")
+}
+
+// Guards against a refusal code that is counted as other.
+func TestCodes(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(refusalCodes).To(HaveLen(rpverdict.Codes()))
+	for _, code := range refusalCodes {
+		g.Expect(rpverdict.Refuse(code, "").Title()).NotTo(BeEmpty(), string(code))
+	}
+}
+
+// Guards against time series that grow with the names that callers send, and
+// against a method that names another metric than it records.
+func TestBoundedLabels(t *testing.T) {
+	g := NewWithT(t)
+	m := New()
+	m.RequestEnded(rpdocument.Rank(9), "mixadvies/bag-small")
+	m.RequestEnded(rpdocument.RankUrgent, CodeOK)
+	m.FirstToken(rpdocument.RankUrgent, 550*time.Millisecond)
+	m.AttemptEnded(rpcore.AttemptBroken)
+	m.Queue(rpdocument.RankNormal, 3)
+	m.RequestsInProgress(4)
+	m.LoadEnded(rpcore.PlaceDisk, rpcore.OrderDone, time.Second)
+	m.TableRead(true, time.Millisecond)
+	m.TableWrite(rpcore.WriteConflict, time.Millisecond)
+	m.PeerMessage("sent", rpcore.PeerMessage{Demand: &rpcore.Demand{}})
+	m.PeerMessage("sent", rpcore.PeerMessage{})
+	m.ReducerEvent(time.Millisecond)
+	m.SubmissionEnded(rpcore.SubmissionConflict)
+	m.DocumentsInForce(2)
+	answer := httptest.NewRecorder()
+	m.Handler().ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
+	for _, line := range []string{
+		`rattanpaddle_requests_total{code="other",rank="other"} 1`,
+		`rattanpaddle_requests_total{code="ok",rank="urgent"} 1`,
+		`rattanpaddle_first_token_seconds_bucket{rank="urgent",le="0.56"} 1`,
+		`rattanpaddle_first_token_seconds_bucket{rank="urgent",le="0.4"} 0`,
+		`rattanpaddle_attempts_total{reason="broken"} 1`,
+		`rattanpaddle_queue_requests{rank="normal"} 3`,
+		`rattanpaddle_requests_in_progress 4`,
+		`rattanpaddle_loads_total{place="disk",result="done"} 1`,
+		`rattanpaddle_load_seconds_count{place="disk"} 1`,
+		`rattanpaddle_table_operations_total{kind="read",outcome="unavailable"} 1`,
+		`rattanpaddle_table_operations_total{kind="write",outcome="conflict"} 1`,
+		`rattanpaddle_peer_messages_total{direction="sent",kind="demand"} 1`,
+		`rattanpaddle_peer_messages_total{direction="sent",kind="other"} 1`,
+		`rattanpaddle_reducer_events_total 1`,
+		`rattanpaddle_reducer_seconds_total 0.001`,
+		`rattanpaddle_document_submissions_total{result="conflict"} 1`,
+		`rattanpaddle_documents_in_force 2`,
+	} {
+		g.Expect(answer.Body.String()).To(ContainSubstring(line + "\n"))
+	}
+	new(Metrics).RequestEnded(rpdocument.RankUrgent, CodeOK)
+}
--- /dev/null
+++ b/internal/rpmetric/table.go
@@ -0,0 +1,151 @@
+package rpmetric
+
+import (
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// kind is the kind of a metric.
+type kind string
+
+const (
+	kindCounter   kind = "counter"
+	kindGauge     kind = "gauge"
+	kindHistogram kind = "histogram"
+)
+
+// metric is one line of the table of metrics.
+type metric struct {
+	name   string
+	kind   kind
+	unit   string
+	help   string
+	labels []label
+	// buckets are the upper bounds of a histogram.
+	buckets []float64
+}
+
+// label is a label with all its values. A value outside of them is counted as
+// otherValue, so that no caller, model or endpoint can add time series.
+type label struct {
+	name   string
+	values []string
+}
+
+// otherValue stands for values that a label does not list.
+const otherValue = "other"
+
+// CodeOK is the code of a request that was served.
+const CodeOK = "ok"
+
+// Names of the metrics.
+const (
+	nameRequests       = "rattanpaddle_requests_total"
+	nameFirstToken     = "rattanpaddle_first_token_seconds"
+	nameAttempts       = "rattanpaddle_attempts_total"
+	nameQueue          = "rattanpaddle_queue_requests"
+	nameInProgress     = "rattanpaddle_requests_in_progress"
+	nameLoads          = "rattanpaddle_loads_total"
+	nameLoadSeconds    = "rattanpaddle_load_seconds"
+	nameTableOps       = "rattanpaddle_table_operations_total"
+	nameTableSeconds   = "rattanpaddle_table_operation_seconds"
+	namePeerMessages   = "rattanpaddle_peer_messages_total"
+	nameReducerEvents  = "rattanpaddle_reducer_events_total"
+	nameReducerSeconds = "rattanpaddle_reducer_seconds_total"
+	nameSubmissions    = "rattanpaddle_document_submissions_total"
+	nameDocuments      = "rattanpaddle_documents_in_force"
+)
+
+// Bucket bounds in seconds. The target of 0.56 s to the first token is a
+// bound of its own, so that the share within it can be read off.
+var (
+	firstTokenBuckets = []float64{0.05, 0.1, 0.2, 0.3, 0.4, 0.56, 0.8, 1.2, 2, 3, 5, 10, 30, 60, 300}
+	loadBuckets       = []float64{0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 15, 30, 60, 120}
+	tableBuckets      = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5}
+)
+
+var rankLabel = label{"rank", rankNames()}
+
+// table lists every metric of an instance.
+var table = []metric{
+	{name: nameRequests, kind: kindCounter, unit: "requests", help: "Requests that ended, by rank and code. The code is ok or that of the refusal.", labels: []label{rankLabel, {"code", codeNames()}}},
+	{name: nameFirstToken, kind: kindHistogram, unit: "seconds", help: "Time from the arrival of a request to its first token, by rank.", labels: []label{rankLabel}, buckets: firstTokenBuckets},
+	{name: nameAttempts, kind: kindCounter, unit: "attempts", help: "Attempts that ended, by the reason of the end.", labels: []label{{"reason", reasonNames()}}},
+	{name: nameQueue, kind: kindGauge, unit: "requests", help: "Requests that wait for an endpoint, by rank.", labels: []label{rankLabel}},
+	{name: nameInProgress, kind: kindGauge, unit: "requests", help: "Requests that this instance holds."},
+	{name: nameLoads, kind: kindCounter, unit: "loads", help: "Load orders that ended, by the place of the checkpoint and the result.", labels: []label{placeLabel, {"result", resultNames()}}},
+	{name: nameLoadSeconds, kind: kindHistogram, unit: "seconds", help: "Time of load orders that were carried out, by the place of the checkpoint.", labels: []label{placeLabel}, buckets: loadBuckets},
+	{name: nameTableOps, kind: kindCounter, unit: "operations", help: "Operations on the table that ended, by kind and outcome.", labels: []label{operationLabel, {"outcome", outcomeNames()}}},
+	{name: nameTableSeconds, kind: kindHistogram, unit: "seconds", help: "Time of operations on the table, by kind.", labels: []label{operationLabel}, buckets: tableBuckets},
+	{name: namePeerMessages, kind: kindCounter, unit: "messages", help: "Messages between instances, by direction and kind.", labels: []label{{"direction", []string{"sent", "received", "dropped"}}, {"kind", peerKinds()}}},
+	{name: nameReducerEvents, kind: kindCounter, unit: "events", help: "Events that the reducer took in."},
+	{name: nameReducerSeconds, kind: kindCounter, unit: "seconds", help: "Time spent in the reducer."},
+	{name: nameSubmissions, kind: kindCounter, unit: "submissions", help: "Documents submitted at this instance, by result.", labels: []label{{"result", submissionNames()}}},
+	{name: nameDocuments, kind: kindGauge, unit: "documents", help: "Documents in force at this instance."},
+}
+
+var (
+	placeLabel     = label{"place", names(rpcore.PlaceMemory, rpcore.PlaceDisk, rpcore.PlaceRemote)}
+	operationLabel = label{"kind", []string{"read", "write"}}
+)
+
+func names[T ~string](values ...T) []string {
+	list := make([]string, len(values))
+	for i, value := range values {
+		list[i] = string(value)
+	}
+	return list
+}
+
+func rankNames() []string {
+	list := make([]string, len(rpdocument.Ranks))
+	for i, rank := range rpdocument.Ranks {
+		list[i] = rank.String()
+	}
+	return list
+}
+
+func codeNames() []string {
+	return append([]string{CodeOK, CodeAbandoned}, names(refusalCodes...)...)
+}
+
+// CodeAbandoned is the code of a request whose caller left.
+const CodeAbandoned = "abandoned"
+
+var refusalCodes = []rpverdict.Code{
+	rpverdict.CodeMalformedRequest, rpverdict.CodeBodyTooLarge, rpverdict.CodeUnknownModel,
+	rpverdict.CodeUnknownService, rpverdict.CodeUnknownRoute, rpverdict.CodeCallerNotAllowed,
+	rpverdict.CodeIdempotencyKeyRequired, rpverdict.CodeIdempotencyKeyReused, rpverdict.CodeInvalidHeader,
+	rpverdict.CodeNoDocument, rpverdict.CodeDraining, rpverdict.CodeQueueFull,
+	rpverdict.CodeDeadlineUnreachable, rpverdict.CodeDeadlineExceeded, rpverdict.CodeNoReplica,
+	rpverdict.CodeNoEndpoint, rpverdict.CodeTableUnavailable, rpverdict.CodeAttemptFailed,
+	rpverdict.CodeStreamBroken, rpverdict.CodeEarlierAttemptUnknown, rpverdict.CodeOutcomeNotKept,
+	rpverdict.CodeTooManyStreams,
+}
+
+func reasonNames() []string {
+	return names(rpcore.AttemptComplete, rpcore.AttemptRefusedConnection, rpcore.AttemptNotLoaded,
+		rpcore.AttemptBusy, rpcore.AttemptLeaving, rpcore.AttemptBroken, rpcore.AttemptFailed,
+		rpcore.AttemptCanceled, rpcore.AttemptTimedOut)
+}
+
+func resultNames() []string {
+	return names(rpcore.OrderDone, rpcore.OrderFenced, rpcore.OrderRejected, rpcore.OrderNotSent, rpcore.OrderUnknown)
+}
+
+func outcomeNames() []string {
+	return append([]string{ReadDone}, names(rpcore.WriteApplied, rpcore.WriteConflict, rpcore.WriteUnavailable, rpcore.WriteUnknown)...)
+}
+
+func submissionNames() []string {
+	return names(rpcore.SubmissionAccepted, rpcore.SubmissionConflict, rpcore.SubmissionInvalid,
+		rpcore.SubmissionUnavailable, rpcore.SubmissionUnknown)
+}
+
+func peerKinds() []string {
+	return []string{
+		"heartbeat", "document_push", "document_request", "demand", "demand_answer",
+		"report_share", "leaving_notice", "ticket_request", "ticket_grant", "ticket_release",
+	}
+}
