--- /dev/null
+++ b/internal/rpsettings/defaults.go
@@ -0,0 +1,51 @@
+package rpsettings
+
+import (
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rplog"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+// Bounds of a settings file.
+const (
+	// MaxBodyBytes bounds the text of a settings file, in bytes.
+	MaxBodyBytes = 64 << 10
+	// MaxFileBytes bounds each file that the settings name, in bytes.
+	MaxFileBytes = 1 << 20
+	// MaxBootstrapEditors bounds operators.bootstrap_editors.
+	MaxBootstrapEditors = 1000
+)
+
+// Defaults of optional keys. Those of the reducer's limits are in rpcore.
+const (
+	DefaultListInterval       = Duration(time.Second)
+	DefaultRequestBodyBytes   = 4 << 20
+	DefaultRequestHeaderBytes = 32 << 10
+	DefaultHeaderTimeout      = Duration(10 * time.Second)
+	DefaultBodyTimeout        = Duration(30 * time.Second)
+	DefaultIdleTimeout        = Duration(2 * time.Minute)
+	// DefaultGrace allows the balancer two probes of /readyz a second apart.
+	DefaultGrace = Duration(2 * time.Second)
+)
+
+func defaults() *Settings {
+	return &Settings{
+		Platform: Platform{ListInterval: DefaultListInterval},
+		Limits: Limits{
+			WeightLoads:          rpcore.DefaultWeightLoads,
+			WeightLoadsPerSecond: rpcore.DefaultWeightLoadsPerSecond,
+			AdapterLoads:         rpcore.DefaultAdapterLoads,
+			EngineConcurrency:    rpcore.DefaultEngineConcurrency,
+			RequestsInProgress:   rpcore.DefaultRequestsInProgress,
+			ColdStartEstimate:    Duration(rpcore.DefaultColdStartEstimate),
+			RequestBodyBytes:     DefaultRequestBodyBytes,
+			RequestHeaderBytes:   DefaultRequestHeaderBytes,
+			HeaderTimeout:        DefaultHeaderTimeout,
+			BodyTimeout:          DefaultBodyTimeout,
+			IdleTimeout:          DefaultIdleTimeout,
+		},
+		Drain: Drain{Grace: DefaultGrace, Timeout: Duration(rpcore.DefaultDrainTimeout)},
+		Log:   Log{Format: LogFormat(rplog.FormatJSON)},
+	}
+}
--- /dev/null
+++ b/internal/rpsettings/settings.go
@@ -0,0 +1,160 @@
+package rpsettings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/netip"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rplog"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// Duration is a duration that TOML writes as a string such as "250ms".
+type Duration = rpdocument.Duration
+
+// Settings are the settings of one instance.
+type Settings struct {
+	Instance  Instance  `toml:"instance"`
+	Listen    Listen    `toml:"listen"`
+	Advertise Advertise `toml:"advertise"`
+	Platform  Platform  `toml:"platform"`
+	TLS       TLS       `toml:"tls"`
+	Operators Operators `toml:"operators"`
+	Limits    Limits    `toml:"limits"`
+	Drain     Drain     `toml:"drain"`
+	Policy    Policy    `toml:"policy"`
+	Log       Log       `toml:"log"`
+}
+
+// Instance says who the instance is.
+type Instance struct {
+	Name          string `toml:"name"`
+	FailureDomain string `toml:"failure_domain"`
+}
+
+// Listen holds the addresses that the instance listens on.
+type Listen struct {
+	Callers   Address `toml:"callers"`
+	Operators Address `toml:"operators"`
+	Peers     Address `toml:"peers"`
+}
+
+// Advertise holds the addresses that others use, where they differ from those
+// of Listen.
+type Advertise struct {
+	Peers Address `toml:"peers"`
+}
+
+// Platform says where the platform's services are.
+type Platform struct {
+	TableEndpoint  URL    `toml:"table_endpoint"`
+	TableName      string `toml:"table_name"`
+	ObjectEndpoint URL    `toml:"object_endpoint"`
+	Bucket         string `toml:"bucket"`
+	Region         string `toml:"region"`
+	AccessKey      Secret `toml:"access_key"`
+	SecretKey      Secret `toml:"secret_key"`
+	// AccessKeyFile and SecretKeyFile are read in place of the keys; Load
+	// fills in AccessKey and SecretKey.
+	AccessKeyFile string   `toml:"access_key_file"`
+	SecretKeyFile string   `toml:"secret_key_file"`
+	ListEndpoint  URL      `toml:"list_endpoint"`
+	ListInterval  Duration `toml:"list_interval"`
+}
+
+// TLS names the files for mutual TLS between instances.
+type TLS struct {
+	CA          string `toml:"ca"`
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	// Pool and Pair hold what Load read from the files.
+	Pool *x509.CertPool  `toml:"-"`
+	Pair tls.Certificate `toml:"-"`
+}
+
+// Operators bounds who may create documents.
+type Operators struct {
+	// BootstrapEditors holds the SHA-256 sums (hex) of the credentials that
+	// may accept the first document of a service.
+	BootstrapEditors []string `toml:"bootstrap_editors"`
+}
+
+// Limits bounds the work of the instance. The first part goes to the reducer,
+// the second to the front.
+type Limits struct {
+	WeightLoads          int      `toml:"weight_loads"`
+	WeightLoadsPerSecond float64  `toml:"weight_loads_per_second"`
+	AdapterLoads         int      `toml:"adapter_loads"`
+	EngineConcurrency    int      `toml:"engine_concurrency"`
+	RequestsInProgress   int      `toml:"requests_in_progress"`
+	ColdStartEstimate    Duration `toml:"cold_start_estimate"`
+
+	// RequestBodyBytes and RequestHeaderBytes bound one request.
+	RequestBodyBytes   int `toml:"request_body_bytes"`
+	RequestHeaderBytes int `toml:"request_header_bytes"`
+	// HeaderTimeout bounds the time in which a caller sends its headers,
+	// BodyTimeout that of the body, and IdleTimeout the time that a
+	// connection stays open without requests.
+	HeaderTimeout Duration `toml:"header_timeout"`
+	BodyTimeout   Duration `toml:"body_timeout"`
+	IdleTimeout   Duration `toml:"idle_timeout"`
+}
+
+// Drain bounds a planned stop.
+type Drain struct {
+	// Grace is the time that the balancer needs to see that /readyz fails.
+	Grace Duration `toml:"grace"`
+	// Timeout bounds the whole stop.
+	Timeout Duration `toml:"timeout"`
+}
+
+// Policy selects a baseline in place of the policy of the system.
+type Policy struct {
+	FixedKeepAlive  Duration `toml:"fixed_keep_alive"`
+	FirstInFirstOut bool     `toml:"first_in_first_out"`
+	RandomRouting   bool     `toml:"random_routing"`
+	LoadPerInstance bool     `toml:"load_per_instance"`
+}
+
+// Log holds the settings of the log.
+type Log struct {
+	Format LogFormat `toml:"format"`
+	// Levels is written as the flag --log, such as "info,replicas=debug".
+	Levels LogLevels `toml:"levels"`
+}
+
+// CoreLimits returns the limits of the reducer.
+func (s *Settings) CoreLimits() rpcore.Limits {
+	return rpcore.Limits{
+		WeightLoads:          s.Limits.WeightLoads,
+		WeightLoadsPerSecond: s.Limits.WeightLoadsPerSecond,
+		AdapterLoads:         s.Limits.AdapterLoads,
+		EngineConcurrency:    s.Limits.EngineConcurrency,
+		RequestsInProgress:   s.Limits.RequestsInProgress,
+		DrainTimeout:         time.Duration(s.Drain.Timeout),
+		ColdStartEstimate:    time.Duration(s.Limits.ColdStartEstimate),
+	}
+}
+
+// CorePolicy returns the policy of the reducer.
+func (s *Settings) CorePolicy() rpcore.Policy {
+	return rpcore.Policy{
+		FixedKeepAlive:  time.Duration(s.Policy.FixedKeepAlive),
+		FirstInFirstOut: s.Policy.FirstInFirstOut,
+		RandomRouting:   s.Policy.RandomRouting,
+		LoadPerInstance: s.Policy.LoadPerInstance,
+	}
+}
+
+// LogLevels returns the levels of the log.
+func (s *Settings) LogLevels() rplog.Levels { return s.Log.Levels.Levels }
+
+// PeersAddress returns the address that other instances use.
+func (s *Settings) PeersAddress() netip.AddrPort {
+	if s.Advertise.Peers.IsValid() {
+		return s.Advertise.Peers.AddrPort
+	}
+	return s.Listen.Peers.AddrPort
+}
