Add the HTTP interface for operators and its client

A submission needs the credential of an editor of the document in force, and the version that was edited must be the one in force at the instance: otherwise an instance that is behind would grant rights that a newer document took away. An answer that does not come in time is reported as an unknown outcome, never as a failure.

--- /dev/null
+++ b/internal/rpoperator/client.go
@@ -0,0 +1,147 @@
+package rpoperator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// maxAnswerBytes bounds what the client reads of an answer. A document with
+// all its problems is far smaller.
+const maxAnswerBytes = 8 << 20
+
+const (
+	dialTimeout   = 5 * time.Second
+	clientTimeout = 3 * DefaultAnswerTimeout
+)
+
+// Client asks one instance. Errors are a *Refusal, where the instance answered
+// with one, or an UnreachableError.
+type Client struct {
+	// Address is the operators' address of the instance.
+	Address netip.AddrPort
+	// Credential is sent with a submission.
+	Credential string
+	// HTTP may be nil.
+	HTTP *http.Client
+}
+
+// UnreachableError says that an instance gave no answer that can be read.
+type UnreachableError struct {
+	Address netip.AddrPort
+	// NotSent says that no connection was made, so the request had no effect.
+	NotSent bool
+	Err     error
+}
+
+func (e *UnreachableError) Error() string {
+	if e.NotSent {
+		return fmt.Sprintf("No instance answers at %s: %v.", e.Address, e.Err)
+	}
+	return fmt.Sprintf("The instance at %s gave no answer that can be read: %v.", e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Err }
+
+// List returns the documents in force.
+func (c *Client) List(ctx context.Context) (DocumentList, error) {
+	var list DocumentList
+	err := c.do(ctx, http.MethodGet, "/operator/v1/documents", nil, nil, &list)
+	return list, err
+}
+
+// Document returns the document of a service.
+func (c *Client) Document(ctx context.Context, service string) (DocumentAnswer, error) {
+	var answer DocumentAnswer
+	err := c.do(ctx, http.MethodGet, documentPath(service), nil, nil, &answer)
+	return answer, err
+}
+
+// Accept submits a document.
+func (c *Client) Accept(ctx context.Context, service string, editedVersion uint64, body []byte) (AcceptAnswer, error) {
+	var answer AcceptAnswer
+	header := http.Header{
+		"If-Match":      {strconv.Quote(strconv.FormatUint(editedVersion, 10))},
+		"Content-Type":  {tomlContentType},
+		"Authorization": {"Bearer " + c.Credential},
+	}
+	err := c.do(ctx, http.MethodPut, documentPath(service), header, body, &answer)
+	return answer, err
+}
+
+// Status returns the status of the instance as JSON.
+func (c *Client) Status(ctx context.Context) (json.RawMessage, error) {
+	var status json.RawMessage
+	err := c.do(ctx, http.MethodGet, "/operator/v1/status", nil, nil, &status)
+	return status, err
+}
+
+func documentPath(service string) string { return "/operator/v1/documents/" + service }
+
+func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte, answer any) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return &UnreachableError{Address: c.Address, NotSent: true, Err: err}
+	}
+	if header != nil {
+		req.Header = header
+	}
+	req.Header.Set("Accept", jsonContentType)
+	res, err := c.client().Do(req)
+	if err != nil {
+		var op *net.OpError
+		return &UnreachableError{Address: c.Address, NotSent: errors.As(err, &op) && op.Op == "dial", Err: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	if err := decode(res, answer); err != nil {
+		var refusal *Refusal
+		if errors.As(err, &refusal) {
+			return err
+		}
+		return &UnreachableError{Address: c.Address, Err: err}
+	}
+	return nil
+}
+
+func (c *Client) client() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
+	return defaultClient
+}
+
+// defaultClient sends credentials to the named instance only: it uses no proxy
+// and follows no redirect. Its timeout is longer than that of a submission.
+var defaultClient = &http.Client{
+	Transport:     &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	Timeout:       clientTimeout,
+}
+
+func decode(res *http.Response, answer any) error {
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	if err != nil {
+		return err
+	}
+	if res.StatusCode == http.StatusOK {
+		return json.Unmarshal(body, answer)
+	}
+	if !strings.HasPrefix(res.Header.Get("Content-Type"), problemContentType) {
+		return fmt.Errorf("status %d without a problem", res.StatusCode)
+	}
+	refusal := &Refusal{}
+	if err := json.Unmarshal(body, refusal); err != nil {
+		return err
+	}
+	return refusal
+}
