Add the command table, its help and the operators' commands

All commands are in one table with aliases, help and go-arg arguments; docs/commands.md is generated from it. document accept tells who won a race and what the file would change in the version that won. After a lost answer it looks whether its own document is in force, and reports an unknown outcome where it is not. The wait for the reducer's answer prefers an answer that comes together with the timeout.

--- a/cmd/rattanpaddle/main.go
+++ b/cmd/rattanpaddle/main.go
@@ -2,4 +2,18 @@
 // embedded default in one program.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpcommand"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	program := &rpcommand.Program{Stdout: os.Stdout, Stderr: os.Stderr}
+	os.Exit(program.Run(ctx, os.Args[1:]))
+}
--- /dev/null
+++ b/internal/rpcommand/accept.go
@@ -0,0 +1,175 @@
+package rpcommand
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpoperator"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// CredentialVariable names the environment variable with the credential of an
+// editor.
+const CredentialVariable = "RATTANPADDLE_CREDENTIAL"
+
+// acceptReport is the report of document accept.
+type acceptReport struct {
+	Result rpcore.SubmissionResult `json:"result"`
+	// Service and Version name what is accepted now, by Editor. Version is 0
+	// where it is not known.
+	Service string `json:"service"`
+	Version uint64 `json:"version,omitempty"`
+	Editor  string `json:"editor,omitempty"`
+	// Changes compares the submitted document with the one before it, or,
+	// after a conflict, with the one that won.
+	Changes []rpdocument.Change `json:"changes"`
+	Detail  string              `json:"detail,omitempty"`
+}
+
+// accepting is one run of document accept.
+type accepting struct {
+	program *Program
+	args    *documentAcceptArgs
+	client  *rpoperator.Client
+	doc     *rpdocument.Document
+	body    []byte
+}
+
+func documentAccept(ctx context.Context, p *Program, args *documentAcceptArgs) error {
+	client, err := args.client()
+	if err != nil {
+		return err
+	}
+	doc, body, err := p.requireDocument(args.File, args.Output)
+	if err != nil {
+		return err
+	}
+	if client.Credential, err = readCredential(args.CredentialFile); err != nil {
+		return err
+	}
+	a := accepting{program: p, args: args, client: client, doc: doc, body: body}
+	answer, err := client.Accept(ctx, doc.Service, args.EditedVersion, body)
+	if err != nil {
+		return a.failed(ctx, err)
+	}
+	return a.report(acceptReport{
+		Result: answer.Result, Service: answer.Service, Version: answer.Version, Editor: answer.Editor, Changes: answer.Changes,
+	}, "is accepted")
+}
+
+// readCredential returns the credential. It has no flag of its own: the
+// arguments of a process can be read by others.
+func readCredential(file string) (string, error) {
+	credential := os.Getenv(CredentialVariable)
+	if file != "" {
+		body, err := readLimited(file)
+		if err != nil {
+			return "", err
+		}
+		credential = string(body)
+	}
+	if credential = strings.TrimSpace(credential); credential == "" {
+		return "", usageError("the credential is missing. Set the variable %s or use --credential-file", CredentialVariable)
+	}
+	if strings.ContainsAny(credential, "\r\n") {
+		return "", usageError("the credential has more than one line")
+	}
+	return credential, nil
+}
+
+const maxCredentialBytes = 4096
+
+func readLimited(name string) ([]byte, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	defer func() { _ = file.Close() }()
+	return io.ReadAll(io.LimitReader(file, maxCredentialBytes))
+}
+
+func (a accepting) report(report acceptReport, what string) error {
+	report.Changes = append([]rpdocument.Change{}, report.Changes...)
+	text := fmt.Sprintf("Version %d of service %s %s, by editor %s.\n%s",
+		report.Version, report.Service, what, rpoperator.ShortEditor(report.Editor), changesText(report.Changes))
+	return a.program.report(a.args.Output, report, text)
+}
+
+// failed finds out what is accepted after a submission that did not succeed.
+func (a accepting) failed(ctx context.Context, err error) error {
+	var refusal *rpoperator.Refusal
+	if errors.As(err, &refusal) {
+		switch refusal.Code {
+		case rpoperator.CodeVersionConflict:
+			return a.conflict(ctx, refusal)
+		case rpoperator.CodeOutcomeUnknown:
+			return a.unknown(ctx, err)
+		}
+		return err
+	}
+	var unreachable *rpoperator.UnreachableError
+	if errors.As(err, &unreachable) && !unreachable.NotSent {
+		return a.unknown(ctx, err)
+	}
+	return err
+}
+
+// conflict reports who won and what the submitted document would change now.
+// Where the accepted document is the submitted one, an earlier try was
+// accepted and its answer was lost.
+func (a accepting) conflict(ctx context.Context, refusal *rpoperator.Refusal) error {
+	current := refusal.Current
+	if current != nil && a.isOurs(*current) {
+		return a.report(acceptReport{
+			Result: rpcore.SubmissionAccepted, Service: current.Service, Version: current.Version, Editor: current.Editor,
+		}, "is this document and was accepted before")
+	}
+	report := acceptReport{Result: rpcore.SubmissionConflict, Service: a.doc.Service, Detail: refusal.Detail}
+	won, version, err := inForce(ctx, a.args.OperatorArgs, a.doc.Service)
+	known := err == nil && won != nil && (current == nil || version == current.Version)
+	if current != nil {
+		report.Version, report.Editor = current.Version, current.Editor
+	}
+	text := refusal.Detail + "\n"
+	if known {
+		report.Version, report.Changes = version, rpdocument.Diff(won, a.doc)
+		text += fmt.Sprintf("Your file would change version %d as follows:\n%s", version, changesText(report.Changes))
+	} else {
+		text += "The instance does not show the accepted version yet. Run document diff later.\n"
+	}
+	if err := a.program.report(a.args.Output, report, text); err != nil {
+		return err
+	}
+	return &exitError{code: ExitConflict, err: errors.New("the document was not accepted: another version was accepted first")}
+}
+
+// isOurs reports whether an accepted row is what this command submitted.
+func (a accepting) isOurs(row rpcore.DocumentRow) bool {
+	return row.Version == a.args.EditedVersion+1 && row.Hash == rpdocument.Hash(a.body) &&
+		row.Editor == rpdocument.Hash([]byte(a.client.Credential))
+}
+
+// unknown looks whether the document is in force by now. That it is not shows
+// nothing: it may be accepted later.
+func (a accepting) unknown(ctx context.Context, cause error) error {
+	answer, err := a.client.Document(ctx, a.doc.Service)
+	if err == nil && a.isOurs(answer.Document) {
+		return a.report(acceptReport{
+			Result: rpcore.SubmissionAccepted, Service: a.doc.Service, Version: answer.Document.Version, Editor: answer.Document.Editor,
+		}, "is this document and is accepted")
+	}
+	report := acceptReport{Result: rpcore.SubmissionUnknown, Service: a.doc.Service, Changes: []rpdocument.Change{}, Detail: cause.Error()}
+	text := "It is not known whether the document was accepted. It may also be accepted later.\n" +
+		"Run document list and look at the version. To try again with the same --edited-version is safe.\n"
+	if err := a.program.report(a.args.Output, report, text); err != nil {
+		return err
+	}
+	return &exitError{code: ExitUnknown, err: cause}
+}
--- /dev/null
+++ b/internal/rpcommand/args.go
@@ -0,0 +1,117 @@
+package rpcommand
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rplog"
+	"github.com/rattanpaddle/rattanpaddle/internal/rpsettings"
+)
+
+// LogArgs are the flags of the log.
+type LogArgs struct {
+	Log string `arg:"--log" placeholder:"LEVELS" help:"a level for all parts and levels of single parts, such as warn,replicas=debug"`
+	// Levels holds what Log says.
+	Levels rplog.Levels `arg:"-"`
+}
+
+func (a *LogArgs) logArgs() *LogArgs { return a }
+
+// ServeArgs are the arguments of serve.
+type ServeArgs struct {
+	LogArgs
+	File string `arg:"positional,required" placeholder:"SETTINGS" help:"the settings file"`
+	// Settings holds the checked file. Its levels include those of --log.
+	Settings *rpsettings.Settings `arg:"-"`
+}
+
+// DemoArgs are the arguments of demo.
+type DemoArgs struct {
+	LogArgs
+	Callers   netip.AddrPort `arg:"--callers" placeholder:"ADDRESS" default:"127.0.0.1:8080" help:"address for callers"`
+	Operators netip.AddrPort `arg:"--operators" placeholder:"ADDRESS" default:"127.0.0.1:8081" help:"address for operators"`
+	Instances int            `arg:"--instances" default:"1" help:"number of entry instances"`
+	Engines   int            `arg:"--engines" default:"2" help:"number of stand-ins of engines"`
+	Seed      uint64         `arg:"--seed" default:"1" help:"seed of all random choices"`
+}
+
+// LoadArgs are the arguments of load.
+type LoadArgs struct {
+	LogArgs
+	OutputArgs
+	Targets   []netip.AddrPort `arg:"--target,separate,required" placeholder:"ADDRESS" help:"callers' address of an instance; may be given more than once"`
+	Models    []string         `arg:"--model,separate,required" placeholder:"NAME" help:"service/model or service/adapter; may be given more than once"`
+	Rate      float64          `arg:"--rate" default:"10" help:"requests a second over all models"`
+	Duration  time.Duration    `arg:"--duration" default:"30s" help:"time in which requests start"`
+	Rank      string           `arg:"--rank" help:"urgent, normal or background; without it the document decides"`
+	Timeout   time.Duration    `arg:"--timeout" help:"deadline of a request; without it the document decides"`
+	Prompt    int              `arg:"--prompt-tokens" default:"64" help:"tokens of a prompt"`
+	MaxTokens int              `arg:"--max-tokens" default:"32" help:"tokens of an answer"`
+	Seed      uint64           `arg:"--seed" default:"1" help:"seed of all random choices"`
+}
+
+// StandinKinds lists the kinds of stand-ins.
+var StandinKinds = []string{"table", "objects", "weights", "list", "engine", "service"}
+
+// StandinArgs are the arguments of standin.
+type StandinArgs struct {
+	LogArgs
+	Kind    string            `arg:"positional,required" placeholder:"KIND" help:"table, objects, weights, list, engine or service"`
+	Listen  netip.AddrPort    `arg:"--listen,required" placeholder:"ADDRESS" help:"address to listen on"`
+	Options map[string]string `arg:"--option,separate" placeholder:"NAME=VALUE" help:"an option of this kind of stand-in; may be given more than once"`
+	Seed    uint64            `arg:"--seed" default:"1" help:"seed of all random choices"`
+}
+
+// OutputArgs are the flags of a report.
+type OutputArgs struct {
+	Output string `arg:"-o,--output" placeholder:"FORMAT" default:"text" help:"text or json"`
+}
+
+func (a *OutputArgs) outputArgs() *OutputArgs { return a }
+
+// OperatorArgs name the instance to ask.
+type OperatorArgs struct {
+	Operator netip.AddrPort `arg:"--operator,env:RATTANPADDLE_OPERATOR" placeholder:"ADDRESS" help:"operators' address of an instance"`
+}
+
+type noArgs struct{}
+
+type settingsCheckArgs struct {
+	OutputArgs
+	File string `arg:"positional,required" placeholder:"SETTINGS" help:"the settings file"`
+}
+
+type documentCheckArgs struct {
+	OutputArgs
+	File string `arg:"positional,required" placeholder:"DOCUMENT" help:"the document"`
+}
+
+type documentDiffArgs struct {
+	OutputArgs
+	OperatorArgs
+	Old string `arg:"positional,required" placeholder:"OLD" help:"the old document; with --operator and no NEW, the new one"`
+	New string `arg:"positional" placeholder:"NEW" help:"the new document"`
+}
+
+type documentAcceptArgs struct {
+	OutputArgs
+	OperatorArgs
+	File           string `arg:"positional,required" placeholder:"DOCUMENT" help:"the document"`
+	EditedVersion  uint64 `arg:"--edited-version,required" placeholder:"N" help:"the version that you edited; 0 for a new service"`
+	CredentialFile string `arg:"--credential-file" placeholder:"FILE" help:"file with the credential of an editor; without it, the variable RATTANPADDLE_CREDENTIAL"`
+}
+
+type documentShowArgs struct {
+	OutputArgs
+	OperatorArgs
+	Service string `arg:"positional,required" placeholder:"SERVICE" help:"the name of the service"`
+}
+
+type operatorReportArgs struct {
+	OutputArgs
+	OperatorArgs
+}
+
+type reportArgs struct {
+	OutputArgs
+}
--- /dev/null
+++ b/internal/rpcommand/program.go
@@ -0,0 +1,135 @@
+package rpcommand
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rplog"
+	"github.com/rattanpaddle/rattanpaddle/internal/rpoperator"
+)
+
+const programName = "rattanpaddle"
+
+// Program is the program with its outputs and the parts that the main program
+// fills.
+type Program struct {
+	Stdout io.Writer
+	Stderr io.Writer
+
+	// Serve runs an instance until the context ends and then stops it as
+	// planned.
+	Serve func(ctx context.Context, args ServeArgs) error
+	// Demo runs the embedded default until the context ends.
+	Demo func(ctx context.Context, args DemoArgs) error
+	// Load runs the load generator. The report goes to Stdout.
+	Load func(ctx context.Context, args LoadArgs) error
+	// Standin runs a stand-in until the context ends.
+	Standin func(ctx context.Context, args StandinArgs) error
+}
+
+// Run runs the command that the arguments name and returns the exit code.
+func (p *Program) Run(ctx context.Context, args []string) int {
+	err := p.run(ctx, args)
+	code := exitCode(err)
+	if code != ExitDone {
+		_, _ = fmt.Fprintf(p.Stderr, "%s: %v\n", programName, err)
+		p.printProblems(err)
+	}
+	return int(code)
+}
+
+// printProblems prints what an instance said is wrong with a document.
+func (p *Program) printProblems(err error) {
+	var refusal *rpoperator.Refusal
+	if !errors.As(err, &refusal) {
+		return
+	}
+	for _, problem := range refusal.Problems {
+		_, _ = fmt.Fprintln(p.Stderr, problem.Error())
+	}
+}
+
+func (p *Program) run(ctx context.Context, words []string) error {
+	if len(words) == 0 || isHelp(words[0]) {
+		_, err := io.WriteString(p.Stdout, overview())
+		return err
+	}
+	c, rest, ok := find(words)
+	if !ok {
+		return p.unknownCommand(words)
+	}
+	args, parser, err := c.parser()
+	if err != nil {
+		return err
+	}
+	switch err := parser.Parse(rest); {
+	case errors.Is(err, arg.ErrHelp):
+		_, err := io.WriteString(p.Stdout, c.helpText(parser))
+		return err
+	case err != nil:
+		return usageError("%s: %w. Run %q for help", c.name, err, programName+" "+c.name+" --help")
+	}
+	if err := checkShared(args); err != nil {
+		return err
+	}
+	return c.run(ctx, p, args)
+}
+
+func isHelp(word string) bool { return word == "help" || word == "-h" || word == "--help" }
+
+// unknownCommand prints the commands of a group where the first word names
+// one.
+func (p *Program) unknownCommand(words []string) error {
+	group := words[0]
+	if full, ok := groupAliases[group]; ok {
+		group = full
+	}
+	var names []string
+	for _, c := range commands() {
+		if strings.HasPrefix(c.name, group+" ") {
+			names = append(names, c.name)
+		}
+	}
+	if len(names) == 0 {
+		return usageError("%q is not a command. Run %q for a list", words[0], programName+" help")
+	}
+	if len(words) > 1 && isHelp(words[1]) {
+		_, err := fmt.Fprintf(p.Stdout, "Commands: %s.\n", strings.Join(names, ", "))
+		return err
+	}
+	return usageError("write one of these commands: %s", strings.Join(names, ", "))
+}
+
+func (c command) parser() (any, *arg.Parser, error) {
+	args := c.args()
+	parser, err := arg.NewParser(arg.Config{Program: programName + " " + c.name, Out: io.Discard}, args)
+	return args, parser, err
+}
+
+// checkShared checks the flags that several commands have.
+func checkShared(args any) error {
+	if output, ok := args.(interface{ outputArgs() *OutputArgs }); ok {
+		if format := output.outputArgs().Output; !slices.Contains([]string{"text", "json"}, format) {
+			return usageError("--output: %q is not a format. Write text or json", format)
+		}
+	}
+	if log, ok := args.(interface{ logArgs() *LogArgs }); ok {
+		return log.logArgs().parse()
+	}
+	return nil
+}
+
+func (a *LogArgs) parse() error {
+	levels, err := rplog.ParseLevels(a.Log)
+	if err != nil {
+		return usageError("--log: %w", err)
+	}
+	a.Levels = levels
+	return nil
+}
--- /dev/null
+++ b/internal/rpcommand/table.go
@@ -0,0 +1,94 @@
+package rpcommand
+
+import (
+	"context"
+	"strings"
+)
+
+// command is one line of the table of commands.
+type command struct {
+	// name holds the words of the command, such as "document accept".
+	name string
+	// aliases replace the last word.
+	aliases []string
+	help    string
+	// detail is printed below the help.
+	detail string
+	hidden bool
+	// args returns new arguments for go-arg.
+	args func() any
+	// run gets what args returned, parsed.
+	run func(ctx context.Context, p *Program, args any) error
+}
+
+// define ties the type of the arguments to the function that takes them.
+func define[A any](c command, run func(ctx context.Context, p *Program, args *A) error) command {
+	c.args = func() any { return new(A) }
+	c.run = func(ctx context.Context, p *Program, args any) error { return run(ctx, p, args.(*A)) }
+	return c
+}
+
+// commands returns the table of all commands, in the order of the help.
+func commands() []command {
+	return []command{
+		define(command{
+			name: "serve", aliases: []string{"run"}, help: "Run one entry instance.",
+			detail: "The signals SIGTERM and SIGINT start a planned stop: requests in progress are finished.",
+		}, serve),
+		define(command{
+			name: "demo", help: "Run the whole system with stand-ins in one process.",
+			detail: "Nothing else is needed. Use it to try the system.",
+		}, demo),
+		define(command{name: "load", aliases: []string{"bench"}, help: "Send requests at a fixed rate and report what came back."}, load),
+		define(command{name: "standin", aliases: []string{"fake"}, help: "Run a stand-in of an outside system, for tests."}, standin),
+		define(command{name: "settings check", aliases: []string{"validate"}, help: "Check a settings file and report every problem."}, settingsCheck),
+		define(command{name: "settings example", help: "Print a settings file with comments."}, settingsExample),
+		define(command{name: "document check", aliases: []string{"validate"}, help: "Check a document and report every problem."}, documentCheck),
+		define(command{
+			name: "document diff", aliases: []string{"compare"}, help: "Say what a new document changes and what that costs.",
+			detail: "With --operator and one file, the file is compared with the document in force.",
+		}, documentDiff),
+		define(command{
+			name: "document accept", aliases: []string{"apply", "put"}, help: "Accept a document, unless another version was accepted first.",
+			detail: "The credential comes from a file or from RATTANPADDLE_CREDENTIAL, so that it does not show in the list of processes.",
+		}, documentAccept),
+		define(command{name: "document show", aliases: []string{"get"}, help: "Print the document of a service that is in force."}, documentShow),
+		define(command{name: "document list", aliases: []string{"ls"}, help: "List the documents in force."}, documentList),
+		define(command{name: "document example", help: "Print a document with comments."}, documentExample),
+		define(command{name: "status", help: "Print the state of an instance."}, status),
+		define(command{name: "version", help: "Print the version of the program."}, version),
+		define(command{name: "docs commands", hidden: true, help: "Print docs/commands.md."}, docsCommands),
+		define(command{name: "docs metrics", hidden: true, help: "Print docs/metrics.md."}, docsMetrics),
+	}
+}
+
+// groupAliases replace the first word of a command.
+var groupAliases = map[string]string{"doc": "document", "documents": "document"}
+
+// names returns every name of a command, its own first.
+func (c command) names() []string {
+	words := strings.Fields(c.name)
+	names := []string{c.name}
+	for _, alias := range c.aliases {
+		names = append(names, strings.Join(append(words[:len(words)-1:len(words)-1], alias), " "))
+	}
+	return names
+}
+
+// find returns the command that arguments begin with, and the arguments after
+// its name.
+func find(args []string) (command, []string, bool) {
+	words := append([]string(nil), args...)
+	if len(words) > 0 && groupAliases[words[0]] != "" {
+		words[0] = groupAliases[words[0]]
+	}
+	for _, c := range commands() {
+		for _, name := range c.names() {
+			n := len(strings.Fields(name))
+			if len(words) >= n && strings.Join(words[:n], " ") == name {
+				return c, words[n:], true
+			}
+		}
+	}
+	return command{}, nil, false
+}
--- a/internal/rpoperator/submission.go
+++ b/internal/rpoperator/submission.go
@@ -61,5 +61,11 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	select {
+	case a := <-answer:
+		// The answer came together with the end of the wait.
+		return a
+	default:
+	}
 	return rpcore.AnswerSubmission{Result: rpcore.SubmissionUnknown}
 }
