Compare keys of a document only when none of them has a problem

A trial of document check on a file with max_replicas = "three" also reported that one warm replica is more than max_replicas, 0.

--- a/internal/rpsettings/check.go
+++ b/internal/rpsettings/check.go
@@ -158,7 +158,7 @@
 	drain := c.settings.Drain
 	rptoml.Between(c.report, "drain.grace", drain.Grace, 0, Duration(10*time.Minute))
 	rptoml.Between(c.report, "drain.timeout", drain.Timeout, Duration(time.Second), Duration(time.Hour))
-	if drain.Grace > drain.Timeout {
+	if drain.Grace > drain.Timeout && c.report.Sound("drain.grace", "drain.timeout") {
 		key := "drain.grace"
 		if !c.report.Has(key) {
 			key = "drain.timeout"
--- a/internal/rptoml/report.go
+++ b/internal/rptoml/report.go
@@ -72,6 +72,17 @@
 	r.problems = append(r.problems, Problem{Line: r.Line(key), Key: key, Wrong: wrong, Fix: fix})
 }
 
+// Sound reports whether none of the keys has a problem, so that a check which
+// compares them makes sense.
+func (r *Report) Sound(keys ...string) bool {
+	for _, key := range keys {
+		if r.reported[key] || r.underFailed(key) {
+			return false
+		}
+	}
+	return true
+}
+
 // Problems returns the problems in the order of the file.
 func (r *Report) Problems() []Problem {
 	problems := slices.Clone(r.problems)
--- a/pkg/rpdocument/check.go
+++ b/pkg/rpdocument/check.go
@@ -90,7 +90,7 @@
 		c.checkRank("ranks."+rank.String(), policy)
 		sum += policy.Floor
 	}
-	if sum > 1+floorTolerance {
+	if sum > 1+floorTolerance && c.report.Sound("ranks.urgent.floor", "ranks.normal.floor", "ranks.background.floor") {
 		sum = math.Round(sum*1000) / 1000
 		c.report.Add("ranks", fmt.Sprintf("The floors sum up to %v.", sum),
 			"Write floors of urgent, normal and background that sum up to at most 1.")
@@ -103,7 +103,7 @@
 	rptoml.Between(c.report, key+".worth", policy.Worth, MinWorth, MaxWorth)
 	rptoml.Between(c.report, key+".floor", policy.Floor, 0, 1)
 	rptoml.Between(c.report, key+".queue_limit", policy.QueueLimit, 1, MaxQueueLimit)
-	if policy.Target > policy.Deadline {
+	if policy.Target > policy.Deadline && c.report.Sound(key+".target", key+".deadline") {
 		c.report.Add(c.present(key+".target", key+".deadline"),
 			fmt.Sprintf("The target %s is longer than the deadline %s.", policy.Target, policy.Deadline),
 			"Write a target that is at most the deadline.")
--- a/pkg/rpdocument/parse_test.go
+++ b/pkg/rpdocument/parse_test.go
@@ -106,6 +106,25 @@
 	g.Expect(problems[0].Error()).To(Equal("line 1: format: The value 3 is out of range. Write 1."))
 }
 
+// Guards against a misleading second problem: a check that compares two keys
+// must not run when one of them has a problem of its own.
+func TestComparisonsNeedSoundKeys(t *testing.T) {
+	g := NewWithT(t)
+	body := head + `[ranks.urgent]
+floor = 3
+deadline = "nothing"
+target = "30s"
+` + strings.Replace(bagSmall, "replicas = 2", `replicas = "two"`, 1) + "warm_replicas = 1\n" +
+		"[[adapters]]\nname = \"a\"\nversion = \"1\"\nbase_model = \"b\"\ncheckpoint = \"a\"\nmemory = \"1MiB\"\n" +
+		"[[models]]\nname = 1\nversion = \"1\"\ncheckpoint = \"a\"\nmemory = \"1MiB\"\nmax_replicas = 1\n"
+	_, problems := rpdocument.Parse([]byte(body))
+	keys := make([]string, len(problems))
+	for i := range problems {
+		keys[i] = problems[i].Key
+	}
+	g.Expect(keys).To(ConsistOf("ranks.urgent.floor", "ranks.urgent.deadline", "models[0].max_replicas", "models[1].name"))
+}
+
 // Guards against a default that differs from the documented one.
 func TestDefaults(t *testing.T) {
 	g := NewWithT(t)
