--- /dev/null
+++ b/pkg/rpcore/admission.go
@@ -0,0 +1,135 @@
+package rpcore
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// defaultQueueLimit applies where the document sets no limit.
+const defaultQueueLimit = 1000
+
+// maxRetryAfter bounds Retry-After, since predictions far ahead are wrong.
+const maxRetryAfter = time.Minute
+
+// admit refuses a request that finds its queue full or would wait past its
+// deadline. A request that can start at once is never refused.
+func (s *State) admit(r *request) *rpverdict.Refusal {
+	if r.lane.waiting == 0 && s.canRoute(r) {
+		return nil
+	}
+	if r.lane.service.waiting[r.queue] >= s.queueLimit(r) {
+		full := refusal(rpverdict.CodeQueueFull, fmt.Sprintf("The queue of rank %s is full.", r.rank))
+		full.RetryAfter = retryAfterDefault
+		return full
+	}
+	wait, ok := s.predictedWait(r)
+	if !ok || !s.now.Add(wait).After(r.cutoff) {
+		return nil
+	}
+	// The replica is asked for even so, or a model whose cold start exceeds
+	// every deadline would never be loaded.
+	s.demand(r.lane)
+	late := refusal(rpverdict.CodeDeadlineUnreachable,
+		fmt.Sprintf("The predicted wait is %s.", wait.Round(time.Millisecond)))
+	late.RetryAfter = min(max(wait-r.cutoff.Sub(s.now), retryAfterDefault), maxRetryAfter)
+	return late
+}
+
+func (s *State) queueLimit(r *request) int {
+	document := r.lane.service.document
+	if !s.policy.FirstInFirstOut {
+		return rankLimit(document.Rank(r.rank))
+	}
+	sum := 0
+	for _, rank := range rpdocument.Ranks {
+		sum += rankLimit(document.Rank(rank))
+	}
+	return sum
+}
+
+func rankLimit(policy *rpdocument.RankPolicy) int {
+	if policy.QueueLimit <= 0 {
+		return defaultQueueLimit
+	}
+	return policy.QueueLimit
+}
+
+// predictedWait returns the time until a request that is not queued yet would
+// start, and whether there is a prediction.
+func (s *State) predictedWait(r *request) (time.Duration, bool) {
+	l := r.lane
+	endpoints := len(s.endpointsOf(l))
+	var wait time.Duration
+	if endpoints == 0 {
+		if l.plain() {
+			return 0, false
+		}
+		expected, ok := s.requests.deps.expectedReplica(s, l.key)
+		if !ok {
+			return 0, false
+		}
+		wait = expected
+	}
+	ahead := l.queues[r.queue].position(r)
+	if ahead == 0 {
+		return wait, true
+	}
+	pace := &l.paces[r.queue]
+	if gap, ok := pace.gap(); ok {
+		wait += time.Duration(ahead) * gap
+		if endpoints > 0 && !l.stalled {
+			wait += max(0, s.now.Sub(pace.anchor)-gap)
+		}
+		return wait, true
+	}
+	return wait + s.assumedGap(l, endpoints)*time.Duration(ahead+l.moreUrgent(r.queue)), true
+}
+
+// assumedGap estimates the time between two dispatches of a lane that has not
+// been observed under load, from the time that the service's requests take.
+func (s *State) assumedGap(l *lane, endpoints int) time.Duration {
+	slots := s.limits.EngineConcurrency * max(1, endpoints)
+	return time.Duration(l.service.duration) / time.Duration(slots)
+}
+
+func (l *lane) moreUrgent(queue int) int {
+	n := 0
+	for i := range queue {
+		n += len(l.queues[i])
+	}
+	return n
+}
+
+// pace measures how fast a lane dispatches the requests of a rank while some
+// of them wait. It keeps a decaying sum of time and dispatches, since a mean
+// of single gaps is useless where engines finish several requests at once.
+type pace struct {
+	dispatches float64
+	elapsed    time.Duration
+	// anchor is the time of the last dispatch, or the one at which the queue
+	// began to wait.
+	anchor time.Time
+}
+
+func (p *pace) begin(now time.Time) { p.anchor = now }
+
+func (p *pace) dispatched(now time.Time) {
+	gap := now.Sub(p.anchor)
+	kept := decay(gap, recentWindow)
+	p.dispatches = p.dispatches*kept + 1
+	p.elapsed = time.Duration(float64(p.elapsed)*kept) + gap
+	p.anchor = now
+}
+
+// paceSamples is the number of dispatches from which a pace is used.
+const paceSamples = 4
+
+func (p *pace) gap() (time.Duration, bool) {
+	if p.dispatches < paceSamples || p.elapsed == 0 {
+		return 0, false
+	}
+	return time.Duration(float64(p.elapsed) / p.dispatches), true
+}
--- /dev/null
+++ b/pkg/rpcore/claim.go
@@ -0,0 +1,198 @@
+package rpcore
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+const (
+	// claimLifetime is the time for which a key is remembered.
+	claimLifetime = 7 * 24 * time.Hour
+	// maxSettleTries bounds the writes that settle one claim. A claim that
+	// stays open is safe: the next request with the key is refused.
+	maxSettleTries = 60
+	// settleDelayLimit bounds the delay between them.
+	settleDelayLimit = 30 * time.Second
+)
+
+// claimView counts the claims whose last state is still to be written.
+type claimView struct {
+	settling int
+}
+
+// claim is the right of one request of this instance to run under its key.
+type claim struct {
+	key RowKey
+	row ClaimRow
+	// version is that of the row after the last write known to be applied.
+	version uint64
+	// nonces are those of all writes for this claim. Only its owner writes a
+	// claim that is not released, so a row with another nonce is not ours.
+	nonces  []Nonce
+	tries   int
+	settled bool
+}
+
+func (c *claim) wrote(row *Row) bool {
+	return slices.Contains(c.nonces, row.Nonce)
+}
+
+// write returns the conditional write of the claim's row.
+func (c *claim) write(nonce Nonce) RowWrite {
+	c.nonces = append(c.nonces, nonce)
+	row := c.row
+	return RowWrite{Key: c.key, ExpectVersion: c.version, Nonce: nonce, RowBody: RowBody{Claim: &row}}
+}
+
+// claimRequest claims the key of a request before anything is dispatched.
+// version is that of the released row that the claim replaces, or 0.
+func (s *State) claimRequest(r *request, version uint64) {
+	r.phase = phaseClaiming
+	c := &claim{
+		key:     claimKey(r),
+		version: version,
+		row: ClaimRow{
+			Owner: s.self.Instance, OwnerIncarnation: s.self.Incarnation,
+			Request: r.ID, Fingerprint: r.Fingerprint, State: ClaimOpen,
+			ClaimedAt: s.now, ExpiresAt: s.now.Add(claimLifetime),
+		},
+	}
+	s.writeTable([]RowWrite{c.write(s.newNonce())}, func(s *State, outcome WriteOutcome, rows []Row) {
+		s.claimAnswered(r, c, outcome, rows)
+	})
+}
+
+func claimKey(r *request) RowKey {
+	return RowKey{Kind: RowClaim, Service: r.key.Service, Name: r.IdempotencyKey}
+}
+
+func (s *State) claimAnswered(r *request, c *claim, outcome WriteOutcome, rows []Row) {
+	switch outcome {
+	case WriteApplied:
+		c.version++
+		s.claimGranted(r, c)
+	case WriteConflict:
+		s.claimConflict(r, c, findRow(rows, c.key))
+	case WriteUnavailable:
+		s.refuseWithoutTable(r)
+	default:
+		// The write may still take effect.
+		s.settle(c, ClaimReleased)
+		s.refuseWithoutTable(r)
+	}
+}
+
+// claimGranted queues a request that owns its claim. A request that has ended
+// meanwhile gives the claim back.
+func (s *State) claimGranted(r *request, c *claim) {
+	if r.phase != phaseClaiming {
+		s.settle(c, ClaimReleased)
+		return
+	}
+	r.claim = c
+	r.phase = phaseDelayed
+	s.requeue(r)
+}
+
+func (s *State) claimConflict(r *request, c *claim, row *Row) {
+	if row != nil && c.wrote(row) {
+		c.version = row.Version
+		s.claimGranted(r, c)
+		return
+	}
+	if r.phase == phaseClaiming {
+		s.claimFound(r, row)
+	}
+}
+
+func (s *State) refuseWithoutTable(r *request) {
+	if r.phase == phaseEnded {
+		return
+	}
+	refused := rpverdict.Refuse(rpverdict.CodeTableUnavailable, "The request could not be claimed.")
+	refused.RetryAfter = retryAfterDefault
+	s.refuseWith(r, refused)
+}
+
+// settleFinished records the outcome of a request that ran.
+func (s *State) settleFinished(r *request, outcome *Outcome) {
+	kept := Outcome{Truncated: true}
+	if outcome != nil {
+		kept = *outcome
+	}
+	if len(kept.Body) > OutcomeBodyLimit {
+		kept.Truncated = true
+	}
+	if kept.Truncated {
+		kept.Body = nil
+	}
+	r.claim.row.Outcome = &kept
+	r.claim.row.Verdict = rpverdict.Ran
+	s.settle(r.claim, ClaimFinished)
+}
+
+// settleUnfinished ends the claim of a request without an answer. Where no
+// attempt can have run, the claim is released so that a retry may run.
+func (s *State) settleUnfinished(r *request) {
+	r.claim.row.Verdict = r.verdict
+	if r.verdict == rpverdict.NotRun {
+		s.settle(r.claim, ClaimReleased)
+		return
+	}
+	s.settle(r.claim, ClaimUncertain)
+}
+
+// settle writes the last state of a claim. The row is overwritten and never
+// deleted: after a deletion the next claim of the key would start at version
+// 1 again, and a late copy of a conditional write of this claim could match
+// it. For a claim whose own write may still be under way, the released row
+// takes the version that this write expects, so it can't take effect any
+// more.
+func (s *State) settle(c *claim, state ClaimState) {
+	if c.settled {
+		return
+	}
+	c.settled = true
+	c.row.State = state
+	s.claims.settling++
+	s.writeSettled(c)
+}
+
+func (s *State) writeSettled(c *claim) {
+	c.tries++
+	s.writeTable([]RowWrite{c.write(s.newNonce())}, func(s *State, outcome WriteOutcome, rows []Row) {
+		s.settleAnswered(c, outcome, rows)
+	})
+}
+
+func (s *State) settleAnswered(c *claim, outcome WriteOutcome, rows []Row) {
+	if outcome == WriteApplied {
+		s.settleDone()
+		return
+	}
+	if outcome == WriteConflict {
+		row := findRow(rows, c.key)
+		if row == nil || !c.wrote(row) || (row.Claim != nil && row.Claim.State == c.row.State) {
+			s.settleDone()
+			return
+		}
+		c.version = row.Version
+	}
+	if c.tries >= maxSettleTries {
+		s.emit(Note{Part: "claims", Text: "gave up writing the state of a claim", Request: c.row.Request})
+		s.settleDone()
+		return
+	}
+	s.after(s.jitter(settleDelay(c.tries)), func(s *State) { s.writeSettled(c) })
+}
+
+func (s *State) settleDone() {
+	s.claims.settling--
+	s.checkDrained()
+}
+
+func settleDelay(try int) time.Duration {
+	return doubled(retryDelayBase, try, settleDelayLimit)
+}
--- /dev/null
+++ b/pkg/rpcore/dispatch.go
@@ -0,0 +1,248 @@
+package rpcore
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+const (
+	// sweepInterval is the time between two looks at the waiting requests. It
+	// finds capacity that no event of this instance announces, such as other
+	// instances' requests that ended and ejections that ran out.
+	sweepInterval = 100 * time.Millisecond
+	// unservedGrace is the time that requests wait for a plain service
+	// without endpoints, so that a restart of all of them is passed over.
+	unservedGrace = 2 * time.Second
+	// maxPassedOver bounds the requests that one decision passes over because
+	// they must not go to the endpoint that is free.
+	maxPassedOver = 8
+	// creditTolerance absorbs rounding in sums of floors.
+	creditTolerance = 1e-9
+)
+
+// rankHeads holds the request that each rank would dispatch next, or nil.
+type rankHeads [rpdocument.RankCount]*request
+
+// dispatchLane starts requests while an endpoint of the lane is free.
+// Requests of other lanes that the same endpoint serves compete for it.
+func (s *State) dispatchLane(l *lane) {
+	for l.waiting > 0 {
+		e := s.freeEndpoint(l)
+		if e == nil {
+			return
+		}
+		lanes := s.lanesAt(e)
+		if !slices.Contains(lanes, l) {
+			lanes = append(lanes, l)
+		}
+		if !s.dispatchOne(lanes) {
+			return
+		}
+	}
+}
+
+// dispatchAt starts requests while an endpoint has capacity.
+func (s *State) dispatchAt(e *endpoint) {
+	for s.hasCapacity(e) && s.dispatchOne(s.lanesAt(e)) {
+		continue
+	}
+}
+
+// lanesAt returns the lanes with waiting requests that an endpoint serves.
+// Their order is that of a map; the choice between them is not.
+func (s *State) lanesAt(e *endpoint) []*lane {
+	lanes := s.requests.laneBuffer[:0]
+	if e.Kind == MemberService {
+		if l := s.requests.lanes[ModelKey{Service: e.Service}]; l != nil && l.waiting > 0 {
+			lanes = append(lanes, l)
+		}
+	}
+	for key := range e.loaded {
+		if l := s.requests.lanes[key]; l != nil && l.waiting > 0 && e.serves(key) {
+			lanes = append(lanes, l)
+		}
+	}
+	s.requests.laneBuffer = lanes
+	return lanes
+}
+
+// dispatchOne starts the request whose turn it is and reports whether there
+// was one.
+func (s *State) dispatchOne(lanes []*lane) bool {
+	var buffer [maxPassedOver]*request
+	passed := buffer[:0]
+	for range maxPassedOver {
+		service := s.nextService(lanes, passed)
+		if service == nil {
+			return false
+		}
+		heads := s.headsOf(service, lanes, passed)
+		r := heads[service.nextQueue(&heads)]
+		e := s.route(r)
+		if e == nil {
+			passed = append(passed, r)
+			continue
+		}
+		service.charge(&heads, r.queue)
+		s.requests.servedCount++
+		service.servedAt = s.requests.servedCount
+		s.takeFromQueue(r)
+		s.startAttempt(r, e)
+		return true
+	}
+	return false
+}
+
+// nextService takes turns between services that share an endpoint.
+func (s *State) nextService(lanes []*lane, passed []*request) *serviceState {
+	var best *serviceState
+	for _, l := range lanes {
+		v := l.service
+		if best != nil && (v.servedAt > best.servedAt || (v.servedAt == best.servedAt && v.name >= best.name)) {
+			continue
+		}
+		if l.hasHead(s.now, passed) {
+			best = v
+		}
+	}
+	return best
+}
+
+func (l *lane) hasHead(now time.Time, passed []*request) bool {
+	for i := range l.queues {
+		if l.queues[i].first(now, passed) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) headsOf(service *serviceState, lanes []*lane, passed []*request) rankHeads {
+	var heads rankHeads
+	for _, l := range lanes {
+		if l.service != service {
+			continue
+		}
+		for i := range l.queues {
+			head := l.queues[i].first(s.now, passed)
+			if head != nil && (heads[i] == nil || compareRequests(head, heads[i]) < 0) {
+				heads[i] = head
+			}
+		}
+	}
+	return heads
+}
+
+// nextQueue returns the rank whose turn it is. Each dispatch gives every rank
+// with waiting work its floor as credit, and a rank that has saved up one
+// whole dispatch goes first. Otherwise the most urgent rank goes. A rank with
+// waiting work thus gets at least its floor of the dispatches, whichever rank
+// exceeds the capacity, and no dispatch is held back for it.
+func (v *serviceState) nextQueue(heads *rankHeads) int {
+	best := -1
+	for i, head := range heads {
+		if head == nil {
+			continue
+		}
+		credit := v.credit[i] + v.floor(i)
+		if credit >= 1-creditTolerance && (best < 0 || credit > v.credit[best]+v.floor(best)) {
+			best = i
+		}
+	}
+	if best >= 0 {
+		return best
+	}
+	return slices.IndexFunc(heads[:], func(r *request) bool { return r != nil })
+}
+
+// charge books one dispatch of a rank.
+func (v *serviceState) charge(heads *rankHeads, queue int) {
+	for i, head := range heads {
+		if head != nil {
+			v.credit[i] += v.floor(i)
+		}
+	}
+	v.credit[queue] = max(0, v.credit[queue]-1)
+}
+
+func (v *serviceState) floor(queue int) float64 {
+	return v.document.Rank(rpdocument.Ranks[queue]).Floor
+}
+
+// takeFromQueue removes a request that starts now and updates the pace of its
+// rank.
+func (s *State) takeFromQueue(r *request) {
+	l := r.lane
+	if l.stalled {
+		l.stalled = false
+		for i := range l.paces {
+			l.paces[i].anchor = s.now
+		}
+	}
+	if r.queuedAt.Before(s.now) {
+		l.paces[r.queue].dispatched(s.now)
+	}
+	s.dequeue(r)
+}
+
+func (s *State) setSweep() {
+	if s.requests.sweepSet {
+		return
+	}
+	s.requests.sweepSet = true
+	s.after(sweepInterval, (*State).sweep)
+}
+
+// sweep looks at all lanes with waiting requests.
+func (s *State) sweep() {
+	s.requests.sweepSet = false
+	s.dispatchActive()
+	if len(s.requests.active) > 0 {
+		s.setSweep()
+	}
+}
+
+// dispatchActive starts what can start and renews the demand for the rest.
+func (s *State) dispatchActive() {
+	for _, l := range slices.Clone(s.requests.active) {
+		s.dispatchLane(l)
+		if l.waiting == 0 {
+			continue
+		}
+		s.demand(l)
+		s.refuseUnserved(l)
+	}
+}
+
+// refuseUnserved refuses the requests of a plain service that has had no
+// endpoint for unservedGrace.
+func (s *State) refuseUnserved(l *lane) {
+	if len(s.endpointsOf(l)) > 0 {
+		l.unserved = time.Time{}
+		return
+	}
+	l.stalled = true
+	if !l.plain() {
+		return
+	}
+	if l.unserved.IsZero() {
+		l.unserved = s.now
+	}
+	if s.now.Sub(l.unserved) >= unservedGrace {
+		s.refuseWaiting(l, rpverdict.CodeNoEndpoint, "The service has no endpoint.")
+	}
+}
+
+// refuseWaiting refuses all requests that wait in a lane.
+func (s *State) refuseWaiting(l *lane, code rpverdict.Code, detail string) {
+	for i := range l.queues {
+		for _, r := range slices.Clone(l.queues[i]) {
+			refused := rpverdict.Refuse(code, detail)
+			refused.RetryAfter = retryAfterDefault
+			s.refuseWith(r, refused)
+		}
+	}
+}
--- a/pkg/rpcore/request.go
+++ b/pkg/rpcore/request.go
@@ -1,63 +1,249 @@
 package rpcore
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
-// requestView holds the requests of this instance's callers.
-type requestView struct{}
-
-// claimView holds the claims of requests that may run only once.
-type claimView struct{}
+const (
+	// maxTimeout caps what callers and documents ask for, so that no request
+	// holds its state for ever.
+	maxTimeout = 24 * time.Hour
+	// defaultTimeout applies where neither caller nor document names one.
+	defaultTimeout = time.Minute
+	// deadlineMargin is the time that a refusal needs to reach the caller
+	// before its deadline.
+	deadlineMargin = 20 * time.Millisecond
+	// retryAfterDefault is sent where a retry helps but no time is known.
+	retryAfterDefault = time.Second
+)
 
-// endpointHealth is the failure history of an endpoint.
-type endpointHealth struct{}
+// requestView holds the requests of this instance's callers.
+type requestView struct {
+	started  bool
+	deps     requestDeps
+	byID     map[RequestID]*request
+	attempts map[AttemptID]*attempt
+	services map[string]*serviceState
+	lanes    map[ModelKey]*lane
+	// active lists the lanes with waiting requests.
+	active []*lane
+	// waiting counts the queued requests by rank.
+	waiting       [rpdocument.RankCount]int
+	sweepSet      bool
+	sequence      uint64
+	servedCount   uint64
+	attemptPrefix string
+	lastAttempt   uint64
+	ready         bool
+	drained       bool
+	laneBuffer    []*lane
+	routeBuffer   routeBuffer
+}
 
-// cacheView is what is known of an engine's prefix cache.
-type cacheView struct{}
+// requestPhase says what a request waits for.
+type requestPhase int
+
+const (
+	// phaseClaiming: the table has not answered the claim.
+	phaseClaiming requestPhase = iota
+	// phaseFollowing: an earlier request holds the claim, and its outcome is
+	// polled.
+	phaseFollowing
+	// phaseQueued: the request waits for an endpoint with capacity.
+	phaseQueued
+	// phaseDelayed: the request waits before a retry.
+	phaseDelayed
+	// phaseRunning: an attempt is under way.
+	phaseRunning
+	// phaseEnded: the caller has its answer or refusal, or is gone.
+	phaseEnded
+)
 
-// modelUse says how a model or adapter is used by the callers of this
-// instance.
-type modelUse struct {
-	Waiting  int
-	Rank     rpdocument.Rank
-	Oldest   time.Duration
-	InFlight int
-	// LastArrival is zero where there was none.
-	LastArrival time.Time
-	// ArrivalsPerHour is a decaying average.
-	ArrivalsPerHour float64
+// request is a request from its arrival to its end.
+type request struct {
+	Request
+	target
+	phase    requestPhase
+	lane     *lane
+	sequence uint64
+	// queue is the index of the rank queue; dueAt orders it.
+	queue    int
+	dueAt    time.Time
+	queuedAt time.Time
+	deadline time.Time
+	// cutoff is the deadline less the margin; nothing starts after it.
+	cutoff time.Time
+	alarm  alarmID
+	// attempt is the current attempt; it is nil while none is under way.
+	attempt *attempt
+	// failedAt is the endpoint of the last failed attempt.
+	failedAt EndpointID
+	// tokens is the number of tokens that the caller has, and tokensVersion
+	// the version of the model that they came from.
+	tokens        int
+	tokensVersion string
+	// verdict is the strongest of the verdicts of the ended attempts.
+	verdict  rpverdict.Verdict
+	failures int
+	declines int
+	claim    *claim
+	polls    int
 }
 
-func (s *State) startRequests() {}
-
-func (s *State) requestArrived(_ Request) {}
+func (s *State) startRequests() {
+	s.requests = requestView{
+		started:       true,
+		deps:          defaultRequestDeps(),
+		byID:          make(map[RequestID]*request),
+		attempts:      make(map[AttemptID]*attempt),
+		services:      make(map[string]*serviceState),
+		lanes:         make(map[ModelKey]*lane),
+		attemptPrefix: fmt.Sprintf("%s.%s.a", s.self.Instance, s.self.Incarnation),
+	}
+	s.checkReady()
+	s.setReadyCheck()
+}
 
-func (s *State) requestAbandoned(_ RequestID) {}
+func (s *State) requestArrived(req Request) {
+	if _, ok := s.requests.byID[req.ID]; ok {
+		// A refusal would end the request that already has this id.
+		s.emit(Note{Part: "requests", Text: "ignored a request whose id is in use", Request: req.ID})
+		return
+	}
+	r, refusal := s.accept(req)
+	if refusal != nil {
+		s.emit(RefuseRequest{Request: req.ID, Refusal: *refusal})
+		return
+	}
+	s.requests.byID[r.ID] = r
+	r.alarm = s.at(r.cutoff, func(s *State) { s.requestExpired(r) })
+	if r.singleRun {
+		s.claimRequest(r, 0)
+		return
+	}
+	s.enqueue(r)
+}
 
-func (s *State) attemptFirstToken(_ AttemptFirstToken) {}
+// accept returns the request, or the reason for which it is refused at once.
+func (s *State) accept(req Request) (*request, *rpverdict.Refusal) {
+	if s.draining {
+		return nil, refusal(rpverdict.CodeDraining, "The instance finishes its work and takes no new requests.")
+	}
+	if len(s.requests.byID) >= s.limits.RequestsInProgress {
+		full := refusal(rpverdict.CodeTooManyStreams, "The instance holds as many requests as its settings allow.")
+		full.RetryAfter = retryAfterDefault
+		return nil, full
+	}
+	service, goal, problem := s.resolve(&req)
+	if problem != nil {
+		return nil, problem
+	}
+	r := s.newRequest(req, service, goal)
+	r.lane.arrived(s.now, goal.rank)
+	service.recent.add(s.now, recentWindow)
+	if problem := s.checkIdempotencyKey(r); problem != nil {
+		return nil, problem
+	}
+	if problem := s.admit(r); problem != nil {
+		return nil, problem
+	}
+	return r, nil
+}
 
-func (s *State) attemptEnded(_ AttemptEnded) {}
+func (s *State) newRequest(req Request, service *serviceState, goal target) *request {
+	timeout := req.Timeout
+	if timeout <= 0 {
+		timeout = time.Duration(service.document.Rank(goal.rank).Deadline)
+	}
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	timeout = min(timeout, maxTimeout)
+	s.requests.sequence++
+	r := &request{
+		Request:  req,
+		target:   goal,
+		lane:     s.laneOf(service, goal.key),
+		sequence: s.requests.sequence,
+		queue:    goal.rank.Index(),
+		deadline: s.now.Add(timeout),
+		cutoff:   s.now.Add(timeout - min(deadlineMargin, timeout/4)),
+	}
+	r.dueAt = r.deadline
+	if s.policy.FirstInFirstOut {
+		r.queue = 0
+		r.dueAt = time.Time{}
+	}
+	return r
+}
 
-func (s *State) cacheEventsReceived(_ CacheEventsReceived) {}
+func (s *State) requestAbandoned(id RequestID) {
+	r, ok := s.requests.byID[id]
+	if !ok {
+		return
+	}
+	s.cancelAttempt(r)
+	s.endRequest(r)
+}
 
-func (s *State) drainRequested() {}
+// requestExpired refuses a request whose deadline is about to pass.
+func (s *State) requestExpired(r *request) {
+	switch r.phase {
+	case phaseEnded:
+	case phaseFollowing:
+		s.refuseEarlierUnknown(r, "The earlier request did not finish before the deadline of this one.")
+	default:
+		s.expireAttempt(r)
+		s.refuse(r, rpverdict.CodeDeadlineExceeded, "The deadline of the request passed.")
+	}
+}
 
-// modelUse returns how this instance uses a model or adapter.
-func (s *State) modelUse(_ ModelKey) modelUse { return modelUse{} }
+// refuse ends a request with the verdict of its attempts.
+func (s *State) refuse(r *request, code rpverdict.Code, detail string) {
+	s.refuseWith(r, rpverdict.Refuse(code, detail))
+}
 
-// replicaReady dispatches requests that wait for a model or adapter, after an
-// endpoint began to serve it.
-func (s *State) replicaReady(_ ModelKey) {}
+// refuseWith ends a request. The verdict becomes at least that of the
+// attempts, and an attempt without an end may have run.
+func (s *State) refuseWith(r *request, refusal rpverdict.Refusal) {
+	refusal.Verdict = max(refusal.Verdict, r.verdict)
+	if r.attempt != nil {
+		refusal.Verdict = max(refusal.Verdict, rpverdict.MayHaveRun)
+	}
+	s.cancelAttempt(r)
+	s.emit(RefuseRequest{Request: r.ID, Refusal: refusal})
+	s.endRequest(r)
+}
 
-// replicaImpossible refuses requests that wait for a model or adapter that
-// can't be loaded, with the reason.
-func (s *State) replicaImpossible(_ ModelKey, _ string) {}
+// cancelAttempt stops the current attempt. An attempt that may run only once
+// goes on until its deadline, so that its outcome can be recorded for the
+// next request with the same key.
+func (s *State) cancelAttempt(r *request) {
+	if r.attempt != nil && !r.singleRun {
+		s.emit(CancelAttempt{Attempt: r.attempt.id})
+	}
+}
 
-// endpointsChanged reacts to endpoints that came, are leaving or are gone.
-func (s *State) endpointsChanged() {}
+// endRequest forgets a request that has its answer or refusal.
+func (s *State) endRequest(r *request) {
+	if r.phase == phaseQueued {
+		s.dequeue(r)
+	}
+	r.phase = phaseEnded
+	s.stopAlarm(r.alarm)
+	delete(s.requests.byID, r.ID)
+	if r.claim != nil && r.attempt == nil {
+		s.settleUnfinished(r)
+	}
+	s.checkDrained()
+}
 
-// documentChanged reacts to a new document in force.
-func (s *State) documentChanged(_ string) {}
+// refusal returns a refusal with the verdict not_run.
+func refusal(code rpverdict.Code, detail string) *rpverdict.Refusal {
+	refused := rpverdict.Refuse(code, detail)
+	return &refused
+}
--- /dev/null
+++ b/pkg/rpcore/request_bench_test.go
@@ -0,0 +1,66 @@
+package rpcore
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// BenchmarkRequest measures one request from arrival to completion with 1,000
+// models, all engines in view serving the model that is asked for.
+func BenchmarkRequest(b *testing.B) {
+	for _, engines := range []int{100, 1000} {
+		for _, waiting := range []int{0, 900} {
+			b.Run(fmt.Sprintf("engines=%d/waiting=%d", engines, waiting), func(b *testing.B) {
+				benchmarkRequest(b, engines, waiting)
+			})
+		}
+	}
+}
+
+func benchmarkRequest(b *testing.B, engines, waiting int) {
+	r := newRig("a", Limits{}, Policy{})
+	document := r.documents["kodovac"]
+	for i := range 1000 {
+		document.Models = append(document.Models, rpdocument.Model{Name: fmt.Sprint("idle", i)})
+	}
+	for i := range engines {
+		e := r.engine(fmt.Sprintf("e%04d", i), "m")
+		e.FailureDomain = FailureDomain(fmt.Sprint("fd", i%3+1))
+	}
+	serving := r.serving(ModelKey{Service: "kodovac", Name: "m"})
+	r.s.requests.deps.serving = func(_ *State, key ModelKey) []*endpoint {
+		if key.Name == "m" {
+			return serving
+		}
+		return nil
+	}
+	for i := range waiting {
+		r.arrive(Request{ID: RequestID(fmt.Sprint("w", i)), ModelName: fmt.Sprint("kodovac/idle", i), Timeout: time.Hour})
+	}
+	ids := make([]RequestID, 1024)
+	for i := range ids {
+		ids[i] = RequestID(fmt.Sprint("r", i))
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		r.now = r.now.Add(time.Microsecond)
+		effects := r.s.Reduce(RequestArrived{Stamp: r.stamp(), Request: Request{
+			ID: ids[i%len(ids)], ModelName: "kodovac/m", Session: "s", Timeout: time.Minute,
+		}})
+		var start StartAttempt
+		for _, effect := range effects {
+			if e, ok := effect.(StartAttempt); ok {
+				start = e
+			}
+		}
+		r.s.Reduce(AttemptEnded{
+			Stamp: r.stamp(), Attempt: start.Attempt, Request: start.Request,
+			Reason: AttemptComplete, Verdict: rpverdict.Ran,
+		})
+	}
+}
--- /dev/null
+++ b/pkg/rpcore/request_rig_test.go
@@ -0,0 +1,297 @@
+package rpcore
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+var rigEpoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// rig drives one State and stands in for the other parts of the reducer.
+type rig struct {
+	s         State
+	now       time.Time
+	alarm     time.Time
+	documents map[string]*rpdocument.Document
+	unknown   bool
+	endpoints []*endpoint
+	demanded  []ModelKey
+	expected  time.Duration
+	seen      func([]Effect)
+}
+
+func newRig(name string, limits Limits, policy Policy) *rig {
+	r := &rig{now: rigEpoch, documents: map[string]*rpdocument.Document{"kodovac": testDocument()}}
+	self := Identity{Instance: InstanceID(name), Incarnation: "i1", FailureDomain: "fd1"}
+	r.send(Start{Stamp: r.stamp(), Self: self, Seed: 7, Limits: limits, Policy: policy})
+	r.s.members.endpoints = make(map[EndpointID]*endpoint)
+	r.s.requests.deps = requestDeps{
+		document:         func(_ *State, name string) *rpdocument.Document { return r.documents[name] },
+		hasDocuments:     func(*State) bool { return !r.unknown },
+		serving:          func(_ *State, key ModelKey) []*endpoint { return r.serving(key) },
+		serviceEndpoints: func(_ *State, name string) []*endpoint { return r.plain(name) },
+		demandReplica:    func(_ *State, key ModelKey) { r.demanded = append(r.demanded, key) },
+		expectedReplica:  func(*State, ModelKey) (time.Duration, bool) { return r.expected, r.expected > 0 },
+		endpointNotLoaded: func(s *State, id EndpointID, key ModelKey) {
+			delete(s.endpointByID(id).loaded, key)
+		},
+		endpointLeaving: func(s *State, id EndpointID, _ Incarnation) {
+			s.endpointByID(id).leaving = true
+			s.endpointsChanged()
+		},
+		replicasReleased: func(*State) bool { return true },
+	}
+	return r
+}
+
+func testDocument() *rpdocument.Document {
+	return &rpdocument.Document{
+		Service: "kodovac",
+		Ranks: rpdocument.RankSet{
+			Urgent:     rpdocument.RankPolicy{Deadline: rpdocument.Duration(2 * time.Second)},
+			Normal:     rpdocument.RankPolicy{Deadline: rpdocument.Duration(30 * time.Second)},
+			Background: rpdocument.RankPolicy{Deadline: rpdocument.Duration(time.Hour)},
+		},
+		Models: []rpdocument.Model{
+			{Name: "m", Version: "1", MaxReplicas: 4},
+			{Name: "cold", Version: "1", MaxReplicas: 1, Rank: rpdocument.RankUrgent},
+			{Name: "once", Version: "1", SingleRun: true},
+		},
+		Adapters: []rpdocument.Adapter{{Name: "a", Version: "3", BaseModel: "m"}},
+		Routes: []rpdocument.Route{
+			{PathPrefix: "/order", Methods: []string{"POST"}},
+			{PathPrefix: "/order/preview", Methods: []string{"POST"}, Repeatable: true},
+			{PathPrefix: "/", Methods: []string{"GET"}, Repeatable: true, Rank: rpdocument.RankUrgent},
+		},
+	}
+}
+
+func (r *rig) stamp() Stamp { return Stamp{At: r.now} }
+
+func (r *rig) serving(key ModelKey) []*endpoint {
+	var list []*endpoint
+	for _, e := range r.endpoints {
+		if e.serves(key) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func (r *rig) plain(service string) []*endpoint {
+	var list []*endpoint
+	for _, e := range r.endpoints {
+		if e.Kind == MemberService && e.Service == service && !e.leaving {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func (r *rig) add(e *endpoint) *endpoint {
+	e.Incarnation = "e1"
+	e.ID = string(e.id)
+	if e.FailureDomain == "" {
+		e.FailureDomain = "fd1"
+	}
+	r.endpoints = append(r.endpoints, e)
+	r.s.members.endpoints[e.id] = e
+	return e
+}
+
+// engine adds an engine that serves models of kodovac.
+func (r *rig) engine(id string, models ...string) *endpoint {
+	e := &endpoint{id: EndpointID(id), loaded: make(map[ModelKey]loadedEntry)}
+	e.Kind = MemberEngine
+	for _, model := range models {
+		load(e, model)
+	}
+	return r.add(e)
+}
+
+func load(e *endpoint, model string) {
+	key := ModelKey{Service: "kodovac", Name: model}
+	e.loaded[key] = loadedEntry{LoadedModel: LoadedModel{Key: key, Version: "1"}}
+}
+
+func (r *rig) service(id string) *endpoint {
+	e := &endpoint{id: EndpointID(id)}
+	e.Kind = MemberService
+	e.Service = "kodovac"
+	return r.add(e)
+}
+
+func (r *rig) send(ev Event) []Effect {
+	effects := slices.Clone(r.s.Reduce(ev))
+	for _, effect := range effects {
+		if alarm, ok := effect.(SetAlarm); ok {
+			r.alarm = alarm.At
+		}
+	}
+	if r.seen != nil {
+		r.seen(effects)
+	}
+	return effects
+}
+
+// run calls a method of the State that another part would call.
+func (r *rig) run(call func(*State)) []Effect {
+	r.s.at(r.now, call)
+	return r.send(Tick{Stamp: r.stamp()})
+}
+
+// advance lets time pass and answers every alarm at its time.
+func (r *rig) advance(d time.Duration) []Effect {
+	var effects []Effect
+	end := r.now.Add(d)
+	for !r.alarm.IsZero() && !r.alarm.After(end) {
+		r.now = r.alarm
+		r.alarm = time.Time{}
+		effects = append(effects, r.send(Tick{Stamp: r.stamp()})...)
+	}
+	r.now = end
+	return effects
+}
+
+func (r *rig) arrive(req Request) []Effect {
+	return r.send(RequestArrived{Stamp: r.stamp(), Request: req})
+}
+
+func (r *rig) ask(id, model string) []Effect {
+	return r.arrive(Request{ID: RequestID(id), ModelName: "kodovac/" + model})
+}
+
+func (r *rig) end(a StartAttempt, reason AttemptReason, verdict rpverdict.Verdict) []Effect {
+	return r.send(AttemptEnded{Stamp: r.stamp(), Attempt: a.Attempt, Request: a.Request, Reason: reason, Verdict: verdict})
+}
+
+func (r *rig) complete(a StartAttempt) []Effect {
+	return r.end(a, AttemptComplete, rpverdict.Ran)
+}
+
+func effectsOf[T Effect](effects []Effect) []T {
+	var list []T
+	for _, effect := range effects {
+		if e, ok := effect.(T); ok {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// summary renders the effects that callers see, such as "start r1@e1" and
+// "refuse r2 queue_full not_run".
+func summary(effects []Effect) []string {
+	lines := []string{}
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case StartAttempt:
+			lines = append(lines, fmt.Sprintf("start %s@%s", e.Request, e.Endpoint))
+		case RefuseRequest:
+			lines = append(lines, fmt.Sprintf("refuse %s %s %s", e.Request, e.Refusal.Code, e.Refusal.Verdict))
+		case ReplayOutcome:
+			lines = append(lines, fmt.Sprintf("replay %s %s", e.Request, e.Outcome.Body))
+		case CancelAttempt:
+			lines = append(lines, "cancel")
+		}
+	}
+	return lines
+}
+
+func started(effects []Effect) StartAttempt {
+	starts := effectsOf[StartAttempt](effects)
+	if len(starts) == 0 {
+		panic("no attempt started: " + strings.Join(summary(effects), ", "))
+	}
+	return starts[0]
+}
+
+// fakeTable is the platform's table, with the ways in which it fails.
+type fakeTable struct {
+	rows    map[RowKey]Row
+	delayed [][]RowWrite
+}
+
+// tableMode says what happens to one operation.
+type tableMode int
+
+const (
+	tableWorks tableMode = iota
+	tableRefuses
+	tableAppliesAnswerLost
+	tableDropsAnswerLost
+	tableDelaysAnswerLost
+)
+
+func (f *fakeTable) write(writes []RowWrite) WriteOutcome {
+	if f.rows == nil {
+		f.rows = make(map[RowKey]Row)
+	}
+	for _, w := range writes {
+		if f.rows[w.Key].Version != w.ExpectVersion {
+			return WriteConflict
+		}
+	}
+	for _, w := range writes {
+		if w.Delete {
+			delete(f.rows, w.Key)
+			continue
+		}
+		f.rows[w.Key] = Row{Key: w.Key, Version: w.ExpectVersion + 1, Nonce: w.Nonce, RowBody: w.RowBody}
+	}
+	return WriteApplied
+}
+
+func (f *fakeTable) answerWrite(w WriteTable, mode tableMode) WriteOutcome {
+	switch mode {
+	case tableWorks:
+		return f.write(w.Writes)
+	case tableRefuses:
+		return WriteUnavailable
+	case tableAppliesAnswerLost:
+		f.write(w.Writes)
+	case tableDelaysAnswerLost:
+		f.delayed = append(f.delayed, w.Writes)
+	default:
+	}
+	return WriteUnknown
+}
+
+func (f *fakeTable) read(op ReadTable) []Row {
+	var rows []Row
+	for _, key := range op.Keys {
+		if row, ok := f.rows[key]; ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+// answer carries out one operation and feeds the answer back.
+func (f *fakeTable) answer(r *rig, op Effect, mode tableMode) []Effect {
+	switch op := op.(type) {
+	case WriteTable:
+		return r.send(TableWriteDone{Stamp: r.stamp(), Op: op.Op, Outcome: f.answerWrite(op, mode)})
+	case ReadTable:
+		done := TableReadDone{Stamp: r.stamp(), Op: op.Op, Unavailable: mode != tableWorks}
+		if !done.Unavailable {
+			done.Rows = f.read(op)
+		}
+		return r.send(done)
+	}
+	return nil
+}
+
+// settle answers all operations in the effects and in those that follow.
+func (f *fakeTable) settle(r *rig, effects []Effect) []Effect {
+	all := slices.Clone(effects)
+	for i := 0; i < len(all); i++ {
+		all = append(all, f.answer(r, all[i], tableWorks)...)
+	}
+	return all
+}
--- /dev/null
+++ b/pkg/rpcore/request_test.go
@@ -0,0 +1,279 @@
+package rpcore
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// Guards against a request that is resolved to another model or route, above
+// all to a repeatable one, or let in without its credential.
+func TestResolve(t *testing.T) {
+	tests := []struct {
+		req  Request
+		want string
+	}{
+		{Request{ModelName: "kodovac/m"}, "start r@e1"},
+		{Request{ModelName: "kodovac/a"}, "start r@e1"},
+		{Request{ModelName: "m"}, "refuse r unknown_model not_run"},
+		{Request{ModelName: "kodovac/x"}, "refuse r unknown_model not_run"},
+		{Request{ModelName: "other/m"}, "refuse r unknown_service not_run"},
+		{Request{}, "refuse r malformed_request not_run"},
+		{Request{Service: "kodovac", Method: "GET", Path: "/order/1"}, "start r@p1"},
+		{Request{Service: "kodovac", Method: "POST", Path: "/order/preview/1"}, "start r@p1"},
+		{Request{Service: "kodovac", Method: "POST", Path: "/order/previewed"}, "refuse r idempotency_key_required not_run"},
+		{Request{Service: "kodovac", Method: "POST", Path: "/ordered"}, "refuse r unknown_route not_run"},
+		{Request{Service: "kodovac", Method: "POST", Path: "/order/preview/../1"}, "refuse r malformed_request not_run"},
+		{Request{ModelName: "kodovac/once"}, "refuse r idempotency_key_required not_run"},
+		{Request{ModelName: "kodovac/m", Rank: 9}, "refuse r invalid_header not_run"},
+	}
+	for _, test := range tests {
+		g := NewWithT(t)
+		r := newRig("a", Limits{}, Policy{})
+		r.engine("e1", "m", "a", "once")
+		r.service("p1")
+		test.req.ID = "r"
+		g.Expect(summary(r.arrive(test.req))).To(Equal([]string{test.want}), "%+v", test.req)
+	}
+	g := NewWithT(t)
+	r := newRig("a", Limits{RequestsInProgress: 1}, Policy{})
+	r.engine("e1", "m", "a")
+	start := started(r.ask("r1", "a"))
+	g.Expect(start.Model.Name).To(Equal("m"))
+	g.Expect(start.Adapter).To(Equal("a"))
+	g.Expect(start.Rank).To(Equal(rpdocument.RankNormal))
+	g.Expect(start.Deadline).To(Equal(r.now.Add(30 * time.Second)))
+	g.Expect(summary(r.ask("r2", "m"))).To(Equal([]string{"refuse r2 too_many_streams not_run"}))
+	r.complete(start)
+	start = started(r.arrive(Request{ID: "r3", ModelName: "kodovac/m", Timeout: 1000 * time.Hour}))
+	g.Expect(start.Deadline).To(Equal(r.now.Add(24 * time.Hour)))
+	r.complete(start)
+	r.documents["kodovac"].Callers = []string{"aa"}
+	g.Expect(summary(r.ask("r4", "m"))).To(Equal([]string{"refuse r4 caller_not_allowed not_run"}))
+	r.unknown = true
+	g.Expect(summary(r.ask("r5", "m"))).To(Equal([]string{"refuse r5 caller_not_allowed not_run"}))
+	g.Expect(summary(r.arrive(Request{ID: "r6", ModelName: "other/m"}))).To(Equal([]string{"refuse r6 no_document not_run"}))
+}
+
+// Guards against waiting requests that are dropped, refused after their
+// deadline, or held up by a model that is being loaded.
+func TestQueueDeadlinesAndColdModel(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig("a", Limits{EngineConcurrency: 1}, Policy{})
+	e := r.engine("e1", "m")
+	g.Expect(summary(r.ask("cold1", "cold"))).To(BeEmpty())
+	g.Expect(r.demanded).To(ContainElement(ModelKey{Service: "kodovac", Name: "cold"}))
+	first := started(r.ask("m1", "m"))
+	g.Expect(summary(r.ask("m2", "m"))).To(BeEmpty())
+	g.Expect(r.demanded).To(ContainElement(ModelKey{Service: "kodovac", Name: "m"}))
+	second := started(r.complete(first))
+	g.Expect(second.Request).To(Equal(RequestID("m2")))
+	use := r.s.modelUse(ModelKey{Service: "kodovac", Name: "cold"})
+	g.Expect(use.Waiting).To(Equal(1))
+	g.Expect(use.Rank).To(Equal(rpdocument.RankUrgent))
+	r.advance(1900 * time.Millisecond)
+	g.Expect(r.s.modelUse(ModelKey{Service: "kodovac", Name: "cold"}).Oldest).To(Equal(1900 * time.Millisecond))
+	g.Expect(summary(r.advance(100 * time.Millisecond))).To(Equal([]string{"refuse cold1 deadline_exceeded not_run"}))
+
+	r.expected = 5 * time.Second
+	effects := r.ask("cold2", "cold")
+	g.Expect(summary(effects)).To(Equal([]string{"refuse cold2 deadline_unreachable not_run"}))
+	g.Expect(effectsOf[RefuseRequest](effects)[0].Refusal.RetryAfter).To(BeNumerically("~", 3*time.Second, 50*time.Millisecond))
+	r.expected = time.Second
+	g.Expect(summary(r.ask("cold3", "cold"))).To(BeEmpty())
+	load(e, "cold")
+	ready := func(s *State) { s.replicaReady(ModelKey{Service: "kodovac", Name: "cold"}) }
+	g.Expect(summary(r.run(ready))).To(BeEmpty(), "the engine is full")
+	g.Expect(summary(r.complete(second))).To(Equal([]string{"start cold3@e1"}))
+	g.Expect(summary(r.advance(2 * time.Second))).To(Equal([]string{"cancel", "refuse cold3 deadline_exceeded may_have_run"}))
+}
+
+// Guards against an unbounded queue and against a prediction that counts
+// requests which an earlier deadline overtakes.
+func TestQueueLimitAndPrediction(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig("a", Limits{EngineConcurrency: 1}, Policy{})
+	r.engine("e1", "m")
+	r.documents["kodovac"].Ranks.Normal.QueueLimit = 12
+	last := started(r.ask("r0", "m"))
+	for i := range 12 {
+		r.ask(fmt.Sprintf("w%d", i), "m")
+	}
+	g.Expect(summary(r.ask("full", "m"))).To(Equal([]string{"refuse full queue_full not_run"}))
+	for range 6 {
+		r.advance(time.Second)
+		last = started(r.complete(last))
+	}
+	g.Expect(summary(r.arrive(Request{ID: "late", ModelName: "kodovac/m", Timeout: 4 * time.Second}))).To(BeEmpty())
+	for i := range 5 {
+		r.arrive(Request{ID: RequestID(fmt.Sprintf("s%d", i)), ModelName: "kodovac/m", Timeout: 3 * time.Second})
+	}
+	g.Expect(summary(r.arrive(Request{ID: "late2", ModelName: "kodovac/m", Timeout: 3 * time.Second}))).
+		To(Equal([]string{"refuse late2 deadline_unreachable not_run"}))
+	r.documents["kodovac"] = &rpdocument.Document{Service: "kodovac"}
+	g.Expect(summary(r.run(func(s *State) { s.documentChanged("kodovac") }))).
+		To(ContainElement("refuse w11 unknown_model not_run"))
+	g.Expect(r.s.waitingByRank()).To(Equal([rpdocument.RankCount]int{}))
+}
+
+// Guards against a retry at the endpoint that just failed, a resume at the
+// wrong token, a late answer that ends another attempt, and retries without
+// bound.
+func TestRetryAndResume(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig("a", Limits{}, Policy{})
+	r.engine("e1", "m")
+	r.engine("e2", "m")
+	first := started(r.ask("r1", "m"))
+	broken := AttemptEnded{
+		Stamp: r.stamp(), Attempt: first.Attempt, Request: "r1",
+		Reason: AttemptBroken, Verdict: rpverdict.MayHaveRun, TokensRelayed: 7,
+	}
+	r.send(broken)
+	second := started(r.advance(time.Second))
+	g.Expect(second.Endpoint).NotTo(Equal(first.Endpoint))
+	g.Expect(second.ResumeAfter).To(Equal(7))
+	g.Expect(summary(r.complete(first))).To(BeEmpty())
+	broken.Attempt, broken.TokensRelayed, broken.Stamp = second.Attempt, 3, r.stamp()
+	r.send(broken)
+	third := started(r.advance(time.Second))
+	g.Expect(third.ResumeAfter).To(Equal(10))
+	broken.Attempt, broken.AnswerStarted, broken.Stamp = third.Attempt, true, r.stamp()
+	g.Expect(summary(r.send(broken))).To(Equal([]string{"refuse r1 stream_broken may_have_run"}))
+
+	a := started(r.ask("r2", "m"))
+	moved := started(r.end(a, AttemptRefusedConnection, rpverdict.NotRun))
+	g.Expect(moved.Endpoint).NotTo(Equal(a.Endpoint))
+	g.Expect(summary(r.end(moved, AttemptNotLoaded, rpverdict.NotRun))).To(BeEmpty())
+	g.Expect(summary(r.advance(30 * time.Second))).To(Equal([]string{"refuse r2 deadline_exceeded not_run"}))
+}
+
+// Guards against retries that multiply an overload.
+func TestRetryBudget(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig("a", Limits{EngineConcurrency: 200}, Policy{})
+	r.engine("e1", "m")
+	attempts := 0
+	r.seen = func(effects []Effect) {
+		for _, a := range effectsOf[StartAttempt](effects) {
+			attempts++
+			r.end(a, AttemptFailed, rpverdict.MayHaveRun)
+		}
+	}
+	for i := range 100 {
+		r.ask(fmt.Sprint("r", i), "m")
+	}
+	r.advance(time.Minute)
+	g.Expect(attempts).To(BeNumerically(">", 100))
+	g.Expect(attempts).To(BeNumerically("<=", 100+13))
+	g.Expect(r.s.requests.byID).To(BeEmpty())
+}
+
+// Guards against work for an endpoint that keeps failing, against ejecting
+// more than half of a set, and against a return without a probe.
+func TestEjection(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig("a", Limits{}, Policy{})
+	for _, id := range []string{"e1", "e2", "e3"} {
+		r.engine(id, "m")
+	}
+	key := ModelKey{Service: "kodovac", Name: "m"}
+	for i := range 40 {
+		a := started(r.ask(fmt.Sprint("r", i), "m"))
+		r.end(a, AttemptFailed, rpverdict.MayHaveRun)
+		r.send(RequestAbandoned{Stamp: r.stamp(), Request: a.Request})
+	}
+	set := r.s.ejectedOf(r.serving(key))
+	var out, in []*endpoint
+	for _, e := range r.endpoints {
+		if set.contains(e) {
+			out = append(out, e)
+		} else {
+			in = append(in, e)
+		}
+	}
+	g.Expect(out).To(HaveLen(1))
+	for _, e := range in {
+		e.health.failures = 0
+	}
+	until := out[0].health.until
+	r.advance(until.Sub(r.now) + time.Millisecond)
+	var probe StartAttempt
+	probes := 0
+	for i := range 30 {
+		a := started(r.ask(fmt.Sprint("p", i), "m"))
+		if a.Endpoint == out[0].id {
+			probe = a
+			probes++
+		}
+	}
+	g.Expect(probes).To(Equal(1))
+	r.end(probe, AttemptFailed, rpverdict.MayHaveRun)
+	g.Expect(out[0].health.until.Sub(r.now)).To(BeNumerically(">=", time.Second), "the second ejection is longer")
+	in[0].leaving, in[1].leaving = true, true
+	g.Expect(started(r.ask("last", "m")).Endpoint).To(Equal(out[0].id), "the only endpoint left is used")
+}
+
+// Guards against traffic that leaves the own failure domain without need, and
+// against affinity to an endpoint that is overloaded or whose cache is not
+// known.
+func TestRouting(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig("a", Limits{EngineConcurrency: 4}, Policy{})
+	far := r.engine("a-far", "m")
+	far.FailureDomain = "fd2"
+	near1, near2 := r.engine("e1", "m"), r.engine("e2", "m")
+	near1.report, near1.reportedAt = EngineReport{Sequence: 1, Running: 3}, r.now
+	count := map[EndpointID]int{}
+	for i := range 6 {
+		count[started(r.ask(fmt.Sprint("r", i), "m")).Endpoint]++
+	}
+	g.Expect(count).To(Equal(map[EndpointID]int{"e1": 1, "e2": 4, "a-far": 1}))
+
+	r = newRig("a", Limits{EngineConcurrency: 8}, Policy{})
+	near1, near2 = r.engine("e1", "m"), r.engine("e2", "m")
+	batch := CacheEventsReceived{Stamp: r.stamp(), Endpoint: "e2", Incarnation: "e1", Next: 2, Reset: true, Added: []uint64{1, 2}}
+	r.send(batch)
+	prompt := Request{ModelName: "kodovac/m", PrefixHashes: []uint64{1, 2, 3}}
+	for i := range 4 {
+		prompt.ID = RequestID(fmt.Sprint("p", i))
+		r.arrive(prompt)
+	}
+	g.Expect(near2.inFlight).To(BeNumerically(">=", 2))
+	g.Expect(near2.inFlight - near1.inFlight).To(BeNumerically("<=", 3))
+	g.Expect(near2.cache.match(prompt.PrefixHashes)).To(Equal(2))
+	batch.Reset, batch.First = false, 5
+	r.send(batch)
+	g.Expect(near2.cache.match(prompt.PrefixHashes)).To(Equal(0))
+}
+
+// Guards against a planned stop that cuts off work, reports its end twice or
+// never ends.
+func TestDrain(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig("a", Limits{EngineConcurrency: 1, DrainTimeout: 5 * time.Second}, Policy{})
+	g.Expect(effectsOf[ReportReady](r.advance(time.Second))).To(Equal([]ReportReady{{Ready: true}}))
+	r.engine("e1", "m")
+	first := started(r.ask("r1", "m"))
+	r.ask("r2", "m")
+	effects := r.send(DrainRequested{Stamp: r.stamp()})
+	g.Expect(effectsOf[ReportReady](effects)).To(Equal([]ReportReady{{Reason: "draining"}}))
+	g.Expect(summary(r.ask("r3", "m"))).To(Equal([]string{"refuse r3 draining not_run"}))
+	second := started(r.complete(first))
+	g.Expect(effectsOf[ReportDrained](r.complete(second))).To(HaveLen(1))
+	g.Expect(effectsOf[ReportDrained](r.advance(10 * time.Second))).To(BeEmpty())
+
+	r = newRig("a", Limits{EngineConcurrency: 1, DrainTimeout: 5 * time.Second}, Policy{})
+	r.engine("e1", "m")
+	r.ask("r1", "m")
+	r.ask("r2", "m")
+	r.send(DrainRequested{Stamp: r.stamp()})
+	effects = r.advance(5 * time.Second)
+	g.Expect(summary(effects)).To(Equal([]string{"cancel", "refuse r1 draining may_have_run", "refuse r2 draining not_run"}))
+	g.Expect(effectsOf[ReportDrained](effects)).To(HaveLen(1))
+}
--- /dev/null
+++ b/pkg/rpcore/resolve.go
@@ -0,0 +1,237 @@
+package rpcore
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// maxIdempotencyKey bounds the key in bytes; it becomes part of a table key.
+const maxIdempotencyKey = 255
+
+// target is what a request resolves to in the document of its service.
+type target struct {
+	// key is the model or adapter; its name is empty for a plain service.
+	key ModelKey
+	// model is the base model and adapter the adapter's name; both are empty
+	// where they don't apply.
+	model   ModelKey
+	adapter string
+	version string
+	rank    rpdocument.Rank
+	// singleRun says that the request may run only once.
+	singleRun bool
+}
+
+// serviceState is the document of a service with an index, and its queues.
+type serviceState struct {
+	name     string
+	document *rpdocument.Document
+	models   map[string]*rpdocument.Model
+	adapters map[string]*rpdocument.Adapter
+	lanes    []*lane
+	// waiting and credit are per rank queue.
+	waiting [rpdocument.RankCount]int
+	credit  [rpdocument.RankCount]float64
+	// servedAt orders services that share an endpoint.
+	servedAt uint64
+	recent   decayingCount
+	retries  decayingCount
+	duration meanDuration
+}
+
+// serviceOf returns the state of a service with its document in force, or nil
+// where there is no document.
+func (s *State) serviceOf(name string) *serviceState {
+	document := s.requests.deps.document(s, name)
+	if document == nil {
+		return nil
+	}
+	service := s.requests.services[name]
+	if service == nil {
+		service = &serviceState{name: name}
+		s.requests.services[name] = service
+	}
+	if service.document != document {
+		service.index(document)
+	}
+	return service
+}
+
+func (v *serviceState) index(document *rpdocument.Document) {
+	v.document = document
+	v.models = make(map[string]*rpdocument.Model, len(document.Models))
+	for i := range document.Models {
+		v.models[document.Models[i].Name] = &document.Models[i]
+	}
+	v.adapters = make(map[string]*rpdocument.Adapter, len(document.Adapters))
+	for i := range document.Adapters {
+		v.adapters[document.Adapters[i].Name] = &document.Adapters[i]
+	}
+}
+
+// resolve finds what a request asks for. The caller is checked before the
+// names, so that strangers don't learn which models exist.
+func (s *State) resolve(req *Request) (*serviceState, target, *rpverdict.Refusal) {
+	key := ModelKey{Service: req.Service}
+	if req.ModelName != "" {
+		parsed, err := ParseModelKey(req.ModelName)
+		if err != nil {
+			return nil, target{}, refusal(rpverdict.CodeUnknownModel, err.Error())
+		}
+		key = parsed
+	}
+	if key.Service == "" {
+		return nil, target{}, refusal(rpverdict.CodeMalformedRequest, "The request names no model and no service.")
+	}
+	service := s.serviceOf(key.Service)
+	if service == nil {
+		return nil, target{}, s.refuseUnknownService(key.Service)
+	}
+	if !callerAllowed(service.document, req.Credential) {
+		return nil, target{}, refusal(rpverdict.CodeCallerNotAllowed,
+			fmt.Sprintf("The document of service %s does not list this credential.", key.Service))
+	}
+	goal, problem := service.target(key, req)
+	if problem != nil {
+		return nil, target{}, problem
+	}
+	if req.Rank != rpdocument.RankUnset {
+		goal.rank = req.Rank
+	}
+	if goal.rank == rpdocument.RankUnset {
+		goal.rank = rpdocument.RankNormal
+	}
+	if goal.rank.Index() < 0 {
+		return nil, target{}, refusal(rpverdict.CodeInvalidHeader, "The rank does not exist.")
+	}
+	return service, goal, nil
+}
+
+func (s *State) refuseUnknownService(name string) *rpverdict.Refusal {
+	if !s.requests.deps.hasDocuments(s) {
+		early := refusal(rpverdict.CodeNoDocument, "The instance has not learned the accepted documents yet.")
+		early.RetryAfter = retryAfterDefault
+		return early
+	}
+	return refusal(rpverdict.CodeUnknownService, fmt.Sprintf("No accepted document declares service %q.", name))
+}
+
+func callerAllowed(document *rpdocument.Document, credential string) bool {
+	if len(document.Callers) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(document.Callers, func(caller string) bool {
+		return strings.EqualFold(caller, credential)
+	})
+}
+
+func (v *serviceState) target(key ModelKey, req *Request) (target, *rpverdict.Refusal) {
+	if key.Name == "" {
+		return v.routeTarget(key, req)
+	}
+	if model, ok := v.models[key.Name]; ok {
+		return target{
+			key: key, model: key, version: model.Version,
+			rank: model.Rank, singleRun: model.SingleRun,
+		}, nil
+	}
+	if adapter, ok := v.adapters[key.Name]; ok {
+		return v.adapterTarget(key, adapter)
+	}
+	return target{}, refusal(rpverdict.CodeUnknownModel,
+		fmt.Sprintf("The document of service %s declares no model or adapter %q.", key.Service, key.Name))
+}
+
+func (v *serviceState) adapterTarget(key ModelKey, adapter *rpdocument.Adapter) (target, *rpverdict.Refusal) {
+	base, ok := v.models[adapter.BaseModel]
+	if !ok {
+		return target{}, refusal(rpverdict.CodeUnknownModel,
+			fmt.Sprintf("The base model %q of adapter %q is not declared.", adapter.BaseModel, adapter.Name))
+	}
+	goal := target{
+		key: key, model: ModelKey{Service: key.Service, Name: base.Name}, adapter: adapter.Name,
+		version: adapter.Version, rank: adapter.Rank, singleRun: base.SingleRun,
+	}
+	if goal.rank == rpdocument.RankUnset {
+		goal.rank = base.Rank
+	}
+	return goal, nil
+}
+
+func (v *serviceState) routeTarget(key ModelKey, req *Request) (target, *rpverdict.Refusal) {
+	if hasDotSegment(req.Path) {
+		return target{}, refusal(rpverdict.CodeMalformedRequest, `The path has a segment "." or "..".`)
+	}
+	route := findRoute(v.document.Routes, req.Method, req.Path)
+	if route == nil {
+		return target{}, refusal(rpverdict.CodeUnknownRoute,
+			fmt.Sprintf("The document of service %s has no route for %s %s.", v.name, req.Method, req.Path))
+	}
+	return target{key: key, rank: route.Rank, singleRun: !route.Repeatable}, nil
+}
+
+// hasDotSegment finds paths that an endpoint may resolve to another route
+// than the one matched here.
+func hasDotSegment(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+// findRoute returns the route with the longest prefix among those that allow
+// the method, or nil.
+func findRoute(routes []rpdocument.Route, method, path string) *rpdocument.Route {
+	path = withSlash(path)
+	var best *rpdocument.Route
+	for i := range routes {
+		route := &routes[i]
+		if !pathHasPrefix(path, withSlash(route.PathPrefix)) || !allowsMethod(route, method) {
+			continue
+		}
+		if best == nil || len(withSlash(route.PathPrefix)) > len(withSlash(best.PathPrefix)) {
+			best = route
+		}
+	}
+	return best
+}
+
+// allowsMethod reports whether a route covers a method; a route that lists
+// none covers all.
+func allowsMethod(route *rpdocument.Route, method string) bool {
+	return len(route.Methods) == 0 || slices.Contains(route.Methods, method)
+}
+
+func withSlash(path string) string {
+	if strings.HasPrefix(path, "/") {
+		return path
+	}
+	return "/" + path
+}
+
+// pathHasPrefix matches whole segments: a repeatable /order must not cover
+// /order-charge.
+func pathHasPrefix(path, prefix string) bool {
+	rest, ok := strings.CutPrefix(path, prefix)
+	return ok && (rest == "" || rest[0] == '/' || strings.HasSuffix(prefix, "/"))
+}
+
+func (s *State) checkIdempotencyKey(r *request) *rpverdict.Refusal {
+	if !r.singleRun {
+		return nil
+	}
+	if r.IdempotencyKey == "" {
+		return refusal(rpverdict.CodeIdempotencyKeyRequired, "The document says that this request may run only once.")
+	}
+	if len(r.IdempotencyKey) > maxIdempotencyKey {
+		return refusal(rpverdict.CodeInvalidHeader,
+			fmt.Sprintf("Idempotency-Key is longer than %d bytes.", maxIdempotencyKey))
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/rpcore/retry.go
@@ -0,0 +1,105 @@
+package rpcore
+
+import (
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+const (
+	// maxFailures bounds the failed attempts of one request.
+	maxFailures = 4
+	// maxDeclines bounds the attempts of one request that endpoints declined.
+	maxDeclines = 16
+	// retryShare and retryConstant are the retry budget of a service: a part
+	// of its recent requests and a constant, so that retries neither multiply
+	// an overload nor stop at a service with few requests.
+	retryShare    = 0.1
+	retryConstant = 3.0
+	// busyPause is the time for which a busy endpoint gets no request.
+	busyPause = 100 * time.Millisecond
+)
+
+// retryFailed repeats a failed request within the budget of its service.
+func (s *State) retryFailed(r *request) {
+	service := r.lane.service
+	r.failures++
+	spent := service.retries.get(s.now, recentWindow)
+	budget := retryConstant + retryShare*service.recent.get(s.now, recentWindow)
+	switch {
+	case r.failures >= maxFailures:
+		s.refuse(r, r.failureCode(), "Every attempt failed.")
+	case spent+1 > budget:
+		s.refuse(r, r.failureCode(), "The attempt failed, and the service has used up its retries.")
+	default:
+		service.retries.add(s.now, recentWindow)
+		s.retryAfter(r, s.jitter(retryDelay(r.failures)))
+	}
+}
+
+// attemptDeclined sends a request that did not start elsewhere. It costs no
+// retry budget, since the endpoint did no work.
+func (s *State) attemptDeclined(r *request, a *attempt, e *endpoint, ev AttemptEnded) {
+	r.declines++
+	if e != nil && ev.Reason == AttemptBusy {
+		e.health.load.busyUntil = s.now.Add(s.jitter(busyPause))
+	}
+	switch {
+	case r.declines >= maxDeclines:
+		s.refuse(r, r.failureCode(), "Endpoints declined the request too often.")
+	case ev.Reason == AttemptBusy || r.declines > 1:
+		s.retryAfter(r, s.jitter(retryDelay(r.declines)))
+	default:
+		s.retryAfter(r, 0)
+	}
+	switch ev.Reason {
+	case AttemptNotLoaded:
+		s.requests.deps.endpointNotLoaded(s, a.endpoint, r.key)
+	case AttemptLeaving, AttemptRefusedConnection:
+		s.requests.deps.endpointLeaving(s, a.endpoint, a.incarnation)
+	default:
+	}
+}
+
+// retryAfter queues a request again after a delay. A delay of zero means the
+// end of this event, when the endpoint's refusal has been taken in.
+func (s *State) retryAfter(r *request, delay time.Duration) {
+	r.phase = phaseDelayed
+	s.after(delay, func(s *State) {
+		if r.phase == phaseDelayed {
+			s.requeue(r)
+		}
+	})
+}
+
+// requeue queues an admitted request. The queue limit does not apply again,
+// since an admitted request is never dropped.
+func (s *State) requeue(r *request) {
+	if problem := s.stillDeclared(r); problem != nil {
+		s.refuseWith(r, *problem)
+		return
+	}
+	// A document change may have replaced the lane while the request was not
+	// queued.
+	r.lane = s.laneOf(r.lane.service, r.key)
+	if r.tokens > 0 && !s.canResume(r) {
+		s.refuse(r, rpverdict.CodeStreamBroken, "The version that the answer began with is not loaded any more.")
+		return
+	}
+	s.enqueue(r)
+}
+
+// canResume reports whether a broken stream can go on: at an endpoint with
+// the same version, or at one that is still to be loaded.
+func (s *State) canResume(r *request) bool {
+	all := s.endpointsOf(r.lane)
+	if len(all) == 0 {
+		return true
+	}
+	for _, e := range all {
+		if r.canResumeAt(e) {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/rpcore/row.go
+++ b/pkg/rpcore/row.go
@@ -136,10 +136,13 @@
 	ClaimFinished ClaimState = "finished"
 	// ClaimUncertain: the attempt ended without an answer and may have run.
 	ClaimUncertain ClaimState = "uncertain"
+	// ClaimReleased: the request ended and no attempt can have run, so the
+	// next request with the key may claim this version of the row.
+	ClaimReleased ClaimState = "released"
 )
 
 // ClaimRow says who may run a request that may run only once. It never passes
-// to another owner.
+// to another owner before it is released.
 type ClaimRow struct {
 	Owner            InstanceID        `cbor:"owner"`
 	OwnerIncarnation Incarnation       `cbor:"owner_incarnation"`
--- /dev/null
+++ b/pkg/rpcore/use.go
@@ -0,0 +1,143 @@
+package rpcore
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// modelUse says how a model or adapter is used by the callers of this
+// instance.
+type modelUse struct {
+	Waiting int
+	// Rank is the most urgent one that waits, or else that of the last
+	// arrival.
+	Rank     rpdocument.Rank
+	Oldest   time.Duration
+	InFlight int
+	// LastArrival is zero where there was none.
+	LastArrival time.Time
+	// ArrivalsPerHour is a decaying average.
+	ArrivalsPerHour float64
+}
+
+// modelUse returns how this instance uses a model or adapter. The use of an
+// adapter does not count for its base model.
+func (s *State) modelUse(key ModelKey) modelUse {
+	l := s.requests.lanes[key]
+	if l == nil {
+		return modelUse{}
+	}
+	return modelUse{
+		Waiting:         l.waiting,
+		Rank:            l.mostUrgent(),
+		Oldest:          l.oldest(s.now),
+		InFlight:        l.inFlight,
+		LastArrival:     l.lastArrival,
+		ArrivalsPerHour: l.arrivals.get(s.now, arrivalWindow),
+	}
+}
+
+// mostUrgent returns the most urgent rank that waits, or else that of the
+// last arrival. The first request of each queue stands for all of it.
+func (l *lane) mostUrgent() rpdocument.Rank {
+	for i := range l.queues {
+		if len(l.queues[i]) > 0 {
+			return l.queues[i][0].rank
+		}
+	}
+	return l.lastRank
+}
+
+// replicaReady dispatches requests that wait for a model or adapter, after an
+// endpoint began to serve it.
+func (s *State) replicaReady(key ModelKey) {
+	if l := s.requests.lanes[key]; l != nil {
+		s.dispatchLane(l)
+	}
+}
+
+// replicaImpossible refuses requests that wait for a model or adapter that
+// can't be loaded, with the reason. Requests that an endpoint can still serve
+// go on waiting.
+func (s *State) replicaImpossible(key ModelKey, reason string) {
+	l := s.requests.lanes[key]
+	if l == nil || len(s.endpointsOf(l)) > 0 {
+		return
+	}
+	s.refuseWaiting(l, rpverdict.CodeNoReplica, reason)
+}
+
+// endpointsChanged reacts to endpoints that came, are leaving or are gone.
+func (s *State) endpointsChanged() {
+	if !s.requests.started {
+		return
+	}
+	s.checkReady()
+	s.dispatchActive()
+}
+
+// documentChanged reacts to a new document in force: requests that wait for
+// what it no longer declares are refused.
+func (s *State) documentChanged(name string) {
+	if !s.requests.started {
+		return
+	}
+	s.checkReady()
+	previous := s.requests.services[name]
+	if previous == nil {
+		return
+	}
+	service := s.serviceOf(name)
+	for _, l := range slices.Clone(previous.lanes) {
+		s.refuseUndeclared(l)
+		if l.waiting == 0 && l.inFlight == 0 && !service.declares(l.key) {
+			s.forgetLane(l)
+			continue
+		}
+		s.dispatchLane(l)
+	}
+}
+
+func (s *State) refuseUndeclared(l *lane) {
+	for i := range l.queues {
+		for _, r := range slices.Clone(l.queues[i]) {
+			if problem := s.stillDeclared(r); problem != nil {
+				s.refuseWith(r, *problem)
+			}
+		}
+	}
+}
+
+// stillDeclared returns the refusal for a request whose target is not in the
+// document in force any more. Whatever else the document changes applies to
+// requests that arrive from then on.
+func (s *State) stillDeclared(r *request) *rpverdict.Refusal {
+	service := s.serviceOf(r.key.Service)
+	if service == nil {
+		return s.refuseUnknownService(r.key.Service)
+	}
+	_, problem := service.target(r.key, &r.Request)
+	return problem
+}
+
+// declares reports whether the document has a model or adapter. A plain
+// service keeps its lane.
+func (v *serviceState) declares(key ModelKey) bool {
+	if v == nil {
+		return false
+	}
+	if key.Name == "" {
+		return true
+	}
+	_, isModel := v.models[key.Name]
+	_, isAdapter := v.adapters[key.Name]
+	return isModel || isAdapter
+}
+
+func (s *State) forgetLane(l *lane) {
+	delete(s.requests.lanes, l.key)
+	l.service.lanes = slices.DeleteFunc(l.service.lanes, func(other *lane) bool { return other == l })
+}
