Tighten the tests of routing, resuming and the baselines

Changing single conditions on purpose showed that the tests passed without the exclusion of the endpoint that just failed, without session affinity and without the check of the version on resuming. Each of these changes now fails a test.

--- a/pkg/rpcore/request_property_test.go
+++ b/pkg/rpcore/request_property_test.go
@@ -19,7 +19,7 @@
 	key       string
 	abandoned bool
 	ends      int
-	current   AttemptID
+	last      EndpointID
 }
 
 // modelAttempt is what the property test knows of an attempt.
@@ -94,7 +94,10 @@
 	if request.ends > 0 || request.abandoned || !r.now.Before(request.deadline) {
 		m.t.Fatalf("attempt %s of an ended or late request", start.Attempt)
 	}
-	request.current = start.Attempt
+	if start.Model.Name == "m" && start.Endpoint == request.last {
+		m.t.Fatalf("attempt %s goes to the endpoint that just failed, although others serve the model", start.Attempt)
+	}
+	request.last = start.Endpoint
 	m.attempts = append(m.attempts, &modelAttempt{StartAttempt: start, rig: r})
 }
 
--- a/pkg/rpcore/request_test.go
+++ b/pkg/rpcore/request_test.go
@@ -121,6 +121,18 @@
 	g.Expect(r.s.waitingByRank()).To(Equal([rpdocument.RankCount]int{}))
 }
 
+// Guards against a baseline that keeps a part of the policy it is compared
+// with.
+func TestFirstInFirstOut(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig("a", Limits{EngineConcurrency: 1}, Policy{FirstInFirstOut: true, RandomRouting: true})
+	r.engine("e1", "m")
+	first := started(r.ask("r1", "m"))
+	r.arrive(Request{ID: "r2", ModelName: "kodovac/m", Rank: rpdocument.RankBackground})
+	r.arrive(Request{ID: "r3", ModelName: "kodovac/m", Rank: rpdocument.RankUrgent})
+	g.Expect(summary(r.complete(first))).To(Equal([]string{"start r2@e1"}))
+}
+
 // Guards against a retry at the endpoint that just failed, a resume at the
 // wrong token, a late answer that ends another attempt, and retries without
 // bound.
@@ -151,6 +163,14 @@
 	g.Expect(moved.Endpoint).NotTo(Equal(a.Endpoint))
 	g.Expect(summary(r.end(moved, AttemptNotLoaded, rpverdict.NotRun))).To(BeEmpty())
 	g.Expect(summary(r.advance(30 * time.Second))).To(Equal([]string{"refuse r2 deadline_exceeded not_run"}))
+
+	newer := r.engine("e3", "m")
+	first = started(r.ask("r3", "m"))
+	newer.loaded[first.Model] = loadedEntry{LoadedModel: LoadedModel{Version: "2"}}
+	broken.Attempt, broken.Request, broken.AnswerStarted, broken.Stamp = first.Attempt, "r3", false, r.stamp()
+	r.send(broken)
+	g.Expect(summary(r.advance(time.Second))).To(Equal([]string{"refuse r3 stream_broken may_have_run"}),
+		"another version does not continue the text")
 }
 
 // Guards against retries that multiply an overload.
@@ -240,6 +260,18 @@
 	batch := CacheEventsReceived{Stamp: r.stamp(), Endpoint: "e2", Incarnation: "e1", Next: 2, Reset: true, Added: []uint64{1, 2}}
 	r.send(batch)
 	prompt := Request{ModelName: "kodovac/m", PrefixHashes: []uint64{1, 2, 3}}
+	sticky := map[EndpointID]int{}
+	for i := range 16 {
+		prompt.ID = RequestID(fmt.Sprint("q", i))
+		start := started(r.arrive(prompt))
+		sticky[start.Endpoint]++
+		r.complete(start)
+		start = started(r.arrive(Request{ID: RequestID(fmt.Sprint("t", i)), ModelName: "kodovac/m", Session: "s1"}))
+		sticky["session "+start.Endpoint]++
+		r.complete(start)
+	}
+	g.Expect(sticky).To(HaveLen(2))
+	g.Expect(sticky).To(HaveKeyWithValue(EndpointID("e2"), 16))
 	for i := range 4 {
 		prompt.ID = RequestID(fmt.Sprint("p", i))
 		r.arrive(prompt)
