--- a/pkg/rpcore/document.go
+++ b/pkg/rpcore/document.go
@@ -85,7 +85,7 @@
 				s.wantDocument(*row, "")
 			}
 		}
-		s.reportReadiness()
+		s.checkReady()
 	})
 }
 
@@ -159,7 +159,7 @@
 	s.updateDigest()
 	s.note("documents", "document "+row.Service+" is in force")
 	s.spreadDocument(row, source)
-	s.reportReadiness()
+	s.checkReady()
 	s.documentChanged(row.Service)
 	s.replicaDocumentChanged(row.Service)
 }
--- a/pkg/rpcore/heartbeat.go
+++ b/pkg/rpcore/heartbeat.go
@@ -184,6 +184,7 @@
 		Leaving:          s.draining,
 		Answer:           answer,
 		Digest:           s.documents.digest,
+		Waiting:          s.waitingByRank(),
 		LeavingEndpoints: s.leavingNotices(),
 	}
 	if !p.heardAt.IsZero() && p.digest != s.documents.digest {
--- a/pkg/rpcore/report.go
+++ b/pkg/rpcore/report.go
@@ -93,6 +93,7 @@
 		s.endpointLeaving(e.id, e.Incarnation)
 	}
 	s.replicaReportChanged(e)
+	s.dispatchAt(e)
 }
 
 // shareReport tells the peers at once what models an engine has, and its load
