Add the table, object and list clients and their stand-ins

The reducer needs edges that turn table, object and list effects into I/O. internal/rpplatform has them over the DynamoDB and S3 protocols and plain HTTP, with SDK retries off and each failed write mapped to an outcome. internal/rpstandin has in-memory stand-ins with fault switches.

Tests over loopback cover the outcomes, lost answers, late effects, one winner among concurrent transactions, outages and list lag.

--- /dev/null
+++ b/internal/rpplatform/item.go
@@ -0,0 +1,95 @@
+package rpplatform
+
+import (
+	"strconv"
+
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+// Attributes of an item of the table.
+const (
+	attributePartition = "pk"
+	attributeSort      = "sk"
+	attributeVersion   = "version"
+	attributeNonce     = "nonce"
+	attributeBody      = "body"
+	// attributeExpiry is in seconds since 1970. The platform removes the item
+	// some time after it.
+	attributeExpiry = "ttl"
+)
+
+type item = map[string]types.AttributeValue
+
+// rowEncoding keeps the nanoseconds of times, which the default of CBOR cuts
+// off.
+var rowEncoding = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+func text(s string) types.AttributeValue { return &types.AttributeValueMemberS{Value: s} }
+
+func number[T int64 | uint64](n T) types.AttributeValue {
+	if n < 0 {
+		return &types.AttributeValueMemberN{Value: strconv.FormatInt(int64(n), 10)}
+	}
+	return &types.AttributeValueMemberN{Value: strconv.FormatUint(uint64(n), 10)}
+}
+
+func keyItem(key rpcore.RowKey) item {
+	return item{attributePartition: text(partitionKey(key)), attributeSort: text(sortKey(key))}
+}
+
+// writeItem returns the item that a write puts.
+func writeItem(write *rpcore.RowWrite) (item, error) {
+	body, err := rowEncoding.Marshal(write.RowBody)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	put := keyItem(write.Key)
+	put[attributeVersion] = number(write.ExpectVersion + 1)
+	put[attributeNonce] = text(string(write.Nonce))
+	put[attributeBody] = &types.AttributeValueMemberB{Value: body}
+	if claim := write.Claim; claim != nil && !claim.ExpiresAt.IsZero() {
+		put[attributeExpiry] = number(claim.ExpiresAt.Unix())
+	}
+	return put, nil
+}
+
+// readItem returns the row that an item holds.
+func readItem(found item) (rpcore.Row, error) {
+	partition, _ := found[attributePartition].(*types.AttributeValueMemberS)
+	sort, _ := found[attributeSort].(*types.AttributeValueMemberS)
+	version, _ := found[attributeVersion].(*types.AttributeValueMemberN)
+	nonce, _ := found[attributeNonce].(*types.AttributeValueMemberS)
+	body, _ := found[attributeBody].(*types.AttributeValueMemberB)
+	if partition == nil || sort == nil {
+		return rpcore.Row{}, InvalidItemError{Reason: "no key"}
+	}
+	invalid := InvalidItemError{Partition: partition.Value, Sort: sort.Value}
+	if version == nil || nonce == nil || body == nil {
+		invalid.Reason = "an attribute is missing or has another type"
+		return rpcore.Row{}, invalid
+	}
+	row := rpcore.Row{Nonce: rpcore.Nonce(nonce.Value)}
+	var err error
+	if row.Key, err = parseKey(partition.Value, sort.Value); err != nil {
+		return rpcore.Row{}, err
+	}
+	if row.Version, err = strconv.ParseUint(version.Value, 10, 64); err != nil {
+		invalid.Reason = "bad version"
+		return rpcore.Row{}, invalid
+	}
+	if err := cbor.Unmarshal(body.Value, &row.RowBody); err != nil {
+		invalid.Reason = err.Error()
+		return rpcore.Row{}, invalid
+	}
+	return row, nil
+}
--- /dev/null
+++ b/internal/rpplatform/list_test.go
@@ -0,0 +1,159 @@
+package rpplatform_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpplatform"
+	"github.com/rattanpaddle/rattanpaddle/internal/rpstandin"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+var self = rpcore.Member{
+	ID: "i/1", Kind: rpcore.MemberInstance, FailureDomain: "nl-west-1", Incarnation: "inc 1",
+	Address: netip.MustParseAddrPort("127.0.0.1:7000"),
+}
+
+// withDirect calls a handler without a network, so that it runs on the fake
+// clock of a synctest bubble.
+func withDirect(handler http.Handler) func(*http.Request) (*http.Response, error) {
+	return func(r *http.Request) (*http.Response, error) {
+		answer := httptest.NewRecorder()
+		handler.ServeHTTP(answer, r)
+		return answer.Result(), nil
+	}
+}
+
+// listRun is a List that runs on the fake clock.
+type listRun struct {
+	*rpplatform.List
+	latest atomic.Value
+	posted atomic.Int64
+	stop   func()
+}
+
+// withList starts a List in the bubble of the test.
+func withList(t *testing.T, handler http.Handler, member rpcore.Member) *listRun {
+	t.Helper()
+	run := &listRun{List: &rpplatform.List{Endpoint: "http://list.test", Self: member, RoundTrip: withDirect(handler)}}
+	run.Post = func(ev rpcore.Event) {
+		run.posted.Add(1)
+		run.latest.Store(&ev)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		run.Run(ctx)
+	}()
+	run.stop = func() {
+		cancel()
+		<-ended
+	}
+	return run
+}
+
+func (r *listRun) after(d time.Duration) rpcore.Event {
+	time.Sleep(d)
+	synctest.Wait()
+	return *r.latest.Load().(*rpcore.Event)
+}
+
+func listed(members ...rpcore.Member) types.GomegaMatcher {
+	return WithTransform(func(ev rpcore.Event) []rpcore.Member {
+		if ev, ok := ev.(rpcore.MembersListed); ok {
+			return ev.Members
+		}
+		return []rpcore.Member{{ID: "the list was not read"}}
+	}, Equal(members))
+}
+
+// Guards against an instance that is not listed, that is not shown as leaving
+// during a planned stop, or that stays listed after a clean exit, with a list
+// that shows changes late.
+func TestRegistrationWithLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		service := &rpstandin.List{Lag: 2 * time.Second}
+		list := withList(t, service, self)
+		g.Expect(list.after(1900 * time.Millisecond)).To(listed([]rpcore.Member{}...))
+		g.Expect(list.after(700 * time.Millisecond)).To(listed(self))
+		list.Leave()
+		leaving := self
+		leaving.Leaving = true
+		g.Expect(list.after(1900 * time.Millisecond)).To(listed(self))
+		g.Expect(list.after(700 * time.Millisecond)).To(listed(leaving))
+		list.stop()
+		g.Expect(list.Deregister(t.Context())).To(Succeed())
+		observer := withList(t, service, rpcore.Member{})
+		defer observer.stop()
+		g.Expect(observer.after(3 * time.Second)).To(listed([]rpcore.Member{}...))
+	})
+}
+
+// Guards against an outage of the list that goes unreported, and against a
+// registration that is given up because of it.
+func TestListOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		service := &rpstandin.List{}
+		service.SetFaults(unavailable)
+		list := withList(t, service, self)
+		defer list.stop()
+		g.Expect(list.after(time.Second)).To(BeAssignableToTypeOf(rpcore.ListUnavailable{}))
+		service.SetFaults(noFaults)
+		g.Expect(list.after(time.Second)).To(listed(self))
+	})
+}
+
+// Guards against a broken answer passing for a list without entries, after
+// which all reservations would be freed.
+func TestBrokenListIsUnavailable(t *testing.T) {
+	for _, body := range []string{"", "null", "{}", `[{"id":"a"}`, `[{"id":"a"}] x`, `[{"address":"nowhere"}]`} {
+		synctest.Test(t, func(t *testing.T) {
+			list := withList(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte(body))
+			}), rpcore.Member{})
+			defer list.stop()
+			NewWithT(t).Expect(list.after(time.Second)).To(BeAssignableToTypeOf(rpcore.ListUnavailable{}), body)
+		})
+	}
+}
+
+// Guards against a list of thousands of entries being sent and decoded twice a
+// second when it does not change, and against a late removal by an earlier
+// process that removes its successor.
+func TestUnchangedListIsPostedWithoutBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		service := &rpstandin.List{}
+		var bodies atomic.Int64
+		list := withList(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			answer := httptest.NewRecorder()
+			service.ServeHTTP(answer, r)
+			if r.Method == http.MethodGet && answer.Code == http.StatusOK {
+				bodies.Add(1)
+			}
+			w.Header().Set("ETag", answer.Header().Get("ETag"))
+			w.WriteHeader(answer.Code)
+			_, _ = w.Write(answer.Body.Bytes())
+		}), self)
+		defer list.stop()
+		g.Expect(list.after(10 * time.Second)).To(listed(self))
+		g.Expect(bodies.Load()).To(Equal(int64(1)))
+		g.Expect(list.posted.Load()).To(BeNumerically(">=", 19))
+		earlier := &rpplatform.List{Endpoint: list.Endpoint, Self: self, RoundTrip: list.RoundTrip}
+		earlier.Self.Incarnation = "inc 0"
+		g.Expect(earlier.Deregister(t.Context())).To(Succeed())
+		g.Expect(list.after(time.Second)).To(listed(self))
+	})
+}
--- /dev/null
+++ b/internal/rpplatform/objects_test.go
@@ -0,0 +1,74 @@
+package rpplatform_test
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpplatform"
+	"github.com/rattanpaddle/rattanpaddle/internal/rpstandin"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+func hashOf(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+func withObjects(t *testing.T, access rpplatform.Access) (*rpplatform.Objects, chan rpcore.Event) {
+	t.Helper()
+	events := make(chan rpcore.Event, 10)
+	objects := &rpplatform.Objects{
+		Access: access, Bucket: "rattanpaddle", Timeout: generous,
+		Post: func(ev rpcore.Event) { events <- ev },
+	}
+	t.Cleanup(func() { _ = objects.Close(t.Context()) })
+	return objects, events
+}
+
+// Guards against bodies that are lost, changed or confused, and against a
+// lost answer or an outage that looks like success.
+func TestObjects(t *testing.T) {
+	g := NewWithT(t)
+	service := &rpstandin.Objects{}
+	objects, events := withObjects(t, withServer(t, service))
+	body := []byte("name = \"mixadvies\"\n")
+	store := rpcore.StoreDocument{Submission: "s1", Hash: hashOf(body), Body: body}
+	load := rpcore.LoadDocument{Service: "mixadvies", Version: 3, Hash: hashOf(body)}
+
+	objects.LoadDocument(load)
+	g.Expect(receive[rpcore.DocumentLoaded](t, events).Unavailable).To(BeTrue(), "not stored yet")
+	service.SetFaults(unavailable)
+	objects.StoreDocument(store)
+	g.Expect(receive[rpcore.DocumentStored](t, events).Unavailable).To(BeTrue(), "outage")
+	service.SetFaults(rpstandin.FaultSettings{LoseNextAnswers: 1})
+	objects.StoreDocument(store)
+	g.Expect(receive[rpcore.DocumentStored](t, events).Unavailable).To(BeTrue(), "lost answer")
+	objects.StoreDocument(store)
+	stored := receive[rpcore.DocumentStored](t, events)
+	g.Expect(stored.Unavailable).To(BeFalse())
+	g.Expect(stored.Submission).To(Equal("s1"))
+	objects.LoadDocument(load)
+	loaded := receive[rpcore.DocumentLoaded](t, events)
+	g.Expect(loaded.Unavailable).To(BeFalse())
+	g.Expect(loaded.Body).To(Equal(body))
+	g.Expect(loaded.Version).To(Equal(uint64(3)))
+}
+
+// Guards against a body that is not the accepted one coming into force.
+func TestWrongBodiesAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	objects, _ := withObjects(t, withAnswer(200, "another body"))
+	_, err := objects.Load(t.Context(), hashOf([]byte("body")))
+	g.Expect(err).To(BeAssignableToTypeOf(rpplatform.BodyError{}))
+	_, err = objects.Load(t.Context(), "../secret")
+	g.Expect(err).To(BeAssignableToTypeOf(rpplatform.BodyError{}))
+	large := bytes.Repeat([]byte("x"), rpplatform.DocumentBodyLimit+1)
+	g.Expect(objects.Store(t.Context(), hashOf(large), large)).To(BeAssignableToTypeOf(rpplatform.BodyError{}))
+	objects, _ = withObjects(t, withAnswer(200, string(large)))
+	_, err = objects.Load(t.Context(), hashOf(large))
+	g.Expect(err).To(BeAssignableToTypeOf(rpplatform.BodyError{}))
+}
--- /dev/null
+++ b/internal/rpstandin/table.go
@@ -0,0 +1,265 @@
+package rpstandin
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// Limits of the DynamoDB protocol.
+const (
+	tableItemLimit        = 400 << 10
+	tableTransactionItems = 100
+	tableBatchKeys        = 100
+	tablePageBytes        = 1 << 20
+)
+
+// Table stands in for a table service with the DynamoDB protocol. It knows
+// GetItem, BatchGetItem, PutItem, DeleteItem, Query and TransactWriteItems,
+// with the expressions that internal/rpplatform sends: a condition that the
+// item does not exist or that one attribute has a value, and a query for one
+// partition key. The key attributes are pk and sk, both strings. Every table
+// exists. Expired items are not removed.
+type Table struct {
+	Faults
+	// PageBytes bounds an answer to Query, and BatchItems one to BatchGetItem,
+	// which then names unprocessed keys. 0 is the limit of the protocol.
+	PageBytes  int
+	BatchItems int
+
+	mu sync.Mutex
+	// partitions holds items by table and partition key, then by sort key.
+	partitions map[[2]string]map[string]tableItem
+}
+
+// tableItem maps attribute names to values. A value has one entry, whose key
+// is the type: S, N or B. All three are strings in JSON.
+type tableItem map[string]map[string]string
+
+func (i tableItem) text(name string) string { return i[name]["S"] }
+
+// size is the size of an item about as the protocol counts it.
+func (i tableItem) size() int {
+	size := 0
+	for name, value := range i {
+		size += len(name) + len(value["S"]) + len(value["N"]) + len(value["B"])*3/4
+	}
+	return size
+}
+
+type tableKeys struct{ Keys []tableItem }
+
+// tableAction is a write or a query of one table.
+type tableAction struct {
+	TableName                 string
+	Key                       tableItem
+	Item                      tableItem
+	ConditionExpression       string
+	KeyConditionExpression    string
+	ExpressionAttributeNames  map[string]string
+	ExpressionAttributeValues tableItem
+	ExclusiveStartKey         tableItem
+}
+
+type tableRequest struct {
+	tableAction
+	RequestItems  map[string]tableKeys
+	TransactItems []struct{ Put, Delete *tableAction }
+}
+
+// tableError is the answer to a request that fails.
+type tableError struct {
+	Type                string              `json:"__type"`
+	Message             string              `json:"message"`
+	CancellationReasons []map[string]string `json:",omitempty"`
+}
+
+func invalidTableRequest(message string) *tableError {
+	return &tableError{"ValidationException", message, nil}
+}
+
+// Run serves the table until the context ends.
+func (t *Table) Run(ctx context.Context, listen netip.AddrPort) error {
+	return runPlatform(ctx, listen, t)
+}
+
+// ServeHTTP answers one request.
+func (t *Table) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	t.serveWithFaults(w, r, `{"__type":"ServiceUnavailable"}`, t.serve)
+}
+
+func (t *Table) serve(w http.ResponseWriter, r *http.Request) {
+	var request tableRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	_, operation, _ := strings.Cut(r.Header.Get("X-Amz-Target"), ".")
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	answer, failure := t.operate(operation, &request)
+	if failure != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		answer = failure
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (t *Table) operate(operation string, request *tableRequest) (any, *tableError) {
+	action := &request.tableAction
+	switch operation {
+	case "GetItem":
+		return map[string]tableItem{"Item": t.find(action.TableName, action.Key)}, nil
+	case "BatchGetItem":
+		return t.batchGetItem(request.RequestItems)
+	case "Query":
+		return t.query(action)
+	case "PutItem", "DeleteItem":
+		return t.writeItem(action)
+	case "TransactWriteItems":
+		return t.transactWriteItems(request)
+	}
+	return nil, &tableError{Type: "UnknownOperationException"}
+}
+
+func (t *Table) find(table string, key tableItem) tableItem {
+	return t.partitions[[2]string{table, key.text("pk")}][key.text("sk")]
+}
+
+func (t *Table) batchGetItem(requested map[string]tableKeys) (any, *tableError) {
+	responses := make(map[string][]tableItem)
+	unprocessed := make(map[string]tableKeys)
+	for table, request := range requested {
+		keys := request.Keys
+		if len(keys) > tableBatchKeys {
+			return nil, invalidTableRequest("too many keys")
+		}
+		if n := cmp.Or(t.BatchItems, tableBatchKeys); len(keys) > n {
+			unprocessed[table] = tableKeys{keys[n:]}
+			keys = keys[:n]
+		}
+		for _, key := range keys {
+			if found := t.find(table, key); found != nil {
+				responses[table] = append(responses[table], found)
+			}
+		}
+	}
+	return map[string]any{"Responses": responses, "UnprocessedKeys": unprocessed}, nil
+}
+
+func (t *Table) query(action *tableAction) (any, *tableError) {
+	name, value, ok := action.equality(action.KeyConditionExpression)
+	if !ok || name != "pk" {
+		return nil, invalidTableRequest("the stand-in does not know this key condition")
+	}
+	left := cmp.Or(t.PageBytes, tablePageBytes)
+	partition := t.partitions[[2]string{action.TableName, value["S"]}]
+	items := []tableItem{}
+	var last tableItem
+	for _, sk := range slices.Sorted(maps.Keys(partition)) {
+		if sk <= action.ExclusiveStartKey.text("sk") {
+			continue
+		}
+		items = append(items, partition[sk])
+		left -= partition[sk].size()
+		if left <= 0 {
+			last = tableItem{"pk": value, "sk": {"S": sk}}
+			break
+		}
+	}
+	return map[string]any{"Items": items, "Count": len(items), "LastEvaluatedKey": last}, nil
+}
+
+func (t *Table) writeItem(action *tableAction) (any, *tableError) {
+	holds, failure := t.check(action)
+	if failure == nil && !holds {
+		failure = &tableError{Type: "ConditionalCheckFailedException"}
+	}
+	if failure == nil {
+		t.apply(action)
+	}
+	return struct{}{}, failure
+}
+
+func (t *Table) transactWriteItems(request *tableRequest) (any, *tableError) {
+	var actions []*tableAction
+	var reasons []map[string]string
+	seen := make(map[[3]string]bool)
+	canceled := false
+	for _, write := range request.TransactItems {
+		action := cmp.Or(write.Put, write.Delete, &tableAction{})
+		holds, failure := t.check(action)
+		if failure != nil {
+			return nil, failure
+		}
+		code := map[bool]string{true: "None", false: "ConditionalCheckFailed"}[holds]
+		canceled = canceled || !holds
+		reasons = append(reasons, map[string]string{"Code": code})
+		actions = append(actions, action)
+		seen[[3]string{action.TableName, action.Key.text("pk"), action.Key.text("sk")}] = true
+	}
+	if len(actions) > tableTransactionItems || len(seen) < len(actions) {
+		return nil, invalidTableRequest("a transaction has at most 100 items, all different")
+	}
+	if canceled {
+		return nil, &tableError{Type: "TransactionCanceledException", CancellationReasons: reasons}
+	}
+	for _, action := range actions {
+		t.apply(action)
+	}
+	return struct{}{}, nil
+}
+
+// check evaluates the condition of a write. It sets Key, which a put has in
+// its item.
+func (t *Table) check(action *tableAction) (bool, *tableError) {
+	if action.Key == nil {
+		action.Key = action.Item
+	}
+	if action.Key.text("pk") == "" || action.Key.text("sk") == "" || action.Item.size() > tableItemLimit {
+		return false, invalidTableRequest("the key is missing or the item is too large")
+	}
+	current := t.find(action.TableName, action.Key)
+	if action.ConditionExpression == "attribute_not_exists(pk)" {
+		return current == nil, nil
+	}
+	name, value, ok := action.equality(action.ConditionExpression)
+	if !ok {
+		return false, invalidTableRequest("the stand-in does not know this condition")
+	}
+	return maps.Equal(current[name], value), nil
+}
+
+func (t *Table) apply(action *tableAction) {
+	key := action.Key
+	partition := [2]string{action.TableName, key.text("pk")}
+	if action.Item == nil {
+		delete(t.partitions[partition], key.text("sk"))
+		return
+	}
+	if t.partitions == nil {
+		t.partitions = make(map[[2]string]map[string]tableItem)
+	}
+	items := t.partitions[partition]
+	if items == nil {
+		items = make(map[string]tableItem)
+		t.partitions[partition] = items
+	}
+	items[key.text("sk")] = action.Item
+}
+
+// equality parses the expression "name = :value".
+func (a *tableAction) equality(expression string) (string, map[string]string, bool) {
+	name, placeholder, _ := strings.Cut(expression, " = ")
+	if alias, ok := a.ExpressionAttributeNames[name]; ok {
+		name = alias
+	}
+	value, ok := a.ExpressionAttributeValues[placeholder]
+	return name, value, ok
+}
