Add the QUIC links between instances

Instances have to exchange messages with mutual TLS, bounded sizes and bounded queues. internal/rppeer has the listener and the dialer in one type, an authority for demos and tests, and a fuzz target for the frame decoder.

Messages go on one long stream per connection. One stream also keeps the order of a sender's messages.

--- /dev/null
+++ b/internal/rppeer/frame.go
@@ -0,0 +1,137 @@
+package rppeer
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+const (
+	// FrameLimit bounds the CBOR part of a frame, in bytes. The largest
+	// message is a document of 64 KiB.
+	FrameLimit = 128 << 10
+	// Version is the version of the messages that this package sends.
+	Version = 1
+
+	frameHeader = 4
+	// The messages nest about 6 levels deep. The longest arrays are the
+	// leaving endpoints of a heartbeat and the loaded models of a report.
+	maxNesting  = 16
+	maxElements = 8192
+	maxPairs    = 256
+)
+
+// Envelope is the content of a frame.
+type Envelope struct {
+	Version uint64             `cbor:"version"`
+	From    rpcore.InstanceID  `cbor:"from"`
+	Message rpcore.PeerMessage `cbor:"message"`
+}
+
+// empty reports whether the message has no kind that this version knows.
+func (e *Envelope) empty() bool { return e.Message == (rpcore.PeerMessage{}) }
+
+// FrameTooLongError reports a frame above FrameLimit.
+type FrameTooLongError struct {
+	Length int
+}
+
+func (e FrameTooLongError) Error() string {
+	return fmt.Sprintf("a frame of %d bytes is above the limit of %d", e.Length, FrameLimit)
+}
+
+// AmbiguousMessageError reports a message with several known kinds.
+type AmbiguousMessageError struct {
+	Kinds int
+}
+
+func (e AmbiguousMessageError) Error() string {
+	return fmt.Sprintf("the message has %d kinds in place of one", e.Kinds)
+}
+
+// frameEncoding keeps the nanoseconds of times.
+var frameEncoding = mustMode(cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC}.EncMode())
+
+var frameDecoding = mustMode(cbor.DecOptions{
+	DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+	IndefLength:      cbor.IndefLengthForbidden,
+	TagsMd:           cbor.TagsForbidden,
+	MaxNestedLevels:  maxNesting,
+	MaxArrayElements: maxElements,
+	MaxMapPairs:      maxPairs,
+}.DecMode())
+
+func mustMode[M any](mode M, err error) M {
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// encodeFrame returns the frame with its header.
+func encodeFrame(envelope *Envelope) ([]byte, error) {
+	var buffer bytes.Buffer
+	buffer.Write(make([]byte, frameHeader))
+	if err := frameEncoding.NewEncoder(&buffer).Encode(envelope); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	frame := buffer.Bytes()
+	length := len(frame) - frameHeader
+	if length > FrameLimit {
+		return nil, FrameTooLongError{Length: length}
+	}
+	binary.BigEndian.PutUint32(frame, uint32(length))
+	return frame, nil
+}
+
+// readFrame reads the CBOR part of the next frame into the buffer, which
+// grows as needed. The error is io.EOF at the end between two frames.
+func readFrame(r io.Reader, buffer []byte) ([]byte, error) {
+	var header [frameHeader]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, err
+	}
+	length := int(binary.BigEndian.Uint32(header[:]))
+	if length > FrameLimit {
+		return nil, FrameTooLongError{Length: length}
+	}
+	if cap(buffer) < length {
+		buffer = make([]byte, length)
+	}
+	buffer = buffer[:length]
+	_, err := io.ReadFull(r, buffer)
+	return buffer, trace.Wrap(err)
+}
+
+// decodeFrame decodes the CBOR part of a frame. Nothing in the envelope
+// refers to the data afterwards.
+func decodeFrame(data []byte) (Envelope, error) {
+	var envelope Envelope
+	if err := frameDecoding.Unmarshal(data, &envelope); err != nil {
+		return Envelope{}, trace.Wrap(err)
+	}
+	if kinds := countKinds(&envelope.Message); kinds > 1 {
+		return Envelope{}, AmbiguousMessageError{Kinds: kinds}
+	}
+	return envelope, nil
+}
+
+// countKinds uses reflection, so that it counts kinds that are added to
+// PeerMessage later.
+func countKinds(message *rpcore.PeerMessage) int {
+	kinds := 0
+	value := reflect.ValueOf(message).Elem()
+	for _, field := range value.Fields() {
+		if !field.IsNil() {
+			kinds++
+		}
+	}
+	return kinds
+}
--- /dev/null
+++ b/internal/rppeer/frame_test.go
@@ -0,0 +1,129 @@
+package rppeer
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// Guards against messages that arrive changed, with times cut to seconds.
+func TestFrameRoundTrip(t *testing.T) {
+	g := NewWithT(t)
+	accepted := time.Date(2026, 5, 4, 3, 2, 1, 123456789, time.UTC)
+	sent := Envelope{Version: Version, From: "i1", Message: rpcore.PeerMessage{DocumentPush: &rpcore.DocumentPush{
+		DocumentRow: rpcore.DocumentRow{Service: "sber", Version: 7, AcceptedAt: accepted},
+		Body:        bytes.Repeat([]byte("x"), 64<<10),
+	}}}
+	frame, err := encodeFrame(&sent)
+	g.Expect(err).NotTo(HaveOccurred())
+	reader := bytes.NewReader(frame)
+	data, err := readFrame(reader, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	got, err := decodeFrame(data)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(sent))
+	_, err = readFrame(reader, nil)
+	g.Expect(err).To(Equal(io.EOF))
+	_, err = readFrame(bytes.NewReader(frame[:len(frame)-1]), nil)
+	g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+}
+
+// Guards against frames above the limit being sent, or read into memory.
+func TestFrameLimit(t *testing.T) {
+	g := NewWithT(t)
+	_, err := encodeFrame(&Envelope{Message: rpcore.PeerMessage{DocumentPush: &rpcore.DocumentPush{Body: make([]byte, FrameLimit)}}})
+	g.Expect(err).To(BeAssignableToTypeOf(FrameTooLongError{}))
+	_, err = readFrame(bytes.NewReader(binary.BigEndian.AppendUint32(nil, FrameLimit+1)), nil)
+	g.Expect(err).To(Equal(FrameTooLongError{Length: FrameLimit + 1}))
+}
+
+// encodeAny encodes a message that this version has no type for.
+func encodeAny(t *testing.T, value any) []byte {
+	t.Helper()
+	data, err := cbor.Marshal(value)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return data
+}
+
+// Guards against a newer instance making an older one crash, drop the link or
+// lose the parts that it knows.
+func TestNewerVersionIsUnderstood(t *testing.T) {
+	g := NewWithT(t)
+	known := encodeAny(t, map[string]any{
+		"version": 9, "from": "i1", "priority": []int{1},
+		"message": map[string]any{"demand": map[string]any{"waiting": 3, "mood": "good"}},
+	})
+	envelope, err := decodeFrame(known)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(envelope.Version).To(Equal(uint64(9)))
+	g.Expect(envelope.Message.Demand.Waiting).To(Equal(3))
+	unknown := encodeAny(t, map[string]any{"version": 9, "from": "i1", "message": map[string]any{"song": "la"}})
+	envelope, err = decodeFrame(unknown)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(envelope.empty()).To(BeTrue())
+}
+
+// Guards against messages that cost much more to decode than to send, and
+// against messages with several meanings.
+func TestHostileFramesAreRefused(t *testing.T) {
+	deep := append(bytes.Repeat([]byte{0x81}, 1000), 0)
+	cases := map[string][]byte{
+		"deep nesting":      encodeAny(t, map[string]any{"message": cbor.RawMessage(deep)}),
+		"long array":        encodeAny(t, map[string]any{"x": make([]int, maxElements+1)}),
+		"indefinite length": {0xbf, 0xff},
+		"duplicate field":   {0xa2, 0x61, 'a', 1, 0x61, 'a', 2},
+		"two kinds": encodeAny(t, map[string]any{"message": map[string]any{
+			"demand": map[string]any{}, "heartbeat": map[string]any{},
+		}}),
+		"claimed length": {0xa1, 0x5b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+	}
+	for name, data := range cases {
+		_, err := decodeFrame(data)
+		NewWithT(t).Expect(err).To(HaveOccurred(), name)
+	}
+}
+
+// Guards against input that makes the decoder panic, and against envelopes
+// that it accepts and that can't be sent on.
+func FuzzDecodeFrame(f *testing.F) {
+	heartbeat := &rpcore.Heartbeat{
+		Identity: rpcore.Identity{Instance: "i1"}, Waiting: [rpdocument.RankCount]int{1, 2, 3},
+		LeavingEndpoints: []rpcore.LeavingNotice{{Endpoint: "e1"}},
+	}
+	for _, message := range []rpcore.PeerMessage{
+		{Heartbeat: heartbeat},
+		{ReportShare: &rpcore.ReportShare{Report: rpcore.EngineReport{TakenAt: time.Unix(1, 2)}}},
+		{DocumentRequest: &rpcore.DocumentRequest{Services: []string{strings.Repeat("s", 300)}}},
+	} {
+		frame, err := encodeFrame(&Envelope{Version: Version, From: "i1", Message: message})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(frame)
+	}
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		reader := bytes.NewReader(stream)
+		for {
+			data, err := readFrame(reader, nil)
+			if err != nil {
+				return
+			}
+			envelope, err := decodeFrame(data)
+			if err != nil || envelope.empty() {
+				continue
+			}
+			if _, err := encodeFrame(&envelope); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/rppeer/incoming.go
@@ -0,0 +1,130 @@
+package rppeer
+
+import (
+	"errors"
+	"io"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+// accept takes connections until Close.
+func (l *Links) accept() {
+	for {
+		conn, err := l.listener.Accept(l.closing)
+		if err != nil {
+			return
+		}
+		if !l.addIncoming(conn) {
+			_ = conn.CloseWithError(codeOverloaded, "too many links")
+			continue
+		}
+		l.work.Go(func() {
+			defer l.removeIncoming(conn)
+			l.receive(conn)
+		})
+	}
+}
+
+func (l *Links) addIncoming(conn *quic.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.incoming) >= maxLinks || l.closing.Err() != nil {
+		return false
+	}
+	l.incoming[conn] = struct{}{}
+	return true
+}
+
+func (l *Links) removeIncoming(conn *quic.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.incoming, conn)
+}
+
+// closeIncoming ends the connections from peers at Close.
+func (l *Links) closeIncoming() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.incoming {
+		_ = conn.CloseWithError(codeStopped, "the instance is stopping")
+	}
+}
+
+// receive reads the messages of one peer until the connection ends.
+func (l *Links) receive(conn *quic.Conn) {
+	peer, err := peerIdentity(conn.ConnectionState().TLS)
+	if err != nil {
+		_ = conn.CloseWithError(codeProtocol, "")
+		return
+	}
+	err = l.receiveFrom(conn, peer)
+	switch {
+	case l.closing.Err() != nil:
+	case errors.Is(err, io.EOF):
+		_ = conn.CloseWithError(codeDone, "")
+		l.postLost(peer)
+	case isQuietEnd(err):
+	default:
+		l.Log.Warn().Err(err).Str("peer", string(peer)).Msg("peers: an incoming link broke")
+		_ = conn.CloseWithError(codeProtocol, "")
+		l.postLost(peer)
+	}
+}
+
+// isQuietEnd reports whether the end of an incoming connection says nothing
+// about the peer. An idle link ends too when the peer merely has nothing to
+// say; the peer's heartbeats, if it has to send any, are missed elsewhere.
+func isQuietEnd(err error) bool {
+	var idle *quic.IdleTimeoutError
+	var closed *quic.ApplicationError
+	return errors.As(err, &idle) ||
+		errors.As(err, &closed) && closed.Remote && closed.ErrorCode == codeReplaced
+}
+
+func (l *Links) receiveFrom(conn *quic.Conn, peer rpcore.InstanceID) error {
+	stream, err := conn.AcceptUniStream(l.closing)
+	if err != nil {
+		return err
+	}
+	var buffer []byte
+	for {
+		data, err := readFrame(stream, buffer)
+		if err != nil {
+			return err
+		}
+		buffer = data
+		if err := l.deliver(data, peer); err != nil {
+			return err
+		}
+	}
+}
+
+// WrongSenderError reports a frame whose sender is not the one that the
+// certificate names.
+type WrongSenderError struct {
+	Claimed     rpcore.InstanceID
+	Certificate rpcore.InstanceID
+}
+
+func (e WrongSenderError) Error() string {
+	return "a message claims to be from " + string(e.Claimed) + ", but the certificate names " + string(e.Certificate)
+}
+
+// deliver posts one message. A frame that can't be decoded or that holds
+// nothing known is dropped; the next one can be good.
+func (l *Links) deliver(data []byte, peer rpcore.InstanceID) error {
+	envelope, err := decodeFrame(data)
+	if err != nil {
+		l.Log.Warn().Err(err).Str("peer", string(peer)).Msg("peers: a message can't be read")
+		return nil
+	}
+	if envelope.From != peer {
+		return WrongSenderError{Claimed: envelope.From, Certificate: peer}
+	}
+	if !envelope.empty() {
+		l.post(rpcore.PeerReceived{Stamp: stampNow(), From: peer, Message: envelope.Message})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rppeer/links_test.go
@@ -0,0 +1,277 @@
+package rppeer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/quic-go/quic-go"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+// generous bounds waits for things that must happen; no test passes by
+// waiting for it.
+const generous = 20 * time.Second
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+func withAuthority(t testing.TB) *Authority {
+	t.Helper()
+	authority, err := NewAuthority(time.Hour)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return authority
+}
+
+func withCredentials(t testing.TB, authority *Authority, id rpcore.InstanceID) Credentials {
+	t.Helper()
+	g := NewWithT(t)
+	issued, err := authority.Issue(id, time.Hour)
+	g.Expect(err).NotTo(HaveOccurred())
+	credentials, err := ParseCredentials(authority.PEM(), issued.Certificate, issued.Key)
+	g.Expect(err).NotTo(HaveOccurred())
+	return credentials
+}
+
+// testLinks is a Links whose events the test waits for.
+type testLinks struct {
+	*Links
+	received chan rpcore.PeerReceived
+	lost     chan rpcore.InstanceID
+}
+
+// withLinks starts links; change, where it is not nil, runs before.
+func withLinks(t testing.TB, authority *Authority, id rpcore.InstanceID, change func(*Links)) *testLinks {
+	t.Helper()
+	links := &testLinks{
+		received: make(chan rpcore.PeerReceived, 1000),
+		lost:     make(chan rpcore.InstanceID, 1000),
+	}
+	links.Links = &Links{Self: id, Listen: loopback, Credentials: withCredentials(t, authority, id), QueueAge: generous, Post: links.take}
+	if change != nil {
+		change(links.Links)
+	}
+	NewWithT(t).Expect(links.Start()).To(Succeed())
+	t.Cleanup(links.abort)
+	return links
+}
+
+func (l *testLinks) take(ev rpcore.Event) {
+	switch ev := ev.(type) {
+	case rpcore.PeerReceived:
+		l.received <- ev
+	case rpcore.PeerLost:
+		l.lost <- ev.Peer
+	}
+}
+
+// abort closes without waiting for peers.
+func (l *testLinks) abort() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = l.Close(ctx)
+}
+
+func (l *testLinks) demand(to *testLinks, waiting int) {
+	l.SendPeer(rpcore.SendPeer{
+		To: to.Self, Address: to.Addr(),
+		Message: rpcore.PeerMessage{Demand: &rpcore.Demand{Waiting: waiting}},
+	})
+}
+
+// Guards against messages that are lost, reordered or attributed to another
+// instance on a link that works, in both directions at once, and against a
+// close that cuts off the last messages or leaves the peer waiting.
+func TestMessagesArriveInOrder(t *testing.T) {
+	const messages = 50 // Fewer than queueFrames.
+	g := NewWithT(t)
+	authority := withAuthority(t)
+	a, b := withLinks(t, authority, "a", nil), withLinks(t, authority, "b/1 ü", nil)
+	for n := range messages {
+		a.demand(b, n)
+		b.demand(a, n)
+	}
+	for n := range messages {
+		var atA, atB rpcore.PeerReceived
+		g.Eventually(b.received).WithTimeout(generous).Should(Receive(&atB))
+		g.Eventually(a.received).WithTimeout(generous).Should(Receive(&atA))
+		g.Expect([]any{atB.From, atB.Message.Demand.Waiting}).To(Equal([]any{a.Self, n}))
+		g.Expect([]any{atA.From, atA.Message.Demand.Waiting}).To(Equal([]any{b.Self, n}))
+	}
+	a.demand(b, messages)
+	g.Expect(a.Close(t.Context())).To(Succeed())
+	var last rpcore.PeerReceived
+	g.Eventually(b.received).WithTimeout(generous).Should(Receive(&last))
+	g.Expect(last.Message.Demand.Waiting).To(Equal(messages))
+	g.Eventually(b.lost).WithTimeout(generous).Should(Receive(Equal(a.Self)))
+	a.demand(b, 0) // It is dropped after Close.
+}
+
+// Guards against an instance of another authority being heard or reached.
+func TestWrongAuthority(t *testing.T) {
+	g := NewWithT(t)
+	authority := withAuthority(t)
+	b := withLinks(t, authority, "b", nil)
+	stranger := withLinks(t, withAuthority(t), "a", nil)
+	_, err := stranger.dialRaw(t, b, stranger.Credentials.clientTLS("b"))
+	g.Expect(err).To(MatchError(ContainSubstring("unknown authority")))
+
+	// A stranger that trusts b's authority is refused by b.
+	stranger.Credentials.Authority = b.Credentials.Authority
+	conn, err := stranger.dialRaw(t, b, stranger.Credentials.clientTLS("b"))
+	if err == nil {
+		g.Eventually(conn.Context().Done()).WithTimeout(generous).Should(BeClosed())
+		err = context.Cause(conn.Context())
+	}
+	g.Expect(err).To(MatchError(ContainSubstring("CRYPTO_ERROR")))
+	friend := withLinks(t, authority, "c", nil)
+	friend.demand(b, 1)
+	g.Eventually(b.received).WithTimeout(generous).Should(Receive(HaveField("From", friend.Self)))
+	g.Expect(b.received).To(BeEmpty())
+}
+
+// Guards against a message that reaches another instance than the one that it
+// was sent to, after an address has passed to another instance.
+func TestWrongInstanceAtTheAddress(t *testing.T) {
+	g := NewWithT(t)
+	authority := withAuthority(t)
+	a, b := withLinks(t, authority, "a", nil), withLinks(t, authority, "b", nil)
+	_, err := a.dialRaw(t, b, a.Credentials.clientTLS("c"))
+	g.Expect(err).To(MatchError(ContainSubstring(`it names the instance "b" in place of "c"`)))
+}
+
+// dialRaw connects with a TLS setup of the test.
+func (l *testLinks) dialRaw(t *testing.T, to *testLinks, config *tls.Config) (*quic.Conn, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), generous)
+	defer cancel()
+	return l.transport.Dial(ctx, net.UDPAddrFromAddrPort(to.Addr()), config, l.config(0))
+}
+
+// Guards against frames that a peer can use to speak for another instance or
+// to fill memory, and against links that break because of a message that is
+// merely unknown.
+func TestHostilePeer(t *testing.T) {
+	good := func(from rpcore.InstanceID) []byte {
+		frame, err := encodeFrame(&Envelope{Version: 99, From: from, Message: rpcore.PeerMessage{Demand: &rpcore.Demand{Waiting: 1}}})
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		return frame
+	}
+	cases := map[string]struct {
+		frame  []byte
+		closed bool
+	}{
+		"wrong sender":  {good("c"), true},
+		"oversize":      {binary.BigEndian.AppendUint32(nil, FrameLimit+1), true},
+		"not CBOR":      {[]byte{0, 0, 0, 1, 0xff}, false},
+		"empty frame":   {[]byte{0, 0, 0, 0}, false},
+		"newer version": {good("a"), false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			authority := withAuthority(t)
+			a, b := withLinks(t, authority, "a", nil), withLinks(t, authority, "b", nil)
+			conn, err := a.dialRaw(t, b, a.Credentials.clientTLS("b"))
+			g.Expect(err).NotTo(HaveOccurred())
+			stream, err := conn.OpenUniStream()
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = stream.Write(append(c.frame, good("a")...))
+			g.Expect(err).NotTo(HaveOccurred())
+			if c.closed {
+				g.Eventually(conn.Context().Done()).WithTimeout(generous).Should(BeClosed())
+				g.Eventually(b.lost).WithTimeout(generous).Should(Receive(Equal(a.Self)))
+				g.Expect(b.received).To(BeEmpty())
+				return
+			}
+			g.Eventually(b.received).WithTimeout(generous).Should(Receive(HaveField("From", a.Self)))
+			g.Expect(b.lost).To(BeEmpty())
+		})
+	}
+}
+
+// Guards against a peer that restarts on the same address staying
+// unreachable, and against a loss that goes unreported.
+func TestReconnectAfterRestart(t *testing.T) {
+	g := NewWithT(t)
+	authority := withAuthority(t)
+	a, b := withLinks(t, authority, "a", nil), withLinks(t, authority, "b", nil)
+	address := b.Addr()
+	g.Eventually(a.sendUntilReceived(b)).WithTimeout(generous).Should(BeTrue())
+	b.abort()
+	g.Eventually(a.lost).WithTimeout(generous).Should(Receive(Equal(b.Self)))
+	restarted := withLinks(t, authority, "b", func(l *Links) { l.Listen = address })
+	g.Eventually(a.sendUntilReceived(restarted)).WithTimeout(generous).Should(BeTrue())
+}
+
+// sendUntilReceived sends with each call, since messages may be lost.
+func (l *testLinks) sendUntilReceived(to *testLinks) func() bool {
+	return func() bool {
+		l.demand(to, 1)
+		return len(to.received) > 0
+	}
+}
+
+// switchedSocket drops what it would send while it is off, like a partition.
+type switchedSocket struct {
+	net.PacketConn
+	off *atomic.Bool
+}
+
+func (s switchedSocket) WriteTo(p []byte, to net.Addr) (int, error) {
+	if s.off.Load() {
+		return len(p), nil
+	}
+	return s.PacketConn.WriteTo(p, to)
+}
+
+// Guards against a partition that goes unreported while messages are sent,
+// and against links that do not come back after it.
+func TestPartition(t *testing.T) {
+	g := NewWithT(t)
+	authority := withAuthority(t)
+	var off atomic.Bool
+	short := func(l *Links) {
+		l.IdleTimeout = 300 * time.Millisecond
+		l.ListenPacket = func(listen netip.AddrPort) (net.PacketConn, error) {
+			socket, err := listenUDP(listen)
+			return switchedSocket{socket, &off}, err
+		}
+	}
+	a, b := withLinks(t, authority, "a", short), withLinks(t, authority, "b", short)
+	g.Eventually(a.sendUntilReceived(b)).WithTimeout(generous).Should(BeTrue())
+	off.Store(true)
+	g.Eventually(func() int {
+		a.demand(b, 2)
+		return len(a.lost)
+	}).WithTimeout(generous).Should(BeNumerically(">", 0))
+	for len(b.received) > 0 {
+		<-b.received
+	}
+	off.Store(false)
+	g.Eventually(a.sendUntilReceived(b)).WithTimeout(generous).Should(BeTrue())
+}
+
+// Guards against a queue that grows without bounds or keeps old messages in
+// place of new ones while a peer can't be reached.
+func TestQueueDropsOldest(t *testing.T) {
+	g := NewWithT(t)
+	k := newLink(&Links{QueueAge: generous}, "b")
+	for n := range 3 * queueFrames {
+		k.put(loopback, fmt.Append(nil, n))
+	}
+	g.Expect(k.queue).To(HaveLen(queueFrames))
+	g.Expect(string(k.next())).To(Equal(fmt.Sprint(2 * queueFrames)))
+	for range 10 {
+		k.put(loopback, make([]byte, FrameLimit))
+	}
+	g.Expect(k.bytes).To(BeNumerically("<=", queueBytes))
+	g.Expect(k.next()).To(HaveLen(FrameLimit))
+}
--- a/internal/rpplatform/outcome_test.go
+++ b/internal/rpplatform/outcome_test.go
@@ -1,10 +1,15 @@
 package rpplatform_test
 
 import (
+	"bytes"
+	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -82,8 +87,8 @@
 	g.Expect(sent).To(Equal(1))
 }
 
-// Guards against a repeated request to a service that drops connections: the
-// second copy of a write would report a conflict with the first.
+// Guards against a lost answer being taken for a refusal or repeated inside
+// the client, where the second copy would report a conflict with the first.
 func TestLostAnswerIsUnknownAndTakesEffect(t *testing.T) {
 	g := NewWithT(t)
 	service := &rpstandin.Table{}
@@ -101,21 +106,50 @@
 	g.Expect(table.read(rpcore.ReadTable{Keys: []rpcore.RowKey{modelKey("b"), modelKey("c")}}).Rows).To(BeEmpty())
 }
 
-// Guards against a timeout being taken for a refusal: the write takes effect
-// after the client has given up.
+// withSlow reaches a handler like a network does: a request that was sent is
+// carried out even when the client has given up. It runs on a fake clock.
+func withSlow(handler http.Handler) rpplatform.Access {
+	return rpplatform.Access{Endpoint: "http://service.test", RoundTrip: func(r *http.Request) (*http.Response, error) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return nil, err
+		}
+		sent := r.Clone(context.WithoutCancel(r.Context()))
+		sent.Body = io.NopCloser(bytes.NewReader(body))
+		answer := make(chan *http.Response, 1)
+		go func() {
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, sent)
+			answer <- recorder.Result()
+		}()
+		select {
+		case response := <-answer:
+			return response, nil
+		case <-r.Context().Done():
+			return nil, r.Context().Err()
+		}
+	}}
+}
+
+// Guards against a timeout being taken for a refusal, since the write takes
+// effect after the client has given up, and against an operation that waits
+// longer than its timeout.
 func TestLateEffectIsUnknown(t *testing.T) {
-	g := NewWithT(t)
-	service := &rpstandin.Table{}
-	access := withServer(t, service)
-	late := withTable(t, access)
-	late.Timeout = 50 * time.Millisecond
-	reader := withTable(t, access)
-	service.SetFaults(rpstandin.FaultSettings{Hold: true})
-	g.Expect(late.write(modelWrite("a", 0, "n1"))).To(Equal(rpcore.WriteUnknown))
-	service.SetFaults(noFaults)
-	g.Eventually(func() []rpcore.Row {
-		return reader.read(rpcore.ReadTable{Keys: []rpcore.RowKey{modelKey("a")}}).Rows
-	}).WithTimeout(generous).Should(HaveLen(1))
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		service := &rpstandin.Table{}
+		table := withTable(t, withSlow(service))
+		table.Timeout = 0
+		service.SetFaults(rpstandin.FaultSettings{DelayMS: 5000})
+		began := time.Now()
+		g.Expect(table.write(modelWrite("a", 0, "n1"))).To(Equal(rpcore.WriteUnknown))
+		g.Expect(time.Since(began)).To(BeNumerically("~", rpplatform.DefaultTimeout, 100*time.Millisecond))
+		service.SetFaults(noFaults)
+		read := rpcore.ReadTable{Keys: []rpcore.RowKey{modelKey("a")}}
+		g.Expect(table.read(read).Rows).To(BeEmpty())
+		time.Sleep(5 * time.Second)
+		g.Expect(table.read(read).Rows).To(HaveLen(1))
+	})
 }
 
 // Guards against an outage that leaves operations without an answer or with
--- a/internal/rpstandin/table.go
+++ b/internal/rpstandin/table.go
@@ -14,10 +14,9 @@
 
 // Limits of the DynamoDB protocol.
 const (
-	tableItemLimit        = 400 << 10
-	tableTransactionItems = 100
-	tableBatchKeys        = 100
-	tablePageBytes        = 1 << 20
+	tableItemLimit    = 400 << 10
+	tableRequestItems = 100
+	tablePageBytes    = 1 << 20
 )
 
 // Table stands in for a table service with the DynamoDB protocol. It knows
@@ -137,10 +136,10 @@
 	unprocessed := make(map[string]tableKeys)
 	for table, request := range requested {
 		keys := request.Keys
-		if len(keys) > tableBatchKeys {
+		if len(keys) > tableRequestItems {
 			return nil, invalidTableRequest("too many keys")
 		}
-		if n := cmp.Or(t.BatchItems, tableBatchKeys); len(keys) > n {
+		if n := cmp.Or(t.BatchItems, tableRequestItems); len(keys) > n {
 			unprocessed[table] = tableKeys{keys[n:]}
 			keys = keys[:n]
 		}
@@ -204,7 +203,7 @@
 		actions = append(actions, action)
 		seen[[3]string{action.TableName, action.Key.text("pk"), action.Key.text("sk")}] = true
 	}
-	if len(actions) > tableTransactionItems || len(seen) < len(actions) {
+	if len(actions) > tableRequestItems || len(seen) < len(actions) {
 		return nil, invalidTableRequest("a transaction has at most 100 items, all different")
 	}
 	if canceled {
