--- /dev/null
+++ b/internal/rpdemo/check.go
@@ -0,0 +1,322 @@
+package rpdemo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpoperator"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// checks are run in this order; later ones rely on the documents of the first.
+var checks = []func(context.Context, *world) Check{
+	checkDocuments,
+	checkColdStart,
+	checkRanks,
+	checkAdapter,
+	checkCharge,
+	checkPlannedStop,
+	checkBounds,
+}
+
+// burst is the size of the cold start burst.
+const burst = 50
+
+// result makes a Check from an error.
+func result(name, figures string, err error) Check {
+	check := Check{Name: name, Figures: figures}
+	if err != nil {
+		check.Problem = trace.UserMessage(err)
+	}
+	return check
+}
+
+func checkDocuments(ctx context.Context, w *world) Check {
+	const name = "documents accepted and in force everywhere"
+	client := rpoperator.Client{Address: w.instances[0].operators, Credential: credential}
+	var slowest time.Duration
+	for _, service := range w.deployment.Services {
+		accept := func() error {
+			_, err := client.Accept(ctx, service.Name, 0, service.document(credentialSum()))
+			return err
+		}
+		if err := eventually(ctx, readyTimeout, accept); err != nil {
+			return result(name, service.Name, err)
+		}
+		begin := time.Now()
+		inForce := func() error { return w.inForce(ctx, service.Name, 1) }
+		if err := eventually(ctx, readyTimeout, inForce); err != nil {
+			return result(name, service.Name, err)
+		}
+		slowest = max(slowest, time.Since(begin))
+	}
+	return result(name, fmt.Sprintf("%d documents, the slowest after %s at %d instances (target 3000 ms)",
+		len(w.deployment.Services), milliseconds(slowest), len(w.instances)), nil)
+}
+
+// inForce returns an error unless a version is in force at every instance.
+func (w *world) inForce(ctx context.Context, service string, version uint64) error {
+	for _, i := range w.instances {
+		client := rpoperator.Client{Address: i.operators}
+		document, err := client.Document(ctx, service)
+		if err != nil {
+			return err
+		}
+		if document.Document.Version != version {
+			return trace.Errorf("%s has version %d, want %d", i.name, document.Document.Version, version)
+		}
+	}
+	return nil
+}
+
+// checkColdStart sends first requests for one idle model to all instances at
+// once.
+func checkColdStart(ctx context.Context, w *world) Check {
+	const name = "cold start in a burst"
+	service := w.deployment.Services[0]
+	model := modelName(0)
+	if err := w.modelsKnown(ctx); err != nil {
+		return result(name, "", err)
+	}
+	loads := w.loads()
+	var mu sync.Mutex
+	var firstTokens []time.Duration
+	var failure error
+	var group sync.WaitGroup
+	for n := range burst {
+		group.Go(func() {
+			prompt := fmt.Sprintf("cold start %d", n)
+			to := w.instances[n%len(w.instances)].callers
+			a, err := stream(ctx, to, service.Name+"/"+model, rpdocument.RankNormal, prompt, 8, nil)
+			if err == nil {
+				err = a.whole(prompt, 8)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			failure = firstError(failure, err)
+			firstTokens = append(firstTokens, a.firstToken)
+		})
+	}
+	group.Wait()
+	slices.Sort(firstTokens)
+	p50, p99 := firstTokens[len(firstTokens)/2], firstTokens[len(firstTokens)*99/100]
+	loaded := w.loads() - loads
+	if failure == nil && loaded != 1 {
+		failure = trace.Errorf("the engines carried out %d loads, want 1", loaded)
+	}
+	return result(name, fmt.Sprintf("%d requests at %d instances, %d load, first token p50 %s, p99 %s, load alone %s",
+		burst, len(w.instances), loaded, milliseconds(p50), milliseconds(p99), milliseconds(w.loadFloor(service, model))), failure)
+}
+
+// modelsKnown waits until the instances have reports of the engines.
+func (w *world) modelsKnown(ctx context.Context) error {
+	return eventually(ctx, readyTimeout, func() error {
+		for _, i := range w.instances {
+			if err := w.sees(ctx, i); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// sees returns an error unless an instance sees all instances live and has a
+// report of every engine.
+func (w *world) sees(ctx context.Context, i *instance) error {
+	client := rpoperator.Client{Address: i.operators}
+	body, err := client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	var status rpcore.Status
+	if err := json.Unmarshal(body, &status); err != nil {
+		return trace.Wrap(err)
+	}
+	live := 0
+	for _, other := range status.Instances {
+		if other.Live {
+			live++
+		}
+	}
+	reported := 0
+	for _, endpoint := range status.Endpoints {
+		if endpoint.Kind == rpcore.MemberEngine && endpoint.ReportAge >= 0 {
+			reported++
+		}
+	}
+	if live != len(w.instances) || reported != len(w.engines) {
+		return trace.Errorf("%s sees %d live instances and %d engine reports", i.name, live, reported)
+	}
+	return nil
+}
+
+// loads counts the loads that the engines carried out.
+func (w *world) loads() int {
+	loads := 0
+	for _, e := range w.engines {
+		loads += e.State().Loads
+	}
+	return loads
+}
+
+// loadFloor returns the load time of the best place that has the checkpoint.
+func (w *world) loadFloor(service Service, model string) time.Duration {
+	floor := weightsLoadTime + memoryLoadTime
+	for _, e := range w.engines {
+		for _, cached := range e.cached {
+			if e.service != service.Name || cached.Checkpoint != checkpoint(service.Name, model) {
+				continue
+			}
+			if cached.Place == rpcore.PlaceMemory {
+				floor = min(floor, memoryLoadTime)
+			} else {
+				floor = min(floor, diskLoadTime)
+			}
+		}
+	}
+	return floor
+}
+
+func firstError(first, next error) error {
+	if first != nil {
+		return first
+	}
+	return next
+}
+
+func checkRanks(ctx context.Context, w *world) Check {
+	const name = "one request of each rank"
+	service := w.deployment.Services[0]
+	figures := ""
+	for n, rank := range rpdocument.Ranks {
+		prompt := "rank " + rank.String()
+		a, err := stream(ctx, w.instances[n].callers, service.Name+"/"+modelName(0), rank, prompt, 16, nil)
+		if err == nil {
+			err = a.whole(prompt, 16)
+		}
+		if err != nil {
+			return result(name, rank.String(), err)
+		}
+		figures += fmt.Sprintf("%s %s, ", rank, milliseconds(a.firstToken))
+	}
+	return result(name, figures+"16 tokens each", nil)
+}
+
+func checkAdapter(ctx context.Context, w *world) Check {
+	const name = "adapter of a loaded model"
+	service := w.deployment.Services[0]
+	a, err := stream(ctx, w.instances[1].callers, service.Name+"/"+adapterName(0), rpdocument.RankUrgent, "adapter", 8, nil)
+	if err == nil {
+		err = a.whole("adapter", 8)
+	}
+	return result(name, "first token "+milliseconds(a.firstToken), err)
+}
+
+// checkCharge sends one charge to two instances at once, with one idempotency
+// key, and once more afterwards.
+func checkCharge(ctx context.Context, w *world) Check {
+	const name = "a charge sent three times"
+	const key = "charge-1"
+	service := w.plainServiceName()
+	bodies := make([]string, 3)
+	errs := make([]error, 3)
+	send := func(n int) {
+		bodies[n], errs[n] = charge(ctx, w.instances[2*n%len(w.instances)], service, key)
+	}
+	var group sync.WaitGroup
+	group.Go(func() { send(0) })
+	group.Go(func() { send(1) })
+	group.Wait()
+	send(2)
+	runs := 0
+	for _, s := range w.services {
+		runs += s.State().ByKey[key]
+	}
+	var failure error
+	for n, err := range errs {
+		failure = firstError(failure, err)
+		if failure == nil && bodies[n] != bodies[0] {
+			failure = trace.Errorf("the answers differ: %q and %q", bodies[0], bodies[n])
+		}
+	}
+	if failure == nil && runs != 1 {
+		failure = trace.Errorf("the charge ran %d times", runs)
+	}
+	return result(name, fmt.Sprintf("ran %d time, 3 equal answers", runs), failure)
+}
+
+func (w *world) plainServiceName() string {
+	for _, service := range w.deployment.Services {
+		if service.PlainEndpoints > 0 {
+			return service.Name
+		}
+	}
+	return ""
+}
+
+func charge(ctx context.Context, i *instance, service, key string) (string, error) {
+	header := http.Header{"Idempotency-Key": {key}}
+	response, err := post(ctx, i.callers, "/services/"+service+"/charge", header, []byte(`{"amount_cents":350}`))
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return string(body), trace.Wrap(err)
+}
+
+// checkPlannedStop stops an instance while it streams.
+func checkPlannedStop(ctx context.Context, w *world) Check {
+	const name = "planned stop during a stream"
+	const tokens = 300
+	stopped := w.instances[len(w.instances)-1]
+	service := w.deployment.Services[0]
+	onToken := func(n int) {
+		if n == 5 {
+			stopped.stop()
+		}
+	}
+	a, err := stream(ctx, stopped.callers, service.Name+"/"+modelName(0), rpdocument.RankNormal, "stop", tokens, onToken)
+	if err == nil {
+		err = a.whole("stop", tokens)
+	}
+	if err != nil {
+		return result(name, "", err)
+	}
+	select {
+	case <-stopped.done:
+	case <-ctx.Done():
+		return result(name, "", ctx.Err())
+	}
+	w.instances = w.instances[:len(w.instances)-1]
+	prompt := "after the stop"
+	other, err := stream(ctx, w.instances[0].callers, service.Name+"/"+modelName(0), rpdocument.RankNormal, prompt, 8, nil)
+	if err == nil {
+		err = other.whole(prompt, 8)
+	}
+	return result(name, fmt.Sprintf("%d tokens whole, then the instance stopped", tokens), firstError(stopped.err, err))
+}
+
+// checkBounds looks at the engines' own counts.
+func checkBounds(_ context.Context, w *world) Check {
+	const name = "replica and memory bounds"
+	var failure error
+	var highest rpdocument.Bytes
+	for _, e := range w.engines {
+		state := e.State()
+		highest = max(highest, state.HighestMemory)
+		if state.Overcommits > 0 {
+			failure = firstError(failure, trace.Errorf("%s: %d loads beyond its memory", e.id, state.Overcommits))
+		}
+	}
+	return result(name, fmt.Sprintf("highest memory in use %s of %s, no load beyond it", highest, engineMemory), failure)
+}
--- /dev/null
+++ b/internal/rpdemo/client.go
@@ -0,0 +1,135 @@
+package rpdemo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpstandin"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// answer is the answer to one streamed request.
+type answer struct {
+	tokens     []string
+	firstToken time.Duration
+	// complete says that the end mark came.
+	complete bool
+}
+
+// whole returns an error unless the answer is the one that the stand-in gives
+// to the prompt, from the first token to the last.
+func (a answer) whole(prompt string, tokens int) error {
+	if !a.complete {
+		return trace.Errorf("the stream ended after %d tokens without the end mark", len(a.tokens))
+	}
+	if len(a.tokens) != tokens {
+		return trace.Errorf("got %d tokens, want %d", len(a.tokens), tokens)
+	}
+	for i, token := range a.tokens {
+		if want := rpstandin.EngineToken(prompt, i); token != want {
+			return trace.Errorf("token %d is %q, want %q", i, token, want)
+		}
+	}
+	return nil
+}
+
+type chatChunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+}
+
+// stream sends a streamed chat request and reads the whole answer. onToken,
+// where it is set, is called after each token.
+func stream(ctx context.Context, to netip.AddrPort, model string, rank rpdocument.Rank, prompt string, tokens int, onToken func(int)) (answer, error) {
+	body, err := json.Marshal(map[string]any{
+		"model":      model,
+		"stream":     true,
+		"max_tokens": tokens,
+		"messages":   []map[string]string{{"role": "user", "content": prompt}},
+	})
+	if err != nil {
+		return answer{}, trace.Wrap(err)
+	}
+	begin := time.Now()
+	header := http.Header{"Rattan-Rank": {rank.String()}}
+	response, err := post(ctx, to, "/v1/chat/completions", header, body)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var a answer
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			if strings.HasPrefix(lines.Text(), "event: error") {
+				return a, trace.Errorf("the stream ended with an error event")
+			}
+			continue
+		}
+		if data == "[DONE]" {
+			a.complete = true
+			continue
+		}
+		var chunk chatChunk
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return a, trace.Wrap(err, "reading a chunk")
+		}
+		if len(chunk.Choices) == 0 || chunk.Choices[0].Delta.Content == "" {
+			continue
+		}
+		if len(a.tokens) == 0 {
+			a.firstToken = time.Since(begin)
+		}
+		a.tokens = append(a.tokens, chunk.Choices[0].Delta.Content)
+		if onToken != nil {
+			onToken(len(a.tokens))
+		}
+	}
+	return a, trace.Wrap(lines.Err())
+}
+
+// post sends a request; an answer other than 200 is an error.
+func post(ctx context.Context, to netip.AddrPort, path string, header http.Header, body []byte) (*http.Response, error) {
+	url := "http://" + to.String() + path
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if response.StatusCode == http.StatusOK {
+		return response, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, _ := io.ReadAll(io.LimitReader(response.Body, 4096))
+	return nil, trace.Wrap(statusError{response.StatusCode, string(text)})
+}
+
+type statusError struct {
+	status int
+	body   string
+}
+
+func (e statusError) Error() string {
+	return fmt.Sprintf("status %d: %s", e.status, e.body)
+}
--- /dev/null
+++ b/internal/rpdemo/demo.go
@@ -0,0 +1,99 @@
+package rpdemo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rplog"
+)
+
+// Demo runs a deployment and checks what it does.
+type Demo struct {
+	// Deployment is Snoepschep where its name is empty.
+	Deployment Deployment
+	// Out gets the progress; nil drops it.
+	Out io.Writer
+	Log rplog.Log
+	// Keep, where it is set, goes on serving after the checks until the
+	// context ends.
+	Keep bool
+}
+
+// readyTimeout bounds the wait for the instances to know each other. It is no
+// target of the system.
+const readyTimeout = 20 * time.Second
+
+// Run starts the deployment, runs the checks and stops everything.
+func (d Demo) Run(ctx context.Context) (Report, error) {
+	begin := time.Now()
+	if d.Deployment.Name == "" {
+		d.Deployment = Snoepschep
+	}
+	if d.Out == nil {
+		d.Out = io.Discard
+	}
+	// Another network for each run lets two of them share a machine.
+	w := &world{deployment: d.Deployment, log: d.Log, network: byte(1 + rand.IntN(250))}
+	standins, stopStandins := context.WithCancel(context.WithoutCancel(ctx))
+	defer w.running.Wait()
+	defer stopStandins()
+	_, _ = fmt.Fprintf(d.Out, "starting %s on 127.%d.0.0/16\n", d.Deployment.Name, w.network)
+	defer w.stopInstances()
+	if err := w.start(standins); err != nil {
+		return Report{}, err
+	}
+	report := d.newReport(w)
+	for _, check := range checks {
+		if ctx.Err() != nil {
+			return report, trace.Wrap(ctx.Err(), "the demo was interrupted")
+		}
+		result := check(ctx, w)
+		result.write(d.Out)
+		report.Checks = append(report.Checks, result)
+	}
+	report.DurationSeconds = time.Since(begin).Seconds()
+	if d.Keep {
+		_, _ = fmt.Fprintf(d.Out, "serving callers at %s, operators at %s; stop with Ctrl-C\n",
+			w.instances[0].callers, w.instances[0].operators)
+		<-ctx.Done()
+	}
+	return report, nil
+}
+
+func (d Demo) newReport(w *world) Report {
+	report := Report{
+		Deployment: d.Deployment.Name,
+		Instances:  len(w.instances),
+		Engines:    len(w.engines),
+	}
+	for _, service := range d.Deployment.Services {
+		report.Models += service.Models
+		report.Adapters += service.Adapters
+	}
+	return report
+}
+
+// eventually repeats a check until it holds or the time is over, and returns
+// the last error.
+func eventually(ctx context.Context, timeout time.Duration, check func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/rpdemo/world.go
@@ -0,0 +1,361 @@
+package rpdemo
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rplog"
+	"github.com/rattanpaddle/rattanpaddle/internal/rppeer"
+	"github.com/rattanpaddle/rattanpaddle/internal/rpserve"
+	"github.com/rattanpaddle/rattanpaddle/internal/rpsettings"
+	"github.com/rattanpaddle/rattanpaddle/internal/rpstandin"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+const (
+	// modelMemory lets modelsPerEngine models share an engine.
+	modelMemory     = 16 * rpdocument.GiB
+	engineMemory    = 80 * rpdocument.GiB
+	modelsPerEngine = 4
+
+	instancesPerDomain = 2
+	credential         = "demo-operator"
+
+	// The load times of the stand-ins, by the place of the checkpoint. A
+	// remote one is read from the weight store first.
+	memoryLoadTime  = 300 * time.Millisecond
+	diskLoadTime    = 900 * time.Millisecond
+	weightsLoadTime = 1500 * time.Millisecond
+	adapterLoadTime = 10 * time.Millisecond
+
+	certificateValidity = 24 * time.Hour
+	listLag             = 300 * time.Millisecond
+
+	callersPort   = 8080
+	operatorsPort = 8081
+	peersPort     = 8082
+	standinPort   = 9000
+)
+
+// world is everything that runs in a demo.
+type world struct {
+	deployment Deployment
+	log        rplog.Log
+	// network is the second byte of all addresses.
+	network   byte
+	running   sync.WaitGroup
+	failures  chan error
+	table     *rpstandin.Table
+	objects   *rpstandin.Objects
+	list      *rpstandin.List
+	weights   *rpstandin.Weights
+	engines   []*engine
+	services  []*plainService
+	instances []*instance
+}
+
+type engine struct {
+	*rpstandin.Engine
+	id      rpcore.EndpointID
+	service string
+	cached  []rpcore.CachedCheckpoint
+}
+
+type plainService struct {
+	*rpstandin.Service
+	id rpcore.EndpointID
+}
+
+// instance is one entry instance in this process.
+type instance struct {
+	name      string
+	callers   netip.AddrPort
+	operators netip.AddrPort
+	stop      context.CancelFunc
+	// done is closed when the instance has stopped; err is set before.
+	done chan struct{}
+	err  error
+}
+
+func (w *world) address(domain, host, port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, w.network, byte(domain), byte(host)}), uint16(port))
+}
+
+func (w *world) platformAddress(host int) netip.AddrPort { return w.address(200, host, standinPort) }
+
+// start starts the stand-ins, then the instances.
+func (w *world) start(ctx context.Context) error {
+	w.failures = make(chan error, 100)
+	if err := w.startPlatform(ctx); err != nil {
+		return err
+	}
+	host := 10
+	for _, service := range w.deployment.Services {
+		for i := range service.Engines {
+			if err := w.startEngine(ctx, service, i, host); err != nil {
+				return err
+			}
+			host++
+		}
+		for i := range service.PlainEndpoints {
+			if err := w.startPlainService(ctx, service, i, host); err != nil {
+				return err
+			}
+			host++
+		}
+	}
+	return w.startInstances(ctx)
+}
+
+func (w *world) startPlatform(ctx context.Context) error {
+	w.table = &rpstandin.Table{}
+	w.objects = &rpstandin.Objects{}
+	w.list = &rpstandin.List{Lag: listLag}
+	w.weights = rpstandin.NewWeights(rpstandin.WeightsConfig{
+		LoadsPerSecond: w.deployment.LoadsPerSecond,
+		FullSpeed:      w.deployment.LoadsAtOnce,
+		LoadTime:       weightsLoadTime,
+	})
+	handlers := []http.Handler{w.table, w.objects, w.list, w.weights}
+	for i, handler := range handlers {
+		if err := w.serve(ctx, w.platformAddress(i+1), handler); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serve answers HTTP on an address until the context ends.
+func (w *world) serve(ctx context.Context, address netip.AddrPort, handler http.Handler) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return trace.Wrap(err, "listening for a stand-in")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	w.running.Go(func() { _ = server.Serve(listener) })
+	w.running.Go(func() {
+		<-ctx.Done()
+		_ = server.Close()
+	})
+	return nil
+}
+
+func (w *world) startEngine(ctx context.Context, service Service, i, host int) error {
+	domain := i % len(w.deployment.Domains)
+	id := rpcore.EndpointID(fmt.Sprintf("%s-engine-%02d", service.Name, i))
+	cached := cachedCheckpoints(service, i)
+	enforces := i%3 != 2
+	standin := rpstandin.NewEngine(rpstandin.EngineConfig{
+		ID:             id,
+		Incarnation:    "1",
+		Memory:         engineMemory,
+		EnforceFencing: enforces,
+		TokenTime:      2 * time.Millisecond,
+		LoadTime: map[rpcore.CheckpointPlace]time.Duration{
+			rpcore.PlaceMemory: memoryLoadTime,
+			rpcore.PlaceDisk:   diskLoadTime,
+			rpcore.PlaceRemote: memoryLoadTime,
+		},
+		AdapterTime: adapterLoadTime,
+		Weights:     "http://" + w.platformAddress(4).String(),
+		Cached:      cached,
+		ReportLag:   200 * time.Millisecond,
+	})
+	address := w.address(domain+1, host, standinPort)
+	if err := w.serve(ctx, address, standin); err != nil {
+		return err
+	}
+	w.engines = append(w.engines, &engine{Engine: standin, id: id, service: service.Name, cached: cached})
+	return w.register(ctx, rpcore.Member{
+		ID:              string(id),
+		Kind:            rpcore.MemberEngine,
+		Service:         service.Name,
+		FailureDomain:   w.deployment.Domains[domain],
+		Incarnation:     "1",
+		Address:         address,
+		EnforcesFencing: enforces,
+		Memory:          engineMemory,
+		Accelerators:    modelsPerEngine,
+	})
+}
+
+// cachedCheckpoints spreads the checkpoints unevenly: an engine has about a
+// fifth of them on disk and a twentieth in memory.
+func cachedCheckpoints(service Service, engine int) []rpcore.CachedCheckpoint {
+	var cached []rpcore.CachedCheckpoint
+	for m := range service.Models {
+		place := rpcore.PlaceDisk
+		switch (m*7 + engine*3) % 20 {
+		case 0:
+			place = rpcore.PlaceMemory
+		case 1, 2, 3, 4:
+		default:
+			continue
+		}
+		cached = append(cached, rpcore.CachedCheckpoint{Checkpoint: checkpoint(service.Name, modelName(m)), Place: place})
+	}
+	return cached
+}
+
+func (w *world) startPlainService(ctx context.Context, service Service, i, host int) error {
+	domain := i % len(w.deployment.Domains)
+	id := rpcore.EndpointID(fmt.Sprintf("%s-plain-%02d", service.Name, i))
+	standin := rpstandin.NewService(rpstandin.ServiceConfig{Delay: 50 * time.Millisecond})
+	address := w.address(domain+1, host, standinPort)
+	if err := w.serve(ctx, address, standin); err != nil {
+		return err
+	}
+	w.services = append(w.services, &plainService{standin, id})
+	return w.register(ctx, rpcore.Member{
+		ID:            string(id),
+		Kind:          rpcore.MemberService,
+		Service:       service.Name,
+		FailureDomain: w.deployment.Domains[domain],
+		Incarnation:   "1",
+		Address:       address,
+	})
+}
+
+// register puts a member on the instance list, as the platform does for
+// endpoints.
+func (w *world) register(ctx context.Context, member rpcore.Member) error {
+	body, err := json.Marshal(member)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	url := "http://" + w.platformAddress(3).String() + "/v1/members/" + member.ID
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return trace.Wrap(err, "registering %s", member.ID)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return trace.Errorf("the instance list answered %s for %s", response.Status, member.ID)
+	}
+	return nil
+}
+
+func (w *world) startInstances(ctx context.Context) error {
+	authority, err := rppeer.NewAuthority(certificateValidity)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for d, domain := range w.deployment.Domains {
+		for i := range instancesPerDomain {
+			name := fmt.Sprintf("entry-%d%c", d+1, 'a'+i)
+			settings, err := w.settings(authority, name, domain, d+1, i+1)
+			if err != nil {
+				return err
+			}
+			if err := w.startInstance(ctx, settings); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (w *world) settings(authority *rppeer.Authority, name string, domain rpcore.FailureDomain, d, host int) (*rpsettings.Settings, error) {
+	issued, err := authority.Issue(rpcore.InstanceID(name), certificateValidity)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	credentials, err := rppeer.ParseCredentials(authority.PEM(), issued.Certificate, issued.Key)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	settings := &rpsettings.Settings{
+		Instance: rpsettings.Instance{Name: name, FailureDomain: string(domain)},
+		Listen: rpsettings.Listen{
+			Callers:   rpsettings.Address{AddrPort: w.address(d, host, callersPort)},
+			Operators: rpsettings.Address{AddrPort: w.address(d, host, operatorsPort)},
+			Peers:     rpsettings.Address{AddrPort: w.address(d, host, peersPort)},
+		},
+		Platform: rpsettings.Platform{
+			TableEndpoint:  httpURL(w.platformAddress(1)),
+			TableName:      "rattanpaddle",
+			ObjectEndpoint: httpURL(w.platformAddress(2)),
+			Bucket:         "rattanpaddle",
+			AccessKey:      rpsettings.NewSecret("demo"),
+			SecretKey:      rpsettings.NewSecret("demo"),
+			ListEndpoint:   httpURL(w.platformAddress(3)),
+			ListInterval:   rpsettings.Duration(500 * time.Millisecond),
+		},
+		TLS:       rpsettings.TLS{Pool: credentials.Authority, Pair: credentials.Certificate},
+		Operators: rpsettings.Operators{BootstrapEditors: []string{credentialSum()}},
+		Limits: rpsettings.Limits{
+			WeightLoads:          w.deployment.LoadsAtOnce,
+			WeightLoadsPerSecond: w.deployment.LoadsPerSecond,
+		},
+		Drain: rpsettings.Drain{
+			Grace:   rpsettings.Duration(200 * time.Millisecond),
+			Timeout: rpsettings.Duration(15 * time.Second),
+		},
+	}
+	return settings, nil
+}
+
+func httpURL(address netip.AddrPort) rpsettings.URL {
+	var u rpsettings.URL
+	u.Scheme = "http"
+	u.Host = address.String()
+	return u
+}
+
+func credentialSum() string {
+	sum := sha256.Sum256([]byte(credential))
+	return hex.EncodeToString(sum[:])
+}
+
+// startInstance returns when the instance listens.
+func (w *world) startInstance(ctx context.Context, settings *rpsettings.Settings) error {
+	ctx, stop := context.WithCancel(ctx)
+	i := &instance{
+		name:      settings.Instance.Name,
+		callers:   settings.Listen.Callers.AddrPort,
+		operators: settings.Listen.Operators.AddrPort,
+		stop:      stop,
+		done:      make(chan struct{}),
+	}
+	listening := make(chan struct{})
+	serve := rpserve.Instance{Settings: settings, Log: w.log, Started: func() { close(listening) }}
+	w.running.Go(func() {
+		defer close(i.done)
+		i.err = serve.Run(ctx)
+	})
+	select {
+	case <-listening:
+		w.instances = append(w.instances, i)
+		return nil
+	case <-i.done:
+		stop()
+		return trace.Wrap(i.err, "starting %s", i.name)
+	}
+}
+
+// stopInstances stops all instances as planned and waits for them.
+func (w *world) stopInstances() {
+	for _, i := range w.instances {
+		i.stop()
+	}
+	for _, i := range w.instances {
+		<-i.done
+	}
+}
--- /dev/null
+++ b/internal/rpserve/instance.go
@@ -0,0 +1,104 @@
+package rpserve
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	mathrand "math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/fx"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rplog"
+	"github.com/rattanpaddle/rattanpaddle/internal/rpsettings"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+// Instance is one entry instance.
+type Instance struct {
+	// Settings were checked by rpsettings.
+	Settings *rpsettings.Settings
+	Log      rplog.Log
+	// Started, where it is set, is called when the instance listens.
+	Started func()
+	// Seed of the reducer's random numbers; 0 draws one.
+	Seed uint64
+}
+
+const (
+	// startTimeout bounds opening the listeners.
+	startTimeout = 15 * time.Second
+	// stopMargin is added to the drain timeout for leaving the list and
+	// closing the links.
+	stopMargin = 10 * time.Second
+)
+
+// Run starts the instance, waits for the context to end and stops it as
+// planned.
+func (i Instance) Run(ctx context.Context) error {
+	var parts *parts
+	app := fx.New(
+		fx.NopLogger,
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(i.stopTimeout()),
+		fx.Supply(i.Settings, i.Log, i.start()),
+		fx.Provide(
+			newNode, newObserver, newMetrics, newEndpoints, newFront,
+			newTable, newObjects, newList, newLinks, newOperator, newParts,
+		),
+		fx.Invoke(connectEdges),
+		fx.Populate(&parts),
+	)
+	if err := app.Err(); err != nil {
+		return trace.Wrap(err, "building the instance")
+	}
+	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := app.Start(startCtx); err != nil {
+		return trace.Wrap(err, "starting the instance")
+	}
+	if i.Started != nil {
+		i.Started()
+	}
+	select {
+	case <-ctx.Done():
+	case err := <-parts.failed:
+		parts.log.Error().Err(err).Msg("A listener failed. The instance stops.")
+	}
+	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), i.stopTimeout())
+	defer cancelStop()
+	return trace.Wrap(app.Stop(stopCtx))
+}
+
+func (i Instance) stopTimeout() time.Duration {
+	return time.Duration(i.Settings.Drain.Grace) + time.Duration(i.Settings.Drain.Timeout) + stopMargin
+}
+
+// start returns the first event of the reducer.
+func (i Instance) start() rpcore.Start {
+	seed := i.Seed
+	if seed == 0 {
+		seed = mathrand.Uint64()
+	}
+	limits := i.Settings.CoreLimits()
+	limits.DrainTimeout = time.Duration(i.Settings.Drain.Timeout)
+	return rpcore.Start{
+		Self: rpcore.Identity{
+			Instance:      rpcore.InstanceID(i.Settings.Instance.Name),
+			Incarnation:   newIncarnation(),
+			FailureDomain: rpcore.FailureDomain(i.Settings.Instance.FailureDomain),
+		},
+		Seed:   seed,
+		Limits: limits,
+		Policy: i.Settings.CorePolicy(),
+	}
+}
+
+// newIncarnation returns a name that no other lifetime has.
+func newIncarnation() rpcore.Incarnation {
+	var random [8]byte
+	_, _ = rand.Read(random[:])
+	return rpcore.Incarnation(fmt.Sprintf("%x-%s", time.Now().UnixMilli(), hex.EncodeToString(random[:])))
+}
--- /dev/null
+++ b/internal/rpserve/observe.go
@@ -0,0 +1,134 @@
+package rpserve
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpmetric"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// observer turns events and effects into metrics. It is called by the event
+// loop only, apart from ready.
+type observer struct {
+	metrics  *rpmetric.Metrics
+	requests map[rpcore.RequestID]observedRequest
+	orders   map[rpcore.OrderID]time.Time
+	ops      map[rpcore.OpID]time.Time
+
+	mu        sync.Mutex
+	readiness rpcore.ReportReady
+}
+
+// observedRequest is what the metrics need of a request in progress.
+type observedRequest struct {
+	rank      rpdocument.Rank
+	arrivedAt time.Time
+	started   bool
+}
+
+func newObserver(metrics *rpmetric.Metrics) *observer {
+	return &observer{
+		metrics:   metrics,
+		requests:  make(map[rpcore.RequestID]observedRequest),
+		orders:    make(map[rpcore.OrderID]time.Time),
+		ops:       make(map[rpcore.OpID]time.Time),
+		readiness: rpcore.ReportReady{Reason: "starting"},
+	}
+}
+
+func (o *observer) observe(ev rpcore.Event, effects []rpcore.Effect, took time.Duration) {
+	o.metrics.ReducerEvent(took)
+	o.event(ev)
+	for _, effect := range effects {
+		o.effect(effect)
+	}
+}
+
+func (o *observer) event(ev rpcore.Event) {
+	switch ev := ev.(type) {
+	case rpcore.RequestArrived:
+		o.requests[ev.Request.ID] = observedRequest{rank: ev.Request.Rank, arrivedAt: ev.At}
+		o.metrics.RequestsInProgress(len(o.requests))
+	case rpcore.AttemptFirstToken:
+		o.firstToken(ev)
+	case rpcore.AttemptEnded:
+		o.metrics.AttemptEnded(ev.Reason)
+		if ev.Reason == rpcore.AttemptComplete {
+			o.requestEnded(ev.Request, rpmetric.CodeOK)
+		}
+	case rpcore.RequestAbandoned:
+		o.requestEnded(ev.Request, rpmetric.CodeAbandoned)
+	case rpcore.OrderAnswered:
+		delete(o.orders, ev.Order)
+	case rpcore.TableReadDone:
+		o.metrics.TableRead(ev.Unavailable, o.since(ev.Op, ev.At))
+	case rpcore.TableWriteDone:
+		o.metrics.TableWrite(ev.Outcome, o.since(ev.Op, ev.At))
+	case rpcore.PeerReceived:
+		o.metrics.PeerMessage("received", ev.Message)
+	}
+}
+
+func (o *observer) effect(effect rpcore.Effect) {
+	switch effect := effect.(type) {
+	case rpcore.StartAttempt:
+		if request, ok := o.requests[effect.Request]; ok {
+			request.rank = effect.Rank
+			o.requests[effect.Request] = request
+		}
+	case rpcore.RefuseRequest:
+		o.requestEnded(effect.Request, string(effect.Refusal.Code))
+	case rpcore.ReplayOutcome:
+		o.requestEnded(effect.Request, rpmetric.CodeOK)
+	case rpcore.ReadTable:
+		o.ops[effect.Op] = time.Now()
+	case rpcore.WriteTable:
+		o.ops[effect.Op] = time.Now()
+	case rpcore.SendPeer:
+		o.metrics.PeerMessage("sent", effect.Message)
+	}
+}
+
+func (o *observer) firstToken(ev rpcore.AttemptFirstToken) {
+	request, ok := o.requests[ev.Request]
+	if !ok || request.started {
+		return
+	}
+	request.started = true
+	o.requests[ev.Request] = request
+	o.metrics.FirstToken(request.rank, ev.At.Sub(request.arrivedAt))
+}
+
+func (o *observer) requestEnded(id rpcore.RequestID, code string) {
+	request, ok := o.requests[id]
+	if !ok {
+		return
+	}
+	delete(o.requests, id)
+	o.metrics.RequestEnded(request.rank, code)
+	o.metrics.RequestsInProgress(len(o.requests))
+}
+
+// since returns the time that an operation on the table took.
+func (o *observer) since(op rpcore.OpID, at time.Time) time.Duration {
+	begin, ok := o.ops[op]
+	if !ok {
+		return 0
+	}
+	delete(o.ops, op)
+	return at.Sub(begin)
+}
+
+func (o *observer) setReady(readiness rpcore.ReportReady) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.readiness = readiness
+}
+
+func (o *observer) ready() (bool, string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.readiness.Ready, o.readiness.Reason
+}
--- /dev/null
+++ b/pkg/rpcore/status.go
@@ -0,0 +1,182 @@
+package rpcore
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// Status is the report of one instance on itself and on what it sees.
+type Status struct {
+	Identity
+	At        time.Time         `json:"at"`
+	Ready     bool              `json:"ready"`
+	Draining  bool              `json:"draining"`
+	Waiting   map[string]int    `json:"waiting_requests"`
+	Running   int               `json:"requests_in_progress"`
+	Instances []InstanceStatus  `json:"instances"`
+	Endpoints []EndpointStatus  `json:"endpoints"`
+	Models    []ModelStatus     `json:"models"`
+	Documents []DocumentInForce `json:"documents"`
+	Missing   []DocumentVersion `json:"missing_documents"`
+}
+
+// InstanceStatus is what the reporting instance knows of an instance.
+type InstanceStatus struct {
+	ID            InstanceID    `json:"id"`
+	FailureDomain FailureDomain `json:"failure_domain"`
+	Live          bool          `json:"live"`
+	Leaving       bool          `json:"leaving"`
+}
+
+// EndpointStatus is what the reporting instance knows of an endpoint.
+type EndpointStatus struct {
+	ID            EndpointID       `json:"id"`
+	Kind          MemberKind       `json:"kind"`
+	Service       string           `json:"service"`
+	FailureDomain FailureDomain    `json:"failure_domain"`
+	Leaving       bool             `json:"leaving"`
+	InFlight      int              `json:"requests_in_flight"`
+	Memory        rpdocument.Bytes `json:"memory"`
+	MemoryLoaded  rpdocument.Bytes `json:"memory_loaded"`
+	Loaded        []ModelKey       `json:"loaded"`
+	// ReportAge is the age of the last report; it is negative without one.
+	ReportAge time.Duration `json:"report_age_ns"`
+}
+
+// ModelStatus compares what is loaded with what the document decided.
+type ModelStatus struct {
+	Model       ModelKey `json:"model"`
+	MaxReplicas int      `json:"max_replicas"`
+	Loaded      int      `json:"loaded_replicas"`
+	Waiting     int      `json:"waiting_requests"`
+}
+
+// DocumentInForce is a document in force at the reporting instance.
+type DocumentInForce struct {
+	DocumentRow
+	// Since is the time at which it came in force at this instance.
+	Since    time.Time            `json:"since"`
+	Body     []byte               `json:"-"`
+	Document *rpdocument.Document `json:"-"`
+}
+
+// DocumentInForce returns the document of a service that is in force. The
+// body and the document must not be changed.
+func (s *State) DocumentInForce(service string) (DocumentInForce, bool) {
+	active := s.documents.inForce[service]
+	if active == nil {
+		return DocumentInForce{}, false
+	}
+	return DocumentInForce{active.row, active.since, active.body, active.document}, true
+}
+
+// Documents returns all documents in force, ordered by service.
+func (s *State) Documents() []DocumentInForce {
+	documents := make([]DocumentInForce, 0, len(s.documents.names))
+	for _, service := range s.documents.names {
+		document, _ := s.DocumentInForce(service)
+		documents = append(documents, document)
+	}
+	return documents
+}
+
+// Waiting returns the number of queued requests by rank.
+func (s *State) Waiting() [rpdocument.RankCount]int { return s.waitingByRank() }
+
+// RequestsInProgress returns the number of requests that have not ended.
+func (s *State) RequestsInProgress() int { return len(s.requests.byID) }
+
+// Status returns the report of this instance.
+func (s *State) Status() Status {
+	status := Status{
+		Identity:  s.self,
+		At:        s.now,
+		Ready:     s.requests.ready,
+		Draining:  s.draining,
+		Waiting:   make(map[string]int, rpdocument.RankCount),
+		Running:   len(s.requests.byID),
+		Instances: s.instanceStatus(),
+		Endpoints: s.endpointStatus(),
+		Models:    s.modelStatus(),
+		Documents: s.Documents(),
+		Missing:   s.missingDocuments(),
+	}
+	for i, waiting := range s.waitingByRank() {
+		status.Waiting[rpdocument.Ranks[i].String()] = waiting
+	}
+	return status
+}
+
+func (s *State) instanceStatus() []InstanceStatus {
+	status := []InstanceStatus{{ID: s.self.Instance, FailureDomain: s.self.FailureDomain, Live: true, Leaving: s.draining}}
+	for _, id := range s.allPeers() {
+		p := s.members.peers[id]
+		status = append(status, InstanceStatus{
+			ID:            id,
+			FailureDomain: p.FailureDomain,
+			Live:          slices.Contains(s.members.live, id),
+			Leaving:       p.leaving,
+		})
+	}
+	return status
+}
+
+func (s *State) endpointStatus() []EndpointStatus {
+	status := make([]EndpointStatus, 0, len(s.members.endpoints))
+	for _, id := range endpointIDs(s.members.endpoints) {
+		status = append(status, s.members.endpoints[id].status(s.now))
+	}
+	return status
+}
+
+func (e *endpoint) status(now time.Time) EndpointStatus {
+	status := EndpointStatus{
+		ID:            e.id,
+		Kind:          e.Kind,
+		Service:       e.Service,
+		FailureDomain: e.FailureDomain,
+		Leaving:       e.leaving,
+		InFlight:      e.inFlight,
+		Memory:        max(e.Memory, e.report.Memory),
+		ReportAge:     -1,
+	}
+	if !e.reportedAt.IsZero() {
+		status.ReportAge = now.Sub(e.reportedAt)
+	}
+	for key, entry := range e.loaded {
+		status.Loaded = append(status.Loaded, key)
+		status.MemoryLoaded += entry.Memory
+	}
+	slices.SortFunc(status.Loaded, ModelKey.Compare)
+	return status
+}
+
+func (s *State) modelStatus() []ModelStatus {
+	var status []ModelStatus
+	for _, service := range s.documents.names {
+		for i := range s.document(service).Models {
+			model := &s.document(service).Models[i]
+			key := ModelKey{Service: service, Name: model.Name}
+			status = append(status, ModelStatus{
+				Model:       key,
+				MaxReplicas: model.MaxReplicas,
+				Loaded:      len(s.serving(key)),
+				Waiting:     s.modelUse(key).Waiting,
+			})
+		}
+	}
+	return status
+}
+
+func (s *State) missingDocuments() []DocumentVersion {
+	var missing []DocumentVersion
+	for service, wanted := range s.documents.wanted {
+		missing = append(missing, DocumentVersion{service, wanted.row.Version})
+	}
+	slices.SortFunc(missing, func(a, b DocumentVersion) int {
+		return ModelKey{Service: a.Service}.Compare(ModelKey{Service: b.Service})
+	})
+	return missing
+}
