Add the open-loop load generator

Cause: measurements need requests whose arrivals do not depend on answers.

Change: rpload computes a schedule from a seed (Poisson or constant arrivals, mix of models, routes and ranks, bursts, gaps, wake-ups), sends streaming completions and requests to plain services, and reports latencies from the scheduled arrival, results by code and verdict, late refusals and answers, and requests that were not started.

--- /dev/null
+++ b/internal/rpload/attempt.go
@@ -0,0 +1,120 @@
+package rpload
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+// outcome is what one request left behind.
+type outcome struct {
+	result Result
+	// sent is the time of sending, end that of the end of the answer.
+	sent, end time.Time
+	// firstToken is the time of the first token, or of the first byte of the
+	// answer of a plain service. It is zero where there was none.
+	firstToken time.Time
+	tokens     int
+	refused    bool
+	retryAfter bool
+	retries    int
+}
+
+// maxAnswerBytes bounds what is read of one answer.
+const maxAnswerBytes = 64 << 20
+
+// send sends a request and, where the configuration says so, once more to the
+// next target.
+func (r *runner) send(parent context.Context, a Arrival) outcome {
+	req := r.cfg.request(a)
+	sent := time.Now()
+	ctx, cancel := parent, context.CancelFunc(func() {})
+	timeout := r.cfg.Timeouts[a.Rank]
+	if timeout > 0 {
+		ctx, cancel = context.WithDeadlineCause(parent, sent.Add(timeout+r.cfg.Patience), errNoAnswer)
+	}
+	defer cancel()
+	o := r.attempt(ctx, req, r.target(a.Seq), timeout)
+	left := timeout - time.Since(sent)
+	if r.cfg.RetryNotRun && o.result.concernsTarget() && (timeout == 0 || left > 0) {
+		r.cfg.Log.Debug().Str("request", req.ID).Str("code", o.result.Code).Msg("The request is sent to the next target.")
+		if timeout == 0 {
+			left = 0
+		}
+		o = r.attempt(ctx, req, r.target(a.Seq+1), left)
+		o.retries = 1
+	}
+	o.sent = sent
+	return o
+}
+
+func (r *runner) target(n uint64) netip.AddrPort {
+	return r.cfg.Targets[n%uint64(len(r.cfg.Targets))]
+}
+
+func (r *runner) attempt(ctx context.Context, req Request, target netip.AddrPort, timeout time.Duration) (o outcome) {
+	defer func() {
+		if o.end.IsZero() {
+			o.end = time.Now()
+		}
+	}()
+	httpRequest, err := r.cfg.httpRequest(ctx, req, target, timeout)
+	if err != nil {
+		o.result = resultMalformed
+		return o
+	}
+	res, err := r.client.Do(httpRequest)
+	if err != nil {
+		o.result = connectionResult(ctx, err)
+		return o
+	}
+	defer func() { _ = res.Body.Close() }()
+	res.Body = limitedBody{io.LimitReader(res.Body, maxAnswerBytes), res.Body}
+	switch {
+	case res.StatusCode < 200 || res.StatusCode > 299:
+		o.failed(ctx, res)
+	case req.Work.Route != "":
+		o.readService(ctx, res)
+	default:
+		r.readStream(ctx, req, res, &o)
+	}
+	return o
+}
+
+// limitedBody is a body of which a bounded part can be read.
+type limitedBody struct {
+	io.Reader
+	io.Closer
+}
+
+func (r *runner) readStream(ctx context.Context, req Request, res *http.Response, o *outcome) {
+	s := stream{request: req}
+	if r.cfg.Expect != nil {
+		s.expected = r.cfg.Expect(req)
+	}
+	cell := r.recorder.cell(req.Arrival)
+	s.onToken = func(previous, at time.Time) { cell.addBetweenTokens(at.Sub(previous)) }
+	s.read(ctx, res, o)
+}
+
+// readService reads the whole answer of a plain service.
+func (o *outcome) readService(ctx context.Context, res *http.Response) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := res.Body.Read(buffer)
+		if n > 0 && o.firstToken.IsZero() {
+			o.firstToken = time.Now()
+		}
+		if errors.Is(err, io.EOF) {
+			o.result = resultOK
+			return
+		}
+		if err != nil {
+			o.result = brokenResult(ctx)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/rpload/check.go
@@ -0,0 +1,124 @@
+package rpload
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+)
+
+// Bounds of a configuration.
+const (
+	maxRate     = 1_000_000 // requests/s
+	maxDuration = 7 * 24 * time.Hour
+	// maxRequests bounds the time to compute the hash of the schedule before
+	// the start.
+	maxRequests = 1_000_000_000
+	// maxPhases bounds the memory of the histograms: one phase and rank takes
+	// up to 3 MB.
+	maxPhases     = 32
+	maxInProgress = 1_000_000
+	maxTokens     = 1_000_000
+	maxZipf       = 10
+)
+
+// ConfigError lists everything that is wrong with a configuration.
+type ConfigError struct {
+	Problems []string
+}
+
+func (e *ConfigError) Error() string { return strings.Join(e.Problems, " ") }
+
+// Check returns a *ConfigError that lists all problems, or nil.
+func (c Config) Check() error {
+	c = c.withDefaults()
+	var p problems
+	c.checkMix(&p)
+	c.checkTimes(&p)
+	c.checkPhases(&p)
+	c.checkWakes(&p)
+	c.checkSizes(&p)
+	if len(p) == 0 {
+		return nil
+	}
+	return &ConfigError{Problems: p}
+}
+
+type problems []string
+
+func (p *problems) unless(ok bool, format string, args ...any) {
+	if !ok {
+		*p = append(*p, fmt.Sprintf(format, args...))
+	}
+}
+
+func (c Config) checkMix(p *problems) {
+	p.unless(len(c.Targets) > 0, "There is no target.")
+	p.unless(len(c.Works) > 0, "There is no model and no route.")
+	seen := map[string]bool{}
+	weighted := false
+	for _, work := range c.Works {
+		p.unless(work.valid(), "%q is not a service with a model or a route, with a weight above 0.", work.Name())
+		p.unless(!seen[work.Name()], "%q is given twice.", work.Name())
+		seen[work.Name()] = true
+		weighted = weighted || work.Weight != 0
+	}
+	p.unless(c.Zipf >= 0 && c.Zipf <= maxZipf, "The Zipf exponent must be from 0 to %d.", maxZipf)
+	p.unless(c.Zipf == 0 || !weighted, "A Zipf exponent and weights exclude each other.")
+	for _, weight := range c.Ranks {
+		p.unless(weight >= 0 && !math.IsInf(weight, 0), "The weight of a rank must not be below 0.")
+	}
+}
+
+func (c Config) checkTimes(p *problems) {
+	p.unless(c.Rate >= 0 && c.Rate <= maxRate, "The rate must be from 0 to %d requests/s.", maxRate)
+	p.unless(c.Duration > 0 && c.Duration <= maxDuration, "The duration must be above 0 and at most %v.", maxDuration)
+	p.unless(c.Arrivals == Poisson || c.Arrivals == Constant, "%q is not an arrival process. Write %s or %s.", c.Arrivals, Poisson, Constant)
+	p.unless(c.Rate > 0 || len(c.Bursts)+len(c.Wakes) > 0, "The rate is 0 and there is no burst and no wake-up, so no request would be sent.")
+	p.unless(c.Patience > 0 && c.Wait > 0 && c.LateAllowance > 0, "The patience, the wait and the late allowance must not be below 0.")
+	for _, timeout := range c.Timeouts {
+		p.unless(timeout >= 0, "A timeout must not be below 0.")
+	}
+}
+
+func (c Config) checkPhases(p *problems) {
+	p.unless(1+len(c.Bursts)+len(c.Wakes) <= maxPhases, "There are more than %d bursts and wake-ups.", maxPhases-1)
+	total := c.Rate * c.Duration.Seconds()
+	for _, burst := range c.Bursts {
+		p.unless(c.contains(burst.Start, burst.Duration), "The burst %s is not within the duration.", burst)
+		p.unless(burst.Rate > 0 && burst.Rate <= maxRate, "The rate of the burst %s must be above 0 and at most %d requests/s.", burst, maxRate)
+		total += burst.Rate * burst.Duration.Seconds()
+	}
+	p.unless(total <= maxRequests, "The schedule has more than %d requests.", maxRequests)
+	end := time.Duration(0)
+	for _, gap := range sortedGaps(c.Gaps) {
+		p.unless(c.contains(gap.Start, gap.Duration), "The gap %s is not within the duration.", gap)
+		p.unless(gap.Start >= end, "The gap %s overlaps another one.", gap)
+		end = gap.Start + gap.Duration
+	}
+}
+
+func (c Config) checkWakes(p *problems) {
+	woken := 0
+	for _, wake := range c.Wakes {
+		p.unless(c.contains(wake.Start, wake.Within), "The wake-up %s is not within the duration.", wake)
+		p.unless(wake.Count > 0, "The wake-up %s needs at least one model.", wake)
+		woken += max(wake.Count, 0)
+	}
+	others := 0
+	if c.Rate > 0 || len(c.Bursts) > 0 {
+		others = 1
+	}
+	p.unless(woken == 0 || woken+others <= len(c.Works), "The wake-ups need %d models; %d are given, and other requests need %d.", woken, len(c.Works), others)
+}
+
+func (c Config) checkSizes(p *problems) {
+	p.unless(c.InProgressLimit > 0 && c.InProgressLimit <= maxInProgress, "The limit of requests in progress must be from 1 to %d.", maxInProgress)
+	p.unless(c.PromptTokens > 0 && c.PromptTokens <= maxTokens, "The tokens of a prompt must be from 1 to %d.", maxTokens)
+	p.unless(c.MaxTokens > 0 && c.MaxTokens <= maxTokens, "The tokens of an answer must be from 1 to %d.", maxTokens)
+}
+
+// contains reports whether a phase with a length lies within the duration.
+func (c Config) contains(start, length time.Duration) bool {
+	return start >= 0 && length > 0 && start <= c.Duration && length <= c.Duration-start
+}
--- /dev/null
+++ b/internal/rpload/phase.go
@@ -0,0 +1,179 @@
+package rpload
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// Process is the process by which requests of a phase arrive.
+type Process string
+
+// The processes.
+const (
+	// Poisson has exponential times between arrivals.
+	Poisson Process = "poisson"
+	// Constant has equal times between arrivals.
+	Constant Process = "constant"
+)
+
+// Burst adds requests to the base phase.
+type Burst struct {
+	Start    time.Duration
+	Duration time.Duration
+	// Rate is in requests/s.
+	Rate float64
+	// Rank applies to all requests of the burst; RankUnset takes the mix.
+	Rank rpdocument.Rank
+}
+
+// String returns the form that UnmarshalText reads.
+func (b Burst) String() string {
+	return joinFields(b.Rank, b.Start.String(), b.Duration.String(), strconv.FormatFloat(b.Rate, 'g', -1, 64))
+}
+
+// UnmarshalText parses START,DURATION,RATE[,RANK].
+func (b *Burst) UnmarshalText(text []byte) error {
+	f := splitFields(string(text), "Write START,DURATION,RATE[,RANK], such as 10s,5s,200,urgent.")
+	*b = Burst{Start: f.duration(), Duration: f.duration(), Rate: f.number(), Rank: f.rank()}
+	return f.end()
+}
+
+// Gap is a time in which the base phase has no arrivals. Bursts and wake-ups
+// are not changed by it.
+type Gap struct {
+	Start    time.Duration
+	Duration time.Duration
+}
+
+// String returns the form that UnmarshalText reads.
+func (g Gap) String() string { return g.Start.String() + "," + g.Duration.String() }
+
+// UnmarshalText parses START,DURATION.
+func (g *Gap) UnmarshalText(text []byte) error {
+	f := splitFields(string(text), "Write START,DURATION, such as 10s,5s.")
+	*g = Gap{Start: f.duration(), Duration: f.duration()}
+	return f.end()
+}
+
+// Wake sends the first requests of different models or routes. They have no
+// requests before and belong to the mix afterwards. The seed chooses them.
+type Wake struct {
+	Count  int
+	Within time.Duration
+	Start  time.Duration
+	// Rank applies to the first requests; RankUnset takes the mix.
+	Rank rpdocument.Rank
+}
+
+// String returns the form that UnmarshalText reads.
+func (w Wake) String() string {
+	return joinFields(w.Rank, strconv.Itoa(w.Count), w.Within.String(), w.Start.String())
+}
+
+// UnmarshalText parses COUNT,WITHIN[,START[,RANK]].
+func (w *Wake) UnmarshalText(text []byte) error {
+	f := splitFields(string(text), "Write COUNT,WITHIN[,START[,RANK]], such as 20,5s,30s.")
+	*w = Wake{Count: f.count(), Within: f.duration()}
+	if len(f.rest) > 0 {
+		w.Start = f.duration()
+	}
+	w.Rank = f.rank()
+	return f.end()
+}
+
+// ValueError says that the text of a value is not allowed.
+type ValueError struct {
+	Value string
+	Fix   string
+}
+
+func (e *ValueError) Error() string {
+	return fmt.Sprintf("%q is not allowed. %s", e.Value, e.Fix)
+}
+
+// fields reads the parts of a value one after the other.
+type fields struct {
+	rest []string
+	err  *ValueError
+	bad  bool
+}
+
+func splitFields(text, fix string) *fields {
+	return &fields{rest: strings.Split(text, ","), err: &ValueError{Value: text, Fix: fix}}
+}
+
+func joinFields(rank rpdocument.Rank, parts ...string) string {
+	if rank != rpdocument.RankUnset {
+		parts = append(parts, rank.String())
+	}
+	return strings.Join(parts, ",")
+}
+
+func (f *fields) next() string {
+	if len(f.rest) == 0 {
+		f.bad = true
+		return ""
+	}
+	field := f.rest[0]
+	f.rest = f.rest[1:]
+	return field
+}
+
+func (f *fields) duration() time.Duration {
+	value, err := time.ParseDuration(f.next())
+	f.bad = f.bad || err != nil
+	return value
+}
+
+func (f *fields) number() float64 {
+	value, err := strconv.ParseFloat(f.next(), 64)
+	f.bad = f.bad || err != nil
+	return value
+}
+
+func (f *fields) count() int {
+	value, err := strconv.Atoi(f.next())
+	f.bad = f.bad || err != nil
+	return value
+}
+
+// rank reads an optional last field.
+func (f *fields) rank() rpdocument.Rank {
+	if len(f.rest) == 0 {
+		return rpdocument.RankUnset
+	}
+	rank, err := rpdocument.ParseRank(f.next())
+	f.bad = f.bad || err != nil
+	return rank
+}
+
+func (f *fields) end() error {
+	if f.bad || len(f.rest) > 0 {
+		return f.err
+	}
+	return nil
+}
+
+func sortedGaps(gaps []Gap) []Gap {
+	sorted := slices.Clone(gaps)
+	slices.SortFunc(sorted, func(a, b Gap) int { return cmp.Compare(a.Start, b.Start) })
+	return sorted
+}
+
+// phaseNames returns the names of the phases: base, then bursts, then wakes.
+func (c Config) phaseNames() []string {
+	names := []string{"base"}
+	for i := range c.Bursts {
+		names = append(names, fmt.Sprintf("burst_%d", i+1))
+	}
+	for i := range c.Wakes {
+		names = append(names, fmt.Sprintf("wake_%d", i+1))
+	}
+	return names
+}
--- /dev/null
+++ b/internal/rpload/record.go
@@ -0,0 +1,215 @@
+package rpload
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// The histograms cover 1 µs to 2 h with 3 digits; longer times count as 2 h.
+const (
+	maxRecorded      = 2 * time.Hour
+	recordedUnit     = time.Microsecond
+	recordedDigits   = 3
+	maxResults       = 64
+	recorderShards   = 4
+	resultOtherLimit = maxResults - 1
+)
+
+// histogram holds durations. Its zero value is empty and takes no memory for
+// counts.
+type histogram struct {
+	hdr *hdrhistogram.Histogram
+	// max is exact, unlike the largest value of hdr.
+	max time.Duration
+}
+
+func (h *histogram) add(d time.Duration) {
+	h.grow()
+	h.max = max(h.max, d)
+	// The value is within the range, so there is no error.
+	_ = h.hdr.RecordValue(int64(min(max(d, 0), maxRecorded) / recordedUnit))
+}
+
+func (h *histogram) merge(other histogram) {
+	if other.hdr != nil {
+		h.grow()
+		h.hdr.Merge(other.hdr)
+		h.max = max(h.max, other.max)
+	}
+}
+
+func (h *histogram) grow() {
+	if h.hdr == nil {
+		h.hdr = hdrhistogram.New(1, int64(maxRecorded/recordedUnit), recordedDigits)
+	}
+}
+
+// tally counts requests with one result.
+type tally struct {
+	count      int64
+	retryAfter int64
+}
+
+// counts is what is measured of a set of requests.
+type counts struct {
+	started       int64
+	notStarted    int64
+	ok            int64
+	okInTime      int64
+	tokens        int64
+	retries       int64
+	lateRefusals  int64
+	lateAnswers   int64
+	maxLateness   time.Duration
+	startLag      histogram
+	firstToken    histogram
+	betweenTokens histogram
+	wholeAnswer   histogram
+	refusal       histogram
+	results       map[Result]tally
+}
+
+func (c *counts) merge(o *counts) {
+	c.started += o.started
+	c.notStarted += o.notStarted
+	c.ok += o.ok
+	c.okInTime += o.okInTime
+	c.tokens += o.tokens
+	c.retries += o.retries
+	c.lateRefusals += o.lateRefusals
+	c.lateAnswers += o.lateAnswers
+	c.maxLateness = max(c.maxLateness, o.maxLateness)
+	c.startLag.merge(o.startLag)
+	c.firstToken.merge(o.firstToken)
+	c.betweenTokens.merge(o.betweenTokens)
+	c.wholeAnswer.merge(o.wholeAnswer)
+	c.refusal.merge(o.refusal)
+	for result, t := range o.results {
+		c.addResult(result, t)
+	}
+}
+
+func (c *counts) addResult(result Result, t tally) {
+	if c.results == nil {
+		c.results = map[Result]tally{}
+	}
+	if _, ok := c.results[result]; !ok && len(c.results) >= resultOtherLimit {
+		result = Result{Code: CodeOther, Verdict: result.Verdict}
+	}
+	sum := c.results[result]
+	sum.count += t.count
+	sum.retryAfter += t.retryAfter
+	c.results[result] = sum
+}
+
+// cell holds the counts of one phase and rank in one shard.
+type cell struct {
+	mu sync.Mutex
+	counts
+}
+
+func (c *cell) addBetweenTokens(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.betweenTokens.add(d)
+}
+
+func (c *cell) addNotStarted() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.notStarted++
+}
+
+// ending is an outcome with what its times are compared with.
+type ending struct {
+	outcome
+	// due is the scheduled arrival.
+	due time.Time
+	// timeout is 0 where the deadline is not known.
+	timeout   time.Duration
+	allowance time.Duration
+	// inTime says that arrivals were still going on.
+	inTime bool
+}
+
+func (c *cell) add(e ending) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.started++
+	c.tokens += int64(e.tokens)
+	c.retries += int64(e.retries)
+	c.startLag.add(e.sent.Sub(e.due))
+	if !e.firstToken.IsZero() {
+		c.firstToken.add(e.firstToken.Sub(e.due))
+	}
+	t := tally{count: 1}
+	if e.retryAfter {
+		t.retryAfter = 1
+	}
+	c.addResult(e.result, t)
+	c.addEnd(e)
+}
+
+func (c *counts) addEnd(e ending) {
+	late := false
+	if e.timeout > 0 {
+		lateness := e.end.Sub(e.sent) - e.timeout
+		c.maxLateness = max(c.maxLateness, lateness)
+		late = lateness > e.allowance
+	}
+	switch {
+	case e.refused:
+		c.refusal.add(e.end.Sub(e.due))
+		c.lateRefusals += one(late)
+	case e.result == resultOK:
+		c.ok++
+		c.okInTime += one(e.inTime)
+		c.wholeAnswer.add(e.end.Sub(e.due))
+		c.lateAnswers += one(late)
+	}
+}
+
+func one(is bool) int64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
+// recorder holds the counts of a run. It has several shards, so that streams
+// seldom wait for each other.
+type recorder struct {
+	cells [recorderShards][][ranks]cell
+}
+
+func newRecorder(phases int) *recorder {
+	r := &recorder{}
+	for i := range r.cells {
+		r.cells[i] = make([][ranks]cell, phases)
+	}
+	return r
+}
+
+func (r *recorder) cell(a Arrival) *cell {
+	return &r.cells[a.Seq%recorderShards][a.Phase][a.Rank]
+}
+
+// sum returns the counts of the cells that a function chooses.
+func (r *recorder) sum(choose func(phase, rank int) bool) *counts {
+	sum := &counts{}
+	for shard := range r.cells {
+		for phase := range r.cells[shard] {
+			for rank := range r.cells[shard][phase] {
+				if choose(phase, rank) {
+					c := &r.cells[shard][phase][rank]
+					c.mu.Lock()
+					sum.merge(&c.counts)
+					c.mu.Unlock()
+				}
+			}
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/rpload/request.go
@@ -0,0 +1,114 @@
+package rpload
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// Request is one request as it is sent.
+type Request struct {
+	// ID is the request id and the idempotency key.
+	ID        string
+	Arrival   Arrival
+	Work      Work
+	Prompt    string
+	MaxTokens int
+}
+
+func (c Config) request(a Arrival) Request {
+	return Request{
+		ID:        fmt.Sprintf("%s-%d", c.RunID, a.Seq),
+		Arrival:   a,
+		Work:      c.Works[a.Work],
+		Prompt:    prompt(c.Seed, a.Seq, c.PromptTokens),
+		MaxTokens: c.MaxTokens,
+	}
+}
+
+// vocabulary is the number of different words in prompts.
+const vocabulary = 4096
+
+// prompt returns words that depend on the seed and the request only. The first
+// word names the request, so that no two prompts of a run are equal and a
+// crossed answer shows.
+func prompt(seed, seq uint64, tokens int) string {
+	rng := rand.New(rand.NewPCG(seed, streamPrompts+seq))
+	var b strings.Builder
+	fmt.Fprintf(&b, "request%d", seq)
+	for range tokens - 1 {
+		fmt.Fprintf(&b, " w%d", rng.IntN(vocabulary))
+	}
+	return b.String()
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatBody struct {
+	Model     string        `json:"model"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens int           `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+}
+
+type serviceBody struct {
+	Request string `json:"request"`
+	Content string `json:"content"`
+}
+
+// pathAndBody returns the path of a request and the value of its JSON body.
+func (r Request) pathAndBody() (string, any) {
+	if r.Work.Route != "" {
+		return "/services/" + r.Work.Route, serviceBody{Request: r.ID, Content: r.Prompt}
+	}
+	messages := []chatMessage{{Role: "user", Content: r.Prompt}}
+	return "/v1/chat/completions", chatBody{Model: r.Work.Model, Messages: messages, MaxTokens: r.MaxTokens, Stream: true}
+}
+
+// httpRequest returns the HTTP request to a target. A timeout of 0 is not sent.
+func (c Config) httpRequest(ctx context.Context, r Request, target netip.AddrPort, timeout time.Duration) (*http.Request, error) {
+	path, value := r.pathAndBody()
+	body, err := json.Marshal(value)
+	if err != nil {
+		return nil, err
+	}
+	// The body has a type that net/http doesn't know. Otherwise net/http would
+	// send a request with an idempotency key again by itself when its
+	// connection breaks.
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target.String()+path, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(body))
+	c.setHeaders(req.Header, r, timeout)
+	return req, nil
+}
+
+func (c Config) setHeaders(h http.Header, r Request, timeout time.Duration) {
+	h.Set("Content-Type", "application/json")
+	h.Set("X-Request-Id", r.ID)
+	if r.Arrival.Rank != rpdocument.RankUnset {
+		h.Set("Rattan-Rank", r.Arrival.Rank.String())
+	}
+	if timeout > 0 {
+		h.Set("Rattan-Timeout", timeout.String())
+	}
+	if c.IdempotencyKeys || r.Work.Route != "" {
+		h.Set("Idempotency-Key", r.ID)
+	}
+	if c.Credential != "" {
+		h.Set("Authorization", "Bearer "+c.Credential)
+	}
+}
--- /dev/null
+++ b/internal/rpload/times.go
@@ -0,0 +1,81 @@
+package rpload
+
+import (
+	"iter"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// arrivalTimes yields the times of a process that runs for a length of time.
+func arrivalTimes(process Process, rate float64, length time.Duration, rng *rand.Rand) iter.Seq[time.Duration] {
+	if process == Constant {
+		return constantTimes(rate, length)
+	}
+	return poissonTimes(rate, length, rng)
+}
+
+func constantTimes(rate float64, length time.Duration) iter.Seq[time.Duration] {
+	return func(yield func(time.Duration) bool) {
+		for i := 0; ; i++ {
+			// The time is computed from i, so that rounding doesn't add up.
+			at := float64(i) / rate * float64(time.Second)
+			if at >= float64(length) || !yield(time.Duration(at)) {
+				return
+			}
+		}
+	}
+}
+
+func poissonTimes(rate float64, length time.Duration, rng *rand.Rand) iter.Seq[time.Duration] {
+	return func(yield func(time.Duration) bool) {
+		at := time.Duration(0)
+		for {
+			wait := rng.ExpFloat64() / rate * float64(time.Second)
+			if wait >= float64(length-at) {
+				return
+			}
+			at += time.Duration(wait)
+			if !yield(at) {
+				return
+			}
+		}
+	}
+}
+
+// wakeTimes yields the sorted times of a wake-up.
+func wakeTimes(wake Wake, rng *rand.Rand) []time.Duration {
+	times := make([]time.Duration, wake.Count)
+	for i := range times {
+		times[i] = wake.Start + time.Duration(rng.Int64N(int64(wake.Within)))
+	}
+	slices.Sort(times)
+	return times
+}
+
+// shift yields times that are later by a start.
+func shift(times iter.Seq[time.Duration], start time.Duration) iter.Seq[time.Duration] {
+	return func(yield func(time.Duration) bool) {
+		for at := range times {
+			if !yield(at + start) {
+				return
+			}
+		}
+	}
+}
+
+// skipGaps yields times that are moved behind the sorted gaps before them.
+func skipGaps(times iter.Seq[time.Duration], gaps []Gap) iter.Seq[time.Duration] {
+	return func(yield func(time.Duration) bool) {
+		skipped, next := time.Duration(0), 0
+		for at := range times {
+			for next < len(gaps) && at+skipped >= gaps[next].Start {
+				skipped += gaps[next].Duration
+				next++
+			}
+			if !yield(at + skipped) {
+				return
+			}
+		}
+	}
+}
