--- a/cmd/rattanpaddle/main.go
+++ b/cmd/rattanpaddle/main.go
@@ -15,5 +15,6 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	program := &rpcommand.Program{Stdout: os.Stdout, Stderr: os.Stderr}
+	program.Load = program.RunLoad
 	os.Exit(program.Run(ctx, os.Args[1:]))
 }
--- /dev/null
+++ b/internal/rpcommand/load.go
@@ -0,0 +1,75 @@
+package rpcommand
+
+import (
+	"context"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpload"
+	"github.com/rattanpaddle/rattanpaddle/internal/rplog"
+)
+
+func load(ctx context.Context, p *Program, args *LoadArgs) error {
+	if err := args.parse(); err != nil {
+		return err
+	}
+	if p.Load == nil {
+		return errNotBuilt
+	}
+	return p.Load(ctx, *args)
+}
+
+// RunLoad runs the load generator and prints its report. It is the function
+// for Load in the program itself.
+func (p *Program) RunLoad(ctx context.Context, args LoadArgs) error {
+	args.Config.Log = rplog.New(p.Stderr, rplog.FormatConsole, args.Levels).Part("load")
+	report, err := rpload.Run(ctx, args.Config)
+	if err != nil {
+		return err
+	}
+	return p.report(args.Output, report, report.Text())
+}
+
+// parse fills Config.
+func (a *LoadArgs) parse() error {
+	works, err := a.works()
+	if err != nil {
+		return usageError("%w", err)
+	}
+	// Config would take its defaults for 0, which is not what was asked for.
+	if min(a.Prompt, a.MaxTokens, a.InProgress) < 1 || min(a.Patience, a.Wait) <= 0 {
+		return usageError("--prompt-tokens, --max-tokens, --in-progress, --patience and --wait must be above 0")
+	}
+	a.Config = rpload.Config{
+		Targets: a.Targets, Works: works, Zipf: a.Zipf, Ranks: a.Rank,
+		Rate: a.Rate, Arrivals: a.Arrivals, Duration: a.Duration,
+		Bursts: a.Bursts, Gaps: a.Gaps, Wakes: a.Wakes,
+		Timeouts: a.Timeout, Patience: a.Patience, Wait: a.Wait,
+		PromptTokens: a.Prompt, MaxTokens: a.MaxTokens, Seed: a.Seed,
+		InProgressLimit: a.InProgress, RetryNotRun: a.Retry, IdempotencyKeys: a.Keys,
+	}
+	if err := a.Config.Check(); err != nil {
+		return usageError("%w", err)
+	}
+	if a.CredentialFile != "" {
+		a.Config.Credential, err = readCredential(a.CredentialFile)
+	}
+	return err
+}
+
+func (a *LoadArgs) works() ([]rpload.Work, error) {
+	var works []rpload.Work
+	for _, text := range a.Models {
+		name, weight, err := rpload.ParseWork(text)
+		if err != nil {
+			return nil, err
+		}
+		works = append(works, rpload.Work{Model: name, Weight: weight})
+	}
+	for _, text := range a.Routes {
+		name, weight, err := rpload.ParseWork(text)
+		if err != nil {
+			return nil, err
+		}
+		works = append(works, rpload.Work{Route: name, Weight: weight})
+	}
+	return works, nil
+}
--- a/internal/rpcommand/run.go
+++ b/internal/rpcommand/run.go
@@ -40,16 +40,6 @@
 	return p.Demo(ctx, *args)
 }
 
-func load(ctx context.Context, p *Program, args *LoadArgs) error {
-	if args.Rate <= 0 || args.Duration <= 0 {
-		return usageError("--rate and --duration must be more than 0")
-	}
-	if p.Load == nil {
-		return errNotBuilt
-	}
-	return p.Load(ctx, *args)
-}
-
 func standin(ctx context.Context, p *Program, args *StandinArgs) error {
 	if !slices.Contains(StandinKinds, args.Kind) {
 		return usageError("%q is not a kind of stand-in. Write one of: %s", args.Kind, strings.Join(StandinKinds, ", "))
