--- /dev/null
+++ b/pkg/rpcore/estimate.go
@@ -0,0 +1,147 @@
+package rpcore
+
+import "time"
+
+// loadTimeKey names a measured load time.
+type loadTimeKey struct {
+	key   ModelKey
+	place CheckpointPlace
+}
+
+const (
+	// loadTimeWeight is the weight of a new measurement in the average.
+	loadTimeWeight = 0.3
+	// adapterLoadEstimate is the assumed load time of an adapter before one
+	// was measured, the upper end of what engines need below their limit.
+	adapterLoadEstimate = 20 * time.Millisecond
+	// overdueShare is the share of the expected time that is predicted for a
+	// load that takes longer than expected.
+	overdueShare = 10
+)
+
+// measureLoad takes in the time that a load took.
+func (s *State) measureLoad(key ModelKey, place CheckpointPlace, took time.Duration) {
+	id := loadTimeKey{key, place}
+	old, ok := s.replicas.measured[id]
+	if ok {
+		took = old + time.Duration(loadTimeWeight*float64(took-old))
+	}
+	s.replicas.measured[id] = took
+}
+
+// loadTime returns the expected time of a load.
+func (s *State) loadTime(key ModelKey, place CheckpointPlace) time.Duration {
+	if took, ok := s.replicas.measured[loadTimeKey{key, place}]; ok {
+		return took
+	}
+	if spec, ok := s.replicaSpec(key); ok && spec.adapter() {
+		return adapterLoadEstimate
+	}
+	return s.limits.ColdStartEstimate
+}
+
+// placementTime is loadTime for the comparison of places. Before a place was
+// measured, a nearer one counts as faster.
+func (s *State) placementTime(key ModelKey, place CheckpointPlace) time.Duration {
+	took := s.loadTime(key, place)
+	if _, ok := s.replicas.measured[loadTimeKey{key, place}]; ok {
+		return took
+	}
+	switch place {
+	case PlaceMemory:
+		return took / 4
+	case PlaceDisk:
+		return took / 2
+	default:
+		return took
+	}
+}
+
+// checkpointPlace returns the best place where an engine has a checkpoint.
+func checkpointPlace(e *endpoint, checkpoint string) CheckpointPlace {
+	place := PlaceRemote
+	for _, cached := range e.report.Cached {
+		if cached.Checkpoint != checkpoint {
+			continue
+		}
+		switch cached.Place {
+		case PlaceMemory:
+			return PlaceMemory
+		case PlaceDisk:
+			place = PlaceDisk
+		}
+	}
+	return place
+}
+
+// expectedReplica returns the predicted time until a model or adapter can be
+// served, and whether there is a prediction.
+func (s *State) expectedReplica(key ModelKey) (time.Duration, bool) {
+	if len(s.serving(key)) > 0 {
+		return 0, true
+	}
+	spec, ok := s.replicaSpec(key)
+	if !ok || s.impossible(spec) != "" {
+		return 0, false
+	}
+	if expected, ok := s.expectedSlot(spec); ok {
+		return expected, true
+	}
+	if m := s.replicas.models[key]; m != nil && m.expectedAt.After(s.now) {
+		return m.expectedAt.Sub(s.now), true
+	}
+	expected := s.loadTime(key, PlaceRemote)
+	if spec.adapter() {
+		if base, ok := s.expectedReplica(spec.baseKey()); ok {
+			expected += base
+		}
+	}
+	return expected, true
+}
+
+// expectedSlot predicts from the loads under way that this instance knows.
+func (s *State) expectedSlot(spec replicaSpec) (time.Duration, bool) {
+	var best time.Duration
+	found := false
+	consider := func(d time.Duration) {
+		if !found || d < best {
+			best, found = d, true
+		}
+	}
+	for _, load := range s.replicas.loads {
+		if load.slot.Model == spec.key && load.phase != loadMaybe && load.phase != loadDead {
+			consider(s.expectedLoad(load))
+		}
+	}
+	slots, _ := s.knownSlots(modelRowKey(spec.key))
+	for i := range slots {
+		if s.replicas.loads[slots[i].Nonce] == nil && slots[i].Version == spec.version && s.hopeful(&slots[i]) {
+			consider(remaining(s.loadTime(spec.key, s.slotPlace(&slots[i])),
+				s.now.Sub(s.replicas.seen[slots[i].Nonce].first)))
+		}
+	}
+	return best, found
+}
+
+func (s *State) expectedLoad(load *ownLoad) time.Duration {
+	took := s.loadTime(load.slot.Model, load.place)
+	if load.phase == loadReserved {
+		return took + s.ticketWait(load.slot.Nonce)
+	}
+	return remaining(took, s.now.Sub(load.orderedAt))
+}
+
+func (s *State) slotPlace(slot *Slot) CheckpointPlace {
+	spec, ok := s.replicaSpec(slot.Model)
+	e := s.endpointByID(slot.Engine)
+	if !ok || e == nil {
+		return PlaceRemote
+	}
+	return checkpointPlace(e, spec.checkpoint)
+}
+
+// remaining returns the rest of an expected time; what is overdue is expected
+// soon, but not at once.
+func remaining(expected, elapsed time.Duration) time.Duration {
+	return max(expected-elapsed, expected/overdueShare)
+}
--- /dev/null
+++ b/pkg/rpcore/eviction.go
@@ -0,0 +1,214 @@
+package rpcore
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// evictionIdle is the time without use after which a replica may be
+	// evicted for another model.
+	evictionIdle = 5 * time.Second
+	// evictionHorizon is the time over which the cold starts of an evicted
+	// replica count.
+	evictionHorizon = time.Minute
+	// unknownEviction is the cost of an engine without free memory whose
+	// reservations are not known, and busyEviction that of one where nothing
+	// may be evicted, in seconds.
+	unknownEviction = 60
+	busyEviction    = 3600
+)
+
+// victim is a replica that may be evicted together with its adapters.
+type victim struct {
+	slots []Slot
+	value float64
+}
+
+// evictionCost returns the cost of making room on an engine, in seconds of
+// waiting of one request of the demand.
+func (s *State) evictionCost(spec replicaSpec, need demandSum, e *endpoint, slots []Slot, known bool) float64 {
+	if !known {
+		return unknownEviction
+	}
+	picked, ok := s.pickVictims(spec, e, slots)
+	if !ok {
+		return busyEviction
+	}
+	cost := unloadEstimate.Seconds()
+	for _, v := range picked {
+		cost += v.value / max(need.worth, 1)
+	}
+	return cost
+}
+
+// victims returns the slots to free on an engine for a load, and whether the
+// load is worth it.
+func (s *State) victims(spec replicaSpec, need demandSum, e *endpoint, slots []Slot) ([]Slot, bool) {
+	picked, ok := s.pickVictims(spec, e, slots)
+	if !ok {
+		return nil, false
+	}
+	var freed []Slot
+	value := 0.0
+	for _, v := range picked {
+		freed = append(freed, v.slots...)
+		value += v.value
+	}
+	gain := need.worth * float64(max(need.waiting, 1)) * s.loadTime(spec.key, PlaceRemote).Seconds()
+	return freed, value < gain
+}
+
+// pickVictims picks the least valuable idle replicas that make room.
+func (s *State) pickVictims(spec replicaSpec, e *endpoint, slots []Slot) ([]victim, bool) {
+	used := sumMemory(slots)
+	free := func() bool { return used+uint64(spec.memory) <= uint64(engineMemory(e)) }
+	var picked []victim
+	for _, v := range s.evictable(spec, e, slots) {
+		if free() {
+			break
+		}
+		picked = append(picked, v)
+		used -= sumMemory(v.slots)
+	}
+	return picked, free()
+}
+
+// evictable returns the replicas of an engine that may be evicted, the least
+// valuable first.
+func (s *State) evictable(spec replicaSpec, e *endpoint, slots []Slot) []victim {
+	var found []victim
+	for i := range slots {
+		if spec.adapter() && slots[i].Model == spec.baseKey() {
+			continue
+		}
+		v := victim{slots: withAdapters(slots, &slots[i])}
+		ok := true
+		for j := range v.slots {
+			ok = ok && s.mayEvict(e, &v.slots[j])
+			v.value += s.coldStartRate(v.slots[j].Model) * evictionHorizon.Seconds()
+		}
+		if ok {
+			found = append(found, v)
+		}
+	}
+	slices.SortStableFunc(found, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.value, b.value), a.slots[0].Model.Compare(b.slots[0].Model))
+	})
+	return withoutRepeats(found)
+}
+
+// withAdapters returns a slot and, for a model, the slots of its adapters on
+// the same engine.
+func withAdapters(slots []Slot, base *Slot) []Slot {
+	group := []Slot{*base}
+	if base.BaseModel != "" {
+		return group
+	}
+	for _, slot := range slots {
+		if slot.BaseModel == base.Model.Name && slot.Model.Service == base.Model.Service {
+			group = append(group, slot)
+		}
+	}
+	return group
+}
+
+// withoutRepeats drops victims that a more valuable group contains too, so
+// that no memory is counted twice.
+func withoutRepeats(found []victim) []victim {
+	taken := make(map[Nonce]bool)
+	var kept []victim
+	for _, v := range found {
+		v.slots = slices.DeleteFunc(v.slots, func(slot Slot) bool { return taken[slot.Nonce] })
+		if len(v.slots) == 0 {
+			continue
+		}
+		for _, slot := range v.slots {
+			taken[slot.Nonce] = true
+		}
+		kept = append(kept, v)
+	}
+	return kept
+}
+
+// mayEvict reports whether a slot holds a replica that is loaded, idle and not
+// to be kept warm.
+func (s *State) mayEvict(e *endpoint, slot *Slot) bool {
+	if slot.State != SlotSettled || !slot.OrderDead || s.replicas.releases[slot.Nonce] != nil {
+		return false
+	}
+	if s.inUse(e, slot.Model) || s.idleFor(e, slot.Model) < evictionIdle {
+		return false
+	}
+	spec, ok := s.replicaSpec(slot.Model)
+	if !ok {
+		return true
+	}
+	served := len(s.replicas.served[slot.Model])
+	return served > spec.warm
+}
+
+// evictForSpend frees the least valuable idle replica of a service that uses
+// all accelerators of its document.
+func (s *State) evictForSpend(r *reservation) {
+	spec := r.spec
+	if spec.adapter() || !s.spendLacks(spec) || len(s.replicas.served[spec.key]) > 0 {
+		return
+	}
+	var best *Slot
+	bestValue := r.need.worth * float64(max(r.need.waiting, 1)) * s.loadTime(spec.key, PlaceRemote).Seconds()
+	for _, key := range sortedModels(s.replicas.served) {
+		if key.Service != spec.key.Service {
+			continue
+		}
+		value := s.coldStartRate(key) * evictionHorizon.Seconds()
+		if slot := s.idleSlot(key); slot != nil && value < bestValue {
+			best, bestValue = slot, value
+		}
+	}
+	if best != nil {
+		s.replicaNote("evicts an idle replica for the spend of the service", best.Model, best.Engine)
+		s.releaseSlot(*best, spec.key)
+	}
+}
+
+// idleSlot returns a slot of a model, as known, that may be evicted.
+func (s *State) idleSlot(key ModelKey) *Slot {
+	slots, _ := s.knownSlots(modelRowKey(key))
+	for i := range slots {
+		e := s.endpointByID(slots[i].Engine)
+		if e != nil && s.mayEvict(e, &slots[i]) {
+			return &slots[i]
+		}
+	}
+	return nil
+}
+
+// spendLacks reports whether one more replica exceeds the accelerators that a
+// service may use at once, over the slots as known.
+func (s *State) spendLacks(spec replicaSpec) bool {
+	doc := s.replicas.seams.document(s, spec.key.Service)
+	if doc == nil || doc.Spend.Accelerators == 0 {
+		return false
+	}
+	return s.acceleratorsUsed(spec.key.Service)+spec.accelerators > doc.Spend.Accelerators
+}
+
+func (s *State) acceleratorsUsed(service string) int {
+	doc := s.replicas.seams.document(s, service)
+	if doc == nil {
+		return 0
+	}
+	used := 0
+	for i := range doc.Models {
+		key := ModelKey{Service: service, Name: doc.Models[i].Name}
+		slots, known := s.knownSlots(modelRowKey(key))
+		n := len(slots)
+		if !known {
+			n = len(s.replicas.served[key])
+		}
+		used += n * doc.Models[i].Accelerators
+	}
+	return used
+}
--- /dev/null
+++ b/pkg/rpcore/order.go
@@ -0,0 +1,274 @@
+package rpcore
+
+import (
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// loadPhase says how far a load of this instance is.
+type loadPhase int
+
+const (
+	// loadMaybe: the write of the slot was not confirmed; no order is sent.
+	loadMaybe loadPhase = iota
+	// loadReserved: the slot stands in the table and the order was not sent.
+	loadReserved
+	// loadOrdered: the order was sent and not answered.
+	loadOrdered
+	// loadAmbiguous: the answer was lost; the order may still take effect.
+	loadAmbiguous
+	// loadDead: the order was answered or withdrawn.
+	loadDead
+)
+
+// ownLoad is a slot of this incarnation of this instance.
+type ownLoad struct {
+	slot  Slot
+	spec  replicaSpec
+	place CheckpointPlace
+	rank  rpdocument.Rank
+	// waiting is the demand that the load was started for.
+	waiting    int
+	phase      loadPhase
+	reservedAt time.Time
+	orderedAt  time.Time
+	// ineffective says that the order never took effect and never will.
+	ineffective bool
+}
+
+// order is an order without an answer.
+type order struct {
+	kind OrderKind
+	// slot is the nonce of the slot that the order is about.
+	slot Nonce
+}
+
+const (
+	// loadOrderTimeout and loadOrderFactor bound the wait for the answer to a
+	// load order, the latter in expected load times.
+	loadOrderTimeout   = 30 * time.Second
+	loadOrderFactor    = 5
+	unloadOrderTimeout = 10 * time.Second
+	// recordRetry is the delay before the death of an order is recorded again
+	// after the table failed.
+	recordRetry = time.Second
+	// avoidAfterFailure is how long an engine that failed a load is chosen
+	// for that model only for want of another.
+	avoidAfterFailure = 10 * time.Second
+)
+
+// startLoad goes on after the slot was written: it asks for a ticket where
+// the load needs one, and sends the order.
+func (s *State) startLoad(r *reservation, slot Slot) {
+	place := PlaceRemote
+	if e := s.endpointByID(slot.Engine); e != nil {
+		place = checkpointPlace(e, r.spec.checkpoint)
+	}
+	load := &ownLoad{
+		slot: slot, spec: r.spec, place: place, phase: loadReserved, reservedAt: s.now,
+		rank: r.need.rank, waiting: r.need.waiting,
+	}
+	s.replicas.loads[slot.Nonce] = load
+	if slot.State != SlotReserved {
+		// Another instance has begun to free the slot.
+		s.withdrawLoad(load)
+		return
+	}
+	if kind, ok := s.ticketNeeded(load); ok {
+		s.askTicket(load, kind)
+		return
+	}
+	s.sendLoad(load)
+}
+
+// sendLoad sends the load order of a slot, at most once. An engine that has
+// another incarnation by now gets no order.
+func (s *State) sendLoad(load *ownLoad) {
+	if load.phase != loadReserved {
+		return
+	}
+	e := s.endpointByID(load.slot.Engine)
+	if e == nil || e.Incarnation != load.slot.EngineIncarnation || e.leaving ||
+		s.draining || s.selfGone() || !s.specCurrent(load.spec) {
+		s.withdrawLoad(load)
+		return
+	}
+	load.phase = loadOrdered
+	load.orderedAt = s.now
+	kind := OrderLoadModel
+	if load.spec.adapter() {
+		kind = OrderLoadAdapter
+	}
+	timeout := max(loadOrderTimeout, loadOrderFactor*s.loadTime(load.spec.key, load.place))
+	s.replicaNote("orders a load, checkpoint in "+string(load.place), load.slot.Model, load.slot.Engine)
+	s.sendOrder(e, kind, load.slot, load.slot.Fence, load.spec.checkpoint, timeout)
+}
+
+func (s *State) sendOrder(e *endpoint, kind OrderKind, slot Slot, fence uint64, checkpoint string, timeout time.Duration) {
+	s.replicas.lastOrder++
+	id := OrderID("order." + formatNonce(s.self, s.replicas.lastOrder))
+	s.replicas.orders[id] = &order{kind: kind, slot: slot.Nonce}
+	s.emit(SendOrder{
+		Order: id, Endpoint: e.id, Address: e.Address, Incarnation: e.Incarnation,
+		Fence: fence, Kind: kind, Model: slot.Model, Version: slot.Version,
+		BaseModel: slot.BaseModel, Checkpoint: checkpoint, Memory: slot.Memory, Timeout: timeout,
+	})
+}
+
+// withdrawLoad gives a slot back whose order was not sent.
+func (s *State) withdrawLoad(load *ownLoad) {
+	if load.phase != loadReserved {
+		return
+	}
+	load.phase = loadDead
+	load.ineffective = true
+	s.endTicket(load.slot.Nonce)
+	s.replicaNote("withdraws a load before its order was sent", load.slot.Model, load.slot.Engine)
+	s.releaseSlot(load.slot, load.slot.Model)
+}
+
+func (s *State) orderAnswered(ev OrderAnswered) {
+	o, ok := s.replicas.orders[ev.Order]
+	if !ok {
+		return
+	}
+	delete(s.replicas.orders, ev.Order)
+	switch o.kind {
+	case OrderUnloadModel, OrderUnloadAdapter:
+		s.unloadAnswered(o.slot, ev.Result)
+	default:
+		s.loadOrderAnswered(o.slot, ev)
+	}
+}
+
+func (s *State) loadOrderAnswered(nonce Nonce, ev OrderAnswered) {
+	s.endTicket(nonce)
+	load := s.replicas.loads[nonce]
+	if load == nil {
+		return
+	}
+	switch ev.Result {
+	case OrderDone:
+		s.loadDone(load)
+	case OrderUnknown:
+		load.phase = loadAmbiguous
+		s.replicaNote("has no answer to a load order", load.slot.Model, load.slot.Engine)
+		if e := s.endpointByID(load.slot.Engine); e != nil {
+			s.checkAmbiguous(e)
+		}
+	default:
+		load.phase = loadDead
+		// A refusal for another reason than fencing leaves it to an unload
+		// order to prove that nothing was loaded.
+		load.ineffective = ev.Result == OrderFenced || ev.Result == OrderNotSent
+		s.replicaNote("load order failed: "+string(ev.Result)+" "+ev.Detail, load.slot.Model, load.slot.Engine)
+		s.loadFailed(load)
+		s.releaseSlot(load.slot, load.slot.Model)
+	}
+}
+
+func (s *State) loadDone(load *ownLoad) {
+	load.phase = loadDead
+	s.modelState(load.spec.key).failures = 0
+	s.measureLoad(load.spec.key, load.place, s.now.Sub(load.orderedAt))
+	s.replicaNote("loaded", load.slot.Model, load.slot.Engine)
+	s.recordDead(load.slot)
+	s.loadAnswered(load.slot)
+}
+
+// loadFailed delays the next load of a model after one that failed.
+func (s *State) loadFailed(load *ownLoad) {
+	m := s.modelState(load.slot.Model)
+	m.failures++
+	m.retryAt = s.now.Add(s.jitter(retryDelay(m.failures)))
+	m.avoid[load.slot.Engine] = s.now.Add(avoidAfterFailure)
+}
+
+// checkAmbiguous looks in an engine's report for evidence about load orders
+// whose answer was lost.
+func (s *State) checkAmbiguous(e *endpoint) {
+	for _, nonce := range sortedKeys(s.replicas.loads) {
+		load := s.replicas.loads[nonce]
+		if load.phase == loadAmbiguous && load.slot.Engine == e.id {
+			s.resolveAmbiguous(load, e)
+		}
+	}
+}
+
+func (s *State) resolveAmbiguous(load *ownLoad, e *endpoint) {
+	arrived := reportShowsOrder(&load.slot, e)
+	switch {
+	case arrived && reportsLoaded(e, load.slot.Model):
+		load.phase = loadDead
+		s.recordDead(load.slot)
+	case arrived:
+		load.phase = loadDead
+		s.releaseSlot(load.slot, load.slot.Model)
+	case e.EnforcesFencing && s.now.Sub(load.orderedAt) > loadOrderTimeout:
+		// The unload order carries a newer fencing number, after which the
+		// engine refuses the load order.
+		s.releaseSlot(load.slot, load.slot.Model)
+	}
+}
+
+// reportShowsOrder reports whether a report proves that the load order of a
+// slot has arrived. The number of the order itself proves it. So does the
+// model where the report shows a newer number: the newer number was handed out
+// after the slot was written, and the slot was written after the engine was
+// known not to have the model. The time of the report proves nothing, since
+// reports lag.
+func reportShowsOrder(slot *Slot, e *endpoint) bool {
+	switch highest := e.report.HighestFence; {
+	case highest == slot.Fence:
+		return true
+	case highest > slot.Fence:
+		return reportsLoaded(e, slot.Model)
+	default:
+		return false
+	}
+}
+
+func reportsLoaded(e *endpoint, key ModelKey) bool {
+	for _, loaded := range e.report.Loaded {
+		if loaded.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+// recordDead writes into the table that the load order of a slot can't take
+// effect any more, and that the replica is there.
+func (s *State) recordDead(slot Slot) {
+	s.changeRows(&rowChange{
+		keys: slotRowKeys(slot),
+		decide: func(s *State, rows []Row) []RowWrite {
+			if now, ok := findSlot(rows, slot.Nonce); !ok || now.OrderDead && now.State != SlotReserved {
+				return nil
+			}
+			return s.changeSlots(rows, slot.Nonce, false, settleSlot)
+		},
+		done: func(s *State, result changeResult) { s.recordedDead(slot, result) },
+	})
+}
+
+func settleSlot(slot *Slot) bool {
+	slot.OrderDead = true
+	if slot.State == SlotReserved {
+		slot.State = SlotSettled
+	}
+	return true
+}
+
+func (s *State) recordedDead(slot Slot, result changeResult) {
+	if result == changeApplied || result == changeNothing {
+		delete(s.replicas.loads, slot.Nonce)
+		return
+	}
+	s.after(s.jitter(recordRetry), func(s *State) {
+		if s.replicas.loads[slot.Nonce] != nil {
+			s.recordDead(slot)
+		}
+	})
+}
--- a/pkg/rpcore/peer.go
+++ b/pkg/rpcore/peer.go
@@ -110,6 +110,9 @@
 type TicketGrant struct {
 	Nonce Nonce         `cbor:"nonce"`
 	Lease time.Duration `cbor:"lease"`
+	// Wait is the predicted wait of a load that is queued; Lease is then 0
+	// and the load may not start yet.
+	Wait time.Duration `cbor:"wait,omitempty"`
 }
 
 // TicketRelease ends a load.
--- /dev/null
+++ b/pkg/rpcore/replica_policy_test.go
@@ -0,0 +1,277 @@
+package rpcore
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// setDocument puts another document in force at all instances.
+func (w *world) setDocument(edit func(*rpdocument.Document)) {
+	doc := testDocument()
+	edit(doc)
+	w.doc = doc
+	w.eachNode(func(n *fakeNode) {
+		n.doc = doc
+		w.do(n, func(s *State) { s.replicaDocumentChanged("svc") })
+	})
+}
+
+// inUse keeps a model in use at an instance.
+func (w *world) inUse(n *fakeNode, key ModelKey) {
+	n.use[key] = modelUse{InFlight: 1, LastArrival: w.now, ArrivalsPerHour: 1000}
+}
+
+// load loads a model through a demand and keeps it in use.
+func (w *world) load(n *fakeNode, key ModelKey) {
+	w.demand(n, key, 1)
+	w.run(4 * time.Second)
+	w.inUse(n, key)
+}
+
+// A lower bound must unload the excess, and a dropped model everything.
+func TestLowerBoundUnloadsExcess(t *testing.T) {
+	g := NewWithT(t)
+	w := withWorld(2, 3, false)
+	w.setDocument(func(d *rpdocument.Document) { d.Models[0].WarmReplicas = 2 })
+	w.run(10 * time.Second)
+	g.Expect(w.loaded(keyA)).To(Equal(2))
+	w.setDocument(func(d *rpdocument.Document) { d.Models[0].MaxReplicas = 1 })
+	w.run(5 * time.Second)
+	g.Expect(w.loaded(keyA)).To(Equal(1))
+	w.setDocument(func(d *rpdocument.Document) { d.Models = d.Models[1:] })
+	w.run(5 * time.Second)
+	g.Expect(w.loaded(keyA)).To(Equal(0))
+	g.Expect(w.tableSlots(keyA)).To(BeEmpty())
+}
+
+// A new version must replace all replicas without a time in which none serves
+// where the bound allows that.
+func TestVersionRollout(t *testing.T) {
+	g := NewWithT(t)
+	w := withWorld(2, 3, true)
+	warm := func(d *rpdocument.Document) { d.Models[0].WarmReplicas = 2 }
+	w.setDocument(warm)
+	w.run(10 * time.Second)
+	w.setDocument(func(d *rpdocument.Document) {
+		warm(d)
+		d.Models[0].Version = "2"
+	})
+	for range 60 {
+		w.run(500 * time.Millisecond)
+		g.Expect(w.loaded(keyA)).To(BeNumerically(">=", 1))
+	}
+	g.Expect(w.loaded(keyA)).To(Equal(2))
+	g.Expect(w.tableSlots(keyA)).To(HaveEach(HaveField("Version", "2")))
+	g.Expect(w.faults).To(BeEmpty())
+}
+
+// Lagging reports must neither hide a model that was just loaded nor show one
+// that was just unloaded; a new incarnation has nothing.
+func TestServingFollowsAnswersAndReports(t *testing.T) {
+	g := NewWithT(t)
+	w := withWorld(1, 1, true)
+	n, e := w.nodes["i1"], w.engines["e1"]
+	served := func() int { return len(n.state.serving(keyA)) }
+	empty := e.report(w.now)
+	w.load(n, keyA)
+	g.Expect(served()).To(Equal(1))
+	empty.Sequence = e.sequence + 1
+	e.sequence++
+	w.deliver(n, EngineReported{Report: empty})
+	g.Expect(served()).To(Equal(1), "an older report hides the model")
+	w.advance(w.now.Add(loadedGrace))
+	empty.Sequence = e.sequence + 1
+	e.sequence++
+	w.deliver(n, EngineReported{Report: empty})
+	g.Expect(served()).To(Equal(0), "the engine lost the model")
+
+	w.deliver(n, EngineReported{Report: e.report(w.now)})
+	g.Expect(served()).To(Equal(1))
+	w.do(n, func(s *State) { s.endpointNotLoaded("e1", keyA) })
+	w.deliver(n, EngineReported{Report: e.report(w.now)})
+	g.Expect(served()).To(Equal(0), "a report is newer evidence than a refusal")
+
+	w.advance(w.now.Add(loadedGrace))
+	w.deliver(n, EngineReported{Report: e.report(w.now)})
+	g.Expect(served()).To(Equal(1))
+	e.member.Incarnation = "e1/2"
+	w.deliver(n, MembersListed{Members: w.members()})
+	g.Expect(served()).To(Equal(0))
+}
+
+// A load must go where the checkpoint is nearest, and otherwise into the
+// failure domain that asks.
+func TestPlacementPrefersNearCheckpoints(t *testing.T) {
+	for place, engine := range map[CheckpointPlace]EndpointID{PlaceMemory: "e3", PlaceDisk: "e3", PlaceRemote: "e1"} {
+		g := NewWithT(t)
+		w := withWorld(1, 3, true)
+		w.engines["e2"].cached = []CachedCheckpoint{{Checkpoint: "other", Place: PlaceMemory}}
+		w.engines["e3"].cached = []CachedCheckpoint{{Checkpoint: "ck-a", Place: place}}
+		w.run(time.Second)
+		w.load(w.nodes["i1"], keyA)
+		g.Expect(w.engines[engine].loads).To(HaveKey(keyA), "checkpoint in %s", place)
+	}
+}
+
+// When memory is lacking, the idle replica goes and the one in use stays.
+func TestEvictionTakesTheIdleReplica(t *testing.T) {
+	g := NewWithT(t)
+	w := withWorld(1, 2, true)
+	n := w.nodes["i1"]
+	keyC := ModelKey{Service: "svc", Name: "c"}
+	w.load(n, keyA)
+	w.load(n, keyB)
+	delete(n.use, keyB)
+	w.run(6 * time.Second)
+	w.inUse(n, keyA)
+	w.load(n, keyC)
+	g.Expect([]int{w.loaded(keyA), w.loaded(keyB), w.loaded(keyC)}).To(Equal([]int{1, 0, 1}))
+	g.Expect(w.faults).To(BeEmpty())
+}
+
+// The service's accelerators bound the loads over all its models.
+func TestSpendBoundsLoads(t *testing.T) {
+	g := NewWithT(t)
+	w := withWorld(1, 3, true)
+	w.setDocument(func(d *rpdocument.Document) { d.Spend.Accelerators = 1 })
+	n := w.nodes["i1"]
+	w.load(n, keyA)
+	w.demand(n, keyB, 1)
+	w.run(4 * time.Second)
+	g.Expect([]int{w.loaded(keyA), w.loaded(keyB)}).To(Equal([]int{1, 0}))
+	delete(n.use, keyA)
+	w.run(15 * time.Second)
+	g.Expect([]int{w.loaded(keyA), w.loaded(keyB)}).To(Equal([]int{0, 1}))
+}
+
+// Idle replicas must go, but not those that are warm, in use, in use at
+// another instance, or within the fixed time of the baseline.
+func TestIdleUnloading(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(*world)
+		kept    int
+	}{
+		"idle": {func(*world) {}, 0},
+		"in use at the home": {func(w *world) {
+			w.eachNode(func(n *fakeNode) {
+				if n.state.isReplicaHome(keyA) {
+					w.inUse(n, keyA)
+				}
+			})
+		}, 1},
+		"in use elsewhere": {func(w *world) {
+			w.eachNode(func(n *fakeNode) {
+				if !n.state.isReplicaHome(keyA) {
+					w.inUse(n, keyA)
+				}
+			})
+		}, 1},
+		"running on the engine": {func(w *world) {
+			for _, e := range w.engines {
+				e.running = 1
+			}
+		}, 1},
+		"warm": {func(w *world) {
+			w.setDocument(func(d *rpdocument.Document) { d.Models[0].WarmReplicas = 1 })
+		}, 1},
+		"fixed time": {func(w *world) {
+			w.eachNode(func(n *fakeNode) { n.state.policy.FixedKeepAlive = time.Hour })
+		}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			w := withWorld(2, 1, true)
+			w.load(w.nodes["i1"], keyA)
+			w.eachNode(func(n *fakeNode) { clear(n.use) })
+			c.prepare(w)
+			w.run(5 * time.Minute)
+			g.Expect(w.loaded(keyA)).To(Equal(c.kept))
+		})
+	}
+}
+
+// The prediction must shrink while a load lasts and use measured times.
+func TestExpectedReplica(t *testing.T) {
+	g := NewWithT(t)
+	w := withWorld(1, 1, true)
+	n := w.nodes["i1"]
+	expected := func() time.Duration {
+		d, ok := n.state.expectedReplica(keyA)
+		g.Expect(ok).To(BeTrue())
+		return d
+	}
+	g.Expect(expected()).To(Equal(DefaultColdStartEstimate))
+	w.engines["e1"].loadTime = 2 * time.Second
+	w.demand(n, keyA, 1)
+	w.run(time.Second)
+	g.Expect(expected()).To(BeNumerically("~", 2*time.Second, 10*time.Millisecond))
+	w.run(2 * time.Second)
+	g.Expect(expected()).To(BeZero())
+	g.Expect(n.state.loadTime(keyA, PlaceRemote)).To(Equal(2 * time.Second))
+	_, ok := n.state.expectedReplica(ModelKey{Service: "svc", Name: "none"})
+	g.Expect(ok).To(BeFalse())
+}
+
+// withScheduler returns a State that schedules loads for itself and records what
+// it grants to others.
+func withScheduler() (*State, func(at time.Duration, ev PeerMessage) []Nonce) {
+	w := withWorld(1, 1, true)
+	s := w.nodes["i1"].state
+	s.limits.WeightLoads, s.limits.WeightLoadsPerSecond = 2, 1
+	start := w.now
+	return s, func(at time.Duration, m PeerMessage) []Nonce {
+		var granted []Nonce
+		for _, effect := range s.Reduce(PeerReceived{Stamp: Stamp{At: start.Add(at)}, From: "other", Message: m}) {
+			if p, ok := effect.(SendPeer); ok && p.Message.TicketGrant != nil && p.Message.TicketGrant.Lease > 0 {
+				granted = append(granted, p.Message.TicketGrant.Nonce)
+			}
+		}
+		return granted
+	}
+}
+
+// The scheduler must keep the loads in flight and the starts in a second within
+// the limits of the weight store, and prefer urgent work, then long queues.
+func TestTicketOrderAndLimits(t *testing.T) {
+	g := NewWithT(t)
+	_, send := withScheduler()
+	ask := func(nonce Nonce, rank rpdocument.Rank, waiting int) PeerMessage {
+		return PeerMessage{TicketRequest: &TicketRequest{Nonce: nonce, Kind: TicketWeights, Rank: rank, Waiting: waiting}}
+	}
+	release := func(nonce Nonce) PeerMessage {
+		return PeerMessage{TicketRelease: &TicketRelease{Nonce: nonce}}
+	}
+	g.Expect(send(0, ask("a", rpdocument.RankBackground, 1))).To(Equal([]Nonce{"a"}))
+	g.Expect(send(0, ask("b", rpdocument.RankBackground, 1))).To(Equal([]Nonce{"b"}))
+	for i, rank := range []rpdocument.Rank{rpdocument.RankBackground, rpdocument.RankNormal, rpdocument.RankUrgent, rpdocument.RankUrgent} {
+		g.Expect(send(time.Millisecond, ask(Nonce(fmt.Sprint(i)), rank, 10-i))).To(BeEmpty())
+	}
+	g.Expect(send(500*time.Millisecond, release("a"))).To(BeEmpty(), "a start exceeds the rate")
+	g.Expect(send(2*time.Second, release("none"))).To(Equal([]Nonce{"2"}), "one place is free")
+	g.Expect(send(3*time.Second, release("b"))).To(Equal([]Nonce{"3"}))
+	g.Expect(send(4*time.Second, release("none"))).To(BeEmpty(), "two loads are in flight")
+}
+
+// A lost scheduler must not hold up a load, and a lease that is not renewed
+// must not hold up others.
+func TestTicketsSurviveLoss(t *testing.T) {
+	g := NewWithT(t)
+	w := withWorld(1, 1, true)
+	n := w.nodes["i1"]
+	n.state.replicas.homes[ticketHome] = "lost"
+	w.demand(n, keyA, 1)
+	w.run(5 * time.Second)
+	g.Expect(w.loaded(keyA)).To(Equal(1))
+
+	s, send := withScheduler()
+	for _, nonce := range []Nonce{"a", "b"} {
+		send(0, PeerMessage{TicketRequest: &TicketRequest{Nonce: nonce, Kind: TicketWeights}})
+	}
+	g.Expect(s.tickets.held).To(HaveLen(2))
+	g.Expect(send(ticketLife+time.Second, PeerMessage{TicketRequest: &TicketRequest{Nonce: "c", Kind: TicketWeights}})).
+		To(Equal([]Nonce{"c"}))
+}
--- /dev/null
+++ b/pkg/rpcore/replica_world_test.go
@@ -0,0 +1,541 @@
+package rpcore
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// world is a small stand-in of the platform, the engines and the network
+// around several States. Nothing happens by itself: every message is an item
+// of pending, and a test delivers, delays or loses it.
+type world struct {
+	now       time.Time
+	table     map[RowKey]Row
+	tableDown bool
+	// tableLost loses all answers of the table while writes take effect late.
+	tableLost bool
+	engines   map[EndpointID]*fakeEngine
+	nodes     map[InstanceID]*fakeNode
+	doc       *rpdocument.Document
+	pending   []*item
+	// bound holds for each slot the bound of the document that the writer of
+	// the slot had in force.
+	bound map[Nonce]int
+	// slotOf names the slot that a fencing number of an engine was given to.
+	slotOf map[string]Nonce
+	orders []SendOrder
+	faults []string
+}
+
+// item is something that is under way.
+type item struct {
+	// at is the earliest time of delivery when nothing is delayed.
+	at   time.Time
+	node *fakeNode
+	// Exactly one of the following is set.
+	write  *WriteTable
+	read   *ReadTable
+	order  *SendOrder
+	peer   *SendPeer
+	event  Event
+	finish *fakeLoad
+	// muted items have lost their answer.
+	muted bool
+}
+
+type fakeNode struct {
+	identity Identity
+	state    *State
+	doc      *rpdocument.Document
+	use      map[ModelKey]modelUse
+	refused  map[ModelKey]string
+	alarm    time.Time
+	paused   bool
+	dead     bool
+	inbox    []Event
+}
+
+type fakeEngine struct {
+	member   Member
+	loads    map[ModelKey]*fakeLoad
+	highest  uint64
+	sequence uint64
+	cached   []CachedCheckpoint
+	loadTime time.Duration
+	running  int
+	reject   bool
+}
+
+// fakeLoad is a model that an engine loads or has loaded.
+type fakeLoad struct {
+	engine *fakeEngine
+	node   *fakeNode
+	order  SendOrder
+	nonce  Nonce
+	loaded bool
+	muted  bool
+}
+
+var worldStart = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+func newWorld(doc *rpdocument.Document) *world {
+	return &world{
+		now: worldStart, doc: doc, table: make(map[RowKey]Row),
+		engines: make(map[EndpointID]*fakeEngine), nodes: make(map[InstanceID]*fakeNode),
+		bound: make(map[Nonce]int), slotOf: make(map[string]Nonce),
+	}
+}
+
+func (w *world) addEngine(id EndpointID, domain FailureDomain, memory rpdocument.Bytes, enforces bool) *fakeEngine {
+	e := &fakeEngine{
+		member: Member{
+			ID: string(id), Kind: MemberEngine, Service: "svc", FailureDomain: domain, Incarnation: Incarnation(id) + "/1",
+			Address: netip.MustParseAddrPort("127.0.0.1:9000"), EnforcesFencing: enforces, Memory: memory, Accelerators: 1,
+		},
+		loads: make(map[ModelKey]*fakeLoad), loadTime: time.Second,
+	}
+	w.engines[id] = e
+	return e
+}
+
+func (w *world) addNode(id InstanceID, incarnation int, policy Policy) *fakeNode {
+	n := &fakeNode{
+		identity: Identity{Instance: id, Incarnation: Incarnation(fmt.Sprint(incarnation)), FailureDomain: "fd1"},
+		state:    new(State), doc: w.doc, use: make(map[ModelKey]modelUse), refused: make(map[ModelKey]string),
+	}
+	w.nodes[id] = n
+	w.deliver(n, Start{Self: n.identity, Seed: uint64(len(id) + incarnation), Policy: policy})
+	seams := &n.state.replicas.seams
+	seams.document = func(*State, string) *rpdocument.Document { return n.doc }
+	seams.services = func(*State) []string { return []string{"svc"} }
+	seams.use = func(_ *State, key ModelKey) modelUse { return n.use[key] }
+	seams.ready = func(_ *State, key ModelKey) { delete(n.use, key) }
+	seams.impossible = func(_ *State, key ModelKey, reason string) { n.refused[key] = reason }
+	return n
+}
+
+// members returns the instance list as it is now.
+func (w *world) members() []Member {
+	var list []Member
+	for _, id := range sortedKeys(w.engines) {
+		list = append(list, w.engines[id].member)
+	}
+	for _, id := range sortedKeys(w.nodes) {
+		if n := w.nodes[id]; !n.dead {
+			list = append(list, Member{
+				ID: string(id), Kind: MemberInstance, FailureDomain: n.identity.FailureDomain,
+				Incarnation: n.identity.Incarnation, Address: netip.MustParseAddrPort("127.0.0.1:9001"),
+			})
+		}
+	}
+	return list
+}
+
+// refresh gives a node the list, the heartbeats of the others and reports.
+func (w *world) refresh(n *fakeNode) {
+	w.deliver(n, MembersListed{Members: w.members()})
+	for _, id := range sortedKeys(w.nodes) {
+		if other := w.nodes[id]; other != n && !other.dead && !other.paused {
+			w.deliver(n, PeerReceived{From: id, Message: PeerMessage{Heartbeat: &Heartbeat{Identity: other.identity}}})
+		}
+	}
+	for _, id := range sortedKeys(w.engines) {
+		w.deliver(n, EngineReported{Report: w.engines[id].report(w.now)})
+	}
+}
+
+func (e *fakeEngine) report(now time.Time) EngineReport {
+	e.sequence++
+	r := EngineReport{
+		Endpoint: EndpointID(e.member.ID), Incarnation: e.member.Incarnation, Sequence: e.sequence, TakenAt: now,
+		Memory: e.member.Memory, HighestFence: e.highest, Cached: e.cached, Running: e.running,
+	}
+	for _, key := range sortedModels(e.loads) {
+		if load := e.loads[key]; load.loaded {
+			r.Loaded = append(r.Loaded, LoadedModel{
+				Key: key, Version: load.order.Version, BaseModel: load.order.BaseModel, Memory: load.order.Memory,
+			})
+		}
+	}
+	return r
+}
+
+// deliver hands an event to a node, or keeps it while the node is paused.
+func (w *world) deliver(n *fakeNode, ev Event) {
+	switch {
+	case n.dead:
+	case n.paused:
+		n.inbox = append(n.inbox, ev)
+	default:
+		w.collect(n, n.state.Reduce(stamped(ev, w.now)))
+	}
+}
+
+// do runs a call of another part of the reducer within an event.
+func (w *world) do(n *fakeNode, call func(*State)) {
+	if n.dead || n.paused {
+		return
+	}
+	n.state.now = w.now
+	n.state.after(0, call)
+	w.deliver(n, Tick{})
+}
+
+func (w *world) demand(n *fakeNode, key ModelKey, waiting int) {
+	n.use[key] = modelUse{Waiting: waiting, Rank: rpdocument.RankNormal, LastArrival: w.now}
+	w.do(n, func(s *State) { s.demandReplica(key) })
+}
+
+func stamped(ev Event, now time.Time) Event {
+	stamp := Stamp{At: now}
+	switch ev := ev.(type) {
+	case Start:
+		ev.Stamp = stamp
+		return ev
+	case Tick:
+		ev.Stamp = stamp
+		return ev
+	case MembersListed:
+		ev.Stamp = stamp
+		return ev
+	case EngineReported:
+		ev.Stamp = stamp
+		return ev
+	case PeerReceived:
+		ev.Stamp = stamp
+		return ev
+	case TableReadDone:
+		ev.Stamp = stamp
+		return ev
+	case TableWriteDone:
+		ev.Stamp = stamp
+		return ev
+	case OrderAnswered:
+		ev.Stamp = stamp
+		return ev
+	}
+	panic(fmt.Sprintf("no stamp for %T", ev))
+}
+
+// collect turns the effects of a node into pending items.
+func (w *world) collect(n *fakeNode, effects []Effect) {
+	for _, effect := range effects {
+		next := &item{at: w.now, node: n}
+		switch effect := effect.(type) {
+		case SetAlarm:
+			n.alarm = effect.At
+			continue
+		case WriteTable:
+			w.noteBounds(n, effect)
+			next.write = &effect
+		case ReadTable:
+			next.read = &effect
+		case SendOrder:
+			w.noteOrder(effect)
+			next.order = &effect
+		case SendPeer:
+			next.peer = &effect
+		default:
+			continue
+		}
+		w.pending = append(w.pending, next)
+	}
+}
+
+func (w *world) noteBounds(n *fakeNode, write WriteTable) {
+	for _, row := range write.Writes {
+		if row.Engine == nil {
+			continue
+		}
+		for _, slot := range row.Engine.Slots {
+			if _, known := w.bound[slot.Nonce]; !known {
+				model, ok := n.doc.Model(slot.Model.Name)
+				if ok {
+					w.bound[slot.Nonce] = model.MaxReplicas
+				}
+			}
+		}
+	}
+}
+
+func fenceKey(id EndpointID, fence uint64) string { return fmt.Sprintf("%s#%d", id, fence) }
+
+// noteOrder checks that a load order is sent once and only for a slot that
+// was written.
+func (w *world) noteOrder(order SendOrder) {
+	w.orders = append(w.orders, order)
+	if order.Kind != OrderLoadModel && order.Kind != OrderLoadAdapter {
+		return
+	}
+	if _, ok := w.slotOf[fenceKey(order.Endpoint, order.Fence)]; !ok {
+		w.fault("load order %d to %s without a slot", order.Fence, order.Endpoint)
+	}
+	for _, other := range w.orders[:len(w.orders)-1] {
+		if other.Endpoint == order.Endpoint && other.Fence == order.Fence {
+			w.fault("fencing number %d of %s was used twice", order.Fence, order.Endpoint)
+		}
+	}
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+// loadOrders returns the load orders that were sent for a model.
+func (w *world) loadOrders(key ModelKey) []SendOrder {
+	return slices.DeleteFunc(slices.Clone(w.orders), func(o SendOrder) bool {
+		return o.Model != key || o.Kind != OrderLoadModel && o.Kind != OrderLoadAdapter
+	})
+}
+
+// take removes an item from pending.
+func (w *world) take(i int) *item {
+	next := w.pending[i]
+	w.pending = slices.Delete(w.pending, i, i+1)
+	return next
+}
+
+// carryOut delivers an item.
+func (w *world) carryOut(next *item) {
+	switch {
+	case next.write != nil && w.tableLost && !next.muted:
+		next.muted = true
+		w.pending = append(w.pending, next)
+		w.answer(next.node, TableWriteDone{Op: next.write.Op, Outcome: WriteUnknown})
+	case next.write != nil:
+		outcome := w.applyWrite(next.write)
+		if !next.muted {
+			w.answer(next.node, TableWriteDone{Op: next.write.Op, Outcome: outcome})
+		}
+	case next.read != nil:
+		w.answer(next.node, w.readRows(next.read))
+	case next.order != nil:
+		w.orderArrives(next)
+	case next.peer != nil:
+		if to := w.nodes[next.peer.To]; to != nil {
+			w.deliver(to, PeerReceived{From: next.node.identity.Instance, Message: next.peer.Message})
+		}
+	case next.event != nil:
+		w.deliver(next.node, next.event)
+	case next.finish != nil:
+		w.finishLoad(next.finish)
+	}
+}
+
+func (w *world) answer(n *fakeNode, ev Event) {
+	w.pending = append(w.pending, &item{at: w.now, node: n, event: ev})
+}
+
+func (w *world) applyWrite(write *WriteTable) WriteOutcome {
+	if w.tableDown {
+		return WriteUnavailable
+	}
+	for _, row := range write.Writes {
+		if w.table[row.Key].Version != row.ExpectVersion {
+			return WriteConflict
+		}
+	}
+	for _, row := range write.Writes {
+		w.table[row.Key] = Row{Key: row.Key, Version: row.ExpectVersion + 1, Nonce: row.Nonce, RowBody: row.RowBody}
+		if row.Engine != nil {
+			for _, slot := range row.Engine.Slots {
+				w.slotOf[fenceKey(slot.Engine, slot.Fence)] = slot.Nonce
+			}
+		}
+	}
+	return WriteApplied
+}
+
+func (w *world) readRows(read *ReadTable) TableReadDone {
+	done := TableReadDone{Op: read.Op, Unavailable: w.tableDown || w.tableLost}
+	for _, key := range read.Keys {
+		if row, ok := w.table[key]; ok && !done.Unavailable {
+			done.Rows = append(done.Rows, row)
+		}
+	}
+	return done
+}
+
+func (w *world) orderArrives(next *item) {
+	order := *next.order
+	result, load := w.engines[order.Endpoint].take(order)
+	if load != nil {
+		load.node, load.muted = next.node, next.muted
+		load.nonce = w.slotOf[fenceKey(order.Endpoint, order.Fence)]
+		w.pending = append(w.pending, &item{at: w.now.Add(load.engine.loadTime), node: next.node, finish: load})
+		return
+	}
+	if !next.muted {
+		w.answer(next.node, OrderAnswered{Order: order.Order, Endpoint: order.Endpoint, Result: result})
+	}
+}
+
+// take decides on an order as an engine does. An unload ends a load under way,
+// so done means that the model is neither loaded nor being loaded.
+func (e *fakeEngine) take(order SendOrder) (OrderResult, *fakeLoad) {
+	if e.member.EnforcesFencing && (order.Fence < e.highest || order.Incarnation != e.member.Incarnation) {
+		return OrderFenced, nil
+	}
+	e.highest = max(e.highest, order.Fence)
+	if order.Kind == OrderUnloadModel || order.Kind == OrderUnloadAdapter {
+		delete(e.loads, order.Model)
+		for key, load := range e.loads {
+			if load.order.BaseModel == order.Model.Name {
+				delete(e.loads, key)
+			}
+		}
+		return OrderDone, nil
+	}
+	base := e.loads[ModelKey{Service: order.Model.Service, Name: order.BaseModel}]
+	if e.reject || order.BaseModel != "" && (base == nil || !base.loaded) {
+		return OrderRejected, nil
+	}
+	if e.loads[order.Model] != nil {
+		return OrderDone, nil
+	}
+	load := &fakeLoad{engine: e, order: order}
+	e.loads[order.Model] = load
+	return "", load
+}
+
+func (w *world) finishLoad(load *fakeLoad) {
+	result := OrderRejected
+	if load.engine.loads[load.order.Model] == load {
+		load.loaded = true
+		result = OrderDone
+	}
+	if !load.muted {
+		w.answer(load.node, OrderAnswered{Order: load.order.Order, Endpoint: load.order.Endpoint, Result: result})
+	}
+}
+
+// run lets everything happen in order, without faults, for a time.
+func (w *world) run(d time.Duration) {
+	const interval = 500 * time.Millisecond
+	end := w.now.Add(d)
+	nextRefresh := w.now
+	for {
+		w.settle()
+		if !nextRefresh.After(w.now) {
+			nextRefresh = w.now.Add(interval)
+			for _, id := range sortedKeys(w.nodes) {
+				w.refresh(w.nodes[id])
+			}
+			continue
+		}
+		next := nextRefresh
+		for _, p := range w.pending {
+			next = earlier(next, p.at)
+		}
+		for _, n := range w.nodes {
+			if !n.alarm.IsZero() && !n.paused && !n.dead {
+				next = earlier(next, n.alarm)
+			}
+		}
+		if next.After(end) {
+			return
+		}
+		w.advance(next)
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// settle delivers what is due, in order.
+func (w *world) settle() {
+	for {
+		i := slices.IndexFunc(w.pending, func(p *item) bool { return !p.at.After(w.now) })
+		if i < 0 {
+			return
+		}
+		w.carryOut(w.take(i))
+		w.check()
+	}
+}
+
+// advance moves the time and gives the nodes their ticks.
+func (w *world) advance(to time.Time) {
+	if to.After(w.now) {
+		w.now = to
+	}
+	for _, id := range sortedKeys(w.nodes) {
+		if n := w.nodes[id]; !n.alarm.IsZero() && !n.alarm.After(w.now) {
+			n.alarm = time.Time{}
+			w.deliver(n, Tick{})
+		}
+	}
+}
+
+// check looks for a violation of the two bounds on the engines themselves, and
+// for a model without a slot in the table, which is what makes a later
+// violation possible.
+func (w *world) check() {
+	replicas := make(map[ModelKey]int)
+	bound := make(map[ModelKey]int)
+	for _, id := range sortedKeys(w.engines) {
+		e := w.engines[id]
+		var used rpdocument.Bytes
+		for key, load := range e.loads {
+			used += load.order.Memory
+			w.checkReserved(id, key, load)
+			if load.order.BaseModel == "" {
+				replicas[key]++
+				bound[key] = max(bound[key], w.bound[load.nonce])
+			}
+		}
+		if used > e.member.Memory {
+			w.fault("%s holds %s of %s", id, used, e.member.Memory)
+		}
+	}
+	for _, key := range sortedModels(replicas) {
+		if replicas[key] > bound[key] {
+			w.fault("%s has %d replicas, at most %d are allowed", key, replicas[key], bound[key])
+		}
+	}
+}
+
+func (w *world) checkReserved(id EndpointID, key ModelKey, load *fakeLoad) {
+	rows := []RowKey{engineRowKey(id)}
+	if load.order.BaseModel == "" {
+		rows = append(rows, modelRowKey(key))
+	}
+	for _, rowKey := range rows {
+		row := w.table[rowKey]
+		if !slices.ContainsFunc(slotsOf(&row), func(s Slot) bool { return s.Engine == id && s.Model == key }) {
+			w.fault("%s has %s without a slot in row %s", id, key, rowKey.Kind)
+		}
+	}
+}
+
+// loaded counts the engines that have a model.
+func (w *world) loaded(key ModelKey) int {
+	n := 0
+	for _, e := range w.engines {
+		if load := e.loads[key]; load != nil && load.loaded {
+			n++
+		}
+	}
+	return n
+}
+
+// slots formats the slots in the table.
+func (w *world) slots() string {
+	text := ""
+	for _, id := range sortedKeys(w.engines) {
+		row := w.table[engineRowKey(id)]
+		text += fmt.Sprintf("\n%s %s:", id, w.engines[id].member.Incarnation)
+		for _, slot := range slotsOf(&row) {
+			text += fmt.Sprintf("\n  %+v", slot)
+		}
+	}
+	return text
+}
--- /dev/null
+++ b/pkg/rpcore/replicarow.go
@@ -0,0 +1,172 @@
+package rpcore
+
+import (
+	"slices"
+	"time"
+)
+
+// knownRow is a row as it was last read or written here. The table is the
+// truth: a known row only guides decisions, and every transaction decides on
+// rows that it has just read.
+type knownRow struct {
+	Row
+	readAt time.Time
+	// auditedAt is the time of the last audit. Reads for reservations don't
+	// count, since they may be more frequent than audits.
+	auditedAt time.Time
+}
+
+// slotSeen says since when this instance knows a slot.
+type slotSeen struct {
+	first time.Time
+	// missing is the time since which the load order is dead and the engine
+	// does not show the model; zero while neither holds.
+	missing time.Time
+}
+
+func modelRowKey(key ModelKey) RowKey {
+	return RowKey{Kind: RowModel, Service: key.Service, Name: key.Name}
+}
+
+func engineRowKey(id EndpointID) RowKey {
+	return RowKey{Kind: RowEngine, Name: string(id)}
+}
+
+// slotRowKeys returns the rows that a slot stands in.
+func slotRowKeys(slot Slot) []RowKey {
+	if slot.BaseModel != "" {
+		return []RowKey{engineRowKey(slot.Engine)}
+	}
+	return []RowKey{modelRowKey(slot.Model), engineRowKey(slot.Engine)}
+}
+
+// slotsOf returns the slots of a row that may be missing.
+func slotsOf(row *Row) []Slot {
+	switch {
+	case row == nil:
+		return nil
+	case row.Model != nil:
+		return row.Model.Slots
+	case row.Engine != nil:
+		return row.Engine.Slots
+	default:
+		return nil
+	}
+}
+
+func slotIndex(slots []Slot, nonce Nonce) int {
+	return slices.IndexFunc(slots, func(slot Slot) bool { return slot.Nonce == nonce })
+}
+
+func findSlot(rows []Row, nonce Nonce) (Slot, bool) {
+	for i := range rows {
+		slots := slotsOf(&rows[i])
+		if j := slotIndex(slots, nonce); j >= 0 {
+			return slots[j], true
+		}
+	}
+	return Slot{}, false
+}
+
+// takeRows remembers rows that were read; keys without a row do not exist.
+func (s *State) takeRows(keys []RowKey, rows []Row) {
+	for _, key := range keys {
+		row := findRow(rows, key)
+		if row == nil {
+			row = &Row{Key: key}
+		}
+		s.takeRow(*row)
+	}
+}
+
+func (s *State) takeRow(row Row) {
+	known := s.replicas.rows[row.Key]
+	if known == nil {
+		known = &knownRow{Row: Row{Key: row.Key}}
+		s.replicas.rows[row.Key] = known
+	}
+	if row.Version < known.Version {
+		return
+	}
+	for _, slot := range slotsOf(&known.Row) {
+		if slotIndex(slotsOf(&row), slot.Nonce) < 0 {
+			delete(s.replicas.seen, slot.Nonce)
+		}
+	}
+	known.Row = row
+	known.readAt = s.now
+	for _, slot := range slotsOf(&row) {
+		if s.replicas.seen[slot.Nonce].first.IsZero() {
+			s.replicas.seen[slot.Nonce] = slotSeen{first: s.now}
+		}
+	}
+}
+
+// takeWrites remembers rows that this instance has written.
+func (s *State) takeWrites(writes []RowWrite) {
+	for _, w := range writes {
+		s.takeRow(Row{Key: w.Key, Version: w.ExpectVersion + 1, Nonce: w.Nonce, RowBody: w.RowBody})
+	}
+}
+
+// knownSlots returns the slots of a row as known, and whether it was read.
+func (s *State) knownSlots(key RowKey) ([]Slot, bool) {
+	known := s.replicas.rows[key]
+	if known == nil {
+		return nil, false
+	}
+	return slotsOf(&known.Row), true
+}
+
+// changeSlots returns the writes that apply edit to every slot with the nonce
+// and drop those for which it returns false. Where bump is set, the fencing
+// counter of the engine grows by one.
+func (s *State) changeSlots(rows []Row, nonce Nonce, bump bool, edit func(*Slot) bool) []RowWrite {
+	var writes []RowWrite
+	mark := s.newNonce()
+	for i := range rows {
+		row := &rows[i]
+		j := slotIndex(slotsOf(row), nonce)
+		if j < 0 {
+			continue
+		}
+		slots := slices.Clone(slotsOf(row))
+		if !edit(&slots[j]) {
+			slots = slices.Delete(slots, j, j+1)
+		}
+		writes = append(writes, slotsWrite(row, slots, mark, bump))
+	}
+	return writes
+}
+
+// slotsWrite returns the write that gives a row other slots.
+func slotsWrite(row *Row, slots []Slot, mark Nonce, bump bool) RowWrite {
+	w := RowWrite{Key: row.Key, ExpectVersion: row.Version, Nonce: mark}
+	if row.Key.Kind == RowModel {
+		w.Model = &ModelRow{Slots: slots}
+		return w
+	}
+	w.Engine = &EngineRow{Slots: slots}
+	if row.Engine != nil {
+		w.Engine.Fence = row.Engine.Fence
+	}
+	if bump {
+		w.Engine.Fence++
+	}
+	return w
+}
+
+// rowOrEmpty returns a row as read, or an empty one that a write creates.
+func rowOrEmpty(rows []Row, key RowKey) *Row {
+	if row := findRow(rows, key); row != nil {
+		return row
+	}
+	return &Row{Key: key}
+}
+
+func sumMemory(slots []Slot) (total uint64) {
+	for _, slot := range slots {
+		total += uint64(slot.Memory)
+	}
+	return total
+}
