--- a/pkg/rpcore/heartbeat.go
+++ b/pkg/rpcore/heartbeat.go
@@ -186,6 +186,7 @@
 		Digest:           s.documents.digest,
 		Waiting:          s.waitingByRank(),
 		LeavingEndpoints: s.leavingNotices(),
+		GoneInstances:    s.goneInstances(),
 	}
 	if !p.heardAt.IsZero() && p.digest != s.documents.digest {
 		heartbeat.Documents = s.documentVersions()
@@ -208,6 +209,9 @@
 	for _, notice := range heartbeat.LeavingEndpoints {
 		s.leavingNoticeReceived(notice)
 	}
+	for _, identity := range heartbeat.GoneInstances {
+		s.goneInstanceReceived(identity)
+	}
 	if heartbeat.Documents != nil || heartbeat.Digest == s.documents.digest {
 		s.compareDocuments(from, heartbeat.Documents)
 	}
--- a/pkg/rpcore/leaving.go
+++ b/pkg/rpcore/leaving.go
@@ -17,6 +17,52 @@
 	leavingRecordLimit = 64
 )
 
+// goneRecord is an instance that the list proved gone.
+type goneRecord struct {
+	Identity
+	at time.Time
+}
+
+const (
+	// goneRepeat covers a restart: an instance that starts never saw the
+	// lifetimes listed that ended before, and would need listLagBound to prove
+	// that one is gone.
+	goneRepeat = 2 * time.Minute
+	// goneRecordLimit bounds the records in one heartbeat. A failure domain
+	// of the design size has 17 instances.
+	goneRecordLimit = 32
+)
+
+// goneInstances returns the records for a heartbeat and forgets old ones.
+func (s *State) goneInstances() []Identity {
+	for len(s.members.gone) > 0 && s.now.Sub(s.members.gone[0].at) > goneRepeat {
+		s.members.gone = s.members.gone[1:]
+	}
+	var identities []Identity
+	for i := range s.members.gone {
+		identities = append(identities, s.members.gone[i].Identity)
+	}
+	return identities
+}
+
+// goneInstanceReceived takes in a peer's proof that a lifetime is over. It is
+// not repeated, so that a proof ends with the peer that made it.
+func (s *State) goneInstanceReceived(identity Identity) {
+	key := lifetime{string(identity.Instance), identity.Incarnation}
+	if s.isSelf(key.id, key.incarnation) {
+		return
+	}
+	record := s.members.absences[key]
+	if record == nil {
+		record = &absence{askedAt: s.now, instance: true}
+		s.members.absences[key] = record
+	}
+	record.seen = true
+	// More than absentReadings, so that recordGone does not take it for a
+	// proof of this instance.
+	record.missing = max(record.missing, absentReadings+1)
+}
+
 // endpointLeaving takes in evidence from any source that an incarnation of an
 // endpoint is leaving, stops new work for it and tells the peers at once.
 func (s *State) endpointLeaving(id EndpointID, incarnation Incarnation) {
--- a/pkg/rpcore/member.go
+++ b/pkg/rpcore/member.go
@@ -21,8 +21,9 @@
 	live []InstanceID
 	// polled holds the interval of each engine that this instance polls.
 	polled map[EndpointID]time.Duration
-	// leaving holds the notices that heartbeats repeat.
+	// leaving and gone hold what heartbeats repeat.
 	leaving []leavingRecord
+	gone    []goneRecord
 }
 
 // lifetime names one incarnation of a member.
@@ -33,8 +34,10 @@
 
 // absence records what is known of a lifetime that the list does not show.
 type absence struct {
-	// seen says that the list showed the lifetime before.
+	// seen says that the list showed the lifetime before, here or at a peer.
 	seen bool
+	// instance says that the lifetime was one of an instance.
+	instance bool
 	// missing counts the readings in a row that lacked it.
 	missing int
 	// askedAt is the time at which this instance first asked about it.
@@ -99,6 +102,7 @@
 			s.members.absences[key] = &absence{askedAt: s.now}
 		}
 		s.members.absences[key].seen = true
+		s.members.absences[key].instance = member.Kind == MemberInstance
 	}
 	for key, record := range s.members.absences {
 		if member, ok := listed[key.id]; ok && member.Incarnation == key.incarnation {
@@ -108,9 +112,29 @@
 		}
 		record.missing++
 	}
+	s.recordGone()
 	s.forgetAbsences()
 }
 
+// recordGone notes the instances that this reading proved gone, in order.
+func (s *State) recordGone() {
+	var gone []lifetime
+	for key, record := range s.members.absences {
+		if record.seen && record.missing == absentReadings && record.instance {
+			gone = append(gone, key)
+		}
+	}
+	slices.SortFunc(gone, func(a, b lifetime) int {
+		return cmp.Or(cmp.Compare(a.id, b.id), cmp.Compare(a.incarnation, b.incarnation))
+	})
+	for _, key := range gone {
+		identity := Identity{Instance: InstanceID(key.id), Incarnation: key.incarnation}
+		s.members.gone = append(s.members.gone, goneRecord{identity, s.now})
+	}
+	excess := max(0, len(s.members.gone)-goneRecordLimit)
+	s.members.gone = s.members.gone[excess:]
+}
+
 // absenceLimit bounds the lifetimes that are remembered. A day at the design
 // size has 1,275 failures and restarts.
 const absenceLimit = 4096
@@ -146,9 +170,6 @@
 	if member, ok := s.members.listed[id]; ok && member.Incarnation == incarnation {
 		return false
 	}
-	if s.isSelf(id, incarnation) {
-		return false
-	}
 	key := lifetime{id, incarnation}
 	record := s.members.absences[key]
 	if record == nil {
@@ -158,6 +179,11 @@
 	if record.missing < absentReadings {
 		return false
 	}
+	if s.isSelf(id, incarnation) {
+		// This lifetime runs; only a list that showed it before and then
+		// declared it over binds it.
+		return record.seen
+	}
 	return record.seen || s.now.Sub(record.askedAt) >= listLagBound
 }
 
--- a/pkg/rpcore/peer.go
+++ b/pkg/rpcore/peer.go
@@ -42,6 +42,8 @@
 	Documents []DocumentVersion `cbor:"documents,omitempty"`
 	// LeavingEndpoints lists endpoints that the sender knows to be leaving.
 	LeavingEndpoints []LeavingNotice `cbor:"leaving_endpoints,omitempty"`
+	// GoneInstances lists lifetimes that the list proved gone to the sender.
+	GoneInstances []Identity `cbor:"gone_instances,omitempty"`
 	// Waiting counts the requests in the sender's queues by rank.
 	Waiting [rpdocument.RankCount]int `cbor:"waiting"`
 }
@@ -115,6 +117,9 @@
 type TicketGrant struct {
 	Nonce Nonce         `cbor:"nonce"`
 	Lease time.Duration `cbor:"lease"`
+	// Wait is the predicted wait of a load that is queued; Lease is then 0
+	// and the load may not start yet.
+	Wait time.Duration `cbor:"wait,omitempty"`
 }
 
 // TicketRelease ends a load.
