Announce loaded replicas to the peers and build the serve, demo and standin commands

Cause: requests at other instances waited for the lagging report of the engine after the load order was answered. Change: the owner of the order sends a ReplicaNotice to its peers.

--- a/cmd/rattanpaddle/main.go
+++ b/cmd/rattanpaddle/main.go
@@ -16,5 +16,8 @@
 	defer stop()
 	program := &rpcommand.Program{Stdout: os.Stdout, Stderr: os.Stderr}
 	program.Load = program.RunLoad
+	program.Serve = program.RunServe
+	program.Demo = program.RunDemo
+	program.Standin = program.RunStandin
 	os.Exit(program.Run(ctx, os.Args[1:]))
 }
--- a/internal/rpcommand/args.go
+++ b/internal/rpcommand/args.go
@@ -7,6 +7,7 @@
 	"github.com/rattanpaddle/rattanpaddle/internal/rpload"
 	"github.com/rattanpaddle/rattanpaddle/internal/rplog"
 	"github.com/rattanpaddle/rattanpaddle/internal/rpsettings"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
 )
 
 // LogArgs are the flags of the log.
@@ -29,11 +30,9 @@
 // DemoArgs are the arguments of demo.
 type DemoArgs struct {
 	LogArgs
-	Callers   netip.AddrPort `arg:"--callers" placeholder:"ADDRESS" default:"127.0.0.1:8080" help:"address for callers"`
-	Operators netip.AddrPort `arg:"--operators" placeholder:"ADDRESS" default:"127.0.0.1:8081" help:"address for operators"`
-	Instances int            `arg:"--instances" default:"1" help:"number of entry instances"`
-	Engines   int            `arg:"--engines" default:"2" help:"number of stand-ins of engines"`
-	Seed      uint64         `arg:"--seed" default:"1" help:"seed of all random choices"`
+	OutputArgs
+	Deployment string `arg:"--deployment" placeholder:"NAME" default:"snoepschep" help:"snoepschep or office"`
+	Keep       bool   `arg:"--keep" help:"go on serving after the checks until Ctrl-C"`
 }
 
 // LoadArgs are the arguments of load.
@@ -74,10 +73,25 @@
 // StandinArgs are the arguments of standin.
 type StandinArgs struct {
 	LogArgs
-	Kind    string            `arg:"positional,required" placeholder:"KIND" help:"table, objects, weights, list, engine or service"`
-	Listen  netip.AddrPort    `arg:"--listen,required" placeholder:"ADDRESS" help:"address to listen on"`
-	Options map[string]string `arg:"--option,separate" placeholder:"NAME=VALUE" help:"an option of this kind of stand-in; may be given more than once"`
-	Seed    uint64            `arg:"--seed" default:"1" help:"seed of all random choices"`
+	Kind   string         `arg:"positional,required" placeholder:"KIND" help:"table, objects, weights, list, engine or service"`
+	Listen netip.AddrPort `arg:"--listen,required" placeholder:"ADDRESS" help:"address to listen on"`
+	Lag    time.Duration  `arg:"--lag" default:"300ms" help:"list: time after which a change is seen; engine: age of its reports"`
+
+	LoadsPerSecond float64       `arg:"--loads-per-second" default:"12" help:"weights: starts of loads a second"`
+	LoadsAtOnce    int           `arg:"--loads-at-once" default:"4" help:"weights: loads at full speed"`
+	LoadTime       time.Duration `arg:"--load-time" default:"1500ms" help:"weights: time of one load at full speed"`
+
+	List           netip.AddrPort   `arg:"--list" placeholder:"ADDRESS" help:"engine, service: the instance list to register at"`
+	ID             string           `arg:"--id" placeholder:"NAME" help:"engine, service: the name in the list"`
+	Service        string           `arg:"--service" placeholder:"NAME" help:"engine, service: the service in the list"`
+	FailureDomain  string           `arg:"--failure-domain" placeholder:"NAME" help:"engine, service: the failure domain in the list"`
+	Memory         rpdocument.Bytes `arg:"--memory" placeholder:"SIZE" default:"80GiB" help:"engine: accelerator memory"`
+	IgnoreFencing  bool             `arg:"--ignore-fencing" help:"engine: accept orders with an old fencing number"`
+	Weights        netip.AddrPort   `arg:"--weights" placeholder:"ADDRESS" help:"engine: the weight store for remote checkpoints"`
+	TokenTime      time.Duration    `arg:"--token-time" default:"2ms" help:"engine: time of one token"`
+	MemoryLoadTime time.Duration    `arg:"--memory-load-time" default:"300ms" help:"engine: load time of a checkpoint in memory"`
+	DiskLoadTime   time.Duration    `arg:"--disk-load-time" default:"900ms" help:"engine: load time of a checkpoint on disk"`
+	Delay          time.Duration    `arg:"--delay" default:"50ms" help:"service: time of one request"`
 }
 
 // OutputArgs are the flags of a report.
--- a/internal/rpcommand/program_test.go
+++ b/internal/rpcommand/program_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -138,11 +139,13 @@
 		Standin: func(_ context.Context, args StandinArgs) error { standin = args; return nil },
 		Load:    func(_ context.Context, args LoadArgs) error { load = args; return nil },
 	}
-	g.Expect(withRun(t, program, strings.Fields("demo --callers 127.0.0.1:9 --log warn")...).code).To(Equal(ExitDone))
-	g.Expect(demo.Callers.Port()).To(BeEquivalentTo(9))
+	g.Expect(withRun(t, program, strings.Fields("demo --deployment office --keep --log warn")...).code).To(Equal(ExitDone))
+	g.Expect(demo.Deployment).To(Equal("office"))
+	g.Expect(demo.Keep).To(BeTrue())
 	g.Expect(demo.Levels).NotTo(Equal(rplog.Levels{}))
-	g.Expect(withRun(t, program, strings.Fields("standin engine --listen 127.0.0.1:9 --option memory=4GiB --option load=1s")...).code).To(Equal(ExitDone))
-	g.Expect(standin.Options).To(Equal(map[string]string{"memory": "4GiB", "load": "1s"}))
+	g.Expect(withRun(t, program, strings.Fields("standin engine --listen 127.0.0.1:9 --memory 4GiB --disk-load-time 1s")...).code).To(Equal(ExitDone))
+	g.Expect(standin.Memory).To(Equal(4 * rpdocument.GiB))
+	g.Expect(standin.DiskLoadTime).To(Equal(time.Second))
 	g.Expect(withRun(t, program, strings.Fields("load --target 127.0.0.1:9 --target 127.0.0.1:8 --model a/b")...).code).To(Equal(ExitDone))
 	g.Expect(load.Targets).To(HaveLen(2))
 }
--- a/internal/rpcommand/run.go
+++ b/internal/rpcommand/run.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 
+	"github.com/rattanpaddle/rattanpaddle/internal/rpdemo"
 	"github.com/rattanpaddle/rattanpaddle/internal/rpmetric"
 	"github.com/rattanpaddle/rattanpaddle/internal/rpsettings"
 )
@@ -31,8 +32,8 @@
 }
 
 func demo(ctx context.Context, p *Program, args *DemoArgs) error {
-	if args.Instances < 1 || args.Engines < 1 {
-		return usageError("--instances and --engines must be at least 1")
+	if _, ok := rpdemo.ByName(args.Deployment); !ok {
+		return usageError("%q is not a deployment. Write snoepschep or office", args.Deployment)
 	}
 	if p.Demo == nil {
 		return errNotBuilt
@@ -44,6 +45,9 @@
 	if !slices.Contains(StandinKinds, args.Kind) {
 		return usageError("%q is not a kind of stand-in. Write one of: %s", args.Kind, strings.Join(StandinKinds, ", "))
 	}
+	if err := args.check(); err != nil {
+		return err
+	}
 	if p.Standin == nil {
 		return errNotBuilt
 	}
--- a/internal/rpdemo/client.go
+++ b/internal/rpdemo/client.go
@@ -35,8 +35,10 @@
 	if len(a.tokens) != tokens {
 		return trace.Errorf("got %d tokens, want %d", len(a.tokens), tokens)
 	}
+	// The stand-in derives its tokens from role and text of each message.
+	text := "user\x00" + prompt + "\x00"
 	for i, token := range a.tokens {
-		if want := rpstandin.EngineToken(prompt, i); token != want {
+		if want := rpstandin.EngineToken(text, i); token != want {
 			return trace.Errorf("token %d is %q, want %q", i, token, want)
 		}
 	}
--- a/internal/rpmetric/peer.go
+++ b/internal/rpmetric/peer.go
@@ -17,6 +17,8 @@
 		return "demand_answer"
 	case message.ReportShare != nil:
 		return "report_share"
+	case message.ReplicaNotice != nil:
+		return "replica_notice"
 	case message.LeavingNotice != nil:
 		return "leaving_notice"
 	case message.TicketRequest != nil:
--- a/internal/rpmetric/table.go
+++ b/internal/rpmetric/table.go
@@ -146,6 +146,6 @@
 func peerKinds() []string {
 	return []string{
 		"heartbeat", "document_push", "document_request", "demand", "demand_answer",
-		"report_share", "leaving_notice", "ticket_request", "ticket_grant", "ticket_release",
+		"report_share", "replica_notice", "leaving_notice", "ticket_request", "ticket_grant", "ticket_release",
 	}
 }
--- a/pkg/rpcore/heartbeat.go
+++ b/pkg/rpcore/heartbeat.go
@@ -256,6 +256,8 @@
 		s.demandAnswerReceived(ev.From, *message.DemandAnswer)
 	case message.ReportShare != nil:
 		s.engineReported(message.ReportShare.Report, false)
+	case message.ReplicaNotice != nil:
+		s.replicaNoticeReceived(*message.ReplicaNotice)
 	case message.LeavingNotice != nil:
 		s.leavingNoticeReceived(*message.LeavingNotice)
 	case message.TicketRequest != nil:
--- a/pkg/rpcore/peer.go
+++ b/pkg/rpcore/peer.go
@@ -16,6 +16,7 @@
 	Demand          *Demand          `cbor:"demand,omitempty"`
 	DemandAnswer    *DemandAnswer    `cbor:"demand_answer,omitempty"`
 	ReportShare     *ReportShare     `cbor:"report_share,omitempty"`
+	ReplicaNotice   *ReplicaNotice   `cbor:"replica_notice,omitempty"`
 	LeavingNotice   *LeavingNotice   `cbor:"leaving_notice,omitempty"`
 	TicketRequest   *TicketRequest   `cbor:"ticket_request,omitempty"`
 	TicketGrant     *TicketGrant     `cbor:"ticket_grant,omitempty"`
@@ -87,6 +88,14 @@
 	Report EngineReport `cbor:"report"`
 }
 
+// ReplicaNotice says that an engine answered that it has loaded a model or
+// adapter. Requests at other instances wait for it, and reports lag.
+type ReplicaNotice struct {
+	Endpoint    EndpointID  `cbor:"endpoint"`
+	Incarnation Incarnation `cbor:"incarnation"`
+	Loaded      LoadedModel `cbor:"loaded"`
+}
+
 // LeavingNotice says that an incarnation of an endpoint is leaving or gone.
 type LeavingNotice struct {
 	Endpoint    EndpointID  `cbor:"endpoint"`
--- a/pkg/rpcore/reserve.go
+++ b/pkg/rpcore/reserve.go
@@ -86,7 +86,7 @@
 	// none of those can be applied any more.
 	r.tries = nil
 	spec, ok := s.replicaSpec(r.spec.key)
-	if !ok || s.draining || s.selfGone() {
+	if !ok || s.draining || s.selfGone() || !s.selfListed() {
 		return nil
 	}
 	r.spec = spec
--- a/pkg/rpcore/served.go
+++ b/pkg/rpcore/served.go
@@ -168,23 +168,39 @@
 
 func compareEndpoint(e *endpoint, id EndpointID) int { return cmp.Compare(e.id, id) }
 
-// loadAnswered adds a model at once, without waiting for the lagging report.
+// loadAnswered adds a model at once, without waiting for the lagging report,
+// and tells the peers.
 func (s *State) loadAnswered(slot Slot) {
-	e := s.endpointByID(slot.Engine)
-	if e == nil || e.Incarnation != slot.EngineIncarnation {
+	notice := ReplicaNotice{
+		Endpoint:    slot.Engine,
+		Incarnation: slot.EngineIncarnation,
+		Loaded: LoadedModel{
+			Key: slot.Model, Version: slot.Version,
+			BaseModel: slot.BaseModel, Memory: slot.Memory,
+		},
+	}
+	s.replicaNoticeReceived(notice)
+	for _, peer := range s.peerIDs() {
+		s.sendPeer(peer, PeerMessage{ReplicaNotice: &notice})
+	}
+}
+
+// replicaNoticeReceived takes in the answer to a load order, of this instance
+// or of a peer.
+func (s *State) replicaNoticeReceived(notice ReplicaNotice) {
+	e := s.endpointByID(notice.Endpoint)
+	if e == nil || e.Incarnation != notice.Incarnation {
 		return
 	}
+	key := notice.Loaded.Key
 	view := s.engineView(e)
-	view.answered[slot.Model] = s.now
-	delete(view.absent, slot.Model)
+	view.answered[key] = s.now
+	delete(view.absent, key)
 	next := maps.Clone(e.loaded)
-	next[slot.Model] = loadedEntry{
-		LoadedModel: LoadedModel{
-			Key: slot.Model, Version: slot.Version,
-			BaseModel: slot.BaseModel, Memory: slot.Memory,
-		},
-		since:     s.now,
-		unloading: s.releasing(e.id, slot.Model),
+	next[key] = loadedEntry{
+		LoadedModel: notice.Loaded,
+		since:       s.now,
+		unloading:   s.releasing(e.id, key),
 	}
 	s.setLoaded(e, next)
 }
