--- a/internal/rppeer/incoming.go
+++ b/internal/rppeer/incoming.go
@@ -67,7 +67,7 @@
 		l.postLost(peer)
 	case isQuietEnd(err):
 	default:
-		l.Log.Warn().Err(err).Str("peer", string(peer)).Msg("peers: an incoming link broke")
+		l.Log.Warn().Err(err).Str("peer", string(peer)).Msg("an incoming link broke")
 		_ = conn.CloseWithError(codeProtocol, "")
 		l.postLost(peer)
 	}
@@ -117,7 +117,7 @@
 func (l *Links) deliver(data []byte, peer rpcore.InstanceID) error {
 	envelope, err := decodeFrame(data)
 	if err != nil {
-		l.Log.Warn().Err(err).Str("peer", string(peer)).Msg("peers: a message can't be read")
+		l.Log.Warn().Err(err).Str("peer", string(peer)).Msg("a message can't be read")
 		return nil
 	}
 	if envelope.From != peer {
--- a/internal/rppeer/link.go
+++ b/internal/rppeer/link.go
@@ -115,7 +115,7 @@
 	for k.waitForFrame() {
 		conn, err := k.dial()
 		if err != nil {
-			k.links.Log.Debug().Err(err).Str("peer", string(k.peer)).Msg("peers: connection failed")
+			k.links.Log.Debug().Err(err).Str("peer", string(k.peer)).Msg("connection failed")
 			k.backOff()
 			continue
 		}
@@ -186,7 +186,7 @@
 		k.failures++
 		return
 	}
-	k.links.Log.Warn().Err(err).Str("peer", string(k.peer)).Msg("peers: a link broke")
+	k.links.Log.Warn().Err(err).Str("peer", string(k.peer)).Msg("a link broke")
 	k.links.postLost(k.peer)
 	k.backOff()
 }
--- a/internal/rppeer/links.go
+++ b/internal/rppeer/links.go
@@ -154,7 +154,7 @@
 func (l *Links) SendPeer(effect rpcore.SendPeer) {
 	frame, err := encodeFrame(&Envelope{Version: Version, From: l.Self, Message: effect.Message})
 	if err != nil {
-		l.Log.Error().Err(err).Str("peer", string(effect.To)).Msg("peers: a message can't be sent")
+		l.Log.Error().Err(err).Str("peer", string(effect.To)).Msg("a message can't be sent")
 		return
 	}
 	l.mu.Lock()
@@ -165,7 +165,7 @@
 	to := l.links[effect.To]
 	if to == nil {
 		if len(l.links) >= maxLinks {
-			l.Log.Error().Str("peer", string(effect.To)).Msg("peers: too many links")
+			l.Log.Error().Str("peer", string(effect.To)).Msg("too many links")
 			return
 		}
 		to = newLink(l, effect.To)
--- a/internal/rpserve/lifecycle.go
+++ b/internal/rpserve/lifecycle.go
@@ -24,7 +24,10 @@
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 )
 
-const queryTimeout = 2 * time.Second
+const (
+	queryTimeout     = 2 * time.Second
+	linkCloseTimeout = 500 * time.Millisecond
+)
 
 func duration(d rpsettings.Duration) time.Duration { return time.Duration(d) }
 
@@ -177,7 +180,8 @@
 	p.endpoints.Close()
 	p.stopList()
 	<-p.listDone
-	errs = append(errs, p.list.Deregister(ctx), p.table.Close(ctx), p.objects.Close(ctx), p.links.Close(ctx))
+	errs = append(errs, p.list.Deregister(ctx), p.table.Close(ctx), p.objects.Close(ctx))
+	p.closeLinks(ctx)
 	p.stopOperator()
 	p.stopNode()
 	p.running.Wait()
@@ -186,6 +190,14 @@
 	return err
 }
 
+// closeLinks gives the last messages a moment. Their receivers may be gone
+// too, so what can't be sent is no failure of the stop.
+func (p *parts) closeLinks(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, linkCloseTimeout)
+	defer cancel()
+	_ = p.links.Close(ctx)
+}
+
 func (p *parts) wait(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
