Add the capacity page with measured slopes

Cause: the design size needs an answer from figures, not from estimates. Change: internal/rpcapacity measures the cost of each kind of event, the size of each message and the heap, and renders docs/CAPACITY.md.

--- /dev/null
+++ b/internal/rpcapacity/fixture_test.go
@@ -0,0 +1,180 @@
+package rpcapacity_test
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpcapacity"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+const (
+	// loadedModels is the number of models on each engine.
+	loadedModels = 3
+	// modelsPerService keeps a document below its limit of 64 KiB.
+	modelsPerService = 50
+	editorSum        = "0000000000000000000000000000000000000000000000000000000000000001"
+)
+
+// view drives one State at a size.
+type view struct {
+	state   *rpcore.State
+	now     time.Time
+	size    rpcapacity.Size
+	members []rpcore.Member
+	// local lists the engines of the own failure domain.
+	local    []rpcore.EndpointID
+	sequence uint64
+	requests int
+}
+
+var testAddress = netip.MustParseAddrPort("127.0.0.1:9000")
+
+func serviceName(i int) string { return fmt.Sprintf("service-%02d", i) }
+
+func domainName(i int) rpcore.FailureDomain {
+	return rpcore.FailureDomain(fmt.Sprintf("domain-%02d", i))
+}
+
+func (v *view) services() int { return (v.size.Models + modelsPerService - 1) / modelsPerService }
+
+// withView returns a State that knows all members, documents and the reports
+// of its failure domain.
+func withView(size rpcapacity.Size) *view {
+	v := &view{state: new(rpcore.State), now: time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC), size: size}
+	v.reduce(rpcore.Start{Stamp: v.stamp(), Self: v.identity(0), Seed: 1})
+	v.listMembers()
+	v.reduce(rpcore.MembersListed{Stamp: v.stamp(), Members: v.members})
+	v.loadDocuments()
+	for _, id := range v.local {
+		v.report(id)
+	}
+	return v
+}
+
+func (v *view) stamp() rpcore.Stamp { return rpcore.Stamp{At: v.now} }
+
+func (v *view) reduce(ev rpcore.Event) []rpcore.Effect { return v.state.Reduce(ev) }
+
+func (v *view) identity(i int) rpcore.Identity {
+	return rpcore.Identity{
+		Instance:      rpcore.InstanceID(fmt.Sprintf("entry-%03d", i)),
+		Incarnation:   "1a2401e7ec2-b31114c6750ed6c9",
+		FailureDomain: domainName(i % v.size.Domains),
+	}
+}
+
+func (v *view) listMembers() {
+	for i := range v.size.Instances {
+		identity := v.identity(i)
+		v.members = append(v.members, rpcore.Member{
+			ID: string(identity.Instance), Kind: rpcore.MemberInstance, FailureDomain: identity.FailureDomain,
+			Incarnation: identity.Incarnation, Address: testAddress,
+		})
+	}
+	for i := range v.size.Engines {
+		id := fmt.Sprintf("engine-%05d", i)
+		domain := domainName(i % v.size.Domains)
+		if domain == domainName(0) {
+			v.local = append(v.local, rpcore.EndpointID(id))
+		}
+		v.members = append(v.members, rpcore.Member{
+			ID: id, Kind: rpcore.MemberEngine, Service: serviceName(i / v.size.Domains % v.services()),
+			FailureDomain: domain, Incarnation: "1a2401e7ec2-b31114c6750ed6c9", Address: testAddress,
+			EnforcesFencing: true, Memory: 80 * rpdocument.GiB, Accelerators: 2,
+		})
+	}
+}
+
+// loadDocuments answers the reading of the document rows at the start.
+func (v *view) loadDocuments() {
+	v.now = v.now.Add(time.Second)
+	bodies := make(map[string][]byte)
+	var rows []rpcore.Row
+	for i := range v.services() {
+		body := v.document(i)
+		row := &rpcore.DocumentRow{Service: serviceName(i), Version: 1, Hash: rpdocument.Hash(body)}
+		bodies[row.Service] = body
+		rows = append(rows, rpcore.Row{
+			Key: rpcore.RowKey{Kind: rpcore.RowDocument, Service: row.Service}, Version: 1,
+			RowBody: rpcore.RowBody{Document: row},
+		})
+	}
+	for _, effect := range v.reduce(rpcore.Tick{Stamp: v.stamp()}) {
+		read, ok := effect.(rpcore.ReadTable)
+		if !ok || read.Prefix != rpcore.RowDocument {
+			continue
+		}
+		v.reduce(rpcore.TableReadDone{Stamp: v.stamp(), Op: read.Op, Rows: rows})
+	}
+	for i := range v.services() {
+		body := bodies[serviceName(i)]
+		v.reduce(rpcore.DocumentLoaded{
+			Stamp: v.stamp(), Service: serviceName(i), Version: 1, Hash: rpdocument.Hash(body), Body: body,
+		})
+	}
+}
+
+func (v *view) document(i int) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "format = 1\nservice = %q\nteam = \"team\"\neditors = [%q]\n[spend]\naccelerators = 1000\n", serviceName(i), editorSum)
+	models := min(modelsPerService, v.size.Models-i*modelsPerService)
+	for m := range models {
+		fmt.Fprintf(&b, "[[models]]\nname = \"model-%02d\"\nversion = \"1\"\ncheckpoint = \"weights/%d/%d\"\n", m, i, m)
+		b.WriteString("memory = \"16GiB\"\nmax_replicas = 1000\n")
+	}
+	for a := range models * v.size.Adapters / v.size.Models {
+		fmt.Fprintf(&b, "[[adapters]]\nname = \"adapter-%02d\"\nversion = \"1\"\nbase_model = \"model-%02d\"\n", a, a%models)
+		fmt.Fprintf(&b, "checkpoint = \"weights/%d/a%d\"\nmemory = \"256MiB\"\n", i, a)
+	}
+	return []byte(b.String())
+}
+
+func (v *view) engineReport(id rpcore.EndpointID) rpcore.EngineReport {
+	v.sequence++
+	var number int
+	_, _ = fmt.Sscanf(string(id), "engine-%d", &number)
+	service := number / v.size.Domains % v.services()
+	report := rpcore.EngineReport{
+		Endpoint: id, Incarnation: "1a2401e7ec2-b31114c6750ed6c9", Sequence: v.sequence, TakenAt: v.now,
+		Memory: 80 * rpdocument.GiB, Running: int(v.sequence % 7),
+	}
+	for m := range loadedModels {
+		report.Loaded = append(report.Loaded, rpcore.LoadedModel{
+			Key:     rpcore.ModelKey{Service: serviceName(service), Name: fmt.Sprintf("model-%02d", m)},
+			Version: "1", Memory: 16 * rpdocument.GiB,
+		})
+		report.Cached = append(report.Cached, rpcore.CachedCheckpoint{
+			Checkpoint: fmt.Sprintf("weights/%d/%d", service, m), Place: rpcore.PlaceDisk,
+		})
+	}
+	return report
+}
+
+func (v *view) report(id rpcore.EndpointID) {
+	v.reduce(rpcore.EngineReported{Stamp: v.stamp(), Report: v.engineReport(id)})
+}
+
+// request runs one request from its arrival to its end and reports whether an
+// attempt was started.
+func (v *view) request() bool {
+	v.requests++
+	id := rpcore.RequestID(fmt.Sprintf("r%d", v.requests))
+	service := serviceName(v.requests % v.services())
+	arrived := rpcore.RequestArrived{Stamp: v.stamp(), Request: rpcore.Request{ID: id, ModelName: service + "/model-01", MaxTokens: 240}}
+	started := false
+	for _, effect := range v.reduce(arrived) {
+		if start, ok := effect.(rpcore.StartAttempt); ok {
+			started = true
+			v.reduce(rpcore.AttemptFirstToken{Stamp: v.stamp(), Attempt: start.Attempt, Request: id})
+			v.reduce(rpcore.AttemptEnded{
+				Stamp: v.stamp(), Attempt: start.Attempt, Request: id, Reason: rpcore.AttemptComplete, TokensRelayed: 240,
+			})
+			break
+		}
+	}
+	return started
+}
--- /dev/null
+++ b/internal/rpcapacity/measure_test.go
@@ -0,0 +1,240 @@
+package rpcapacity_test
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpcapacity"
+	"github.com/rattanpaddle/rattanpaddle/internal/rppeer"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+var (
+	measure = flag.Bool("measure", false, "measure the slopes into docs/capacity.json")
+	update  = flag.Bool("update", false, "render docs/CAPACITY.md")
+)
+
+const (
+	slopesFile = "../../docs/capacity.json"
+	pageFile   = "../../docs/CAPACITY.md"
+)
+
+// Guards against a page whose figures are not those of the slopes.
+func TestPage(t *testing.T) {
+	g := NewWithT(t)
+	slopes, err := rpcapacity.Load(slopesFile)
+	g.Expect(err).NotTo(HaveOccurred())
+	page := rpcapacity.Page(slopes)
+	if *update {
+		g.Expect(os.WriteFile(pageFile, []byte(page), 0o644)).To(Succeed())
+	}
+	body, err := os.ReadFile(pageFile)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(body)).To(Equal(page), "run: scripts/capacity")
+}
+
+// Guards against formulas that lose a rate: twice the requests must cost twice
+// the processor time of requests, and the table budget must see each claim.
+func TestCostsScale(t *testing.T) {
+	g := NewWithT(t)
+	slopes := rpcapacity.Slopes{RequestNS: rpcapacity.Slope{Today: 10e3, Design: 50e3}}
+	size := rpcapacity.Design
+	before := rpcapacity.Total(slopes.Costs(size))
+	size.RequestsPerSecond *= 2
+	after := rpcapacity.Total(slopes.Costs(size))
+	g.Expect(after.CPUPercent).To(BeNumerically("~", 2*before.CPUPercent, 1e-9))
+	g.Expect(before.CPUPercent).To(BeNumerically("~", 36000.0/460*50e3/1e7, 1e-9))
+}
+
+// Guards against a fixture that no longer reaches the code that it measures.
+func TestFixtureServesRequests(t *testing.T) {
+	g := NewWithT(t)
+	v := withView(rpcapacity.Snoepschep)
+	g.Expect(v.request()).To(BeTrue())
+	g.Expect(v.state.Status().Documents).To(HaveLen(2))
+}
+
+// TestMeasure writes the slopes; scripts/capacity runs it.
+func TestMeasure(t *testing.T) {
+	if !*measure {
+		t.Skip("runs with -measure")
+	}
+	g := NewWithT(t)
+	slopes := rpcapacity.Slopes{MeasuredAt: time.Now().UTC().Format(time.DateOnly), Machine: machine()}
+	slopes.RequestNS = both(perRequest)
+	slopes.HeartbeatInNS = both(perHeartbeatIn)
+	slopes.HeartbeatTickNS = both(perHeartbeatTick)
+	slopes.ReportOwnNS = both(perReportOwn)
+	slopes.ReportShareNS = both(perReportShare)
+	slopes.ListSameNS = both(func(v *view, b *testing.B) { perList(v, b, false) })
+	slopes.ListChangedNS = both(func(v *view, b *testing.B) { perList(v, b, true) })
+	for _, engines := range []int{100, 1000, 12000} {
+		slopes.StateBytes = append(slopes.StateBytes, rpcapacity.Point{Engines: engines, Value: stateBytes(engines)})
+	}
+	measureBytes(g, &slopes)
+	slopes.RelayTokenNS = relayTokenNS(t)
+	g.Expect(slopes.Store(slopesFile)).To(Succeed())
+}
+
+func machine() string {
+	body, _ := os.ReadFile("/proc/cpuinfo")
+	for line := range strings.Lines(string(body)) {
+		if name, ok := strings.CutPrefix(line, "model name"); ok {
+			return strings.TrimSpace(strings.TrimLeft(name, "\t :"))
+		}
+	}
+	return runtime.GOARCH
+}
+
+// runs is the number of runs of which the median counts.
+const runs = 5
+
+func both(run func(*view, *testing.B)) rpcapacity.Slope {
+	return rpcapacity.Slope{Today: median(rpcapacity.Snoepschep, run), Design: median(rpcapacity.Design, run)}
+}
+
+func median(size rpcapacity.Size, run func(*view, *testing.B)) float64 {
+	v := withView(size)
+	var values []float64
+	for range runs {
+		result := testing.Benchmark(func(b *testing.B) { run(v, b) })
+		values = append(values, float64(result.T.Nanoseconds())/float64(result.N))
+	}
+	slices.Sort(values)
+	return values[runs/2]
+}
+
+// pass moves the time by a step, so that alarms fire at a realistic rate, and
+// answers none of their effects.
+func (v *view) pass(step time.Duration) { v.now = v.now.Add(step) }
+
+func perRequest(v *view, b *testing.B) {
+	for b.Loop() {
+		v.pass(time.Microsecond)
+		v.request()
+	}
+}
+
+func (v *view) heartbeat(i int) rpcore.PeerReceived {
+	identity := v.identity(i)
+	heartbeat := &rpcore.Heartbeat{Identity: identity}
+	return rpcore.PeerReceived{Stamp: v.stamp(), From: identity.Instance, Message: rpcore.PeerMessage{Heartbeat: heartbeat}}
+}
+
+func perHeartbeatIn(v *view, b *testing.B) {
+	i := 0
+	for b.Loop() {
+		i = i%(v.size.Instances-1) + 1
+		v.pass(time.Microsecond)
+		v.reduce(v.heartbeat(i))
+	}
+}
+
+func perHeartbeatTick(v *view, b *testing.B) {
+	for b.Loop() {
+		b.StopTimer()
+		for i := 1; i < v.size.Instances; i++ {
+			v.reduce(v.heartbeat(i))
+		}
+		v.pass(time.Second)
+		b.StartTimer()
+		v.reduce(rpcore.Tick{Stamp: v.stamp()})
+	}
+}
+
+func perReportOwn(v *view, b *testing.B) {
+	i := 0
+	for b.Loop() {
+		i = (i + 1) % len(v.local)
+		v.pass(time.Microsecond)
+		v.report(v.local[i])
+	}
+}
+
+func perReportShare(v *view, b *testing.B) {
+	i := 0
+	for b.Loop() {
+		i = (i + 1) % len(v.local)
+		v.pass(time.Microsecond)
+		report := v.engineReport(v.local[i])
+		v.reduce(rpcore.PeerReceived{
+			Stamp: v.stamp(), From: v.identity(1).Instance,
+			Message: rpcore.PeerMessage{ReportShare: &rpcore.ReportShare{Report: report}},
+		})
+	}
+}
+
+func perList(v *view, b *testing.B, changed bool) {
+	n := 0
+	for b.Loop() {
+		n++
+		v.pass(time.Microsecond)
+		members := v.members
+		if changed {
+			members = slices.Clone(members)
+			last := &members[len(members)-1]
+			last.Incarnation = rpcore.Incarnation([]string{"a", "b"}[n%2])
+		}
+		v.reduce(rpcore.MembersListed{Stamp: v.stamp(), Members: members})
+	}
+}
+
+// stateBytes returns the heap that a State at the design size takes with a
+// number of engines.
+func stateBytes(engines int) float64 {
+	size := rpcapacity.Design
+	size.Engines = engines
+	before := heap()
+	v := withView(size)
+	v.members, v.local = nil, nil
+	after := heap()
+	runtime.KeepAlive(v)
+	return float64(after) - float64(before)
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+func measureBytes(g *WithT, slopes *rpcapacity.Slopes) {
+	v := withView(rpcapacity.Design)
+	self := v.identity(1)
+	frame := func(message rpcore.PeerMessage) float64 {
+		body, err := cbor.Marshal(rppeer.Envelope{Version: rppeer.Version, From: self.Instance, Message: message})
+		g.Expect(err).NotTo(HaveOccurred())
+		return float64(len(body))
+	}
+	report := v.engineReport(v.local[0])
+	row := rpcore.DocumentRow{
+		Service: serviceName(1), Version: 1000, Hash: rpdocument.Hash(nil), Editor: editorSum,
+		AcceptedAt: v.now, Submission: "3f8f2c6e-5d0e-4c6b-8a55-0a2a3b4c5d6e",
+	}
+	slopes.HeartbeatBytes = frame(rpcore.PeerMessage{Heartbeat: &rpcore.Heartbeat{Identity: self, Digest: 1 << 60}})
+	slopes.ReportShareBytes = frame(rpcore.PeerMessage{ReportShare: &rpcore.ReportShare{Report: report}})
+	slopes.DemandBytes = frame(rpcore.PeerMessage{Demand: &rpcore.Demand{
+		Model: rpcore.ModelKey{Service: serviceName(1), Name: "model-01"}, Rank: rpdocument.RankUrgent, Waiting: 3,
+		Oldest: time.Second, FailureDomain: self.FailureDomain,
+	}})
+	slopes.NoticeBytes = frame(rpcore.PeerMessage{DocumentPush: &rpcore.DocumentPush{DocumentRow: row}})
+	answer, err := json.Marshal(report)
+	g.Expect(err).NotTo(HaveOccurred())
+	// Request line and headers of both directions take about 300 bytes.
+	slopes.ReportPollBytes = float64(len(answer)) + 300
+	entry, err := json.Marshal(v.members[len(v.members)-1])
+	g.Expect(err).NotTo(HaveOccurred())
+	slopes.ListEntryBytes = float64(len(entry)) + 1
+}
--- /dev/null
+++ b/internal/rpcapacity/size.go
@@ -0,0 +1,142 @@
+package rpcapacity
+
+import "time"
+
+// Size describes a deployment.
+type Size struct {
+	Name              string
+	Instances         int
+	Domains           int
+	Engines           int
+	Models            int
+	Adapters          int
+	RequestsPerSecond float64
+	TokensPerSecond   float64
+	// WakesPerHour is the share of models and adapters that wake up or fall
+	// idle within an hour.
+	WakesPerHour  float64
+	ChangesPerDay float64
+	// ListChangesPerDay counts failures, restarts and replacements.
+	ListChangesPerDay float64
+	// SingleRunShare is the assumed share of requests that may run only once.
+	SingleRunShare float64
+}
+
+// The sizes of docs/design.md. Both of today's deployments name no request
+// rate; 50 requests and 5,000 tokens a second are assumed for them.
+var (
+	Design = Size{
+		Name: "design size", Instances: 460, Domains: 27, Engines: 12000, Models: 1000, Adapters: 1300,
+		RequestsPerSecond: 36000, TokensPerSecond: 8.6e6, WakesPerHour: 0.086, ChangesPerDay: 18000,
+		ListChangesPerDay: 1275, SingleRunShare: 0.01,
+	}
+	Snoepschep = Size{
+		Name: "Snoepschep", Instances: 9, Domains: 3, Engines: 23, Models: 100, Adapters: 120,
+		RequestsPerSecond: 50, TokensPerSecond: 5000, WakesPerHour: 0.086, ChangesPerDay: 20,
+		ListChangesPerDay: 10, SingleRunShare: 0.05,
+	}
+	Office = Size{
+		Name: "the office", Instances: 6, Domains: 3, Engines: 13, Models: 50, Adapters: 60,
+		RequestsPerSecond: 50, TokensPerSecond: 5000, WakesPerHour: 0.086, ChangesPerDay: 20,
+		ListChangesPerDay: 10, SingleRunShare: 0.05,
+	}
+)
+
+// The constants of pkg/rpcore and of the edges that the formulas use.
+const (
+	heartbeatSeconds       = 1.0
+	remoteHeartbeatSeconds = 5.0
+	fullMesh               = 9
+	remotePeers            = 2
+	minPollSeconds         = 0.5
+	pollSecondsPerEngine   = 0.04
+	shareSeconds           = 1.0
+	listSeconds            = 0.5
+	// wireOverhead is what QUIC, UDP and IP add to a message, in bytes, as
+	// the benchmarks of internal/rppeer show: 195 for a message of 152.
+	wireOverhead = 43.0
+	// loadWrites is the number of transactions of one load and one unload:
+	// reserve, settle, mark unloading, free.
+	loadWrites = 4.0
+	// claimWrites is the number of writes of one claimed request.
+	claimWrites    = 2.0
+	secondsPerHour = float64(time.Hour / time.Second)
+	secondsPerDay  = 24 * secondsPerHour
+)
+
+// Budgets of control on one instance at the design size.
+const (
+	cpuBudgetPercent   = 4.0
+	memoryBudgetBytes  = 32e6
+	networkBudgetBytes = 5e3
+	tableWriteBudget   = 300.0
+	tableReadBudget    = 2000.0
+)
+
+// large reports whether the peer set is limited.
+func (z Size) large() bool { return z.Instances > fullMesh }
+
+// localPeers is the number of peers that get a heartbeat every second.
+func (z Size) localPeers() float64 {
+	if !z.large() {
+		return float64(z.Instances - 1)
+	}
+	return float64(z.Instances)/float64(z.Domains) - 1
+}
+
+// remotePeers is the number of peers in other failure domains of a large
+// system.
+func (z Size) remotePeers() float64 {
+	if !z.large() {
+		return 0
+	}
+	return float64(z.Domains-1) * remotePeers
+}
+
+func (z Size) peers() float64 { return z.localPeers() + z.remotePeers() }
+
+// heartbeats is the number of heartbeats that an instance sends a second.
+func (z Size) heartbeats() float64 {
+	return z.localPeers()/heartbeatSeconds + z.remotePeers()/remoteHeartbeatSeconds
+}
+
+// polledEngines is the number of engines that one instance polls.
+func (z Size) polledEngines() float64 { return float64(z.Engines) / float64(z.Instances) }
+
+// polls is the number of polls a second of one instance.
+func (z Size) polls() float64 {
+	return z.polledEngines() / max(minPollSeconds, z.polledEngines()*pollSecondsPerEngine)
+}
+
+// shares is the number of reports a second that an instance sends on, while
+// the load of every engine changes.
+func (z Size) shares() float64 {
+	return min(z.polls(), z.polledEngines()/shareSeconds) * z.peers()
+}
+
+// listed is the number of entries of the instance list.
+func (z Size) listed() float64 { return float64(z.Instances + z.Engines) }
+
+func (z Size) requestsEach() float64 { return z.RequestsPerSecond / float64(z.Instances) }
+
+func (z Size) tokensEach() float64 { return z.TokensPerSecond / float64(z.Instances) }
+
+// loads is the number of loads a second in the whole deployment.
+func (z Size) loads() float64 {
+	return float64(z.Models+z.Adapters) * z.WakesPerHour / secondsPerHour
+}
+
+// tableWrites and tableReads are rates of the whole deployment.
+func (z Size) tableWrites() float64 {
+	claims := z.RequestsPerSecond * z.SingleRunShare * claimWrites
+	return z.loads()*loadWrites + claims + z.ChangesPerDay/secondsPerDay
+}
+
+func (z Size) tableReads() float64 {
+	readers := float64(z.Domains)
+	return readers + z.loads()*loadWrites
+}
+
+func (z Size) changes() float64 { return z.ChangesPerDay / secondsPerDay }
+
+func (z Size) listChanges() float64 { return z.ListChangesPerDay / secondsPerDay }
