Add stand-ins for the engine, the plain service and the weight store

Cause: the endpoint clients need counterparts that batch, load, drain, resume and fail in a controlled way without third-party servers.

Change: Engine, Service and Weights are http.Handlers with a configuration and scalable times. The engine bounds its memory and counts refused over-commits, enforces or ignores fencing numbers, drains a model before it is unloaded, and generates token i of an answer from the prompt and i alone, so that any replica continues a stream. Cache events have sequence numbers and configurable gaps.

--- /dev/null
+++ b/internal/rpstandin/engine.go
@@ -0,0 +1,224 @@
+// Package rpstandin holds small stand-ins for the outside systems: the engine,
+// the plain service and the weight store.
+//
+// # Usage
+//
+// Each stand-in is an http.Handler with a configuration; Run serves it:
+//
+//	engine := rpstandin.NewEngine(rpstandin.EngineConfig{ID: "engine-1", Memory: 80 * rpdocument.GiB})
+//	err := engine.Run(ctx, listener)
+//
+// GET /standin/state shows what a stand-in counted.
+package rpstandin
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// EngineConfig describes a stand-in for a model engine. All times are
+// multiplied by TimeScale; 0 stands for 1.
+type EngineConfig struct {
+	ID          rpcore.EndpointID
+	Incarnation rpcore.Incarnation
+	Memory      rpdocument.Bytes
+	// EnforceFencing refuses old fencing numbers and other incarnations.
+	EnforceFencing bool
+	// Concurrency is the number of requests that run at once, 8 where it is
+	// 0; MaxWaiting bounds the queue, 64 where it is 0.
+	Concurrency, MaxWaiting int
+	// TokenTime is the least time of a token, TokenRate the tokens per second
+	// that all running requests share (0: no bound), PrefillTime the time of
+	// a prompt block that is not in the prefix cache.
+	TokenTime, PrefillTime time.Duration
+	TokenRate              float64
+	// LoadTime is the time of a load by the place of the checkpoint. A remote
+	// one is first read from Weights, the base URL of the weight store.
+	LoadTime    map[rpcore.CheckpointPlace]time.Duration
+	AdapterTime time.Duration
+	Weights     string
+	Cached      []rpcore.CachedCheckpoint
+	// ReportLag is the age up to which a report is repeated.
+	ReportLag time.Duration
+	// CacheBlocks bounds the prefix cache, 256 where it is 0. Every
+	// CacheGapEvery-th batch of cache events lacks its first event.
+	CacheBlocks, CacheGapEvery int
+	TimeScale                  float64
+}
+
+// EngineState is what GET /standin/state shows. Executions counts the started
+// requests by X-Request-Id, ByKey by Idempotency-Key.
+type EngineState struct {
+	Loads         int              `json:"loads"`
+	Unloads       int              `json:"unloads"`
+	HighestMemory rpdocument.Bytes `json:"highest_memory"`
+	Overcommits   int              `json:"overcommits"`
+	Running       int              `json:"running"`
+	Waiting       int              `json:"waiting"`
+	Canceled      int              `json:"canceled"`
+	Executions    map[string]int   `json:"executions"`
+	ByKey         map[string]int   `json:"by_key"`
+}
+
+// Engine is a stand-in for a model engine.
+type Engine struct {
+	*mux.Router
+	cfg EngineConfig
+
+	mu           sync.Mutex
+	changed      *sync.Cond
+	state        EngineState
+	leaving      bool
+	breakAfter   []int
+	highestFence uint64
+	models       map[string]*engineModel
+	places       map[string]rpcore.CheckpointPlace
+	queue        []*engineRequest
+	arrivals     int
+	active       map[string]context.CancelCauseFunc
+	report       rpcore.EngineReport
+	cache        engineCache
+}
+
+// NewEngine returns an engine that has nothing loaded.
+func NewEngine(cfg EngineConfig) *Engine {
+	cfg.Concurrency = cmp.Or(cfg.Concurrency, 8)
+	cfg.MaxWaiting = cmp.Or(cfg.MaxWaiting, 64)
+	e := &Engine{
+		Router: mux.NewRouter().UseEncodedPath(),
+		cfg:    cfg,
+		state:  EngineState{Executions: map[string]int{}, ByKey: map[string]int{}},
+		models: map[string]*engineModel{},
+		places: map[string]rpcore.CheckpointPlace{},
+		active: map[string]context.CancelCauseFunc{},
+		cache:  engineCache{limit: cmp.Or(cfg.CacheBlocks, 256), gapEvery: cfg.CacheGapEvery},
+	}
+	e.changed = sync.NewCond(&e.mu)
+	for _, c := range cfg.Cached {
+		e.places[c.Checkpoint] = c.Place
+	}
+	e.HandleFunc("/v1/{kind:chat/completions|completions}", e.serveInference).Methods(http.MethodPost)
+	e.HandleFunc("/v1/requests/{id}", e.serveCancel).Methods(http.MethodDelete)
+	e.HandleFunc("/v2/repository/models/{name}/{action:load|unload}", e.serveOrder).Methods(http.MethodPost)
+	e.HandleFunc("/v2/repository/index", e.serveIndex).Methods(http.MethodGet)
+	e.HandleFunc("/v1/engine/report", e.serveReport).Methods(http.MethodGet)
+	e.HandleFunc("/v1/engine/cache_events", e.serveCacheEvents).Methods(http.MethodGet)
+	e.HandleFunc("/standin/state", func(w http.ResponseWriter, _ *http.Request) { answerEndpoint(w, 200, e.State()) })
+	return e
+}
+
+// Run serves on a listener until ctx ends.
+func (e *Engine) Run(ctx context.Context, ln net.Listener) error { return runEndpoint(ctx, ln, e) }
+
+// SetLeaving sets whether the engine refuses new work because it is leaving.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// BreakAfter cuts the next streams off after the given numbers of tokens.
+func (e *Engine) BreakAfter(tokens ...int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.breakAfter = append(e.breakAfter, tokens...)
+}
+
+// State returns the counts.
+func (e *Engine) State() EngineState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	state := e.state
+	state.Waiting = len(e.queue)
+	state.Executions, state.ByKey = maps.Clone(state.Executions), maps.Clone(state.ByKey)
+	return state
+}
+
+func (e *Engine) serveReport(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	now := time.Now()
+	if e.report.Sequence == 0 || now.Sub(e.report.TakenAt) >= scaled(e.cfg.ReportLag, e.cfg.TimeScale) {
+		e.report = rpcore.EngineReport{
+			Endpoint: e.cfg.ID, Incarnation: e.cfg.Incarnation, Sequence: e.report.Sequence + 1, TakenAt: now,
+			Memory: e.cfg.Memory, Running: e.state.Running, Waiting: len(e.queue), Leaving: e.leaving,
+			HighestFence: e.highestFence, Loaded: e.loaded(),
+		}
+		for _, checkpoint := range slices.Sorted(maps.Keys(e.places)) {
+			e.report.Cached = append(e.report.Cached, rpcore.CachedCheckpoint{Checkpoint: checkpoint, Place: e.places[checkpoint]})
+		}
+	}
+	report := e.report
+	e.mu.Unlock()
+	answerEndpoint(w, http.StatusOK, report)
+}
+
+func (e *Engine) loaded() []rpcore.LoadedModel {
+	loaded := []rpcore.LoadedModel{}
+	for _, name := range slices.Sorted(maps.Keys(e.models)) {
+		if e.models[name].ready {
+			loaded = append(loaded, e.models[name].LoadedModel)
+		}
+	}
+	return loaded
+}
+
+func (e *Engine) serveIndex(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	index := []map[string]string{}
+	for _, m := range e.loaded() {
+		index = append(index, map[string]string{"name": m.Key.String(), "version": m.Version, "state": "READY"})
+	}
+	e.mu.Unlock()
+	answerEndpoint(w, http.StatusOK, index)
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		(&refusal{http.StatusBadRequest, "invalid_request", "after is not a number"}).send(w)
+		return
+	}
+	e.mu.Lock()
+	batch := e.cache.batch(e.cfg.Incarnation, after)
+	e.mu.Unlock()
+	answerEndpoint(w, http.StatusOK, batch)
+}
+
+func scaled(d time.Duration, scale float64) time.Duration {
+	return time.Duration(float64(d) * cmp.Or(scale, 1))
+}
+
+// pause waits, or returns the cause for which ctx ended.
+func pause(ctx context.Context, d time.Duration) error {
+	if d > 0 {
+		timer := time.NewTimer(d)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+	}
+	return context.Cause(ctx)
+}
+
+func runEndpoint(ctx context.Context, ln net.Listener, handler http.Handler) error {
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	defer context.AfterFunc(ctx, func() { srv.Close() })()
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rpstandin/engine_run.go
@@ -0,0 +1,223 @@
+package rpstandin
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gorilla/mux"
+)
+
+var errCanceled = errors.New("the request was canceled")
+
+// defaultTokens is the length of an answer to a request that names none.
+const defaultTokens = 16
+
+// engineRequest is one inference request.
+type engineRequest struct {
+	Model     string
+	Prompt    json.RawMessage
+	Messages  []struct{ Role, Content string }
+	MaxTokens int `json:"max_tokens"`
+	Stream    bool
+	Priority  int
+
+	id              string
+	resume, arrival int
+	chat            bool
+	model           *engineModel
+	// admitted is closed when the request may run.
+	admitted chan struct{}
+}
+
+func (e *Engine) serveInference(w http.ResponseWriter, r *http.Request) {
+	req := &engineRequest{admitted: make(chan struct{}), id: r.Header.Get("X-Request-Id"), chat: mux.Vars(r)["kind"] != "completions"}
+	if err := json.NewDecoder(io.LimitReader(r.Body, 64<<20)).Decode(req); err != nil {
+		(&refusal{http.StatusBadRequest, "invalid_request", "the body can't be read"}).send(w)
+		return
+	}
+	req.MaxTokens = cmp.Or(req.MaxTokens, defaultTokens)
+	req.resume, _ = strconv.Atoi(r.Header.Get("Rattan-Resume-After"))
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	if refused := e.enqueue(req, cancel); refused != nil {
+		refused.send(w)
+		return
+	}
+	defer e.leave(req)
+	select {
+	case <-req.admitted:
+	case <-ctx.Done():
+		panic(http.ErrAbortHandler)
+	}
+	if e.generate(ctx, w, req, r.Header.Get("Idempotency-Key")) != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// enqueue takes a request in, or refuses it before it runs.
+func (e *Engine) enqueue(req *engineRequest, cancel context.CancelCauseFunc) *refusal {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m := e.models[req.Model]
+	switch {
+	case e.leaving:
+		return &refusal{http.StatusServiceUnavailable, "leaving", "the engine is leaving"}
+	case m == nil || !m.ready || m.unloading:
+		return &refusal{http.StatusNotFound, "model_not_loaded", "the model is not loaded"}
+	case len(e.queue) >= e.cfg.MaxWaiting:
+		return &refusal{http.StatusServiceUnavailable, "busy", "the queue is full"}
+	}
+	m.running++
+	e.arrivals++
+	req.arrival, req.model = e.arrivals, m
+	e.active[req.id] = cancel
+	e.queue = append(e.queue, req)
+	e.admit()
+	return nil
+}
+
+// admit starts waiting requests by priority, then by arrival.
+func (e *Engine) admit() {
+	slices.SortFunc(e.queue, func(a, b *engineRequest) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.arrival, b.arrival))
+	})
+	for len(e.queue) > 0 && e.state.Running < e.cfg.Concurrency {
+		close(e.queue[0].admitted)
+		e.queue = e.queue[1:]
+		e.state.Running++
+	}
+}
+
+func (e *Engine) leave(req *engineRequest) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if i := slices.Index(e.queue, req); i >= 0 {
+		e.queue = slices.Delete(e.queue, i, i+1)
+	} else {
+		e.state.Running--
+	}
+	delete(e.active, req.id)
+	req.model.running--
+	e.changed.Broadcast()
+	e.admit()
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if cancel := e.active[mux.Vars(r)["id"]]; cancel != nil {
+		e.state.Canceled++
+		cancel(errCanceled)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// begin counts an execution and returns the prompt blocks to compute and the
+// number of tokens after which the connection breaks, or -1.
+func (e *Engine) begin(req *engineRequest, key string) (misses, breakAt int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.Executions[req.id]++
+	if key != "" {
+		e.state.ByKey[key]++
+	}
+	breakAt = -1
+	if req.Stream && len(e.breakAfter) > 0 {
+		breakAt, e.breakAfter = e.breakAfter[0], e.breakAfter[1:]
+	}
+	return e.cache.use(prefixBlocks(req.Model, req.prompt())), breakAt
+}
+
+// generate produces the tokens from the resume point on.
+func (e *Engine) generate(ctx context.Context, w http.ResponseWriter, req *engineRequest, key string) error {
+	misses, breakAt := e.begin(req, key)
+	if err := pause(ctx, scaled(e.cfg.PrefillTime, e.cfg.TimeScale)*time.Duration(misses)); err != nil {
+		return err
+	}
+	if req.chat {
+		req.send(w, map[string]string{"role": "assistant", "content": ""}, "", nil)
+	}
+	text := ""
+	for i := req.resume; i < req.MaxTokens; i++ {
+		if i-req.resume == breakAt {
+			return http.ErrAbortHandler
+		}
+		if err := pause(ctx, e.step()); err != nil {
+			return err
+		}
+		token := EngineToken(req.prompt(), i)
+		req.send(w, map[string]string{"content": token}, token, nil)
+		text += token
+	}
+	if req.Stream {
+		req.send(w, map[string]string{}, "", "length")
+		fmt.Fprint(w, "data: [DONE]\n\n")
+		return nil
+	}
+	answerEndpoint(w, http.StatusOK, req.answer("message", map[string]string{"role": "assistant", "content": text}, text, "length"))
+	return nil
+}
+
+// step is the time of the next token: the running requests share the rate.
+func (e *Engine) step() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	step := e.cfg.TokenTime
+	if e.cfg.TokenRate > 0 {
+		step = max(step, time.Duration(float64(e.state.Running)/e.cfg.TokenRate*float64(time.Second)))
+	}
+	return scaled(step, e.cfg.TimeScale)
+}
+
+// answer is an answer or a chunk in the form of the OpenAI protocol.
+func (r *engineRequest) answer(member string, message map[string]string, text string, finish any) map[string]any {
+	choice := map[string]any{"index": 0, "finish_reason": finish}
+	object := "text_completion"
+	if r.chat {
+		choice[member] = message
+		object = strings.TrimSuffix("chat.completion."+map[bool]string{true: "chunk"}[r.Stream], ".")
+	} else {
+		choice["text"] = text
+	}
+	return map[string]any{"id": "cmpl-" + r.id, "object": object, "created": 1, "model": r.Model, "choices": []any{choice}}
+}
+
+// send writes a chunk of a stream.
+func (r *engineRequest) send(w http.ResponseWriter, delta map[string]string, text string, finish any) {
+	if !r.Stream {
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	data, _ := json.Marshal(r.answer("delta", delta, text, finish))
+	fmt.Fprintf(w, "data: %s\n\n", data)
+	_ = http.NewResponseController(w).Flush()
+}
+
+// EngineToken is the token i of the answer to a prompt, the same on every
+// replica.
+func EngineToken(prompt string, i int) string {
+	return fmt.Sprintf("%08x ", uint32(xxhash.Sum64String(prompt+"\x00"+strconv.Itoa(i))))
+}
+
+// prompt is the text that the prefix cache and the tokens depend on: for a
+// chat, the role and the text of each message, each closed by a zero byte.
+func (r *engineRequest) prompt() string {
+	var text string
+	if !r.chat && json.Unmarshal(r.Prompt, &text) != nil {
+		return string(r.Prompt)
+	}
+	for _, m := range r.Messages {
+		text += m.Role + "\x00" + m.Content + "\x00"
+	}
+	return text
+}
--- /dev/null
+++ b/internal/rpstandin/weights.go
@@ -0,0 +1,106 @@
+package rpstandin
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// WeightsConfig describes a stand-in for the weight store. LoadsPerSecond
+// bounds the starts of loads (12 where it is 0) and is divided by TimeScale.
+// FullSpeed loads at once (4 where it is 0) take LoadTime each; more share
+// that speed.
+type WeightsConfig struct {
+	LoadsPerSecond float64
+	FullSpeed      int
+	LoadTime       time.Duration
+	TimeScale      float64
+}
+
+// WeightsState is what GET /standin/state shows.
+type WeightsState struct {
+	Loads       int            `json:"loads"`
+	Running     int            `json:"running"`
+	MostRunning int            `json:"most_running"`
+	Checkpoints map[string]int `json:"checkpoints"`
+}
+
+// Weights is a stand-in for the weight store.
+type Weights struct {
+	cfg     WeightsConfig
+	limiter *rate.Limiter
+	mu      sync.Mutex
+	state   WeightsState
+}
+
+// weightSteps is the number of parts of a load; the speed may change from one
+// to the next.
+const weightSteps = 20
+
+// NewWeights returns a weight store.
+func NewWeights(cfg WeightsConfig) *Weights {
+	cfg.FullSpeed = cmp.Or(cfg.FullSpeed, 4)
+	limit := rate.Limit(cmp.Or(cfg.LoadsPerSecond, 12) / cmp.Or(cfg.TimeScale, 1))
+	return &Weights{cfg: cfg, limiter: rate.NewLimiter(limit, 1), state: WeightsState{Checkpoints: map[string]int{}}}
+}
+
+// Run serves on a listener until ctx ends.
+func (s *Weights) Run(ctx context.Context, ln net.Listener) error { return runEndpoint(ctx, ln, s) }
+
+// State returns the counts.
+func (s *Weights) State() WeightsState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.state
+	state.Checkpoints = maps.Clone(state.Checkpoints)
+	return state
+}
+
+// ServeHTTP answers GET /weights/{checkpoint} when the load has ended.
+func (s *Weights) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	checkpoint, ok := strings.CutPrefix(r.URL.Path, "/weights/")
+	if !ok {
+		answerEndpoint(w, http.StatusOK, s.State())
+		return
+	}
+	if s.limiter.Wait(r.Context()) != nil {
+		panic(http.ErrAbortHandler)
+	}
+	s.begin(checkpoint)
+	defer s.end()
+	for range weightSteps {
+		if pause(r.Context(), s.step()) != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	answerEndpoint(w, http.StatusOK, map[string]string{"checkpoint": checkpoint})
+}
+
+func (s *Weights) begin(checkpoint string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.Loads++
+	s.state.Checkpoints[checkpoint]++
+	s.state.Running++
+	s.state.MostRunning = max(s.state.MostRunning, s.state.Running)
+}
+
+func (s *Weights) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.Running--
+}
+
+func (s *Weights) step() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slowdown := max(1, float64(s.state.Running)/float64(s.cfg.FullSpeed))
+	return scaled(time.Duration(float64(s.cfg.LoadTime)*slowdown/weightSteps), s.cfg.TimeScale)
+}
