Add the client of the endpoints

Cause: attempts, orders and polls need one place that knows what was sent, so that a failure is called not_run only when no byte of a request left.

Change: every connection counts the bytes handed to the kernel and is sealed before a failure is called not_run. net/http repeats requests without a body on kept connections, and POST with an idempotency key; the second connection is sealed before its first byte. Requests that may run only once and orders use a connection of their own. Streams are relayed event by event; a resumed stream keeps its id and repeats neither opening nor closing chunk.

--- /dev/null
+++ b/internal/rpendpoint/attempt_test.go
@@ -0,0 +1,328 @@
+package rpendpoint_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpendpoint"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+func addressOf(rawURL string) netip.AddrPort {
+	u, _ := url.Parse(rawURL)
+	return netip.MustParseAddrPort(u.Host)
+}
+
+// withRawServer starts a server that handles connections by hand.
+func withRawServer(t *testing.T, handle func(net.Conn)) netip.AddrPort {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				handle(conn)
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+// sink is a caller that keeps what it gets.
+type sink struct {
+	status int
+	header http.Header
+	body   strings.Builder
+	first  int
+	// fails lets every write fail.
+	fails bool
+}
+
+func (s *sink) relay() rpendpoint.Relay {
+	return rpendpoint.Relay{
+		Begin: func(status int, header http.Header) error {
+			s.status, s.header = status, header
+			return nil
+		},
+		Write: func(p []byte) error {
+			if s.fails {
+				return io.ErrClosedPipe
+			}
+			s.body.Write(p)
+			return nil
+		},
+		First: func() { s.first++ },
+	}
+}
+
+func inference(address netip.AddrPort, stream bool) rpendpoint.Attempt {
+	a := rpendpoint.Attempt{
+		Command: rpcore.StartAttempt{Attempt: "a1", Address: address, Model: rpcore.ModelKey{Service: "mix", Name: "small"}},
+		Path:    "/v1/chat/completions",
+		Fields:  map[string]json.RawMessage{"model": json.RawMessage(`"mix/x"`), "stream": json.RawMessage("true")},
+	}
+	if stream {
+		a.Stream = &rpendpoint.StreamState{Choices: 1}
+	}
+	return a
+}
+
+func plain(address netip.AddrPort, method, body string) rpendpoint.Attempt {
+	return rpendpoint.Attempt{Command: rpcore.StartAttempt{Attempt: "a1", Address: address}, Method: method, Path: "/charge", Body: []byte(body)}
+}
+
+func closedAddress(t *testing.T) netip.AddrPort {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	defer ln.Close()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+func answerWith(status int, contentType, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", contentType)
+		w.WriteHeader(status)
+		io.WriteString(w, body)
+	}
+}
+
+const (
+	sseType  = "text/event-stream"
+	jsonType = "application/json"
+	token    = `data: {"id":"1","choices":[{"delta":{"content":"x"}}]}` + "\n\n"
+)
+
+// Guards against a verdict that calls work not_run which may have run, and
+// against reasons that send the reducer the wrong way.
+func TestVerdicts(t *testing.T) {
+	type row struct {
+		name    string
+		handler http.HandlerFunc
+		stream  bool
+		plain   bool
+		reason  rpcore.AttemptReason
+		verdict rpverdict.Verdict
+		tokens  int
+	}
+	code := func(code string) string { return fmt.Sprintf(`{"error":{"code":%q}}`, code) }
+	for _, c := range []row{
+		{name: "not loaded", handler: answerWith(404, jsonType, code("model_not_loaded")), reason: rpcore.AttemptNotLoaded},
+		{name: "busy", handler: answerWith(503, jsonType, code("busy")), reason: rpcore.AttemptBusy},
+		{name: "busy 429", handler: answerWith(429, jsonType, `{"code":"busy"}`), reason: rpcore.AttemptBusy},
+		{name: "429", handler: answerWith(429, jsonType, `{}`), reason: rpcore.AttemptBusy, verdict: rpverdict.MayHaveRun},
+		{name: "leaving", handler: answerWith(503, jsonType, code("leaving")), reason: rpcore.AttemptLeaving},
+		{name: "503", handler: answerWith(503, jsonType, `{"code":7}`), reason: rpcore.AttemptFailed, verdict: rpverdict.MayHaveRun},
+		{name: "500 with a code", handler: answerWith(500, jsonType, code("busy")), reason: rpcore.AttemptFailed, verdict: rpverdict.MayHaveRun},
+		{name: "redirect", handler: answerWith(302, jsonType, ``), reason: rpcore.AttemptFailed, verdict: rpverdict.MayHaveRun},
+		{name: "400", handler: answerWith(400, jsonType, `{}`), reason: rpcore.AttemptComplete, verdict: rpverdict.Ran},
+		{name: "whole", handler: answerWith(200, jsonType, `{}`), reason: rpcore.AttemptComplete, verdict: rpverdict.Ran},
+		{name: "half JSON", handler: answerWith(200, jsonType, `{"a":`), reason: rpcore.AttemptBroken, verdict: rpverdict.MayHaveRun},
+		{name: "no stream", handler: answerWith(200, jsonType, `{}`), stream: true, reason: rpcore.AttemptFailed, verdict: rpverdict.MayHaveRun},
+		{name: "no end mark", handler: answerWith(200, sseType, token), stream: true, reason: rpcore.AttemptBroken, verdict: rpverdict.MayHaveRun, tokens: 1},
+		{name: "error event", handler: answerWith(200, sseType, token+"event: error\ndata: {}\n\n"), stream: true, reason: rpcore.AttemptFailed, verdict: rpverdict.MayHaveRun, tokens: 1},
+		{name: "error chunk", handler: answerWith(200, sseType, `data: {"error":{"message":"m"}}`+"\n\n"), stream: true, reason: rpcore.AttemptFailed, verdict: rpverdict.MayHaveRun},
+		{name: "stream", handler: answerWith(200, sseType, token+"data: [DONE]\n\n"), stream: true, reason: rpcore.AttemptComplete, verdict: rpverdict.Ran, tokens: 1},
+		{name: "service 500", handler: answerWith(500, jsonType, `{}`), plain: true, reason: rpcore.AttemptComplete, verdict: rpverdict.Ran},
+		{name: "service 502", handler: answerWith(502, jsonType, `{}`), plain: true, reason: rpcore.AttemptFailed, verdict: rpverdict.MayHaveRun},
+		{name: "service busy", handler: answerWith(503, jsonType, code("busy")), plain: true, reason: rpcore.AttemptBusy},
+		{name: "service 429", handler: answerWith(429, jsonType, `{}`), plain: true, reason: rpcore.AttemptComplete, verdict: rpverdict.Ran},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			server := httptest.NewServer(c.handler)
+			defer server.Close()
+			client := &rpendpoint.Client{}
+			defer client.Close()
+			a := inference(addressOf(server.URL), c.stream)
+			if c.plain {
+				a = plain(addressOf(server.URL), http.MethodPost, "5")
+			}
+			result := client.Run(context.Background(), a, (&sink{}).relay())
+			g.Expect(result.Reason).To(Equal(c.reason), result.Detail)
+			g.Expect(result.Verdict).To(Equal(c.verdict))
+			g.Expect(result.TokensRelayed).To(Equal(c.tokens))
+		})
+	}
+}
+
+// Guards against the same faults for connections that fail without an answer.
+func TestConnectionVerdicts(t *testing.T) {
+	readThenClose := func(conn net.Conn) { _, _ = conn.Read(make([]byte, 1)) }
+	hang := func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, c := range []struct {
+		name    string
+		address netip.AddrPort
+		ctx     context.Context
+		timeout time.Duration
+		reason  rpcore.AttemptReason
+		verdict rpverdict.Verdict
+	}{
+		{"connection refused", closedAddress(t), context.Background(), 0, rpcore.AttemptRefusedConnection, rpverdict.NotRun},
+		{"closed after request bytes", withRawServer(t, readThenClose), context.Background(), 0, rpcore.AttemptBroken, rpverdict.MayHaveRun},
+		{"no answer in time", withRawServer(t, hang), context.Background(), 100 * time.Millisecond, rpcore.AttemptTimedOut, rpverdict.MayHaveRun},
+		{"deadline in the past", withRawServer(t, hang), context.Background(), -time.Second, rpcore.AttemptTimedOut, rpverdict.NotRun},
+		{"canceled before the start", withRawServer(t, hang), canceled, 0, rpcore.AttemptCanceled, rpverdict.NotRun},
+	} {
+		for _, record := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, record %t", c.name, record), func(t *testing.T) {
+				g := NewWithT(t)
+				client := &rpendpoint.Client{}
+				defer client.Close()
+				a := plain(c.address, http.MethodPost, "5")
+				a.Command.Record = record
+				if c.timeout != 0 {
+					a.Command.Deadline = time.Now().Add(c.timeout)
+				}
+				result := client.Run(c.ctx, a, (&sink{}).relay())
+				g.Expect(result.Reason).To(Equal(c.reason), result.Detail)
+				g.Expect(result.Verdict).To(Equal(c.verdict))
+			})
+		}
+	}
+}
+
+// Guards against net/http repeating a request by itself: it does so for a
+// request without a body on a kept connection, and for POST when there is an
+// idempotency key.
+func TestRequestIsSentOnce(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			g := NewWithT(t)
+			var requests atomic.Int32
+			address := withRawServer(t, func(conn net.Conn) {
+				reader := bufio.NewReader(conn)
+				for {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					if requests.Add(1) > 1 {
+						return
+					}
+					io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+			})
+			client := &rpendpoint.Client{}
+			defer client.Close()
+			a := plain(address, method, "")
+			a.IdempotencyKey = "key"
+			g.Expect(client.Run(context.Background(), a, (&sink{}).relay()).Reason).To(Equal(rpcore.AttemptComplete))
+			result := client.Run(context.Background(), a, (&sink{}).relay())
+			g.Expect(result.Reason).To(Equal(rpcore.AttemptBroken))
+			g.Expect(result.Verdict).To(Equal(rpverdict.MayHaveRun))
+			g.Expect(requests.Load()).To(BeEquivalentTo(2))
+		})
+	}
+}
+
+// Guards against an engine that gets another request than it understands, and
+// against headers that belong to one connection.
+func TestForwardedRequests(t *testing.T) {
+	g := NewWithT(t)
+	var got *http.Request
+	var body []byte
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r
+		body, _ = io.ReadAll(r.Body)
+		w.Header().Set("Connection", "X-Hop")
+		w.Header().Set("X-Hop", "1")
+		w.Header().Set("X-End", "1")
+		answerWith(200, jsonType, "{}")(w, r)
+	}))
+	defer server.Close()
+	client := &rpendpoint.Client{}
+	defer client.Close()
+	a := inference(addressOf(server.URL), false)
+	a.Command.Adapter, a.Command.Rank, a.Command.ResumeAfter = "dutch", rpdocument.RankBackground, 7
+	a.Command.Deadline = time.Now().Add(time.Hour)
+	client.Run(context.Background(), a, (&sink{}).relay())
+	g.Expect(string(body)).To(MatchJSON(`{"model":"mix/dutch","priority":2,"stream":true}`))
+	g.Expect(got.Header.Get("X-Request-Id")).To(Equal("a1"))
+	g.Expect(got.Header.Get("Rattan-Resume-After")).To(Equal("7"))
+	g.Expect(got.Header.Get("Rattan-Deadline")).To(Equal(a.Command.Deadline.UTC().Format(time.RFC3339Nano)))
+
+	p := plain(addressOf(server.URL), http.MethodPut, "5")
+	p.Query = "q=1"
+	p.Header = http.Header{"Connection": {"X-One"}, "X-One": {"1"}, "Te": {"trailers"}, "X-Two": {"2"}}
+	caller := &sink{}
+	client.Run(context.Background(), p, caller.relay())
+	g.Expect(got.Method + " " + got.RequestURI + " " + string(body)).To(Equal("PUT /charge?q=1 5"))
+	g.Expect(got.Header).To(HaveKey("X-Two"))
+	g.Expect(got.Header).NotTo(Or(HaveKey("X-One"), HaveKey("Te")))
+	g.Expect(caller.header).To(HaveKey("X-End"))
+	g.Expect(caller.header).NotTo(HaveKey("X-Hop"))
+}
+
+// Guards against an engine that goes on with a request nobody waits for.
+func TestCancelReachesEngine(t *testing.T) {
+	g := NewWithT(t)
+	canceled := make(chan string, 1)
+	running := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			canceled <- r.URL.Path
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(running)
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	client := &rpendpoint.Client{}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	go func() {
+		<-running
+		cancel(errors.New("canceled by the test"))
+	}()
+	result := client.Run(ctx, inference(addressOf(server.URL), true), (&sink{}).relay())
+	g.Expect(result.Reason).To(Equal(rpcore.AttemptCanceled))
+	g.Expect(result.Verdict).To(Equal(rpverdict.MayHaveRun))
+	g.Expect(<-canceled).To(Equal("/v1/requests/a1"))
+	client.Close()
+}
+
+// Guards against an outcome that is lost with its caller, or that is kept in
+// part.
+func TestOutcome(t *testing.T) {
+	g := NewWithT(t)
+	size := 10
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answerWith(201, "text/x", strings.Repeat("x", size))(w, r)
+	}))
+	defer server.Close()
+	client := &rpendpoint.Client{}
+	defer client.Close()
+	a := plain(addressOf(server.URL), http.MethodPost, "5")
+	a.Command.Record = true
+	result := client.Run(context.Background(), a, (&sink{fails: true}).relay())
+	g.Expect(result.Reason).To(Equal(rpcore.AttemptComplete))
+	g.Expect(result.CallerGone).To(BeTrue())
+	g.Expect(*result.Outcome).To(Equal(rpcore.Outcome{Status: 201, ContentType: "text/x", Body: []byte("xxxxxxxxxx")}))
+
+	size = rpcore.OutcomeBodyLimit + 1
+	result = client.Run(context.Background(), a, (&sink{}).relay())
+	g.Expect(*result.Outcome).To(Equal(rpcore.Outcome{Status: 201, ContentType: "text/x", Truncated: true}))
+}
--- /dev/null
+++ b/internal/rpendpoint/chunk.go
@@ -0,0 +1,138 @@
+package rpendpoint
+
+import (
+	"bytes"
+	"encoding/json"
+)
+
+var doneMark = []byte("[DONE]")
+
+// chunkKind says what a chunk of a streamed answer carries.
+type chunkKind int
+
+const (
+	// chunkOther opens a stream or carries nothing that was generated.
+	chunkOther chunkKind = iota
+	// chunkToken carries generated content and counts as one token.
+	chunkToken
+	// chunkFinish carries only the reason why generation ended.
+	chunkFinish
+	// chunkUsage carries only the usage.
+	chunkUsage
+	// chunkError says that the engine failed.
+	chunkError
+)
+
+// chunk is the part of a streamed chunk that the relay looks at.
+type chunk struct {
+	ID      json.RawMessage `json:"id"`
+	Created json.RawMessage `json:"created"`
+	Choices []struct {
+		Text         string                     `json:"text"`
+		Delta        map[string]json.RawMessage `json:"delta"`
+		FinishReason json.RawMessage            `json:"finish_reason"`
+	} `json:"choices"`
+	Usage json.RawMessage `json:"usage"`
+	Error json.RawMessage `json:"error"`
+}
+
+func (c *chunk) kind() (kind chunkKind, finishes bool) {
+	if isSet(c.Error) {
+		return chunkError, false
+	}
+	for i := range c.Choices {
+		choice := &c.Choices[i]
+		finishes = finishes || isSet(choice.FinishReason)
+		if choice.Text != "" || deltaHasContent(choice.Delta) {
+			kind = chunkToken
+		}
+	}
+	switch {
+	case kind == chunkToken:
+	case finishes:
+		kind = chunkFinish
+	case len(c.Choices) == 0 && isSet(c.Usage):
+		kind = chunkUsage
+	}
+	return kind, finishes
+}
+
+// deltaHasContent reports whether a delta carries text, a tool call or any
+// other generated member.
+func deltaHasContent(delta map[string]json.RawMessage) bool {
+	for key, value := range delta {
+		if key != "role" && isSet(value) {
+			return true
+		}
+	}
+	return false
+}
+
+func isSet(raw json.RawMessage) bool {
+	switch string(raw) {
+	case "", "null", `""`, "[]", "{}":
+		return false
+	}
+	return true
+}
+
+// StreamState is what a request knows of the stream that its caller gets,
+// across all attempts. Its zero value is a stream that has not begun.
+type StreamState struct {
+	// Choices is the number of answers that the caller asked for. A stream
+	// of several is interleaved and can't be resumed.
+	Choices int
+
+	begun    bool
+	finished bool
+	usage    bool
+	id       json.RawMessage
+	created  json.RawMessage
+}
+
+// admit reports whether the caller still needs a chunk. fresh says that the
+// attempt has relayed no token yet.
+func (s *StreamState) admit(kind chunkKind, resumed, fresh bool) bool {
+	switch kind {
+	case chunkOther:
+		return !resumed || !fresh
+	case chunkFinish:
+		return !s.finished
+	case chunkUsage:
+		return !s.usage
+	}
+	return true
+}
+
+// relayed takes in a chunk that reached the caller.
+func (s *StreamState) relayed(c *chunk, kind chunkKind, finishes bool) {
+	if !s.begun {
+		s.begun = true
+		s.id = bytes.Clone(c.ID)
+		s.created = bytes.Clone(c.Created)
+	}
+	s.finished = s.finished || finishes
+	s.usage = s.usage || kind == chunkUsage
+}
+
+// rewrite gives a chunk of a resumed stream the id of the first one.
+func (s *StreamState) rewrite(data []byte, c *chunk) ([]byte, error) {
+	if !s.begun || bytes.Equal(s.id, c.ID) {
+		return data, nil
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return nil, err
+	}
+	replace(fields, "id", s.id)
+	replace(fields, "created", s.created)
+	return json.Marshal(fields)
+}
+
+func replace(fields map[string]json.RawMessage, key string, value json.RawMessage) {
+	if len(value) > 0 {
+		fields[key] = value
+		return
+	}
+	delete(fields, key)
+}
--- /dev/null
+++ b/internal/rpendpoint/client.go
@@ -0,0 +1,111 @@
+package rpendpoint
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+// Client reaches the endpoints. Its zero value works once Post is set.
+type Client struct {
+	// Post receives the events of orders and polls.
+	Post   func(rpcore.Event)
+	Log    zerolog.Logger
+	Limits Limits
+
+	once   sync.Once
+	limits Limits
+	// shared keeps connections. single opens one for each request: an
+	// endpoint may close a kept connection just as a request is written to
+	// it, which would leave the fate of work that runs only once unknown.
+	shared, single *http.Transport
+	ctx            context.Context
+	stop           context.CancelFunc
+	background     sync.WaitGroup
+
+	mu      sync.Mutex
+	closed  bool
+	pollers map[rpcore.EndpointID]*poller
+}
+
+func (c *Client) init() {
+	c.once.Do(func() {
+		c.limits = c.Limits.withDefaults()
+		c.shared = newTransport(c.limits, true)
+		c.single = newTransport(c.limits, false)
+		c.ctx, c.stop = context.WithCancel(context.Background())
+		c.pollers = map[rpcore.EndpointID]*poller{}
+	})
+}
+
+// Close stops the polls, ends orders under way as unknown, waits for the
+// background work and closes unused connections.
+func (c *Client) Close() {
+	c.init()
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.stop()
+	c.background.Wait()
+	c.shared.CloseIdleConnections()
+	c.single.CloseIdleConnections()
+}
+
+// spawn runs work in the background unless the client is closed.
+func (c *Client) spawn(work func()) bool {
+	c.init()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	c.background.Go(work)
+	return true
+}
+
+func (c *Client) post(ev rpcore.Event) {
+	if c.Post != nil {
+		c.Post(ev)
+	}
+}
+
+func stamp() rpcore.Stamp { return rpcore.Stamp{At: time.Now()} }
+
+// endpointURL returns the address of a path. rawPath is already escaped.
+func endpointURL(address netip.AddrPort, rawPath, rawQuery string) *url.URL {
+	path, err := url.PathUnescape(rawPath)
+	if err != nil {
+		path = rawPath
+	}
+	return &url.URL{Scheme: "http", Host: address.String(), Path: path, RawPath: rawPath, RawQuery: rawQuery}
+}
+
+const (
+	// reclaimTime and reclaimBytes bound the wait for the end of an answer
+	// that is complete, after which its connection can be used again.
+	reclaimTime  = 250 * time.Millisecond
+	reclaimBytes = 4 << 10
+)
+
+// reclaim reads the rest of a complete answer in the background.
+func (c *Client) reclaim(body io.ReadCloser, done func()) {
+	started := c.spawn(func() {
+		timer := time.AfterFunc(reclaimTime, func() { body.Close() })
+		_, _ = io.Copy(io.Discard, io.LimitReader(body, reclaimBytes))
+		timer.Stop()
+		body.Close()
+		done()
+	})
+	if !started {
+		body.Close()
+		done()
+	}
+}
--- /dev/null
+++ b/internal/rpendpoint/conn_test.go
@@ -0,0 +1,88 @@
+package rpendpoint
+
+import (
+	"context"
+	"net"
+	"net/http/httptrace"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+func withExchange(t *testing.T) (*exchange, *trackedConn, net.Conn) {
+	near, far := net.Pipe()
+	t.Cleanup(func() {
+		near.Close()
+		far.Close()
+	})
+	x := &exchange{cancel: func(error) {}}
+	conn := &trackedConn{Conn: near}
+	x.gotConn(httptrace.GotConnInfo{Conn: conn})
+	return x, conn, far
+}
+
+// Guards against a connection that the endpoint closed before any byte of the
+// request: calling that may_have_run would refuse work that can be repeated.
+func TestClosedBeforeRequestBytes(t *testing.T) {
+	g := NewWithT(t)
+	x, conn, far := withExchange(t)
+	far.Close()
+	_, err := conn.Write([]byte("POST"))
+	g.Expect(err).To(HaveOccurred())
+	result := exchangeFailure(context.Background(), x, err)
+	g.Expect(result.Reason).To(Equal(rpcore.AttemptBroken))
+	g.Expect(result.Verdict).To(Equal(rpverdict.NotRun))
+}
+
+// Guards against a request that leaves after it was called not_run.
+func TestSealedConnectionSendsNothing(t *testing.T) {
+	g := NewWithT(t)
+	x, conn, far := withExchange(t)
+	g.Expect(x.verdict()).To(Equal(rpverdict.NotRun))
+	_, err := conn.Write([]byte("POST"))
+	g.Expect(err).To(MatchError(errSealed))
+	n, err := far.Read(make([]byte, 1))
+	g.Expect(n).To(BeZero())
+	g.Expect(err).To(HaveOccurred())
+}
+
+// Guards against not_run for a request of which a part is on its way.
+func TestUnfinishedWriteMayHaveRun(t *testing.T) {
+	g := NewWithT(t)
+	x, conn, far := withExchange(t)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = conn.Write([]byte("POST"))
+	}()
+	_, err := far.Read(make([]byte, 1))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(x.verdict()).To(Equal(rpverdict.MayHaveRun))
+	far.Close()
+	<-done
+	g.Expect(x.verdict()).To(Equal(rpverdict.MayHaveRun))
+}
+
+// Guards against a second connection for a request that the first one took.
+func TestSecondConnectionIsSealed(t *testing.T) {
+	g := NewWithT(t)
+	x, conn, far := withExchange(t)
+	go func() { _, _ = far.Read(make([]byte, 9)) }()
+	_, err := conn.Write([]byte("POST"))
+	g.Expect(err).NotTo(HaveOccurred())
+	near, _ := net.Pipe()
+	second := &trackedConn{Conn: near}
+	x.gotConn(httptrace.GotConnInfo{Conn: second})
+	_, err = second.Write([]byte("POST"))
+	g.Expect(err).To(MatchError(errSealed))
+	g.Expect(x.verdict()).To(Equal(rpverdict.MayHaveRun))
+}
+
+// Guards against proxies from the environment: endpoints are reached by
+// address only.
+func TestTransportUsesNoProxy(t *testing.T) {
+	NewWithT(t).Expect(newTransport(Limits{}.withDefaults(), true).Proxy).To(BeNil())
+}
--- /dev/null
+++ b/internal/rpendpoint/exchange.go
@@ -0,0 +1,95 @@
+package rpendpoint
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+var errRepeated = errors.New("the request was already written to another connection")
+
+// exchange follows one HTTP request through the transport.
+type exchange struct {
+	cancel context.CancelCauseFunc
+
+	mu   sync.Mutex
+	conn *trackedConn
+	// wrote says that an earlier connection took bytes of the request.
+	wrote bool
+}
+
+// trace returns a request that reports its connections to the exchange.
+// GetBody is cleared so that the transport can't send a body twice.
+func (x *exchange) trace(req *http.Request) *http.Request {
+	ctx, cancel := context.WithCancelCause(req.Context())
+	x.cancel = cancel
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.gotConn})
+	req = req.WithContext(ctx)
+	req.GetBody = nil
+	return req
+}
+
+// gotConn runs before the request is written. The transport may repeat a
+// request without a body on a second connection, although the endpoint may
+// have run it; that connection is sealed before the first byte.
+func (x *exchange) gotConn(info httptrace.GotConnInfo) {
+	conn, ok := info.Conn.(*trackedConn)
+	if !ok {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.conn != nil && x.conn.touched() {
+		x.wrote = true
+	}
+	conn.begin()
+	x.conn = conn
+	if x.wrote {
+		conn.seal()
+		x.cancel(errRepeated)
+	}
+}
+
+// connected reports whether the request got a connection.
+func (x *exchange) connected() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.conn != nil
+}
+
+// verdict says whether a request without an answer may have run. After
+// NotRun, no byte of it can leave any more.
+func (x *exchange) verdict() rpverdict.Verdict {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.wrote {
+		return rpverdict.MayHaveRun
+	}
+	if x.conn == nil || x.conn.seal() {
+		return rpverdict.NotRun
+	}
+	return rpverdict.MayHaveRun
+}
+
+func newTransport(l Limits, keepAlive bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: l.DialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &trackedConn{Conn: conn}, nil
+		},
+		DisableKeepAlives:      !keepAlive,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    l.IdleConnections,
+		IdleConnTimeout:        l.IdleTimeout,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	}
+}
--- /dev/null
+++ b/internal/rpendpoint/failure.go
@@ -0,0 +1,124 @@
+package rpendpoint
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"syscall"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// The codes in error answers of endpoints.
+const (
+	codeNotLoaded = "model_not_loaded"
+	codeBusy      = "busy"
+	codeLeaving   = "leaving"
+	codeFenced    = "fenced"
+)
+
+func failed(reason rpcore.AttemptReason, verdict rpverdict.Verdict, detail string) Result {
+	return Result{Reason: reason, Verdict: verdict, Detail: detail}
+}
+
+// exchangeFailure says how an attempt ended that got no answer.
+func exchangeFailure(ctx context.Context, x *exchange, err error) Result {
+	verdict := x.verdict()
+	if reason, ended := contextReason(ctx); ended {
+		return failed(reason, verdict, err.Error())
+	}
+	if !x.connected() && !isLocalFailure(err) {
+		return failed(rpcore.AttemptRefusedConnection, verdict, err.Error())
+	}
+	return failed(rpcore.AttemptBroken, verdict, err.Error())
+}
+
+// contextReason reports whether the attempt was ended from this side.
+func contextReason(ctx context.Context) (rpcore.AttemptReason, bool) {
+	if ctx.Err() == nil {
+		return "", false
+	}
+	if errors.Is(context.Cause(ctx), errDeadlinePassed) {
+		return rpcore.AttemptTimedOut, true
+	}
+	return rpcore.AttemptCanceled, true
+}
+
+// isLocalFailure reports whether no connection could be made for a reason
+// that says nothing about the endpoint.
+func isLocalFailure(err error) bool {
+	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
+// bodyFailure says how an attempt ended whose answer broke off.
+func bodyFailure(ctx context.Context, err error) Result {
+	if reason, ended := contextReason(ctx); ended {
+		return failed(reason, rpverdict.MayHaveRun, err.Error())
+	}
+	return failed(rpcore.AttemptBroken, rpverdict.MayHaveRun, err.Error())
+}
+
+// statusFailure maps the status and code of an error answer. It returns false
+// for an answer that belongs to the caller.
+func statusFailure(status int, body []byte) (Result, bool) {
+	code := errorCode(body)
+	detail := fmt.Sprintf("the endpoint answered with status %d and code %q", status, code)
+	unavailable := status == http.StatusServiceUnavailable
+	switch {
+	case status == http.StatusNotFound && code == codeNotLoaded:
+		return failed(rpcore.AttemptNotLoaded, rpverdict.NotRun, detail), true
+	case (unavailable || status == http.StatusTooManyRequests) && code == codeBusy:
+		return failed(rpcore.AttemptBusy, rpverdict.NotRun, detail), true
+	case unavailable && code == codeLeaving:
+		return failed(rpcore.AttemptLeaving, rpverdict.NotRun, detail), true
+	case status == http.StatusTooManyRequests:
+		return failed(rpcore.AttemptBusy, rpverdict.MayHaveRun, detail), true
+	case status >= 500 || status < 200 || status >= 300 && status < 400:
+		return failed(rpcore.AttemptFailed, rpverdict.MayHaveRun, detail), true
+	}
+	return Result{}, false
+}
+
+// errorCode reads the code of an error answer, which is a member of the
+// object itself or of its member error.
+func errorCode(body []byte) string {
+	var answer struct {
+		Code  json.RawMessage `json:"code"`
+		Error json.RawMessage `json:"error"`
+	}
+	if json.Unmarshal(body, &answer) != nil {
+		return ""
+	}
+	if code := jsonString(answer.Code); code != "" {
+		return code
+	}
+	var inner struct {
+		Code json.RawMessage `json:"code"`
+	}
+	if json.Unmarshal(answer.Error, &inner) != nil {
+		return ""
+	}
+	return jsonString(inner.Code)
+}
+
+func jsonString(raw json.RawMessage) string {
+	var s string
+	if json.Unmarshal(raw, &s) != nil {
+		return ""
+	}
+	return s
+}
+
+func readErrorBody(r io.Reader) []byte {
+	body, _ := io.ReadAll(io.LimitReader(r, errorBodyBytes))
+	return body
+}
--- /dev/null
+++ b/internal/rpendpoint/inference.go
@@ -0,0 +1,222 @@
+package rpendpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// The headers of the engine protocol.
+const (
+	headerRequestID      = "X-Request-Id"
+	headerResumeAfter    = "Rattan-Resume-After"
+	headerDeadline       = "Rattan-Deadline"
+	headerIdempotencyKey = "Idempotency-Key"
+)
+
+const typeEventStream = "text/event-stream"
+
+// runInference runs an attempt at an engine.
+func (c *Client) runInference(ctx context.Context, a Attempt, out *relayer) Result {
+	req, err := inferenceRequest(ctx, a)
+	if err != nil {
+		return failed(rpcore.AttemptFailed, rpverdict.NotRun, err.Error())
+	}
+	resp, done, failure := c.exchange(ctx, req, a.Command.Record)
+	if failure != nil {
+		return *failure
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer done()
+		defer resp.Body.Close()
+		return c.relayError(ctx, a, resp, out)
+	}
+	isStream := mediaType(resp.Header) == typeEventStream
+	if isStream != (a.Stream != nil) {
+		defer done()
+		resp.Body.Close()
+		return failed(rpcore.AttemptFailed, rpverdict.MayHaveRun, "the engine answered with another content type than asked for")
+	}
+	var result Result
+	if isStream {
+		result = c.relayStream(ctx, a, resp.Body, out)
+	} else {
+		result = c.relayWhole(ctx, resp, out)
+	}
+	if result.Reason != rpcore.AttemptComplete || result.CallerGone {
+		resp.Body.Close()
+		done()
+		return result
+	}
+	c.reclaim(resp.Body, done)
+	return result
+}
+
+// exchange sends a request at most once and returns the answer, with a
+// function to call when its body is closed.
+func (c *Client) exchange(ctx context.Context, req *http.Request, single bool) (*http.Response, func(), *Result) {
+	x := &exchange{}
+	req = x.trace(req)
+	transport := c.shared
+	if single {
+		transport = c.single
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		result := exchangeFailure(ctx, x, err)
+		x.cancel(nil)
+		return nil, nil, &result
+	}
+	return resp, func() { x.cancel(nil) }, nil
+}
+
+// relayError maps an error answer, or relays one that belongs to the caller.
+func (c *Client) relayError(ctx context.Context, a Attempt, resp *http.Response, out *relayer) Result {
+	body, err := readWhole(resp, errorBodyBytes)
+	if result, ok := statusFailure(resp.StatusCode, body); ok {
+		return result
+	}
+	if err != nil {
+		return bodyFailure(ctx, err)
+	}
+	if a.Stream != nil && a.Stream.begun {
+		return failed(rpcore.AttemptFailed, rpverdict.MayHaveRun, fmt.Sprintf("the engine refused to resume with status %d", resp.StatusCode))
+	}
+	return relayBody(resp, body, out)
+}
+
+// relayWhole reads a whole answer before the caller gets its first byte, so
+// that a broken one can be repeated.
+func (c *Client) relayWhole(ctx context.Context, resp *http.Response, out *relayer) Result {
+	body, err := readWhole(resp, c.limits.AnswerBytes)
+	if err != nil {
+		return bodyFailure(ctx, err)
+	}
+	if !json.Valid(body) {
+		return failed(rpcore.AttemptBroken, rpverdict.MayHaveRun, "the answer of the engine is not JSON")
+	}
+	return relayBody(resp, body, out)
+}
+
+func relayBody(resp *http.Response, body []byte, out *relayer) Result {
+	header := http.Header{}
+	header.Set("Content-Type", contentType(resp.Header))
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	err := out.begin(resp.StatusCode, header)
+	if err == nil {
+		err = out.write(body)
+	}
+	result := Result{Reason: rpcore.AttemptComplete, Verdict: rpverdict.Ran, AnswerStarted: true, Outcome: out.outcome, CallerGone: out.gone}
+	if err != nil {
+		result.Reason = rpcore.AttemptCanceled
+	}
+	return result
+}
+
+// readWhole reads a body that must not be larger than limit.
+func readWhole(resp *http.Response, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return body, err
+	}
+	if int64(len(body)) > limit {
+		return nil, fmt.Errorf("the answer is larger than %d bytes", limit)
+	}
+	return body, nil
+}
+
+func inferenceRequest(ctx context.Context, a Attempt) (*http.Request, error) {
+	body, err := inferenceBody(a)
+	if err != nil {
+		return nil, err
+	}
+	cmd := a.Command
+	target := endpointURL(cmd.Address, a.Path, "")
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target.String(), bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	setAttemptHeaders(req.Header, a)
+	if cmd.ResumeAfter > 0 {
+		req.Header.Set(headerResumeAfter, strconv.Itoa(cmd.ResumeAfter))
+	}
+	return req, nil
+}
+
+func setAttemptHeaders(h http.Header, a Attempt) {
+	h.Set(headerRequestID, string(a.Command.Attempt))
+	if !a.Command.Deadline.IsZero() {
+		h.Set(headerDeadline, a.Command.Deadline.UTC().Format(time.RFC3339Nano))
+	}
+	if a.IdempotencyKey != "" {
+		h.Set(headerIdempotencyKey, a.IdempotencyKey)
+	}
+}
+
+// inferenceBody is the caller's body with the engine's name of the model and
+// the priority of the rank.
+func inferenceBody(a Attempt) ([]byte, error) {
+	fields := make(map[string]any, len(a.Fields)+2)
+	for key, value := range a.Fields {
+		fields[key] = value
+	}
+	fields["model"] = engineName(a.Command)
+	fields["priority"] = enginePriority(a.Command.Rank)
+	var buf bytes.Buffer
+	enc := json.NewEncoder(&buf)
+	enc.SetEscapeHTML(false)
+	if err := enc.Encode(fields); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
+
+// engineName returns service/model or service/adapter.
+func engineName(cmd rpcore.StartAttempt) string {
+	switch {
+	case cmd.Adapter == "":
+		return cmd.Model.String()
+	case strings.Contains(cmd.Adapter, "/"):
+		return cmd.Adapter
+	}
+	return rpcore.ModelKey{Service: cmd.Model.Service, Name: cmd.Adapter}.String()
+}
+
+// enginePriority returns the engine's priority: a lower number goes first.
+func enginePriority(rank rpdocument.Rank) int {
+	if i := rank.Index(); i >= 0 {
+		return i
+	}
+	return rpdocument.RankNormal.Index()
+}
+
+func mediaType(h http.Header) string {
+	media, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	if err != nil {
+		return ""
+	}
+	return media
+}
+
+func contentType(h http.Header) string {
+	if value := h.Get("Content-Type"); value != "" {
+		return value
+	}
+	return "application/json"
+}
+
+// pathEscape escapes one segment of a path, including slashes.
+func pathEscape(segment string) string { return url.PathEscape(segment) }
--- /dev/null
+++ b/internal/rpendpoint/relayer.go
@@ -0,0 +1,77 @@
+package rpendpoint
+
+import (
+	"errors"
+	"net/http"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+var errCallerGone = errors.New("the caller is gone")
+
+// relayer passes an answer on and records it where that is asked for. A
+// recorded answer is read to its end even when the caller is gone, because a
+// later request with the same idempotency key needs it.
+type relayer struct {
+	relay   Relay
+	outcome *rpcore.Outcome
+	begun   bool
+	gone    bool
+}
+
+func newRelayer(relay Relay, record bool) *relayer {
+	r := &relayer{relay: relay}
+	if record {
+		r.outcome = &rpcore.Outcome{}
+	}
+	return r
+}
+
+func (r *relayer) begin(status int, header http.Header) error {
+	if r.outcome != nil {
+		r.outcome.Status = status
+		r.outcome.ContentType = header.Get("Content-Type")
+	}
+	if r.gone {
+		return nil
+	}
+	return r.check(r.relay.Begin(status, header))
+}
+
+func (r *relayer) write(p []byte) error {
+	r.keep(p)
+	if r.gone {
+		return nil
+	}
+	err := r.relay.Write(p)
+	if err == nil && !r.begun {
+		r.begun = true
+		r.relay.First()
+	}
+	return r.check(err)
+}
+
+// check turns an error of the caller's connection into errCallerGone, or into
+// nothing for a recorded answer.
+func (r *relayer) check(err error) error {
+	if err == nil {
+		return nil
+	}
+	r.gone = true
+	if r.outcome != nil {
+		return nil
+	}
+	return errCallerGone
+}
+
+func (r *relayer) keep(p []byte) {
+	if r.outcome == nil || r.outcome.Truncated {
+		return
+	}
+	if len(r.outcome.Body)+len(p) > rpcore.OutcomeBodyLimit {
+		r.outcome.Body = nil
+		r.outcome.Truncated = true
+		return
+	}
+	r.outcome.Body = append(r.outcome.Body, p...)
+}
--- /dev/null
+++ b/internal/rpendpoint/service.go
@@ -0,0 +1,176 @@
+package rpendpoint
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// Headers that belong to one connection and are not passed on (RFC 9110,
+// section 7.6.1), and headers that this side sets itself.
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// wholeAnswerBytes is the size up to which an answer of known length is read
+// whole before the caller gets its first byte, so that a broken one can be
+// repeated.
+const wholeAnswerBytes = 64 << 10
+
+const relayBufferBytes = 32 << 10
+
+// runService forwards a request to a plain service.
+func (c *Client) runService(ctx context.Context, a Attempt, out *relayer) Result {
+	req, err := serviceRequest(ctx, a)
+	if err != nil {
+		return failed(rpcore.AttemptFailed, rpverdict.NotRun, err.Error())
+	}
+	resp, done, failure := c.exchange(ctx, req, a.Command.Record)
+	if failure != nil {
+		return *failure
+	}
+	defer done()
+	defer resp.Body.Close()
+	if result, ok := serviceFailure(resp); ok {
+		return result
+	}
+	return c.relayService(ctx, resp, out)
+}
+
+func serviceRequest(ctx context.Context, a Attempt) (*http.Request, error) {
+	target := endpointURL(a.Command.Address, a.Path, a.Query)
+	var body io.Reader
+	if len(a.Body) > 0 {
+		body = bytes.NewReader(a.Body)
+	}
+	req, err := http.NewRequestWithContext(ctx, a.Method, target.String(), body)
+	if err != nil {
+		return nil, err
+	}
+	req.Header = forwardedHeader(a.Header)
+	if req.Header.Get("User-Agent") == "" {
+		// An absent header would be replaced by that of net/http.
+		req.Header["User-Agent"] = nil
+	}
+	setAttemptHeaders(req.Header, a)
+	return req, nil
+}
+
+// forwardedHeader copies the end-to-end headers.
+func forwardedHeader(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		out = http.Header{}
+	}
+	for _, value := range h.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// serviceFailure maps an answer which says that the service did not answer:
+// 502, 503 and 504, and a refusal for load. Any other status, 500 included, is
+// the service's own answer.
+func serviceFailure(resp *http.Response) (Result, bool) {
+	switch resp.StatusCode {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return statusFailure(resp.StatusCode, readErrorBody(resp.Body))
+	case http.StatusTooManyRequests:
+		body := readErrorBody(resp.Body)
+		if errorCode(body) == codeBusy {
+			return statusFailure(resp.StatusCode, body)
+		}
+		resp.Body = prefixedBody{Reader: io.MultiReader(bytes.NewReader(body), resp.Body), Closer: resp.Body}
+	}
+	return Result{}, false
+}
+
+type prefixedBody struct {
+	io.Reader
+	io.Closer
+}
+
+func (c *Client) relayService(ctx context.Context, resp *http.Response, out *relayer) Result {
+	if resp.ContentLength > c.limits.ServiceAnswerBytes {
+		return failed(rpcore.AttemptFailed, rpverdict.MayHaveRun, fmt.Sprintf("the answer is larger than %d bytes", c.limits.ServiceAnswerBytes))
+	}
+	started, err := c.copyService(resp, out)
+	result := Result{Reason: rpcore.AttemptComplete, Verdict: rpverdict.Ran, Outcome: out.outcome}
+	switch {
+	case errors.Is(err, errCallerGone):
+		result = failed(rpcore.AttemptCanceled, rpverdict.MayHaveRun, err.Error())
+	case err != nil:
+		result = bodyFailure(ctx, err)
+	}
+	result.AnswerStarted = started
+	result.CallerGone = out.gone
+	return result
+}
+
+// copyService relays an answer and reports whether a byte of it left for the
+// caller.
+func (c *Client) copyService(resp *http.Response, out *relayer) (bool, error) {
+	buf := make([]byte, relayBufferBytes)
+	if resp.ContentLength > 0 && resp.ContentLength <= wholeAnswerBytes && resp.Request.Method != http.MethodHead {
+		buf = make([]byte, resp.ContentLength)
+		if _, err := io.ReadFull(resp.Body, buf); err != nil {
+			return false, err
+		}
+		if err := out.begin(resp.StatusCode, answerHeader(resp)); err != nil {
+			return true, err
+		}
+		return true, out.write(buf)
+	}
+	n, err := resp.Body.Read(buf)
+	if err != nil && err != io.EOF {
+		return false, err
+	}
+	if beginErr := out.begin(resp.StatusCode, answerHeader(resp)); beginErr != nil {
+		return true, beginErr
+	}
+	return true, c.copyRest(resp.Body, out, buf, n, err)
+}
+
+func (c *Client) copyRest(body io.Reader, out *relayer, buf []byte, n int, err error) error {
+	total := int64(0)
+	for {
+		total += int64(n)
+		if total > c.limits.ServiceAnswerBytes {
+			return fmt.Errorf("the answer is larger than %d bytes", c.limits.ServiceAnswerBytes)
+		}
+		if n > 0 || err == io.EOF {
+			if writeErr := out.write(buf[:n]); writeErr != nil {
+				return writeErr
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		n, err = body.Read(buf)
+	}
+}
+
+// answerHeader returns the end-to-end headers of an answer. net/http drops
+// the header Content-Length of an answer only for chunked bodies, so a caller
+// sees a cut-off body of known length as such.
+func answerHeader(resp *http.Response) http.Header {
+	header := forwardedHeader(resp.Header)
+	header.Del(headerRequestID)
+	return header
+}
--- /dev/null
+++ b/internal/rpendpoint/stream.go
@@ -0,0 +1,121 @@
+package rpendpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// EndpointError is an error that an engine reports inside a stream.
+type EndpointError struct {
+	Body string
+}
+
+func (e EndpointError) Error() string {
+	return fmt.Sprintf("the engine reported an error inside the stream: %s", e.Body)
+}
+
+// streamRelay relays one attempt of a streamed answer.
+type streamRelay struct {
+	state   *StreamState
+	out     *relayer
+	resumed bool
+	tokens  int
+	buf     []byte
+}
+
+// relayStream relays events until the end mark. A stream that ends without it
+// is broken.
+func (c *Client) relayStream(ctx context.Context, a Attempt, body io.Reader, out *relayer) Result {
+	s := &streamRelay{state: a.Stream, out: out, resumed: a.Stream.begun}
+	err := s.run(newEventReader(body, c.limits.LineBytes))
+	result := s.end(ctx, err)
+	result.TokensRelayed = s.tokens
+	result.CallerGone = out.gone
+	result.AnswerStarted = a.Stream.begun && a.Stream.Choices > 1
+	return result
+}
+
+func (s *streamRelay) end(ctx context.Context, err error) Result {
+	var reported EndpointError
+	switch {
+	case err == nil:
+		return Result{Reason: rpcore.AttemptComplete, Verdict: rpverdict.Ran, Outcome: s.out.outcome}
+	case errors.Is(err, errCallerGone):
+		return failed(rpcore.AttemptCanceled, rpverdict.MayHaveRun, err.Error())
+	case errors.As(err, &reported):
+		return failed(rpcore.AttemptFailed, rpverdict.MayHaveRun, err.Error())
+	case errors.Is(err, io.EOF):
+		return bodyFailure(ctx, errors.New("the stream ended without its end mark"))
+	}
+	return bodyFailure(ctx, err)
+}
+
+func (s *streamRelay) run(events *eventReader) error {
+	for {
+		ev, err := events.next()
+		if err != nil {
+			return err
+		}
+		if bytes.Equal(ev.data, doneMark) {
+			return s.finish()
+		}
+		if ev.name == "error" {
+			return EndpointError{Body: string(ev.data)}
+		}
+		if err := s.relayChunk(ev.data); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *streamRelay) relayChunk(data []byte) error {
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return fmt.Errorf("the engine sent a chunk that can't be read: %w", err)
+	}
+	kind, finishes := c.kind()
+	if kind == chunkError {
+		return EndpointError{Body: string(data)}
+	}
+	if !s.state.admit(kind, s.resumed, s.tokens == 0) {
+		return nil
+	}
+	data, err := s.state.rewrite(data, &c)
+	if err != nil {
+		return err
+	}
+	if err := s.send(data); err != nil {
+		return err
+	}
+	s.state.relayed(&c, kind, finishes)
+	if kind == chunkToken && !s.out.gone {
+		s.tokens++
+	}
+	return nil
+}
+
+func (s *streamRelay) finish() error {
+	return s.send(doneMark)
+}
+
+func (s *streamRelay) send(data []byte) error {
+	if !s.out.begun {
+		if err := s.out.begin(http.StatusOK, streamHeader()); err != nil {
+			return err
+		}
+	}
+	s.buf = appendEvent(s.buf[:0], data)
+	return s.out.write(s.buf)
+}
+
+func streamHeader() http.Header {
+	return http.Header{"Content-Type": {typeEventStream}, "Cache-Control": {"no-cache"}}
+}
