Add the HTTP interface for callers

Cause: callers need OpenAI-compatible inference, plain services and refusals that say whether a request may have run.

Change: the handler of a request carries out the reducer's commands, so that one goroutine writes to the caller. Paths that the routes of a document and a service could read differently are refused. A refusal carries a member error as well, because OpenAI clients take an error event without it for a chunk and end the stream without an error.

net/http reads the rest of an unread body before it sends an early refusal. A test that sends half a body hung on that; the body timeout now covers it.

--- /dev/null
+++ b/internal/rpfront/bench_test.go
@@ -0,0 +1,225 @@
+package rpfront_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpendpoint"
+	"github.com/rattanpaddle/rattanpaddle/internal/rpfront"
+	"github.com/rattanpaddle/rattanpaddle/internal/rpstandin"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// bench is a front with an endpoint client and a tiny reducer.
+type bench struct {
+	*WithT
+	front  *rpfront.Front
+	client *rpendpoint.Client
+	server *httptest.Server
+	// decide returns the effects of an event; it runs in the event loop.
+	decide func(rpcore.Event) []rpcore.Effect
+	events chan rpcore.Event
+
+	mu   sync.Mutex
+	seen []rpcore.Event
+}
+
+func withBench(t *testing.T, limits rpfront.Limits) *bench {
+	b := &bench{WithT: NewWithT(t), events: make(chan rpcore.Event), client: &rpendpoint.Client{}}
+	b.front = &rpfront.Front{Post: func(ev rpcore.Event) { b.events <- ev }, RunAttempt: b.client.Run, Limits: limits}
+	b.server = httptest.NewServer(b.front.Handler())
+	loop := make(chan struct{})
+	go func() {
+		defer close(loop)
+		for ev := range b.events {
+			b.mu.Lock()
+			b.seen = append(b.seen, ev)
+			b.mu.Unlock()
+			if b.decide != nil {
+				b.do(b.decide(ev))
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		b.server.Close()
+		b.client.Close()
+	})
+	return b
+}
+
+func (b *bench) do(effects []rpcore.Effect) {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case rpcore.StartAttempt:
+			b.front.StartAttempt(effect)
+		case rpcore.CancelAttempt:
+			b.front.CancelAttempt(effect)
+		case rpcore.RefuseRequest:
+			b.front.RefuseRequest(effect)
+		case rpcore.ReplayOutcome:
+			b.front.ReplayOutcome(effect)
+		}
+	}
+}
+
+// seenOf returns the events of one type, in order.
+func seenOf[T rpcore.Event](b *bench) []T {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []T
+	for _, ev := range b.seen {
+		if ev, ok := ev.(T); ok {
+			out = append(out, ev)
+		}
+	}
+	return out
+}
+
+// dispatcher sends each request to the endpoints in turn until one attempt
+// completes, resuming after the tokens that were relayed.
+type dispatcher struct {
+	addresses []netip.AddrPort
+	attempts  int
+	record    bool
+	plain     bool
+	tokens    map[rpcore.RequestID]int
+	count     map[rpcore.RequestID]int
+}
+
+func (d *dispatcher) decide(ev rpcore.Event) []rpcore.Effect {
+	if d.tokens == nil {
+		d.tokens, d.count = map[rpcore.RequestID]int{}, map[rpcore.RequestID]int{}
+	}
+	switch ev := ev.(type) {
+	case rpcore.RequestArrived:
+		return d.start(ev.Request.ID)
+	case rpcore.AttemptEnded:
+		d.tokens[ev.Request] += ev.TokensRelayed
+		if ev.Reason == rpcore.AttemptComplete {
+			return nil
+		}
+		if ev.AnswerStarted || d.count[ev.Request] >= d.attempts || d.record && ev.Verdict != rpverdict.NotRun {
+			refusal := rpverdict.Refusal{Code: rpverdict.CodeStreamBroken, Verdict: ev.Verdict, Detail: "The attempts were used up."}
+			return []rpcore.Effect{rpcore.RefuseRequest{Request: ev.Request, Refusal: refusal}}
+		}
+		return d.start(ev.Request)
+	}
+	return nil
+}
+
+func (d *dispatcher) start(id rpcore.RequestID) []rpcore.Effect {
+	n := d.count[id]
+	d.count[id]++
+	cmd := rpcore.StartAttempt{
+		Attempt:     rpcore.AttemptID(fmt.Sprintf("%s-%d", id, n)),
+		Request:     id,
+		Address:     d.addresses[n%len(d.addresses)],
+		ResumeAfter: d.tokens[id],
+		Record:      d.record,
+	}
+	if !d.plain {
+		cmd.Model = rpcore.ModelKey{Service: "mix", Name: "small"}
+	}
+	return []rpcore.Effect{cmd}
+}
+
+func addressOf(server *httptest.Server) netip.AddrPort {
+	u, _ := url.Parse(server.URL)
+	return netip.MustParseAddrPort(u.Host)
+}
+
+// withEngine starts an engine that has the model mix/small loaded.
+func withEngine(t *testing.T, cfg rpstandin.EngineConfig) (*rpstandin.Engine, netip.AddrPort) {
+	cfg.Memory = rpdocument.GiB
+	engine := rpstandin.NewEngine(cfg)
+	server := httptest.NewServer(engine)
+	t.Cleanup(server.Close)
+	resp, err := http.Post(server.URL+"/v2/repository/models/mix%2Fsmall/load", "application/json", strings.NewReader(`{"parameters":{"memory_bytes":1}}`))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	resp.Body.Close()
+	return engine, addressOf(server)
+}
+
+func chatBody(stream bool, tokens int) string {
+	return fmt.Sprintf(`{"model":"mix/small","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, stream, tokens)
+}
+
+func answerText(tokens int) string {
+	var text strings.Builder
+	for i := range tokens {
+		text.WriteString(rpstandin.EngineToken("user\x00hello\x00", i))
+	}
+	return text.String()
+}
+
+func (b *bench) post(path, body string, header ...string) *http.Response {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, b.server.URL+path, strings.NewReader(body))
+	b.Expect(err).NotTo(HaveOccurred())
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Add(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	b.Expect(err).NotTo(HaveOccurred())
+	return resp
+}
+
+func (b *bench) readAll(resp *http.Response) string {
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	b.Expect(err).NotTo(HaveOccurred())
+	return string(body)
+}
+
+// streamed is what a caller got from a stream.
+type streamed struct {
+	text, failure string
+	ids           map[string]bool
+	opened, ended int
+	done          bool
+}
+
+func (b *bench) parseStream(body string) streamed {
+	out := streamed{ids: map[string]bool{}}
+	for frame := range strings.SplitSeq(strings.TrimSuffix(body, "\n\n"), "\n\n") {
+		data, isData := strings.CutPrefix(frame, "data: ")
+		if !isData {
+			out.failure = frame
+			continue
+		}
+		b.Expect(out.done).To(BeFalse(), "data after the end mark")
+		if data == "[DONE]" {
+			out.done = true
+			continue
+		}
+		var chunk struct {
+			ID      string
+			Choices []struct {
+				Delta        struct{ Role, Content string }
+				FinishReason *string `json:"finish_reason"`
+			}
+		}
+		b.Expect(json.Unmarshal([]byte(data), &chunk)).To(Succeed())
+		out.ids[chunk.ID] = true
+		out.text += chunk.Choices[0].Delta.Content
+		if chunk.Choices[0].Delta.Role != "" {
+			out.opened++
+		}
+		if chunk.Choices[0].FinishReason != nil {
+			out.ended++
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/rpfront/inference.go
@@ -0,0 +1,63 @@
+package rpfront
+
+import (
+	"net/http"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpendpoint"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// bytesPerToken is a common average for prompts; the number of tokens is only
+// used to estimate load.
+const bytesPerToken = 4
+
+// readInference reads a request to a model.
+func (f *Front) readInference(w http.ResponseWriter, r *http.Request) (rpcore.Request, rpendpoint.Attempt, *rpverdict.Refusal) {
+	if refusal := f.checkURL(r); refusal != nil {
+		return rpcore.Request{}, rpendpoint.Attempt{}, refusal
+	}
+	headers, refusal := parseHeaders(r.Header, f.limits)
+	if refusal != nil {
+		return rpcore.Request{}, rpendpoint.Attempt{}, refusal
+	}
+	raw, refusal := readBody(w, r, f.limits.BodyBytes)
+	if refusal != nil {
+		return rpcore.Request{}, rpendpoint.Attempt{}, refusal
+	}
+	body, refusal := decodeInference(raw)
+	if refusal != nil {
+		return rpcore.Request{}, rpendpoint.Attempt{}, refusal
+	}
+	attempt := rpendpoint.Attempt{
+		Method:         r.Method,
+		Path:           r.URL.Path,
+		Fields:         body.fields,
+		IdempotencyKey: headers.idempotencyKey,
+	}
+	if body.stream {
+		attempt.Stream = &rpendpoint.StreamState{Choices: body.choices}
+	}
+	request := headers.request()
+	request.ModelName = body.model
+	request.Fingerprint = fingerprint(r.Method, r.RequestURI, raw)
+	if request.Session == "" {
+		request.Session = body.user
+	}
+	text := promptText(body.fields)
+	request.PrefixHashes = prefixHashes(body.model, text)
+	request.PromptTokens = (len(text) + bytesPerToken - 1) / bytesPerToken
+	request.MaxTokens = body.maxTokens
+	return request, attempt, nil
+}
+
+// request returns the part of a request that its headers say.
+func (c callerHeaders) request() rpcore.Request {
+	return rpcore.Request{
+		Rank:           c.rank,
+		Timeout:        c.timeout,
+		IdempotencyKey: c.idempotencyKey,
+		Credential:     c.credential,
+		Session:        c.session,
+	}
+}
--- /dev/null
+++ b/internal/rpfront/limits_test.go
@@ -0,0 +1,173 @@
+package rpfront_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpfront"
+	"github.com/rattanpaddle/rattanpaddle/internal/rpstandin"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+func withService(t *testing.T, service *rpstandin.Service) netip.AddrPort {
+	server := httptest.NewServer(service)
+	t.Cleanup(server.Close)
+	return addressOf(server)
+}
+
+// Guards against malformed requests that reach the reducer or get an unclear
+// answer.
+func TestInvalidRequests(t *testing.T) {
+	b := withBench(t, rpfront.Limits{BodyBytes: 2000, HeaderBytes: 1000, URLBytes: 100})
+	const chat, good = "/v1/chat/completions", `{"model":"mix/small"}`
+	for _, c := range []struct {
+		name, path, body string
+		header           []string
+		code             rpverdict.Code
+	}{
+		{"unknown rank", chat, good, []string{"Rattan-Rank", "top"}, rpverdict.CodeInvalidHeader},
+		{"empty rank", chat, good, []string{"Rattan-Rank", ""}, rpverdict.CodeInvalidHeader},
+		{"two ranks", chat, good, []string{"Rattan-Rank", "urgent", "Rattan-Rank", "urgent"}, rpverdict.CodeInvalidHeader},
+		{"negative timeout", chat, good, []string{"Rattan-Timeout", "-1s"}, rpverdict.CodeInvalidHeader},
+		{"zero timeout", chat, good, []string{"Rattan-Timeout", "0s"}, rpverdict.CodeInvalidHeader},
+		{"huge timeout", chat, good, []string{"Rattan-Timeout", "9000h"}, rpverdict.CodeInvalidHeader},
+		{"no duration", chat, good, []string{"Rattan-Timeout", "soon"}, rpverdict.CodeInvalidHeader},
+		{"long key", chat, good, []string{"Idempotency-Key", strings.Repeat("k", 256)}, rpverdict.CodeInvalidHeader},
+		{"two keys", chat, good, []string{"Idempotency-Key", "a", "Idempotency-Key", "b"}, rpverdict.CodeInvalidHeader},
+		{"key of other bytes", chat, good, []string{"Idempotency-Key", "k\xff"}, rpverdict.CodeInvalidHeader},
+		{"other scheme", chat, good, []string{"Authorization", "Basic eA=="}, rpverdict.CodeInvalidHeader},
+		{"two credentials", chat, good, []string{"Authorization", "Bearer a", "Authorization", "Bearer b"}, rpverdict.CodeInvalidHeader},
+		{"large headers", chat, good, []string{"X-Large", strings.Repeat("x", 1000)}, rpverdict.CodeInvalidHeader},
+		{"long URL", chat + "?" + strings.Repeat("q", 100), good, nil, rpverdict.CodeMalformedRequest},
+		{"large body", chat, strings.Repeat(" ", 2001), nil, rpverdict.CodeBodyTooLarge},
+		{"bad UTF-8", chat, "{\"model\":\"mix/\xff\"}", nil, rpverdict.CodeMalformedRequest},
+		{"no JSON", chat, `{"model":`, nil, rpverdict.CodeMalformedRequest},
+		{"no object", chat, `["model"]`, nil, rpverdict.CodeMalformedRequest},
+		{"trailing data", chat, good + "{}", nil, rpverdict.CodeMalformedRequest},
+		{"two models", chat, `{"model":"mix/small","model":"mix/big"}`, nil, rpverdict.CodeMalformedRequest},
+		{"no model", chat, `{}`, nil, rpverdict.CodeMalformedRequest},
+		{"wrong type", chat, `{"model":"mix/small","stream":"yes"}`, nil, rpverdict.CodeMalformedRequest},
+		{"negative tokens", chat, `{"model":"mix/small","max_tokens":-1}`, nil, rpverdict.CodeMalformedRequest},
+		{"foreign model", chat, `{"model":"gpt"}`, nil, rpverdict.CodeUnknownModel},
+		{"unknown path", "/v1/nothing", good, nil, rpverdict.CodeUnknownRoute},
+		{"dot segment", "/services/till/quote/%2e%2e/charge", "", nil, rpverdict.CodeMalformedRequest},
+		{"escaped slash", "/services/till/quote%2Fcharge", "", nil, rpverdict.CodeMalformedRequest},
+		{"empty segment", "/services/till//charge", "", nil, rpverdict.CodeMalformedRequest},
+		{"no service", "/services/", "", nil, rpverdict.CodeUnknownService},
+	} {
+		resp := b.post(c.path, c.body, c.header...)
+		var problem struct {
+			Code    rpverdict.Code
+			Verdict rpverdict.Verdict
+			Detail  string
+		}
+		b.Expect(json.Unmarshal([]byte(b.readAll(resp)), &problem)).To(Succeed(), c.name)
+		b.Expect(problem.Code).To(Equal(c.code), c.name)
+		b.Expect(problem.Verdict).To(Equal(rpverdict.NotRun), c.name)
+		b.Expect(problem.Detail).NotTo(BeEmpty(), c.name)
+		b.Expect(resp.StatusCode).To(Equal(rpverdict.Refuse(c.code, "").Status()), c.name)
+	}
+	b.Expect(seenOf[rpcore.RequestArrived](b)).To(BeEmpty())
+}
+
+// Guards against requests without bound: each one holds memory and a
+// goroutine.
+func TestTooManyStreams(t *testing.T) {
+	b := withBench(t, rpfront.Limits{Streams: 1})
+	arrived := make(chan rpcore.RequestID, 2)
+	b.decide = func(ev rpcore.Event) []rpcore.Effect {
+		if ev, ok := ev.(rpcore.RequestArrived); ok {
+			arrived <- ev.Request.ID
+		}
+		return nil
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		b.readAll(b.post("/services/till/wait", ""))
+	}()
+	id := <-arrived
+	resp := b.post("/services/till/wait", "")
+	b.Expect(resp.Header.Get("Retry-After")).To(Equal("1"))
+	b.Expect(b.readAll(resp)).To(ContainSubstring("too_many_streams"))
+	b.front.RefuseRequest(rpcore.RefuseRequest{Request: id, Refusal: rpverdict.Refuse(rpverdict.CodeNoEndpoint, "None.")})
+	<-done
+}
+
+// Guards against fields that routing and admission miss, and against prefix
+// hashes that no engine reports.
+func TestRequestFields(t *testing.T) {
+	b := withBench(t, rpfront.Limits{})
+	_, address := withEngine(t, rpstandin.EngineConfig{})
+	b.decide = (&dispatcher{addresses: []netip.AddrPort{address}, attempts: 1}).decide
+	prompt := strings.Repeat("p", 600)
+	body := `{"model":"mix/small","max_tokens":2,"user":"anna","prompt":"` + prompt + `"}`
+	b.readAll(b.post("/v1/completions", body, "Rattan-Rank", "urgent", "Rattan-Timeout", "3s", "Idempotency-Key", "k 1"))
+	got := seenOf[rpcore.RequestArrived](b)[0].Request
+	b.Expect(got.Rank).To(Equal(rpdocument.RankUrgent))
+	b.Expect(got.Timeout.String()).To(Equal("3s"))
+	b.Expect(got.IdempotencyKey).To(Equal("k 1"))
+	b.Expect(got.Session).To(Equal("anna"))
+	b.Expect(got.PromptTokens).To(Equal(150))
+	b.Expect(got.MaxTokens).To(Equal(2))
+	b.Expect(got.Fingerprint).To(HaveLen(64))
+
+	resp, err := http.Get("http://" + address.String() + "/v1/engine/cache_events?after=0")
+	b.Expect(err).NotTo(HaveOccurred())
+	var batch struct{ Added []uint64 }
+	b.Expect(json.Unmarshal([]byte(b.readAll(resp)), &batch)).To(Succeed())
+	b.Expect(got.PrefixHashes).To(HaveLen(2))
+	b.Expect(got.PrefixHashes).To(Equal(batch.Added))
+}
+
+// Guards against a balancer that sends callers to an instance that is not
+// ready.
+func TestReadiness(t *testing.T) {
+	b := withBench(t, rpfront.Limits{})
+	status := func(path string) int {
+		resp, err := http.Get(b.server.URL + path)
+		b.Expect(err).NotTo(HaveOccurred())
+		b.readAll(resp)
+		return resp.StatusCode
+	}
+	b.Expect(status("/readyz")).To(Equal(http.StatusServiceUnavailable))
+	b.front.ReportReady(rpcore.ReportReady{Ready: true})
+	b.Expect(status("/readyz")).To(Equal(http.StatusOK))
+	b.front.ReportReady(rpcore.ReportReady{Reason: "stopping"})
+	b.Expect(status("/readyz")).To(Equal(http.StatusServiceUnavailable))
+	b.Expect(status("/healthz")).To(Equal(http.StatusOK))
+	b.Expect(status("/v1/models")).To(Equal(http.StatusOK))
+}
+
+// Guards against a body that arrives so slowly that it holds its goroutine,
+// and against a body timeout that ends requests whose body has arrived.
+func TestBodyTimeout(t *testing.T) {
+	b := withBench(t, rpfront.Limits{BodyTimeout: 50 * time.Millisecond})
+	for header, code := range map[string]string{"X: y": "malformed_request", "Rattan-Rank: top": "invalid_header"} {
+		conn, err := net.Dial("tcp", addressOf(b.server).String())
+		b.Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = io.WriteString(conn, "POST /services/till/echo HTTP/1.1\r\nHost: x\r\n"+header+"\r\nContent-Length: 10\r\n\r\nhalf")
+		b.Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		b.Expect(err).NotTo(HaveOccurred())
+		b.Expect(b.readAll(resp)).To(ContainSubstring(code))
+	}
+
+	service := rpstandin.NewService(rpstandin.ServiceConfig{Delay: 150 * time.Millisecond})
+	b.decide = (&dispatcher{addresses: []netip.AddrPort{withService(t, service)}, plain: true}).decide
+	b.Expect(b.readAll(b.post("/services/till/echo", "whole"))).To(Equal("whole"))
+	b.Expect(seenOf[rpcore.RequestAbandoned](b)).To(BeEmpty())
+}
--- /dev/null
+++ b/internal/rpfront/problem.go
@@ -0,0 +1,65 @@
+package rpfront
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+const problemType = "application/problem+json"
+
+// problem is the body of a refusal (RFC 9457).
+type problem struct {
+	Type      string            `json:"type"`
+	Title     string            `json:"title"`
+	Status    int               `json:"status"`
+	Detail    string            `json:"detail"`
+	Code      rpverdict.Code    `json:"code"`
+	Verdict   rpverdict.Verdict `json:"verdict"`
+	RequestID rpcore.RequestID  `json:"request_id"`
+	// Error repeats the refusal where OpenAI clients look for it. Inside a
+	// stream they take an event without this member for a chunk.
+	Error problemError `json:"error"`
+}
+
+type problemError struct {
+	Message string         `json:"message"`
+	Type    string         `json:"type"`
+	Code    rpverdict.Code `json:"code"`
+}
+
+func encodeProblem(id rpcore.RequestID, refusal rpverdict.Refusal) []byte {
+	// Every field has a type that JSON can hold, but for a verdict that does
+	// not exist, which is reported as the careful one.
+	if refusal.Verdict < rpverdict.NotRun || refusal.Verdict > rpverdict.Ran {
+		refusal.Verdict = rpverdict.MayHaveRun
+	}
+	body, _ := json.Marshal(problem{
+		Type:      "urn:rattanpaddle:refusal:" + string(refusal.Code),
+		Title:     refusal.Title(),
+		Status:    refusal.Status(),
+		Detail:    refusal.Detail,
+		Code:      refusal.Code,
+		Verdict:   refusal.Verdict,
+		RequestID: id,
+		Error:     problemError{Message: refusal.Detail, Type: refusal.Verdict.String(), Code: refusal.Code},
+	})
+	return body
+}
+
+// retryAfter returns whole seconds, rounded up, or "" where no time is known.
+func retryAfter(d time.Duration) string {
+	if d <= 0 {
+		return ""
+	}
+	return strconv.FormatInt(int64(math.Ceil(d.Seconds())), 10)
+}
+
+func refuse(code rpverdict.Code, detail string) *rpverdict.Refusal {
+	refusal := rpverdict.Refuse(code, detail)
+	return &refusal
+}
--- /dev/null
+++ b/internal/rpfront/ready.go
@@ -0,0 +1,57 @@
+package rpfront
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+// readiness is what the balancer is told. It starts as not ready.
+type readiness struct {
+	mu     sync.Mutex
+	ready  bool
+	was    bool
+	reason string
+}
+
+// isDraining reports whether the instance was ready and is not any more.
+func (r *readiness) isDraining() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.was && !r.ready
+}
+
+// ReportReady sets what /readyz answers.
+func (f *Front) ReportReady(effect rpcore.ReportReady) {
+	f.ready.mu.Lock()
+	defer f.ready.mu.Unlock()
+	f.ready.ready = effect.Ready
+	f.ready.was = f.ready.was || effect.Ready
+	f.ready.reason = effect.Reason
+}
+
+// Healthz says that the process runs. The operators' interface serves it too.
+func (f *Front) Healthz(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, map[string]string{"status": "ok"})
+}
+
+// Readyz says whether the balancer may send callers here. The operators'
+// interface serves it too.
+func (f *Front) Readyz(w http.ResponseWriter, _ *http.Request) {
+	f.ready.mu.Lock()
+	ready, reason := f.ready.ready, f.ready.reason
+	f.ready.mu.Unlock()
+	if ready {
+		writeJSON(w, http.StatusOK, map[string]string{"status": "ready"})
+		return
+	}
+	writeJSON(w, http.StatusServiceUnavailable, map[string]string{"status": "not_ready", "reason": reason})
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
