--- a/internal/rpdemo/demo.go
+++ b/internal/rpdemo/demo.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -37,8 +38,7 @@
 	if d.Out == nil {
 		d.Out = io.Discard
 	}
-	// Another network for each run lets two of them share a machine.
-	w := &world{deployment: d.Deployment, log: d.Log, network: byte(1 + rand.IntN(250))}
+	w := &world{deployment: d.Deployment, log: d.Log, network: freeNetwork()}
 	standins, stopStandins := context.WithCancel(context.WithoutCancel(ctx))
 	defer w.running.Wait()
 	defer stopStandins()
@@ -65,6 +65,19 @@
 	return report, nil
 }
 
+// freeNetwork returns the second byte of the addresses of a run, chosen at
+// random and probed, so that two runs can share a machine.
+func freeNetwork() byte {
+	for {
+		w := world{network: byte(1 + rand.IntN(250))}
+		listener, err := net.Listen("tcp", w.platformAddress(1).String())
+		if err == nil {
+			_ = listener.Close()
+			return w.network
+		}
+	}
+}
+
 func (d Demo) newReport(w *world) Report {
 	report := Report{
 		Deployment: d.Deployment.Name,
--- /dev/null
+++ b/internal/rpdemo/demo_test.go
@@ -0,0 +1,95 @@
+package rpdemo
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpoperator"
+	"github.com/rattanpaddle/rattanpaddle/internal/rpstandin"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+// small is a deployment that starts quickly.
+var small = Deployment{
+	Name:           "small",
+	Domains:        []rpcore.FailureDomain{"one", "two"},
+	Services:       []Service{{Name: "assistant", Engines: 2, Models: 4, Adapters: 2, PlainEndpoints: 1}},
+	LoadsPerSecond: 12,
+	LoadsAtOnce:    4,
+}
+
+// withWorld starts a deployment whose documents are in force.
+func withWorld(t *testing.T, deployment Deployment) *world {
+	g := NewWithT(t)
+	ctx, stop := context.WithCancel(context.Background())
+	w := &world{deployment: deployment, network: freeNetwork()}
+	t.Cleanup(func() {
+		w.stopInstances()
+		stop()
+		w.running.Wait()
+	})
+	g.Expect(w.start(ctx)).To(Succeed())
+	g.Expect(checkDocuments(ctx, w).Problem).To(BeEmpty())
+	return w
+}
+
+// Guards against an interface that a stock client of the protocol can't use:
+// the library must stream a whole answer through an entry instance, from a
+// model that is loaded for it.
+func TestOpenAIClientStreams(t *testing.T) {
+	g := NewWithT(t)
+	w := withWorld(t, small)
+	client := openai.NewClient(
+		option.WithBaseURL(fmt.Sprintf("http://%s/v1", w.instances[1].callers)),
+		option.WithAPIKey("none"),
+	)
+	stream := client.Chat.Completions.NewStreaming(t.Context(), openai.ChatCompletionNewParams{
+		Model:     "assistant/" + modelName(1),
+		MaxTokens: openai.Int(40),
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage("whole answer")},
+	})
+	var got strings.Builder
+	for stream.Next() {
+		for _, choice := range stream.Current().Choices {
+			got.WriteString(choice.Delta.Content)
+		}
+	}
+	g.Expect(stream.Err()).NotTo(HaveOccurred())
+	var want strings.Builder
+	for i := range 40 {
+		want.WriteString(rpstandin.EngineToken("user\x00whole answer\x00", i))
+	}
+	g.Expect(got.String()).To(Equal(want.String()))
+
+	models, err := client.Models.List(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(models.Data).To(HaveLen(6))
+}
+
+// Guards against a caller's credential, or that of another team, which
+// changes a document through a running instance.
+func TestForeignCredentialIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	w := withWorld(t, small)
+	client := rpoperator.Client{Address: w.instances[0].operators, Credential: "another team"}
+	_, err := client.Accept(t.Context(), "assistant", 1, small.Services[0].document(credentialSum()))
+	g.Expect(err).To(HaveField("Code", rpoperator.CodeCredentialNotAllowed))
+}
+
+// Guards against a demo that reports success when a check failed.
+func TestReportFails(t *testing.T) {
+	g := NewWithT(t)
+	report := Report{Checks: []Check{{Name: "a"}, {Name: "b", Problem: "it failed"}}}
+	g.Expect(report.Held()).To(BeFalse())
+	g.Expect(Report{}.Held()).To(BeFalse())
+	var out bytes.Buffer
+	g.Expect(report.WriteText(&out)).To(Succeed())
+	g.Expect(out.String()).To(ContainSubstring("1 checks held, 1 failed"))
+}
