--- a/pkg/rpcore/id.go
+++ b/pkg/rpcore/id.go
@@ -66,9 +66,9 @@
 
 // Identity is what an instance knows about itself from its settings.
 type Identity struct {
-	Instance      InstanceID    `cbor:"instance"`
-	Incarnation   Incarnation   `cbor:"incarnation"`
-	FailureDomain FailureDomain `cbor:"failure_domain"`
+	Instance      InstanceID    `cbor:"instance" json:"instance"`
+	Incarnation   Incarnation   `cbor:"incarnation" json:"incarnation"`
+	FailureDomain FailureDomain `cbor:"failure_domain" json:"failure_domain"`
 }
 
 // Limits bounds the work of one instance and the timing of its protocols. A
