Run the program as processes and kill the instance that loads a model

The tests of the packages use fakes at the interfaces, so nothing showed what real processes do when one of them dies. The new package builds the program, starts the stand-ins and six instances behind forwarders that a test can cut, and checks what callers get and what the engines carried out.

The first test kills the instance that loads a model, with engines that enforce and that ignore fencing.

--- /dev/null
+++ b/internal/rpsystem/attributes_other_test.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package rpsystem
+
+import "syscall"
+
+func processAttributes() *syscall.SysProcAttr { return nil }
--- /dev/null
+++ b/internal/rpsystem/cluster_test.go
@@ -0,0 +1,274 @@
+package rpsystem
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rppeer"
+	"github.com/rattanpaddle/rattanpaddle/internal/rpstandin"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+const (
+	// longTime bounds every wait. It is no target of the system.
+	longTime = 40 * time.Second
+	pollTime = 20 * time.Millisecond
+
+	domains            = 3
+	instancesPerDomain = 2
+	// The third byte of an address is that of a failure domain, or
+	// platformOctet. The demo uses other ones, so that both can share x.
+	domainOctet   = 10
+	platformOctet = 210
+	engineHost    = 50
+	serviceHost   = 80
+	advertiseHost = 100
+	gateHost      = 150
+
+	callersPort   = 8080
+	operatorsPort = 8081
+	peersPort     = 8082
+	standinPort   = 9000
+
+	service      = "shop"
+	credential   = "system-test"
+	engineMemory = 80 * rpdocument.GiB
+)
+
+// platformParts are the stand-ins of the platform that have a gate before each
+// instance.
+var platformParts = []string{"table", "objects", "list"}
+
+type clusterConfig struct {
+	Engines int
+	// IgnoreFencing applies to all engines.
+	IgnoreFencing bool
+	PlainServices int
+	// TokenTime is 2 ms and LoadTime, that of the weight store, 1 s where
+	// they are 0.
+	TokenTime, LoadTime time.Duration
+	Models              []model
+}
+
+type cluster struct {
+	t         *testing.T
+	config    clusterConfig
+	network   byte
+	authority *rppeer.Authority
+	authFile  string
+	peers     peerNetwork
+	platform  map[string]*standin
+	engines   []*standin
+	services  []*standin
+	instances []*instance
+}
+
+// standin is the process of one stand-in.
+type standin struct {
+	*process
+	id      string
+	args    []string
+	address netip.AddrPort
+	member  rpcore.Member
+}
+
+func (c *cluster) address(octet, host, port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, c.network, byte(octet), byte(host)}), uint16(port))
+}
+
+// withCluster starts everything and returns when the instances know each other,
+// the engines and version 1 of the document.
+func withCluster(t *testing.T, config clusterConfig) *cluster {
+	t.Helper()
+	g := NewWithT(t)
+	c := &cluster{t: t, config: config, platform: make(map[string]*standin)}
+	c.claimNetwork()
+	authority, err := rppeer.NewAuthority(time.Hour)
+	g.Expect(err).NotTo(HaveOccurred())
+	c.authority = authority
+	c.authFile = c.writeFile("ca.pem", authority.PEM())
+	for i, part := range append(platformParts, "weights") {
+		c.platform[part] = c.withStandin(part, c.address(platformOctet, i+1, standinPort), part,
+			"--load-time", orDefault(config.LoadTime, time.Second).String())
+	}
+	for i := range config.Engines {
+		c.withEngine(i)
+	}
+	for i := range config.PlainServices {
+		c.withPlainService(i)
+	}
+	for d := 1; d <= domains; d++ {
+		for host := 1; host <= instancesPerDomain; host++ {
+			c.withInstance(d, host)
+		}
+	}
+	c.waitUntilWhole()
+	c.acceptFirst()
+	return c
+}
+
+// claimNetwork chooses a second byte of the addresses that no other cluster on
+// the machine uses.
+func (c *cluster) claimNetwork() {
+	c.t.Helper()
+	NewWithT(c.t).Eventually(func() error {
+		c.network = byte(1 + rand.IntN(250))
+		claim, err := net.Listen("tcp", c.address(platformOctet, 250, standinPort).String())
+		if err == nil {
+			c.t.Cleanup(func() { _ = claim.Close() })
+		}
+		return err
+	}, longTime).Should(Succeed())
+}
+
+func orDefault(d, fallback time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return fallback
+}
+
+// withStandin starts a stand-in and waits until it answers.
+func (c *cluster) withStandin(id string, address netip.AddrPort, kind string, args ...string) *standin {
+	c.t.Helper()
+	args = append([]string{"standin", kind, "--listen", address.String()}, args...)
+	s := &standin{process: withProcess(c.t, id, args...), id: id, args: args, address: address}
+	NewWithT(c.t).Eventually(func() error {
+		conn, err := net.Dial("tcp", address.String())
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err
+	}, longTime, pollTime).Should(Succeed())
+	return s
+}
+
+func (c *cluster) withEngine(i int) *standin {
+	c.t.Helper()
+	id := fmt.Sprintf("engine-%d", i)
+	domain := i%domains + 1
+	address := c.address(domainOctet+domain, engineHost+i, standinPort)
+	args := append(c.memberArgs(id, domain),
+		"--memory", engineMemory.String(), "--weights", c.platform["weights"].address.String(), "--lag", "100ms",
+		"--token-time", orDefault(c.config.TokenTime, 2*time.Millisecond).String())
+	if c.config.IgnoreFencing {
+		args = append(args, "--ignore-fencing")
+	}
+	s := c.withStandin(id, address, "engine", args...)
+	c.engines = append(c.engines, s)
+	return s
+}
+
+func (c *cluster) withPlainService(i int) {
+	c.t.Helper()
+	id := fmt.Sprintf("plain-%d", i)
+	domain := i%domains + 1
+	address := c.address(domainOctet+domain, serviceHost+i, standinPort)
+	c.services = append(c.services, c.withStandin(id, address, "service", c.memberArgs(id, domain)...))
+}
+
+func (c *cluster) memberArgs(id string, domain int) []string {
+	return []string{
+		"--list", c.platform["list"].address.String(), "--id", id, "--service", service,
+		"--failure-domain", domainName(domain),
+	}
+}
+
+func domainName(domain int) string { return fmt.Sprintf("domain-%d", domain) }
+
+// setFaults sets the faults of a platform stand-in.
+func (c *cluster) setFaults(part string, faults rpstandin.FaultSettings) {
+	c.t.Helper()
+	url := "http://" + c.platform[part].address.String() + "/standin/faults"
+	NewWithT(c.t).Expect(requestJSON(http.MethodPost, url, faults, nil)).To(Succeed())
+}
+
+// members reads the instance list.
+func (c *cluster) members() []rpcore.Member {
+	c.t.Helper()
+	var members []rpcore.Member
+	url := "http://" + c.platform["list"].address.String() + "/v1/members"
+	NewWithT(c.t).Expect(requestJSON(http.MethodGet, url, nil, &members)).To(Succeed())
+	return members
+}
+
+// member returns the entry of a member, or false.
+func (c *cluster) member(id string) (rpcore.Member, bool) {
+	for _, member := range c.members() {
+		if member.ID == id {
+			return member, true
+		}
+	}
+	return rpcore.Member{}, false
+}
+
+// removeMember removes a member from the list, as the platform does for a
+// process that is gone.
+func (c *cluster) removeMember(id string) {
+	c.t.Helper()
+	url := "http://" + c.platform["list"].address.String() + "/v1/members/" + id
+	NewWithT(c.t).Expect(requestJSON(http.MethodDelete, url, nil, nil)).To(Succeed())
+}
+
+// putMember changes the entry of a member.
+func (c *cluster) putMember(member rpcore.Member) {
+	c.t.Helper()
+	url := "http://" + c.platform["list"].address.String() + "/v1/members/" + member.ID
+	NewWithT(c.t).Expect(requestJSON(http.MethodPut, url, member, nil)).To(Succeed())
+}
+
+// cutPeers cuts the links between two failure domains.
+func (c *cluster) cutPeers(a, b int) { c.peers.setCut(a, b, true) }
+
+func (c *cluster) healPeers(a, b int) { c.peers.setCut(a, b, false) }
+
+// setPlatformGates cuts a failure domain from the platform, or ends the cut.
+func (c *cluster) setPlatformGates(domain int, mode gateMode) {
+	for _, i := range c.instances {
+		if i.domain != domain {
+			continue
+		}
+		for _, part := range platformParts {
+			i.gates[part].set(mode)
+		}
+	}
+}
+
+// inDomain returns the instances of a failure domain.
+func (c *cluster) inDomain(domain int) []*instance {
+	var found []*instance
+	for _, i := range c.instances {
+		if i.domain == domain {
+			found = append(found, i)
+		}
+	}
+	return found
+}
+
+// waitUntilWhole waits until every instance is ready, sees all instances and
+// has a report of every engine.
+func (c *cluster) waitUntilWhole() {
+	c.t.Helper()
+	g := NewWithT(c.t)
+	for _, i := range c.instances {
+		g.Eventually(i.ready, longTime, pollTime).Should(Succeed())
+	}
+	for _, i := range c.instances {
+		g.Eventually(func() error { return i.sees(len(c.instances), len(c.engines)) }, longTime, pollTime).Should(Succeed())
+	}
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*longTime)
+	t.Cleanup(cancel)
+	return ctx
+}
--- /dev/null
+++ b/internal/rpsystem/counts_test.go
@@ -0,0 +1,175 @@
+package rpsystem
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpstandin"
+)
+
+// engineState returns the counts of an engine; false where it does not run.
+func (c *cluster) engineState(e *standin) (rpstandin.EngineState, bool) {
+	var state rpstandin.EngineState
+	err := requestJSON(http.MethodGet, "http://"+e.address.String()+"/standin/state", nil, &state)
+	return state, err == nil
+}
+
+func (c *cluster) executions(e *standin) int {
+	state, _ := c.engineState(e)
+	sum := 0
+	for _, n := range state.Executions {
+		sum += n
+	}
+	return sum
+}
+
+// runs returns the executions under an idempotency key over all services.
+func (c *cluster) runs(key string) int {
+	c.t.Helper()
+	sum := 0
+	for _, s := range c.services {
+		var state rpstandin.ServiceState
+		NewWithT(c.t).Expect(requestJSON(http.MethodGet, "http://"+s.address.String()+"/standin/state", nil, &state)).To(Succeed())
+		sum += state.ByKey[key]
+	}
+	return sum
+}
+
+// loadedAt returns the engines that have a model.
+func (c *cluster) loadedAt(name string) []*standin {
+	var found []*standin
+	for _, e := range c.engines {
+		var index []struct{ Name string }
+		if requestJSON(http.MethodGet, "http://"+e.address.String()+"/v2/repository/index", nil, &index) != nil {
+			continue
+		}
+		for _, entry := range index {
+			if entry.Name == service+"/"+name {
+				found = append(found, e)
+			}
+		}
+	}
+	return found
+}
+
+// leastLoadTime is that of a checkpoint in memory. Readings of all engines that
+// take less time can't count a replica twice that moved from one to another.
+const leastLoadTime = 300 * time.Millisecond
+
+// withBounds watches the engines until the end of the test and fails it when
+// there are more loaded replicas than the document allows or a load beyond the
+// memory of an engine.
+func (c *cluster) withBounds() {
+	stop := make(chan struct{})
+	var watching sync.WaitGroup
+	var problems []string
+	readings := 0
+	watching.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(pollTime):
+			}
+			for _, m := range c.config.Models {
+				begin := time.Now()
+				loaded := c.loadedAt(m.Name)
+				if time.Since(begin) >= leastLoadTime {
+					continue
+				}
+				readings++
+				if len(loaded) > m.MaxReplicas {
+					problems = append(problems, fmt.Sprintf("%d replicas of %s, at most %d are allowed", len(loaded), m.Name, m.MaxReplicas))
+				}
+			}
+		}
+	})
+	c.t.Cleanup(func() {
+		close(stop)
+		watching.Wait()
+		g := NewWithT(c.t)
+		g.Expect(problems).To(BeEmpty())
+		g.Expect(readings).To(BeNumerically(">", 0), "no reading of the engines")
+		c.expectNoOvercommit()
+	})
+}
+
+func (c *cluster) expectNoOvercommit() {
+	c.t.Helper()
+	g := NewWithT(c.t)
+	for _, e := range c.engines {
+		state, running := c.engineState(e)
+		if !running {
+			continue
+		}
+		g.Expect(state.Overcommits).To(BeZero(), e.id)
+		g.Expect(state.HighestMemory).To(BeNumerically("<=", engineMemory), e.id)
+	}
+}
+
+// orderer waits for a load order and returns the instance that sent it.
+func (c *cluster) orderer(name string) *instance {
+	c.t.Helper()
+	var found *instance
+	NewWithT(c.t).Eventually(func() bool {
+		for _, i := range c.instances {
+			if i.logged("orders a load", service+"/"+name) {
+				found = i
+			}
+		}
+		return found != nil
+	}, longTime, pollTime).Should(BeTrue(), "no instance orders a load of "+name)
+	return found
+}
+
+// loads returns the loads that all engines carried out.
+func (c *cluster) loads() int {
+	sum := 0
+	for _, e := range c.engines {
+		state, _ := c.engineState(e)
+		sum += state.Loads
+	}
+	return sum
+}
+
+// ask sends count requests to each of the instances at once and returns a
+// function that waits for the answers.
+func ask(instances []*instance, name string, count, tokens int, timeout time.Duration) func() []answer {
+	var group sync.WaitGroup
+	answers := make([]answer, count*len(instances))
+	for n := range answers {
+		i := instances[n%len(instances)]
+		group.Go(func() { answers[n] = i.chat(name, fmt.Sprintf("%s %d", name, n), tokens, timeout) })
+	}
+	return func() []answer {
+		group.Wait()
+		return answers
+	}
+}
+
+// expectWhole checks that all answers are whole.
+func (c *cluster) expectWhole(answers []answer) {
+	c.t.Helper()
+	for _, a := range answers {
+		NewWithT(c.t).Expect(a.whole()).To(Succeed())
+	}
+}
+
+// expectHonest checks that all answers are whole or refused.
+func (c *cluster) expectHonest(answers []answer) {
+	c.t.Helper()
+	for _, a := range answers {
+		NewWithT(c.t).Expect(a.honest()).To(Succeed())
+	}
+}
+
+// eventuallyServes waits until an instance answers in whole.
+func (c *cluster) eventuallyServes(i *instance, name string) {
+	c.t.Helper()
+	NewWithT(c.t).Eventually(func() error { return i.chat(name, "again", 4, 10*time.Second).whole() },
+		longTime, 5*pollTime).Should(Succeed(), i.id)
+}
--- /dev/null
+++ b/internal/rpsystem/datagram_test.go
@@ -0,0 +1,117 @@
+package rpsystem
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// datagramBytes is more than any datagram between instances has.
+const datagramBytes = 64 << 10
+
+// peerNetwork forwards datagrams between instances and drops those between
+// failure domains that are cut. It knows the sender by its address.
+type peerNetwork struct {
+	mu  sync.Mutex
+	cut map[[2]int]bool
+}
+
+func domainPair(a, b int) [2]int { return [2]int{min(a, b), max(a, b)} }
+
+func (n *peerNetwork) isCut(a, b int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[domainPair(a, b)]
+}
+
+func (n *peerNetwork) setCut(a, b int, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut == nil {
+		n.cut = make(map[[2]int]bool)
+	}
+	n.cut[domainPair(a, b)] = cut
+}
+
+// domainOfAddress returns the failure domain of an instance's address.
+func domainOfAddress(address netip.Addr) int { return int(address.Unmap().As4()[2]) - domainOctet }
+
+// peerForwarder stands before one instance.
+type peerForwarder struct {
+	network *peerNetwork
+	target  netip.AddrPort
+	socket  *net.UDPConn
+
+	mu    sync.Mutex
+	paths map[netip.AddrPort]*net.UDPConn
+}
+
+func withPeerForwarder(t *testing.T, network *peerNetwork, listen, target netip.AddrPort) {
+	t.Helper()
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(listen))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	f := &peerForwarder{network: network, target: target, socket: socket, paths: make(map[netip.AddrPort]*net.UDPConn)}
+	go f.run()
+	t.Cleanup(f.close)
+}
+
+func (f *peerForwarder) run() {
+	buffer := make([]byte, datagramBytes)
+	for {
+		n, from, err := f.socket.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		if path := f.path(from); path != nil && !f.isCut(from) {
+			_, _ = path.Write(buffer[:n])
+		}
+	}
+}
+
+func (f *peerForwarder) isCut(from netip.AddrPort) bool {
+	return f.network.isCut(domainOfAddress(from.Addr()), domainOfAddress(f.target.Addr()))
+}
+
+// path returns the socket from which the datagrams of one sender go on, so
+// that the answers find their way back.
+func (f *peerForwarder) path(from netip.AddrPort) *net.UDPConn {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if path := f.paths[from]; path != nil {
+		return path
+	}
+	path, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(f.target))
+	if err != nil {
+		return nil
+	}
+	f.paths[from] = path
+	go f.answer(path, from)
+	return path
+}
+
+func (f *peerForwarder) answer(path *net.UDPConn, to netip.AddrPort) {
+	buffer := make([]byte, datagramBytes)
+	for {
+		n, err := path.Read(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		// Other errors say that no process listens at the target now.
+		if err == nil && !f.isCut(to) {
+			_, _ = f.socket.WriteToUDPAddrPort(buffer[:n], to)
+		}
+	}
+}
+
+func (f *peerForwarder) close() {
+	_ = f.socket.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, path := range f.paths {
+		_ = path.Close()
+	}
+}
--- /dev/null
+++ b/internal/rpsystem/process_test.go
@@ -0,0 +1,110 @@
+package rpsystem
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// tailBytes is how much of each log a failed test shows.
+const tailBytes = 6 << 10
+
+var processCount atomic.Int64
+
+// process is one process of the program.
+type process struct {
+	t    *testing.T
+	name string
+	cmd  *exec.Cmd
+	log  string
+	// done is closed when the process has ended.
+	done chan struct{}
+}
+
+// withProcess starts the program and kills it at the end of the test.
+func withProcess(t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	g := NewWithT(t)
+	dir := *logsDir
+	if dir == "" {
+		dir = t.TempDir()
+	}
+	g.Expect(os.MkdirAll(dir, 0o755)).To(Succeed())
+	test := strings.ReplaceAll(t.Name(), "/", "-")
+	p := &process{
+		t: t, name: name, done: make(chan struct{}),
+		log: filepath.Join(dir, fmt.Sprintf("%s-%03d-%s.log", test, processCount.Add(1), name)),
+	}
+	file, err := os.Create(p.log)
+	g.Expect(err).NotTo(HaveOccurred())
+	p.cmd = exec.Command(program, args...)
+	p.cmd.Stdout, p.cmd.Stderr = file, file
+	p.cmd.SysProcAttr = processAttributes()
+	g.Expect(p.cmd.Start()).To(Succeed())
+	go func() {
+		defer close(p.done)
+		_ = p.cmd.Wait()
+		_ = file.Close()
+	}()
+	t.Cleanup(p.cleanUp)
+	return p
+}
+
+// cleanUp ends the process and fails the test for what no process may do.
+func (p *process) cleanUp() {
+	p.kill()
+	text := p.text()
+	for _, mark := range []string{"WARNING: DATA RACE", "\npanic: ", "fatal error: "} {
+		if i := bytes.Index(text, []byte(mark)); i >= 0 {
+			p.t.Errorf("%s: %s", p.name, text[i:min(i+tailBytes, len(text))])
+		}
+	}
+	if p.t.Failed() {
+		p.t.Logf("the log of %s ends with:\n%s", p.name, text[max(0, len(text)-tailBytes):])
+	}
+}
+
+func (p *process) signal(signal syscall.Signal) {
+	p.t.Helper()
+	NewWithT(p.t).Expect(p.cmd.Process.Signal(signal)).To(Succeed())
+}
+
+// kill ends the process at once, also where it is paused.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// exitCode waits for the process to end by itself.
+func (p *process) exitCode() int {
+	p.t.Helper()
+	NewWithT(p.t).Eventually(p.done, longTime).Should(BeClosed(), p.name+" does not end")
+	return p.cmd.ProcessState.ExitCode()
+}
+
+func (p *process) text() []byte {
+	text, _ := os.ReadFile(p.log)
+	return text
+}
+
+// logged reports whether a line of the log has all the parts.
+func (p *process) logged(parts ...string) bool {
+	for line := range strings.Lines(string(p.text())) {
+		found := true
+		for _, part := range parts {
+			found = found && strings.Contains(line, part)
+		}
+		if found {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/rpsystem/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package rpsystem
+
+const raceEnabled = true
