Test the program under pauses, cuts, outages, lost answers and stops

Nothing ran the whole program while instances are paused, failure domains are cut off from each other or from the platform, the table loses answers, engines go, or operators race. The tests do so and check answers of callers and counts of the stand-ins.

--- a/internal/rpsystem/cluster_test.go
+++ b/internal/rpsystem/cluster_test.go
@@ -48,6 +48,10 @@
 // instance.
 var platformParts = []string{"table", "objects", "list"}
 
+// clusterSlots bounds the clusters at once: each has up to 20 processes, and
+// the tests of other packages run beside them.
+var clusterSlots = make(chan struct{}, 2)
+
 type clusterConfig struct {
 	Engines int
 	// IgnoreFencing applies to all engines.
@@ -90,6 +94,9 @@
 func withCluster(t *testing.T, config clusterConfig) *cluster {
 	t.Helper()
 	g := NewWithT(t)
+	t.Parallel()
+	clusterSlots <- struct{}{}
+	t.Cleanup(func() { <-clusterSlots })
 	c := &cluster{t: t, config: config, platform: make(map[string]*standin)}
 	c.claimNetwork()
 	authority, err := rppeer.NewAuthority(time.Hour)
--- a/internal/rpsystem/gate_test.go
+++ b/internal/rpsystem/gate_test.go
@@ -29,9 +29,9 @@
 	mu    sync.Mutex
 	mode  gateMode
 	conns map[net.Conn]struct{}
-	// onAnswer is called before the answer to a request that contains
-	// watched is passed on.
-	watched  []byte
+	// onAnswer is called once, before the answer to a request that contains
+	// all watched texts is passed on.
+	watched  []string
 	onAnswer func()
 }
 
@@ -60,11 +60,11 @@
 }
 
 // watch calls a function once, before the answer to the first request that
-// contains the text is passed on.
-func (g *gate) watch(text string, onAnswer func()) {
+// contains all the texts is passed on.
+func (g *gate) watch(onAnswer func(), texts ...string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.watched, g.onAnswer = []byte(text), onAnswer
+	g.watched, g.onAnswer = texts, onAnswer
 }
 
 func (g *gate) accept() {
@@ -98,47 +98,57 @@
 		return
 	}
 	defer func() { _ = upstream.Close() }()
-	found := make(chan func(), 1)
+	e := &exchange{gate: g, caller: conn}
 	go func() {
-		_, _ = io.Copy(upstream, io.TeeReader(conn, &watcher{gate: g, found: found}))
+		_, _ = io.Copy(upstream, io.TeeReader(conn, (*requestReader)(e)))
 		_ = upstream.Close()
 	}()
-	_, _ = io.Copy(answerWriter{conn, found}, upstream)
+	_, _ = io.Copy(e, upstream)
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	delete(g.conns, conn)
-	g.mu.Unlock()
 }
 
-// watcher looks for the watched text in what a client sends.
-type watcher struct {
-	gate  *gate
-	found chan func()
-	tail  []byte
+// exchange is the request and answer under way on a connection.
+type exchange struct {
+	gate    *gate
+	caller  net.Conn
+	mu      sync.Mutex
+	request []byte
 }
 
-func (w *watcher) Write(data []byte) (int, error) {
-	w.gate.mu.Lock()
-	defer w.gate.mu.Unlock()
-	w.tail = append(w.tail, data...)
-	if w.gate.onAnswer != nil && bytes.Contains(w.tail, w.gate.watched) {
-		w.found <- w.gate.onAnswer
-		w.gate.onAnswer = nil
-	}
-	w.tail = w.tail[max(0, len(w.tail)-len(w.gate.watched)):]
+// requestReader collects what the client sends.
+type requestReader exchange
+
+func (r *requestReader) Write(data []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.request = append(r.request, data...)
 	return len(data), nil
 }
 
-// answerWriter calls what the watcher found before it passes data on.
-type answerWriter struct {
-	net.Conn
-	found chan func()
+// Write passes data of the answer on.
+func (e *exchange) Write(data []byte) (int, error) {
+	e.mu.Lock()
+	request := e.request
+	e.request = nil
+	e.mu.Unlock()
+	if call := e.gate.found(request); call != nil {
+		call()
+	}
+	return e.caller.Write(data)
 }
 
-func (w answerWriter) Write(data []byte) (int, error) {
-	select {
-	case call := <-w.found:
-		call()
-	default:
+// found returns what to call before the answer to a request.
+func (g *gate) found(request []byte) func() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, text := range g.watched {
+		if !bytes.Contains(request, []byte(text)) {
+			return nil
+		}
 	}
-	return w.Conn.Write(data)
+	call := g.onAnswer
+	g.onAnswer = nil
+	return call
 }
--- /dev/null
+++ b/internal/rpsystem/partition_test.go
@@ -0,0 +1,51 @@
+package rpsystem
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a failure domain that stops serving when it is cut off, and
+// against a replica on each side of the cut.
+func TestPartition(t *testing.T) {
+	c := withCluster(t, clusterConfig{Engines: 3, Models: []model{
+		{Name: "loaded", MaxReplicas: 1, Warm: 1}, {Name: "cold", MaxReplicas: 1}, {Name: "pair", MaxReplicas: 2},
+	}})
+	g := NewWithT(t)
+	c.withBounds()
+	c.eventuallyServes(c.instances[0], "loaded")
+	c.cutPeers(1, 2)
+	c.cutPeers(1, 3)
+	// The first requests come before the sides have noticed the cut.
+	c.expectWhole(ask(c.instances, "loaded", 2, 8, 10*time.Second)())
+	c.waitForViews()
+	c.expectWhole(ask(c.instances, "loaded", 2, 8, 10*time.Second)())
+	for _, name := range []string{"cold", "pair"} {
+		answers := ask(c.instances, name, 4, 8, 20*time.Second)()
+		c.expectHonest(answers)
+		g.Expect(c.loadedAt(name)).NotTo(BeEmpty())
+	}
+	for _, i := range c.instances {
+		c.eventuallyServes(i, "cold")
+		c.eventuallyServes(i, "pair")
+	}
+	c.healPeers(1, 2)
+	c.healPeers(1, 3)
+	c.waitUntilWhole()
+	c.expectWhole(ask(c.instances, "cold", 2, 8, 10*time.Second)())
+}
+
+// waitForViews waits until failure domain 1 and the others no longer count each
+// other as live.
+func (c *cluster) waitForViews() {
+	c.t.Helper()
+	for _, i := range c.instances {
+		live := 2 * instancesPerDomain
+		if i.domain == 1 {
+			live = instancesPerDomain
+		}
+		NewWithT(c.t).Eventually(func() error { return i.sees(live, len(c.engines)) }, longTime, pollTime).Should(Succeed())
+	}
+}
