Make the outcomes of table writes and submissions true

Cause: - After a lost answer, writeTable called a transaction WriteConflict as soon as a row no longer had the expected version. A write that had taken effect and was then overwritten, or that took effect late after a row had been deleted and created again, was so called conflict. A deletion whose answer was lost was always called conflict. - A submission that arrived twice at one instance crashed it: the second callback found no submission. - A submission that was repeated after a lost answer was answered conflict although its document had been accepted.

Change: WriteConflict after a lost answer needs a row of a kind that is never deleted (document, engine) at exactly the next version with another nonce. Else done gets WriteUnknown with the rows, whose entries carry nonces of their own. WriteUnavailable is given after retries only if no answer was lost; a definite conflict whose rows can't be read ends as WriteUnavailable. Document rows name the submission of each version and decide for submissions.

A simulation of several States (virtual clock, network, table, object store, list, engines) drives the property tests.

--- /dev/null
+++ b/pkg/rpcore/sim_engine_test.go
@@ -0,0 +1,49 @@
+package rpcore
+
+import "time"
+
+// simEngine is a model engine that reports; refusing means that nothing
+// listens at its address.
+type simEngine struct {
+	Member
+	sequence uint64
+	leaving  bool
+	refusing bool
+}
+
+// withEngine adds an engine to the list.
+func (s *sim) withEngine(id string, domain FailureDomain, incarnation Incarnation) *simEngine {
+	e := &simEngine{Member: Member{ID: id, Kind: MemberEngine, Service: "mixadvies", FailureDomain: domain, Incarnation: incarnation}}
+	s.engines[EndpointID(id)] = e
+	s.list.put(s, e.Member)
+	return e
+}
+
+func (n *simNode) pollEngine(effect PollEngine) {
+	n.polls[effect.Endpoint]++
+	if effect.Interval > 0 {
+		n.poll(effect, n.polls[effect.Endpoint])
+	}
+}
+
+func (n *simNode) poll(effect PollEngine, poll int) {
+	s := n.sim
+	n.post(s.delay(time.Millisecond, 20*time.Millisecond), func() {
+		if n.polls[effect.Endpoint] != poll {
+			return
+		}
+		e := s.engines[effect.Endpoint]
+		n.reduce(func(at Stamp) Event { return e.answer(at, effect.Endpoint) })
+		n.post(effect.Interval, func() { n.poll(effect, poll) })
+	})
+}
+
+func (e *simEngine) answer(at Stamp, id EndpointID) Event {
+	if e == nil || e.refusing {
+		return EngineUnreachable{at, id, true}
+	}
+	e.sequence++
+	return EngineReported{at, EngineReport{
+		Endpoint: id, Incarnation: e.Incarnation, Sequence: e.sequence, TakenAt: at.At, Leaving: e.leaving,
+	}}
+}
--- /dev/null
+++ b/pkg/rpcore/sim_platform_test.go
@@ -0,0 +1,200 @@
+package rpcore
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// simTable is the platform's table. Each transaction meets one of the fates
+// of a write: it is answered, refused, or its answer is lost; a lost one is
+// applied, applied late, or never.
+type simTable struct {
+	rows    map[RowKey]Row
+	down    bool
+	slowest time.Duration
+	// refused, lost and late are the shares of these fates; a late write is
+	// applied up to lateMost after its answer was lost.
+	refused, lost, late float64
+	lateMost            time.Duration
+	// onApplied sees every transaction that took effect.
+	onApplied []func(writes []RowWrite)
+}
+
+func (t *simTable) reaches(n *simNode) bool {
+	return !t.down && !n.sim.net.platformCut[n.self.FailureDomain]
+}
+
+func (t *simTable) read(n *simNode, op ReadTable) {
+	s := n.sim
+	s.after(s.delay(time.Millisecond, t.slowest), func() {
+		done := TableReadDone{Op: op.Op, Unavailable: !t.reaches(n) || s.rng.Float64() < t.refused}
+		if !done.Unavailable {
+			done.Rows = t.find(op)
+		}
+		n.post(s.delay(time.Millisecond, t.slowest), func() {
+			n.reduce(func(at Stamp) Event { done.Stamp = at; return done })
+		})
+	})
+}
+
+func (t *simTable) find(op ReadTable) []Row {
+	var rows []Row
+	for _, row := range t.rows {
+		if slices.Contains(op.Keys, row.Key) || (op.Prefix != "" && row.Key.Kind == op.Prefix) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b Row) int {
+		return slices.Compare([]string{string(a.Key.Kind), a.Key.Service, a.Key.Name}, []string{string(b.Key.Kind), b.Key.Service, b.Key.Name})
+	})
+	return rows
+}
+
+func (t *simTable) write(n *simNode, op WriteTable) {
+	s := n.sim
+	writes := slices.Clone(op.Writes)
+	s.after(s.delay(time.Millisecond, t.slowest), func() {
+		outcome := t.serve(n, writes)
+		n.post(s.delay(time.Millisecond, t.slowest), func() {
+			n.reduce(func(at Stamp) Event { return TableWriteDone{at, op.Op, outcome} })
+		})
+	})
+}
+
+func (t *simTable) serve(n *simNode, writes []RowWrite) WriteOutcome {
+	s := n.sim
+	if !t.reaches(n) {
+		return WriteUnavailable
+	}
+	fate := s.rng.Float64()
+	switch {
+	case fate < t.refused:
+		return WriteUnavailable
+	case fate < t.refused+t.lost:
+		switch {
+		case s.rng.Float64() < t.late:
+			s.after(s.delay(0, t.lateMost), func() { t.apply(writes) })
+		case s.rng.IntN(2) == 0:
+			t.apply(writes)
+		}
+		return WriteUnknown
+	case t.apply(writes):
+		return WriteApplied
+	default:
+		return WriteConflict
+	}
+}
+
+func (t *simTable) apply(writes []RowWrite) bool {
+	for i := range writes {
+		if t.rows[writes[i].Key].Version != writes[i].ExpectVersion {
+			return false
+		}
+	}
+	for i := range writes {
+		w := writes[i]
+		if w.Delete {
+			delete(t.rows, w.Key)
+			continue
+		}
+		t.rows[w.Key] = Row{Key: w.Key, Version: w.ExpectVersion + 1, Nonce: w.Nonce, RowBody: w.RowBody}
+	}
+	for _, watch := range t.onApplied {
+		watch(writes)
+	}
+	return true
+}
+
+// simObjects is the platform's object store.
+type simObjects struct {
+	bodies map[string][]byte
+	down   bool
+}
+
+func (o *simObjects) reaches(n *simNode) bool {
+	return !o.down && !n.sim.net.platformCut[n.self.FailureDomain]
+}
+
+func (o *simObjects) load(n *simNode, effect LoadDocument) {
+	s := n.sim
+	n.post(s.delay(time.Millisecond, 50*time.Millisecond), func() {
+		body, ok := o.bodies[effect.Hash]
+		n.reduce(func(at Stamp) Event {
+			return DocumentLoaded{at, effect.Service, effect.Version, effect.Hash, body, !ok || !o.reaches(n)}
+		})
+	})
+}
+
+func (o *simObjects) store(n *simNode, effect StoreDocument) {
+	s := n.sim
+	n.post(s.delay(time.Millisecond, 50*time.Millisecond), func() {
+		if o.reaches(n) {
+			o.bodies[effect.Hash] = effect.Body
+		}
+		n.reduce(func(at Stamp) Event { return DocumentStored{at, effect.Submission, !o.reaches(n)} })
+	})
+}
+
+// simList is the platform's instance list. Each reading shows it as it was up
+// to lagMost ago; the lag varies from reading to reading.
+type simList struct {
+	entries           map[string]Member
+	history           []simListing
+	lagLeast, lagMost time.Duration
+	down              bool
+}
+
+type simListing struct {
+	at      time.Time
+	members []Member
+}
+
+func (l *simList) put(s *sim, member Member) {
+	l.entries[member.ID] = member
+	l.record(s)
+}
+
+func (l *simList) remove(s *sim, id string) {
+	delete(l.entries, id)
+	l.record(s)
+}
+
+func (l *simList) record(s *sim) {
+	members := slices.SortedFunc(maps.Values(l.entries), func(a, b Member) int { return compareText(a.ID, b.ID) })
+	l.history = append(l.history, simListing{s.now, members})
+}
+
+func compareText(a, b string) int { return slices.Compare([]string{a}, []string{b}) }
+
+// settle makes every later reading show the present entries.
+func (l *simList) settle(s *sim) {
+	l.record(s)
+	l.history = []simListing{{time.Time{}, l.history[len(l.history)-1].members}}
+}
+
+func (l *simList) at(at time.Time) []Member {
+	for i := len(l.history) - 1; i >= 0; i-- {
+		if !l.history[i].at.After(at) {
+			return l.history[i].members
+		}
+	}
+	return nil
+}
+
+// pollList reads the list every second; the next reading begins after the
+// last one was taken in.
+func (n *simNode) pollList() {
+	s := n.sim
+	down := s.list.down || s.net.platformCut[n.self.FailureDomain]
+	members := s.list.at(s.now.Add(-s.delay(s.list.lagLeast, s.list.lagMost)))
+	n.post(s.delay(time.Millisecond, 20*time.Millisecond), func() {
+		n.reduce(func(at Stamp) Event {
+			if down {
+				return ListUnavailable{at}
+			}
+			return MembersListed{at, members}
+		})
+		n.post(time.Second, n.pollList)
+	})
+}
--- /dev/null
+++ b/pkg/rpcore/sim_test.go
@@ -0,0 +1,366 @@
+package rpcore
+
+import (
+	"container/heap"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+)
+
+var simChecks = flag.Int("rpcore.checks", 100, "cases of each property test")
+
+var setSimFlags sync.Once
+
+// withCases checks a property with -rpcore.checks cases. A failing case prints
+// its seed; -rapid.seed repeats it.
+func withCases(t *testing.T, property func(rt *rapid.T)) {
+	t.Helper()
+	t.Parallel()
+	setSimFlags.Do(func() {
+		for name, value := range map[string]string{"rapid.checks": strconv.Itoa(*simChecks), "rapid.nofailfile": "true"} {
+			if err := flag.Set(name, value); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+	rapid.Check(t, property)
+}
+
+// sim runs several States on a virtual clock with a simulated network and
+// platform. To extend it, carry out another effect in simNode.carryOut or
+// watch every step with onStep.
+type sim struct {
+	t       fataler
+	rng     *rand.Rand
+	start   time.Time
+	now     time.Time
+	queue   simQueue
+	seq     int
+	nodes   []*simNode
+	net     simNetwork
+	table   simTable
+	objects simObjects
+	list    simList
+	engines map[EndpointID]*simEngine
+	// onStep sees every event of a State with its effects.
+	onStep []func(n *simNode, ev Event, effects []Effect)
+}
+
+type fataler interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+// simNetwork delays, reorders and loses messages between instances.
+type simNetwork struct {
+	minDelay, maxDelay time.Duration
+	loss               float64
+	// lossRun bounds the messages that a link loses in a row; 0 is no bound.
+	lossRun int
+	lost    map[[2]InstanceID]int
+	cuts    map[[2]FailureDomain]bool
+	// platformCut holds the domains without table, objects and list.
+	platformCut map[FailureDomain]bool
+}
+
+// simNode is one instance: a process whose State is replaced by a restart.
+type simNode struct {
+	sim    *sim
+	self   Identity
+	state  *State
+	life   int
+	down   bool
+	paused bool
+	// inbox holds what happened during a pause.
+	inbox     []func()
+	alarm     int
+	since     time.Time
+	polls     map[EndpointID]int
+	submitted map[string]AnswerSubmission
+}
+
+// withSim returns n instances spread over d domains, known to the list and
+// not started.
+func withSim(t fataler, seed uint64, n, d int) *sim {
+	start := time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
+	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 1)), start: start, now: start, engines: make(map[EndpointID]*simEngine)}
+	s.net = simNetwork{
+		minDelay: 500 * time.Microsecond, maxDelay: 20 * time.Millisecond, lost: make(map[[2]InstanceID]int),
+		cuts: make(map[[2]FailureDomain]bool), platformCut: make(map[FailureDomain]bool),
+	}
+	s.table = simTable{rows: make(map[RowKey]Row), slowest: 50 * time.Millisecond}
+	s.objects.bodies = make(map[string][]byte)
+	s.list.entries = make(map[string]Member)
+	for i := range n {
+		node := &simNode{sim: s, down: true, submitted: make(map[string]AnswerSubmission)}
+		node.self = Identity{Instance: InstanceID(fmt.Sprintf("i%03d", i)), FailureDomain: withDomain(i % d)}
+		s.nodes = append(s.nodes, node)
+	}
+	return s
+}
+
+func withDomain(i int) FailureDomain { return FailureDomain(string(rune('A' + i))) }
+
+// withStarted starts all instances; the list shows them from the beginning.
+func (s *sim) withStarted() *sim {
+	for _, n := range s.nodes {
+		n.restart()
+	}
+	s.list.settle(s)
+	return s
+}
+
+// restart starts a new lifetime with an empty State.
+func (n *simNode) restart() {
+	n.stop()
+	n.life++
+	n.down = false
+	n.since = n.sim.now
+	n.self.Incarnation = Incarnation(fmt.Sprintf("%s-%d", n.self.Instance, n.life))
+	n.state = &State{}
+	n.polls = make(map[EndpointID]int)
+	n.sim.list.put(n.sim, Member{
+		ID: string(n.self.Instance), Kind: MemberInstance, FailureDomain: n.self.FailureDomain,
+		Incarnation: n.self.Incarnation, Address: n.address(),
+	})
+	n.reduce(func(at Stamp) Event { return Start{Stamp: at, Self: n.self, Seed: n.sim.rng.Uint64()} })
+	n.post(time.Millisecond, n.pollList)
+}
+
+// stop ends the process; the list is told.
+func (n *simNode) stop() {
+	n.down = true
+	n.paused = false
+	n.inbox = nil
+	n.sim.list.remove(n.sim, string(n.self.Instance))
+}
+
+// pause stops the process for a while; then everything arrives at once.
+func (n *simNode) pause(d time.Duration) {
+	life := n.life
+	n.paused = true
+	n.sim.after(d, func() {
+		if n.down || n.life != life {
+			return
+		}
+		n.paused = false
+		n.since = n.sim.now
+		inbox := n.inbox
+		n.inbox = nil
+		for _, run := range inbox {
+			run()
+		}
+	})
+}
+
+func (n *simNode) address() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1000+n.index()))
+}
+
+func (n *simNode) index() int {
+	for i, other := range n.sim.nodes {
+		if other == n {
+			return i
+		}
+	}
+	return 0
+}
+
+// after runs a function outside any process.
+func (s *sim) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.queue, simEntry{at: s.now.Add(d), seq: s.seq, run: run})
+}
+
+// post runs a function in this lifetime of the process.
+func (n *simNode) post(d time.Duration, run func()) {
+	life := n.life
+	n.sim.after(d, func() { n.do(life, run) })
+}
+
+func (n *simNode) do(life int, run func()) {
+	switch {
+	case n.down || n.life != life:
+	case n.paused:
+		n.inbox = append(n.inbox, run)
+	default:
+		run()
+	}
+}
+
+// run advances the clock.
+func (s *sim) run(d time.Duration) {
+	end := s.now.Add(d)
+	for len(s.queue) > 0 && !s.queue[0].at.After(end) {
+		entry := heap.Pop(&s.queue).(simEntry)
+		s.now = entry.at
+		entry.run()
+	}
+	s.now = end
+}
+
+// reduce applies an event and carries out its effects.
+func (n *simNode) reduce(event func(Stamp) Event) {
+	ev := event(Stamp{At: n.sim.now})
+	effects := n.state.Reduce(ev)
+	for _, watch := range n.sim.onStep {
+		watch(n, ev, effects)
+	}
+	for _, effect := range effects {
+		n.carryOut(effect)
+	}
+}
+
+func (n *simNode) carryOut(effect Effect) {
+	s := n.sim
+	switch effect := effect.(type) {
+	case SetAlarm:
+		n.alarm++
+		alarm := n.alarm
+		n.post(max(0, effect.At.Sub(s.now)), func() {
+			if alarm == n.alarm {
+				n.reduce(func(at Stamp) Event { return Tick{at} })
+			}
+		})
+	case ReadTable:
+		s.table.read(n, effect)
+	case WriteTable:
+		s.table.write(n, effect)
+	case LoadDocument:
+		s.objects.load(n, effect)
+	case StoreDocument:
+		s.objects.store(n, effect)
+	case AnswerSubmission:
+		if _, twice := n.submitted[effect.Submission]; twice {
+			s.t.Fatalf("%s answered submission %s twice", n.self.Instance, effect.Submission)
+		}
+		n.submitted[effect.Submission] = effect
+	case PollEngine:
+		n.pollEngine(effect)
+	case SendPeer:
+		n.send(effect)
+	}
+}
+
+// simEncoding keeps the fractions of times, as peers need them.
+var simEncoding = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+func (n *simNode) send(effect SendPeer) {
+	s := n.sim
+	body, err := simEncoding.Marshal(effect.Message)
+	if err != nil {
+		s.t.Fatalf("encode: %v", err)
+	}
+	to := s.node(effect.To)
+	if to == nil || to.address() != effect.Address || s.net.cut(n, to) || s.net.loses(s.rng, n, to) {
+		return
+	}
+	s.after(s.delay(s.net.minDelay, s.net.maxDelay), func() {
+		if s.net.cut(n, to) {
+			return
+		}
+		var message PeerMessage
+		if err := cbor.Unmarshal(body, &message); err != nil {
+			s.t.Fatalf("decode: %v", err)
+		}
+		to.do(to.life, func() {
+			to.reduce(func(at Stamp) Event { return PeerReceived{at, n.self.Instance, message} })
+		})
+	})
+}
+
+func (s *sim) node(id InstanceID) *simNode {
+	for _, n := range s.nodes {
+		if n.self.Instance == id {
+			return n
+		}
+	}
+	return nil
+}
+
+func (s *sim) delay(least, most time.Duration) time.Duration {
+	return least + time.Duration(s.rng.Int64N(int64(most-least)+1))
+}
+
+func (net *simNetwork) cut(a, b *simNode) bool {
+	return net.cuts[cutKey(a.self.FailureDomain, b.self.FailureDomain)]
+}
+
+func cutKey(a, b FailureDomain) [2]FailureDomain { return [2]FailureDomain{min(a, b), max(a, b)} }
+
+// setCut cuts or heals the network between two domains.
+func (net *simNetwork) setCut(a, b FailureDomain, cut bool) { net.cuts[cutKey(a, b)] = cut && a != b }
+
+func (net *simNetwork) loses(rng *rand.Rand, from, to *simNode) bool {
+	link := [2]InstanceID{from.self.Instance, to.self.Instance}
+	if rng.Float64() >= net.loss || (net.lossRun > 0 && net.lost[link] >= net.lossRun) {
+		net.lost[link] = 0
+		return false
+	}
+	net.lost[link]++
+	return true
+}
+
+// connected returns the instances that can reach a node, directly or through
+// others, in index order. An instance that never read the list knows no peer
+// and passes nothing on.
+func (s *sim) connected(from *simNode) []*simNode {
+	reached := map[*simNode]bool{from: true}
+	for grown := true; grown; {
+		grown = false
+		for _, a := range s.nodes {
+			for _, b := range s.nodes {
+				if reached[a] && !reached[b] && b.takesPart() && !s.net.cut(a, b) {
+					reached[b], grown = true, true
+				}
+			}
+		}
+	}
+	var nodes []*simNode
+	for _, n := range s.nodes {
+		if reached[n] {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
+
+func (n *simNode) takesPart() bool { return !n.down && !n.paused && n.state.members.listings > 0 }
+
+// simQueue is a heap of what happens next.
+type simQueue []simEntry
+
+type simEntry struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].seq < q[j].seq
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEntry)) }
+func (q *simQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
--- a/pkg/rpcore/submission.go
+++ b/pkg/rpcore/submission.go
@@ -11,11 +11,17 @@
 type submission struct {
 	DocumentSubmitted
 	previous *DocumentRow
+	// writing says that the row is being written.
+	writing bool
 }
 
 // documentSubmitted checks the document, stores its body and then writes its
-// row by compare-and-set, so that a row never names a body that is missing.
+// row by compare-and-set, so that a row never names a body that is missing. A
+// submission that is under way here is not started twice.
 func (s *State) documentSubmitted(ev DocumentSubmitted) {
+	if s.documents.submissions[ev.Submission] != nil {
+		return
+	}
 	document, problems := rpdocument.Parse(ev.Body)
 	if len(problems) == 0 && document.Service != ev.Service {
 		problems = append(problems, rpdocument.Problem{
@@ -36,26 +42,30 @@
 
 func (s *State) submissionRead(id string, key RowKey, read TableReadDone) {
 	sub := s.documents.submissions[id]
+	current := documentRowOf(read.Rows, key)
 	switch {
 	case read.Unavailable:
 		s.answerSubmission(id, AnswerSubmission{Result: SubmissionUnavailable})
+	case current.hasSubmission(id):
+		s.submissionAccepted(id, current)
 	case rowVersion(read.Rows, key) != sub.EditedVersion:
-		s.answerSubmission(id, AnswerSubmission{Result: SubmissionConflict, Current: documentRowOf(read.Rows, key)})
+		s.answerSubmission(id, AnswerSubmission{Result: SubmissionConflict, Current: current})
 	default:
-		sub.previous = documentRowOf(read.Rows, key)
+		sub.previous = current
 		s.emit(StoreDocument{Submission: id, Hash: sub.Hash, Body: sub.Body})
 	}
 }
 
 func (s *State) documentStored(ev DocumentStored) {
 	sub := s.documents.submissions[ev.Submission]
-	if sub == nil {
+	if sub == nil || sub.writing {
 		return
 	}
 	if ev.Unavailable {
 		s.answerSubmission(ev.Submission, AnswerSubmission{Result: SubmissionUnavailable})
 		return
 	}
+	sub.writing = true
 	row := sub.row(s.now)
 	write := RowWrite{
 		Key:           RowKey{Kind: RowDocument, Service: sub.Service},
@@ -89,14 +99,18 @@
 	return AcceptedVersion{r.Version, r.Hash, r.Editor, r.AcceptedAt, r.Submission}
 }
 
+// submissionWritten answers with what the write and the row show. The row of a
+// document names the submission of each version, so it decides where the
+// answer to the write was lost and later versions followed.
 func (s *State) submissionWritten(id string, row DocumentRow, outcome WriteOutcome, rows []Row) {
-	sub := s.documents.submissions[id]
 	current := documentRowOf(rows, RowKey{Kind: RowDocument, Service: row.Service})
+	if outcome == WriteApplied && current == nil {
+		current = &row
+	}
 	switch {
-	case outcome == WriteApplied || current.hasSubmission(id):
-		s.adoptDocument(row, sub.Body, "")
-		s.answerSubmission(id, AnswerSubmission{Result: SubmissionAccepted, Version: row.Version, Current: current})
-	case outcome == WriteConflict:
+	case current.hasSubmission(id):
+		s.submissionAccepted(id, current)
+	case outcome == WriteConflict || current.names(row.Version):
 		s.answerSubmission(id, AnswerSubmission{Result: SubmissionConflict, Current: current})
 	case outcome == WriteUnavailable:
 		s.answerSubmission(id, AnswerSubmission{Result: SubmissionUnavailable})
@@ -108,17 +122,45 @@
 	}
 }
 
-// hasSubmission reports whether a submission was accepted, now or earlier.
-func (r *DocumentRow) hasSubmission(id string) bool {
+// submissionAccepted answers a submission that stands in the row. Its body is
+// put in force where it is the version of the row; a later one is fetched.
+func (s *State) submissionAccepted(id string, current *DocumentRow) {
+	sub := s.documents.submissions[id]
+	if current.Submission == id {
+		s.adoptDocument(*current, sub.Body, "")
+	} else {
+		s.wantDocument(*current, "")
+	}
+	s.answerSubmission(id, AnswerSubmission{Result: SubmissionAccepted, Version: current.versionOf(id), Current: current})
+}
+
+// versionOf returns the version that a submission was accepted as; 0 is none.
+func (r *DocumentRow) versionOf(id string) uint64 {
 	if r == nil {
-		return false
+		return 0
 	}
 	if r.Submission == id {
-		return true
+		return r.Version
+	}
+	for i := range r.History {
+		if r.History[i].Submission == id {
+			return r.History[i].Version
+		}
+	}
+	return 0
+}
+
+// names reports whether the row says which submission became a version.
+func (r *DocumentRow) names(version uint64) bool {
+	if r == nil {
+		return false
 	}
-	return slices.ContainsFunc(r.History, func(v AcceptedVersion) bool { return v.Submission == id })
+	return r.Version == version || slices.ContainsFunc(r.History, func(v AcceptedVersion) bool { return v.Version == version })
 }
 
+// hasSubmission reports whether a submission was accepted, now or earlier.
+func (r *DocumentRow) hasSubmission(id string) bool { return r.versionOf(id) > 0 }
+
 func (s *State) answerSubmission(id string, answer AnswerSubmission) {
 	delete(s.documents.submissions, id)
 	answer.Submission = id
--- a/pkg/rpcore/table.go
+++ b/pkg/rpcore/table.go
@@ -16,13 +16,16 @@
 // pendingWrite is a transaction without a final answer.
 type pendingWrite struct {
 	writes []RowWrite
-	// retries counts the repetitions after unknown outcomes.
+	// retries counts the repetitions.
 	retries int
-	done    func(*State, WriteOutcome, []Row)
+	// uncertain says that the answer to a copy was lost, so that copy may have
+	// taken effect or may still do so.
+	uncertain bool
+	done      func(*State, WriteOutcome, []Row)
 }
 
-// maxWriteRetries bounds the repetitions of one transaction whose answer is
-// lost. After them the outcome stays WriteUnknown.
+// maxWriteRetries bounds the repetitions of one transaction. After them the
+// outcome is WriteUnknown where the answer to a copy was lost.
 const maxWriteRetries = 5
 
 // readTable reads rows and calls done with the answer.
@@ -48,9 +51,13 @@
 
 // writeTable writes a transaction and calls done with its outcome. A lost
 // answer is resolved here: the rows are read back, and a row that carries the
-// nonce of this transaction proves that it was applied. On WriteConflict done
-// gets the rows as they are now. WriteUnknown reaches done only after
-// maxWriteRetries; the transaction may then still take effect.
+// nonce of this transaction proves that it was applied.
+//
+// WriteConflict and WriteUnavailable say that no copy was or will be applied.
+// On WriteConflict done gets the rows as they are now. WriteUnknown says that
+// a copy may have been applied or may still be. Where the rows were overwritten
+// after a lost answer, done gets them with WriteUnknown: an entry in a row that
+// carries a nonce of its own may show more.
 func (s *State) writeTable(writes []RowWrite, done func(*State, WriteOutcome, []Row)) {
 	s.sendWrite(&pendingWrite{writes: slices.Clone(writes), done: done})
 }
@@ -83,7 +90,7 @@
 	case WriteApplied:
 		write.done(s, WriteApplied, nil)
 	case WriteUnavailable:
-		if write.retries > 0 {
+		if write.uncertain {
 			// An earlier copy of this transaction may still take effect.
 			s.retryWrite(write)
 			return
@@ -92,6 +99,7 @@
 	case WriteConflict:
 		s.resolveWrite(write, WriteConflict)
 	default:
+		write.uncertain = true
 		s.resolveWrite(write, WriteUnknown)
 	}
 }
@@ -114,10 +122,14 @@
 		s.retryWrite(write)
 	case writeApplied(write.writes, read.Rows):
 		write.done(s, WriteApplied, read.Rows)
-	case outcome == WriteConflict || !expectationsHold(write.writes, read.Rows):
+	case !write.uncertain || neverApplied(write.writes, read.Rows):
 		write.done(s, WriteConflict, read.Rows)
-	default:
+	case outcome == WriteUnknown && expectationsHold(write.writes, read.Rows):
 		s.retryWrite(write)
+	default:
+		// The rows have changed since the lost answer. The transaction may be
+		// among the changes.
+		write.done(s, WriteUnknown, read.Rows)
 	}
 }
 
@@ -125,7 +137,11 @@
 // the same versions, so at most one is applied.
 func (s *State) retryWrite(write *pendingWrite) {
 	if write.retries >= maxWriteRetries {
-		write.done(s, WriteUnknown, nil)
+		outcome := WriteUnavailable
+		if write.uncertain {
+			outcome = WriteUnknown
+		}
+		write.done(s, outcome, nil)
 		return
 	}
 	write.retries++
@@ -137,15 +153,33 @@
 // entries inside a row carry nonces of their own.
 func writeApplied(writes []RowWrite, rows []Row) bool {
 	for i := range writes {
-		for j := range rows {
-			if rows[j].Key == writes[i].Key && rows[j].Nonce == writes[i].Nonce {
-				return true
-			}
+		if row := findRow(rows, writes[i].Key); row != nil && row.Nonce == writes[i].Nonce {
+			return true
+		}
+	}
+	return false
+}
+
+// neverApplied reports whether the rows, none of which carries the nonce of
+// the transaction, prove that no copy of it was applied or will be: another
+// writer made the very version that the transaction would have made. Only rows
+// of kinds that are never deleted prove it, because the versions of a row that
+// is created again start anew. One row must prove it alone, since the rows may
+// have been read one after the other.
+func neverApplied(writes []RowWrite, rows []Row) bool {
+	for i := range writes {
+		w := &writes[i]
+		if !w.Delete && neverDeleted(w.Key.Kind) && rowVersion(rows, w.Key) == w.ExpectVersion+1 {
+			return true
 		}
 	}
 	return false
 }
 
+// neverDeleted reports whether rows of a kind stay for good: the history of a
+// document and the fencing counter of an engine must not start anew.
+func neverDeleted(kind RowKind) bool { return kind == RowDocument || kind == RowEngine }
+
 func expectationsHold(writes []RowWrite, rows []Row) bool {
 	for i := range writes {
 		if rowVersion(rows, writes[i].Key) != writes[i].ExpectVersion {
