--- a/pkg/rpcore/endpoint.go
+++ b/pkg/rpcore/endpoint.go
@@ -13,9 +13,13 @@
 	// leaving is set by the first evidence from any source and holds until
 	// another incarnation is listed.
 	leaving bool
-	// refused says that leaving rests on a refused connection alone, which the
-	// next report refutes.
-	refused  bool
+	// refused says that leaving rests on a refused connection alone, which a
+	// report after answered refutes.
+	refused bool
+	// answered is the highest sequence of a report that is known to exist. For
+	// a plain service, which reports nothing, it counts the refusals that
+	// ended.
+	answered uint64
 	listedAt time.Time
 	// sharedAt is the time at which the report was last sent to the peers.
 	sharedAt time.Time
--- /dev/null
+++ b/pkg/rpcore/endpoint_index.go
@@ -0,0 +1,91 @@
+package rpcore
+
+import (
+	"slices"
+	"strings"
+)
+
+// endpointIndexKey says where an endpoint stands in the indexes.
+type endpointIndexKey struct {
+	kind    MemberKind
+	service string
+	domain  FailureDomain
+}
+
+func indexKey(m Member) endpointIndexKey {
+	return endpointIndexKey{m.Kind, m.Service, m.FailureDomain}
+}
+
+func (e *endpoint) indexKey() endpointIndexKey { return indexKey(e.Member) }
+
+// indexEndpoint adds an endpoint to the indexes.
+func (s *State) indexEndpoint(e *endpoint) {
+	if e.Kind != MemberEngine {
+		insertEndpoint(s.members.services, e.Service, e)
+		return
+	}
+	insertEndpoint(s.members.engines, e.Service, e)
+	insertEndpoint(s.members.domains, e.FailureDomain, e)
+}
+
+// dropEndpoint forgets an endpoint, where there is one.
+func (s *State) dropEndpoint(id EndpointID) {
+	e := s.members.endpoints[id]
+	if e == nil {
+		return
+	}
+	delete(s.members.endpoints, id)
+	if e.Kind != MemberEngine {
+		removeEndpoint(s.members.services, e.Service, e)
+		return
+	}
+	removeEndpoint(s.members.engines, e.Service, e)
+	removeEndpoint(s.members.domains, e.FailureDomain, e)
+}
+
+// insertEndpoint keeps the order by id. Members arrive in that order, so the
+// first reading appends.
+func insertEndpoint[K comparable](index map[K][]*endpoint, key K, e *endpoint) {
+	i, _ := slices.BinarySearchFunc(index[key], e.id, compareEndpoint)
+	index[key] = slices.Insert(index[key], i, e)
+}
+
+func removeEndpoint[K comparable](index map[K][]*endpoint, key K, e *endpoint) {
+	i, ok := slices.BinarySearchFunc(index[key], e.id, compareEndpoint)
+	if !ok {
+		return
+	}
+	index[key] = slices.Delete(index[key], i, i+1)
+	if len(index[key]) == 0 {
+		delete(index, key)
+	}
+}
+
+func compareEndpoint(e *endpoint, id EndpointID) int {
+	return strings.Compare(string(e.id), string(id))
+}
+
+// endpointByID returns an endpoint, or nil.
+func (s *State) endpointByID(id EndpointID) *endpoint { return s.members.endpoints[id] }
+
+// serviceEndpoints returns the endpoints of a plain service that are not
+// leaving, ordered by id.
+func (s *State) serviceEndpoints(service string) []*endpoint {
+	return staying(s.members.services[service])
+}
+
+// serviceEngines returns the engines that may hold models of a service and
+// are not leaving, ordered by id.
+func (s *State) serviceEngines(service string) []*endpoint {
+	return staying(s.members.engines[service])
+}
+
+// staying returns the endpoints that are not leaving. It copies only where
+// one is, since that is rare and requests ask often.
+func staying(endpoints []*endpoint) []*endpoint {
+	isLeaving := func(e *endpoint) bool { return e.leaving }
+	if !slices.ContainsFunc(endpoints, isLeaving) {
+		return endpoints
+	}
+	return slices.DeleteFunc(slices.Clone(endpoints), isLeaving)
+}
--- a/pkg/rpcore/heartbeat.go
+++ b/pkg/rpcore/heartbeat.go
@@ -1,9 +1,6 @@
 package rpcore
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	heartbeatInterval = time.Second
@@ -11,156 +8,29 @@
 	// system with more than fullMeshLimit instances: 52 such peers at 150
 	// bytes would use 7.8 KB/s at one heartbeat a second.
 	remoteHeartbeatInterval = 5 * time.Second
-	// peerSilence is the time without a heartbeat after which a peer no longer
-	// counts as live: three heartbeats and some delay.
-	peerSilence = 3500 * time.Millisecond
-	// fullMeshLimit is the number of instances up to which everyone is a peer
-	// of everyone.
-	fullMeshLimit = 9
-	// remotePeersPerDomain is the number of peers in each other failure
-	// domain of a larger system.
-	remotePeersPerDomain = 2
+	// silentHeartbeatInterval applies to those that fell silent.
+	silentHeartbeatInterval = 2 * time.Second
+	// remoteHeartbeatSlots is the number of ticks over which the heartbeats to
+	// other failure domains are spread.
+	remoteHeartbeatSlots = int(remoteHeartbeatInterval / heartbeatInterval)
 )
 
-// peer is what is known of another instance.
-type peer struct {
-	Member
-	// inSet says that this instance sends heartbeats to it.
-	inSet bool
-	// listedAt starts the time that a peer has for its first heartbeat.
-	listedAt time.Time
-	heardAt  time.Time
-	sentAt   time.Time
-	leaving  bool
-	digest   uint64
-	waiting  [3]int
-}
-
-// updatePeers follows the instance list and chooses the peer set.
-func (s *State) updatePeers() {
-	for id := range s.members.peers {
-		if _, ok := s.members.listed[string(id)]; !ok {
-			delete(s.members.peers, id)
-		}
-	}
-	for id, member := range s.members.listed {
-		if member.Kind != MemberInstance || id == string(s.self.Instance) {
-			continue
-		}
-		p := s.members.peers[InstanceID(id)]
-		if p == nil || p.Incarnation != member.Incarnation {
-			p = &peer{listedAt: s.now}
-			s.members.peers[InstanceID(id)] = p
-		}
-		p.Member = member
-		p.leaving = p.leaving || member.Leaving
-	}
-	s.choosePeers()
-}
-
-// choosePeers marks the peers that get heartbeats: everyone in a small
-// system; else the own failure domain and remotePeersPerDomain of each other.
-func (s *State) choosePeers() {
-	all := s.allPeers()
-	remote := make(map[FailureDomain][]InstanceID)
-	for _, id := range all {
-		p := s.members.peers[id]
-		p.inSet = len(all) < fullMeshLimit || p.FailureDomain == s.self.FailureDomain
-		if !p.inSet {
-			remote[p.FailureDomain] = append(remote[p.FailureDomain], id)
-		}
-	}
-	for _, ids := range remote {
-		for range min(remotePeersPerDomain, len(ids)) {
-			chosen := rendezvous(string(s.self.Instance), ids)
-			s.members.peers[chosen].inSet = true
-			ids = slices.DeleteFunc(ids, func(id InstanceID) bool { return id == chosen })
-		}
-	}
-}
-
-// allPeers returns all known other instances in order.
-func (s *State) allPeers() []InstanceID {
-	ids := make([]InstanceID, 0, len(s.members.peers))
-	for id := range s.members.peers {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
-// peerIDs returns the peer set in order.
-func (s *State) peerIDs() []InstanceID {
-	return slices.DeleteFunc(s.allPeers(), func(id InstanceID) bool { return !s.members.peers[id].inSet })
-}
-
-// updateLive recomputes the live instances and reports whether they changed.
-// An instance outside the peer set counts as live while it is listed, since
-// nobody here listens for it.
-func (s *State) updateLive() bool {
-	live := []InstanceID{s.self.Instance}
-	for id, p := range s.members.peers {
-		if !p.leaving && !s.silent(p) {
-			live = append(live, id)
-		}
-	}
-	slices.Sort(live)
-	if slices.Equal(live, s.members.live) {
-		return false
-	}
-	s.members.live = live
-	return true
-}
-
-func (s *State) silent(p *peer) bool {
-	if !p.inSet {
-		return false
-	}
-	limit := peerSilence
-	if s.remoteIntervalApplies(p) {
-		limit += 2 * remoteHeartbeatInterval
-	}
-	last := p.listedAt
-	if p.heardAt.After(last) {
-		last = p.heardAt
-	}
-	return s.now.Sub(last) > limit
-}
-
-func (s *State) remoteIntervalApplies(p *peer) bool {
-	return p.FailureDomain != s.self.FailureDomain && len(s.members.peers) >= fullMeshLimit
-}
-
-// liveInstances returns this instance and the others that are listed, not
-// leaving and not silent, ordered by id.
-func (s *State) liveInstances() []InstanceID { return s.members.live }
-
-// homeOf returns the live instance that is the home of a key.
-func (s *State) homeOf(key string) InstanceID { return rendezvous(key, s.members.live) }
-
-// liveByDomain groups the live instances by failure domain.
-func (s *State) liveByDomain() map[FailureDomain][]InstanceID {
-	domains := make(map[FailureDomain][]InstanceID)
-	for _, id := range s.members.live {
-		domain := s.self.FailureDomain
-		if p := s.members.peers[id]; p != nil {
-			domain = p.FailureDomain
-		}
-		domains[domain] = append(domains[domain], id)
-	}
-	return domains
-}
-
 // heartbeatTick sends the heartbeats and notices peers that fell silent.
 func (s *State) heartbeatTick() {
 	s.after(heartbeatInterval, (*State).heartbeatTick)
 	s.liveChanged(s.updateLive())
+	s.forgetLeaving()
 	for _, id := range s.peerIDs() {
 		p := s.members.peers[id]
-		if s.remoteIntervalApplies(p) && s.now.Sub(p.sentAt) < remoteHeartbeatInterval {
+		if s.remoteIntervalApplies(p) && s.now.Sub(p.sentAt) < s.remoteInterval(p) {
 			continue
 		}
+		first := p.sentAt.IsZero()
 		s.sendHeartbeat(id, false)
+		if first && s.remoteIntervalApplies(p) {
+			// Instances that start together must not all be silent together.
+			p.sentAt = p.sentAt.Add(-time.Duration(s.rng.IntN(remoteHeartbeatSlots)) * heartbeatInterval)
+		}
 	}
 	// The reports of a peer may have stopped without a change in membership.
 	s.updatePolling()
@@ -174,50 +44,92 @@
 	s.replicaMembersChanged()
 }
 
+// remoteInterval is shorter for a peer that fell silent, so that it counts as
+// live again soon after it is back.
+func (s *State) remoteInterval(p *peer) time.Duration {
+	if s.silent(p) {
+		return silentHeartbeatInterval
+	}
+	return remoteHeartbeatInterval
+}
+
 // sendHeartbeat adds the document versions where the peer's last heartbeat
 // had another digest.
 func (s *State) sendHeartbeat(id InstanceID, answer bool) {
 	p := s.members.peers[id]
 	p.sentAt = s.now
-	heartbeat := Heartbeat{
+	heartbeat := s.heartbeat(answer)
+	if !p.heardAt.IsZero() && p.digest != s.documents.digest {
+		heartbeat.Documents = s.documentVersions()
+	}
+	s.sendPeer(id, PeerMessage{Heartbeat: &heartbeat})
+}
+
+func (s *State) heartbeat(answer bool) Heartbeat {
+	return Heartbeat{
 		Identity:         s.self,
 		Leaving:          s.draining,
 		Answer:           answer,
 		Digest:           s.documents.digest,
+		HasDocuments:     s.hasDocuments(),
 		LeavingEndpoints: s.leavingNotices(),
 	}
-	if !p.heardAt.IsZero() && p.digest != s.documents.digest {
-		heartbeat.Documents = s.documentVersions()
-	}
-	s.sendPeer(id, PeerMessage{Heartbeat: &heartbeat})
 }
 
 func (s *State) heartbeatReceived(from InstanceID, heartbeat Heartbeat) {
 	p := s.members.peers[from]
-	if p == nil || p.Incarnation != heartbeat.Incarnation {
+	if p == nil {
 		// The list lags behind a new instance; it is no peer until listed.
 		return
 	}
+	listed := p.Incarnation == heartbeat.Incarnation
 	first := p.heardAt.IsZero()
-	p.heardAt = s.now
-	p.digest = heartbeat.Digest
-	p.waiting = heartbeat.Waiting
-	p.leaving = heartbeat.Leaving || p.Leaving
-	s.liveChanged(s.updateLive())
-	for _, notice := range heartbeat.LeavingEndpoints {
-		s.leavingNoticeReceived(notice)
+	if listed {
+		s.peerHeard(p, heartbeat)
 	}
-	if heartbeat.Documents != nil || heartbeat.Digest == s.documents.digest {
-		s.compareDocuments(from, heartbeat.Documents)
+	// What is known of documents and endpoints does not depend on the list,
+	// which a domain that is cut from the platform can't read.
+	for _, notice := range heartbeat.LeavingEndpoints {
+		s.leavingNoticeReceived(from, notice)
 	}
+	s.heartbeatDocuments(from, heartbeat)
 	if heartbeat.Answer {
 		return
 	}
-	if first || !p.inSet || (heartbeat.Digest != s.documents.digest && heartbeat.Documents == nil) {
+	differs := heartbeat.Digest != s.documents.digest
+	switch {
+	case !listed:
+		s.answerUnlisted(from, heartbeat)
+	case first || !p.inSet || (differs && heartbeat.Documents == nil):
 		s.sendHeartbeat(from, true)
 	}
 }
 
+// peerHeard looks at the live instances again only where this heartbeat may
+// change them: 68 peers send one each second or five.
+func (s *State) peerHeard(p *peer, heartbeat Heartbeat) {
+	silent, leaving := s.silent(p), p.leaving
+	p.heardAt = s.now
+	p.digest = heartbeat.Digest
+	p.waiting = heartbeat.Waiting
+	p.leaving = heartbeat.Leaving || p.Leaving
+	if silent || p.leaving != leaving {
+		s.liveChanged(s.updateLive())
+	}
+}
+
+// answerUnlisted answers a new lifetime of a listed instance. It is no peer
+// until the list shows it, but in an outage of the table it can learn of the
+// documents only from those that know its address.
+func (s *State) answerUnlisted(from InstanceID, heartbeat Heartbeat) {
+	if heartbeat.Digest == s.documents.digest && heartbeat.HasDocuments {
+		return
+	}
+	answer := s.heartbeat(true)
+	answer.Documents = s.documentVersions()
+	s.sendPeer(from, PeerMessage{Heartbeat: &answer})
+}
+
 // sendPeer sends a message to a peer; unknown peers are passed over.
 func (s *State) sendPeer(id InstanceID, message PeerMessage) {
 	p := s.members.peers[id]
@@ -252,7 +164,7 @@
 	case message.ReportShare != nil:
 		s.engineReported(message.ReportShare.Report, false)
 	case message.LeavingNotice != nil:
-		s.leavingNoticeReceived(*message.LeavingNotice)
+		s.leavingNoticeReceived(ev.From, *message.LeavingNotice)
 	case message.TicketRequest != nil:
 		s.ticketRequestReceived(ev.From, *message.TicketRequest)
 	case message.TicketGrant != nil:
--- a/pkg/rpcore/leaving.go
+++ b/pkg/rpcore/leaving.go
@@ -1,99 +1,262 @@
 package rpcore
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
-// leavingRecord is a notice that heartbeats repeat for leavingRepeat.
+// leavingRecord is a notice that heartbeats repeat until leavingRepeat after
+// the evidence.
 type leavingRecord struct {
 	LeavingNotice
+	// at is the time of the evidence.
 	at time.Time
 }
 
 const (
-	// leavingRepeat outlasts a partition of seconds; after it the instance
-	// list has caught up.
-	leavingRepeat = 30 * time.Second
-	// leavingRecordLimit bounds the notices in one heartbeat. A rack that
-	// goes takes tens of endpoints with it.
-	leavingRecordLimit = 64
+	// leavingRepeat outlasts listLagBound, so that an instance that starts
+	// while the list still shows an endpoint as staying hears of it.
+	leavingRepeat = listLagBound + 15*time.Second
+	// leavingNoticeLimit bounds the notices in one heartbeat. A rack that goes
+	// takes tens of endpoints with it.
+	leavingNoticeLimit = 64
+	// leavingRecordLimit bounds the notices that are remembered. A failure
+	// domain that goes takes 444 engines with it at the design size.
+	leavingRecordLimit = 1024
+	// serviceRefusalHold is the time for which a refused connection keeps work
+	// away from a plain service, which has no reports that could refute it.
+	serviceRefusalHold = 10 * time.Second
 )
 
-// endpointLeaving takes in evidence from any source that an incarnation of an
-// endpoint is leaving, stops new work for it and tells the peers at once.
+// supersedes reports whether a notice about the same incarnation says more
+// than another. Firm evidence is final; a refusal is newer than a report of
+// its sequence, and a report is newer than a refusal of a lower sequence.
+func (n LeavingNotice) supersedes(other LeavingNotice) bool {
+	if n.Evidence == "" || other.Evidence == "" {
+		return n.Evidence == "" && other.Evidence != ""
+	}
+	return cmp.Or(cmp.Compare(n.Sequence, other.Sequence), strengthAtEqual(n)-strengthAtEqual(other)) > 0
+}
+
+func strengthAtEqual(n LeavingNotice) int {
+	if n.Evidence == LeavingRefused {
+		return 1
+	}
+	return 0
+}
+
+// endpointLeaving takes in firm evidence that an incarnation of an endpoint is
+// leaving and tells the peers at once.
 func (s *State) endpointLeaving(id EndpointID, incarnation Incarnation) {
-	if !s.markLeaving(id, incarnation) {
+	s.spreadLeaving(LeavingNotice{Endpoint: id, Incarnation: incarnation})
+}
+
+// endpointRefused takes in that nothing listens at the address of an endpoint
+// and tells the peers. The evidence holds until the endpoint reports again,
+// because a process that restarts under a new incarnation refuses connections
+// too.
+func (s *State) endpointRefused(id EndpointID, incarnation Incarnation) {
+	e := s.members.endpoints[id]
+	if e == nil || e.Incarnation != incarnation || e.leaving {
+		return
+	}
+	s.spreadLeaving(LeavingNotice{Endpoint: id, Incarnation: incarnation, Evidence: LeavingRefused, Sequence: e.answered})
+}
+
+// endpointAnswered takes in that an endpoint reported, or that the hold of a
+// plain service is over. Whoever learned of it first hand tells the peers.
+func (s *State) endpointAnswered(e *endpoint, sequence uint64, firstHand bool) {
+	if e.refused && sequence > e.answered {
+		notice := LeavingNotice{Endpoint: e.id, Incarnation: e.Incarnation, Evidence: LeavingRefuted, Sequence: sequence}
+		if firstHand {
+			s.spreadLeaving(notice)
+		} else {
+			s.learnLeaving(notice)
+		}
+	}
+	e.answered = max(e.answered, sequence)
+}
+
+// spreadLeaving takes in a notice of this instance and tells the peers where
+// it is new.
+func (s *State) spreadLeaving(notice LeavingNotice) {
+	if !s.learnLeaving(notice) {
 		return
 	}
-	notice := LeavingNotice{Endpoint: id, Incarnation: incarnation}
-	s.recordLeaving(notice)
 	for _, peer := range s.peerIDs() {
 		s.sendPeer(peer, PeerMessage{LeavingNotice: &notice})
 	}
 }
 
-// markLeaving reports whether the evidence is new.
-func (s *State) markLeaving(id EndpointID, incarnation Incarnation) bool {
-	e := s.members.endpoints[id]
-	if e == nil || e.Incarnation != incarnation || e.leaving {
+// learnLeaving takes in a notice and reports whether it says something new
+// about a listed endpoint. Heartbeats then repeat it.
+func (s *State) learnLeaving(notice LeavingNotice) bool {
+	if !s.applyLeaving(notice) {
 		return false
 	}
-	e.leaving = true
-	s.emit(Note{Part: "members", Text: "endpoint is leaving; it gets no new work", Endpoint: id})
-	s.endpointsChanged()
-	s.replicaMembersChanged()
+	s.recordLeaving(notice)
 	return true
 }
 
-// leavingNoticeReceived takes in the evidence of a peer. It is not sent on at
-// once, since the peer has told all of its own peers; heartbeats repeat it.
-func (s *State) leavingNoticeReceived(notice LeavingNotice) {
-	if s.markLeaving(notice.Endpoint, notice.Incarnation) {
+// leavingNoticeReceived takes in the evidence of a peer. A notice about an
+// endpoint that the list does not show yet is kept for it.
+func (s *State) leavingNoticeReceived(from InstanceID, notice LeavingNotice) {
+	e := s.members.endpoints[notice.Endpoint]
+	switch {
+	case e == nil || e.Incarnation != notice.Incarnation:
 		s.recordLeaving(notice)
+	case notice.Evidence == LeavingRefused && !e.leaving && notice.Sequence < e.answered:
+		refuted := LeavingNotice{Endpoint: e.id, Incarnation: e.Incarnation, Evidence: LeavingRefuted, Sequence: e.answered}
+		s.sendPeer(from, PeerMessage{LeavingNotice: &refuted})
+	default:
+		if s.learnLeaving(notice) {
+			s.forwardLeaving(from, notice)
+		}
 	}
 }
 
-func (s *State) recordLeaving(notice LeavingNotice) {
-	records := s.members.leaving
-	if len(records) >= leavingRecordLimit {
-		records = records[1:]
+// forwardLeaving sends a notice from another failure domain on at once. A peer
+// of the own domain has told all of that domain, and heartbeats repair losses
+// there within a second; between domains they would take too long.
+func (s *State) forwardLeaving(from InstanceID, notice LeavingNotice) {
+	source := s.domainOf(from)
+	if source == s.self.FailureDomain {
+		return
+	}
+	for _, id := range s.peerIDs() {
+		if s.domainOf(id) != source {
+			s.sendPeer(id, PeerMessage{LeavingNotice: &notice})
+		}
 	}
-	s.members.leaving = append(records, leavingRecord{notice, s.now})
 }
 
-// leavingNotices returns the notices for a heartbeat and forgets old ones.
-func (s *State) leavingNotices() []LeavingNotice {
-	for len(s.members.leaving) > 0 && s.now.Sub(s.members.leaving[0].at) > leavingRepeat {
-		s.members.leaving = s.members.leaving[1:]
+// applyLeaving reports whether the notice says something new about a listed
+// endpoint.
+func (s *State) applyLeaving(notice LeavingNotice) bool {
+	e := s.members.endpoints[notice.Endpoint]
+	if e == nil || e.Incarnation != notice.Incarnation || (e.leaving && !e.refused) {
+		return false
 	}
-	var notices []LeavingNotice
-	for i := range s.members.leaving {
-		notices = append(notices, s.members.leaving[i].LeavingNotice)
+	switch notice.Evidence {
+	case "":
+		changed := !e.leaving
+		e.leaving, e.refused = true, false
+		if changed {
+			s.leavingChanged(e, "endpoint is leaving; it gets no new work")
+		}
+		return true
+	case LeavingRefused:
+		return s.applyRefusal(e, notice.Sequence)
+	case LeavingRefuted:
+		return s.applyRefutation(e, notice.Sequence)
+	default:
+		// A newer version may know other evidence.
+		return false
 	}
-	return notices
 }
 
-// endpointRefused takes in that nothing listens at the address of an
-// endpoint. The evidence holds until the endpoint reports again, because a
-// process that restarts under a new incarnation refuses connections too.
-func (s *State) endpointRefused(id EndpointID, incarnation Incarnation) {
-	e := s.members.endpoints[id]
-	if e == nil || e.Incarnation != incarnation || e.leaving {
-		return
+func (s *State) applyRefusal(e *endpoint, sequence uint64) bool {
+	if sequence < e.answered || (e.refused && sequence == e.answered) {
+		return false
 	}
-	e.leaving = true
-	e.refused = true
-	s.emit(Note{Part: "members", Text: "endpoint refused a connection; it gets no new work until it reports", Endpoint: id})
-	s.endpointsChanged()
-	s.replicaMembersChanged()
+	e.answered = sequence
+	changed := !e.leaving
+	e.leaving, e.refused = true, true
+	if e.Kind != MemberEngine {
+		s.holdRefusal(e, sequence)
+	}
+	if changed {
+		s.leavingChanged(e, "endpoint refused a connection; it gets no new work until it reports")
+	}
+	return true
+}
+
+// holdRefusal ends the refusal of a plain service after serviceRefusalHold.
+func (s *State) holdRefusal(e *endpoint, sequence uint64) {
+	id, incarnation := e.id, e.Incarnation
+	s.after(serviceRefusalHold, func(s *State) {
+		e := s.members.endpoints[id]
+		if e != nil && e.Incarnation == incarnation {
+			s.endpointAnswered(e, sequence+1, true)
+		}
+	})
 }
 
-// endpointAnswered ends the effect of endpointRefused.
-func (s *State) endpointAnswered(e *endpoint) {
+func (s *State) applyRefutation(e *endpoint, sequence uint64) bool {
+	if sequence <= e.answered {
+		return false
+	}
+	e.answered = sequence
 	if !e.refused {
-		return
+		return false
 	}
-	e.refused = false
-	e.leaving = e.Leaving
-	s.emit(Note{Part: "members", Text: "endpoint reports again", Endpoint: e.id})
+	e.leaving, e.refused = false, false
+	s.leavingChanged(e, "endpoint answers again")
+	return true
+}
+
+func (s *State) leavingChanged(e *endpoint, text string) {
+	s.emit(Note{Part: "members", Text: text, Endpoint: e.id})
 	s.endpointsChanged()
 	s.replicaMembersChanged()
 }
+
+// recordLeaving keeps a notice unless one that says as much is kept.
+func (s *State) recordLeaving(notice LeavingNotice) {
+	if notice.Age > leavingRepeat {
+		return
+	}
+	if i := s.leavingRecordOf(notice.Endpoint, notice.Incarnation); i >= 0 {
+		if !notice.supersedes(s.members.leaving[i].LeavingNotice) {
+			return
+		}
+		s.members.leaving = slices.Delete(s.members.leaving, i, i+1)
+	}
+	if len(s.members.leaving) >= leavingRecordLimit {
+		s.members.leaving = slices.Delete(s.members.leaving, 0, 1)
+	}
+	s.members.leaving = append(s.members.leaving, leavingRecord{notice, s.now.Add(-notice.Age)})
+}
+
+func (s *State) leavingRecordOf(id EndpointID, incarnation Incarnation) int {
+	return slices.IndexFunc(s.members.leaving, func(r leavingRecord) bool {
+		return r.Endpoint == id && r.Incarnation == incarnation
+	})
+}
+
+// recallLeaving applies what is known of a lifetime that the list shows for
+// the first time, or again after a reading that was behind.
+func (s *State) recallLeaving(e *endpoint) {
+	if i := s.leavingRecordOf(e.id, e.Incarnation); i >= 0 {
+		s.applyLeaving(s.members.leaving[i].LeavingNotice)
+	}
+}
+
+// forgetLeaving drops old notices and moves on to the next ones.
+func (s *State) forgetLeaving() {
+	s.members.leavingOffset += leavingNoticeLimit
+	if len(s.members.leaving) <= leavingNoticeLimit {
+		s.members.leavingOffset = 0
+	}
+	s.members.leaving = slices.DeleteFunc(s.members.leaving, func(r leavingRecord) bool {
+		return s.now.Sub(r.at) > leavingRepeat
+	})
+}
+
+// leavingNotices returns the notices for a heartbeat. Where there are too many
+// for one, each tick sends the next ones.
+func (s *State) leavingNotices() []LeavingNotice {
+	records := s.members.leaving
+	n := min(len(records), leavingNoticeLimit)
+	if n == 0 {
+		return nil
+	}
+	notices := make([]LeavingNotice, n)
+	for i := range notices {
+		record := records[(s.members.leavingOffset+i)%len(records)]
+		notices[i] = record.LeavingNotice
+		notices[i].Age = s.now.Sub(record.at)
+	}
+	return notices
+}
--- a/pkg/rpcore/member.go
+++ b/pkg/rpcore/member.go
@@ -1,8 +1,8 @@
 package rpcore
 
 import (
-	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -11,154 +11,105 @@
 	// listings counts the readings of the instance list.
 	listings  uint64
 	listed    map[string]Member
-	absences  map[lifetime]*absence
+	presences presences
 	endpoints map[EndpointID]*endpoint
-	// engines and services index the endpoints by service, ordered by id.
+	// engines and services index the endpoints by service, and domains the
+	// engines by failure domain, all ordered by id.
 	engines  map[string][]*endpoint
 	services map[string][]*endpoint
+	domains  map[FailureDomain][]*endpoint
 	peers    map[InstanceID]*peer
 	// live is the ordered result of liveInstances.
 	live []InstanceID
-	// polled holds the interval of each engine that this instance polls.
-	polled map[EndpointID]time.Duration
+	// polled holds what was last asked for each engine that this instance
+	// polls.
+	polled map[EndpointID]PollEngine
 	// leaving holds the notices that heartbeats repeat.
 	leaving []leavingRecord
+	// leavingOffset is the first notice of the next heartbeats.
+	leavingOffset int
 }
 
-// lifetime names one incarnation of a member.
-type lifetime struct {
-	id          string
-	incarnation Incarnation
-}
-
-// absence records what is known of a lifetime that the list does not show.
-type absence struct {
-	// seen says that the list showed the lifetime before.
-	seen bool
-	// missing counts the readings in a row that lacked it.
-	missing int
-	// askedAt is the time at which this instance first asked about it.
-	askedAt time.Time
-}
-
-const (
-	// absentReadings is the number of readings in a row that must lack a
-	// lifetime that the list showed before. One reading could come from a
-	// server that is behind.
-	absentReadings = 3
-	// listLagBound is the longest lag of the instance list that the proof of
-	// absence allows for a lifetime that this instance never saw listed.
-	listLagBound = 60 * time.Second
-)
-
 func (s *State) startMembers() {
 	s.members = memberView{
 		listed:    make(map[string]Member),
-		absences:  make(map[lifetime]*absence),
+		presences: presences{shown: make(map[lifetime]time.Time), absent: make(map[lifetime]*absence)},
 		endpoints: make(map[EndpointID]*endpoint),
 		engines:   make(map[string][]*endpoint),
 		services:  make(map[string][]*endpoint),
+		domains:   make(map[FailureDomain][]*endpoint),
 		peers:     make(map[InstanceID]*peer),
 		live:      []InstanceID{s.self.Instance},
-		polled:    make(map[EndpointID]time.Duration),
+		polled:    make(map[EndpointID]PollEngine),
 	}
 	s.after(s.jitter(heartbeatInterval/10), (*State).heartbeatTick)
 }
 
+// membersListed takes in a reading. Most readings show what the last one
+// showed, so the work beyond the comparison is proportional to the change.
 func (s *State) membersListed(members []Member) {
 	s.members.listings++
-	listed := make(map[string]Member, len(members))
-	for _, member := range members {
-		listed[member.ID] = member
-	}
-	s.updateAbsences(listed)
-	s.members.listed = listed
-	s.updateEndpoints()
-	s.updatePeers()
-	s.updateLive()
-	s.updatePolling()
-	s.endpointsChanged()
+	changed, removed := s.compareList(members)
+	s.updatePresences(changed, removed)
+	if len(s.members.listed) == 0 {
+		s.members.listed = make(map[string]Member, len(members))
+	}
+	for _, member := range removed {
+		delete(s.members.listed, member.ID)
+	}
+	for _, member := range changed {
+		s.members.listed[member.ID] = member
+	}
+	s.updatePeers(changed, removed)
+	s.updateEndpoints(changed, removed)
+	if s.updateLive() || len(changed)+len(removed) > 0 {
+		s.updatePolling()
+		s.endpointsChanged()
+	}
+	// A reading without a change still counts towards the proof of absence.
 	s.replicaMembersChanged()
 }
 
-// listUnavailable keeps the last reading: it stays the best knowledge, and
-// reports, peers and refused connections still remove endpoints.
-func (s *State) listUnavailable() {
-	s.note("members", "instance list unavailable; the last reading stays in use")
-}
-
-// updateAbsences records for each lifetime whether the new reading shows it.
-func (s *State) updateAbsences(listed map[string]Member) {
-	for id, member := range s.members.listed {
-		now, ok := listed[id]
-		if ok && now.Incarnation == member.Incarnation {
-			continue
+// compareList returns the members that are new or differ from the last
+// reading, and those that are gone, both ordered by id.
+func (s *State) compareList(members []Member) (changed, removed []Member) {
+	known := 0
+	for i := range members {
+		last, ok := s.members.listed[members[i].ID]
+		if ok {
+			known++
 		}
-		key := lifetime{id, member.Incarnation}
-		if s.members.absences[key] == nil {
-			s.members.absences[key] = &absence{askedAt: s.now}
+		if !ok || last != members[i] {
+			changed = append(changed, members[i])
 		}
-		s.members.absences[key].seen = true
 	}
-	for key, record := range s.members.absences {
-		if member, ok := listed[key.id]; ok && member.Incarnation == key.incarnation {
-			record.seen = true
-			record.missing = 0
-			continue
-		}
-		record.missing++
+	if known != len(s.members.listed) {
+		removed = s.missingFrom(members)
 	}
-	s.forgetAbsences()
+	byID := func(a, b Member) int { return strings.Compare(a.ID, b.ID) }
+	slices.SortStableFunc(changed, byID)
+	slices.SortFunc(removed, byID)
+	return changed, removed
 }
 
-// absenceLimit bounds the lifetimes that are remembered. A day at the design
-// size has 1,275 failures and restarts.
-const absenceLimit = 4096
-
-// forgetAbsences drops the oldest records; a lifetime that is asked about
-// again starts anew, which only delays the proof.
-func (s *State) forgetAbsences() {
-	if len(s.members.absences) <= absenceLimit {
-		return
-	}
-	keys := make([]lifetime, 0, len(s.members.absences))
-	for key := range s.members.absences {
-		keys = append(keys, key)
-	}
-	slices.SortFunc(keys, func(a, b lifetime) int {
-		return cmp.Or(
-			s.members.absences[a].askedAt.Compare(s.members.absences[b].askedAt),
-			cmp.Compare(a.id, b.id),
-			cmp.Compare(a.incarnation, b.incarnation),
-		)
-	})
-	for _, key := range keys[:len(keys)-absenceLimit/2] {
-		delete(s.members.absences, key)
+func (s *State) missingFrom(members []Member) []Member {
+	shown := make(map[string]bool, len(members))
+	for i := range members {
+		shown[members[i].ID] = true
+	}
+	var missing []Member
+	for id, member := range s.members.listed {
+		if !shown[id] {
+			missing = append(missing, member)
+		}
 	}
+	return missing
 }
 
-// incarnationGone reports whether the instance list has proved that a
-// lifetime of a member is over: the list showed it before and has lacked it
-// for absentReadings, or this instance has asked about it for listLagBound and
-// the list never showed it. A member that is merely silent is not gone. The
-// first question about a lifetime starts the watch.
-func (s *State) incarnationGone(id string, incarnation Incarnation) bool {
-	if member, ok := s.members.listed[id]; ok && member.Incarnation == incarnation {
-		return false
-	}
-	if s.isSelf(id, incarnation) {
-		return false
-	}
-	key := lifetime{id, incarnation}
-	record := s.members.absences[key]
-	if record == nil {
-		s.members.absences[key] = &absence{askedAt: s.now}
-		return false
-	}
-	if record.missing < absentReadings {
-		return false
-	}
-	return record.seen || s.now.Sub(record.askedAt) >= listLagBound
+// listUnavailable keeps the last reading: it stays the best knowledge, and
+// reports, peers and refused connections still remove endpoints.
+func (s *State) listUnavailable() {
+	s.note("members", "instance list unavailable; the last reading stays in use")
 }
 
 func (s *State) isSelf(id string, incarnation Incarnation) bool {
@@ -174,66 +125,41 @@
 
 // updateEndpoints follows the list: new lifetimes start with an empty view,
 // and endpoints that are gone are dropped.
-func (s *State) updateEndpoints() {
-	for _, id := range endpointIDs(s.members.endpoints) {
-		if _, ok := s.members.listed[string(id)]; !ok {
-			s.note("members", "endpoint "+string(id)+" is gone from the list")
-			delete(s.members.endpoints, id)
+func (s *State) updateEndpoints(changed, removed []Member) {
+	for _, member := range removed {
+		if id := EndpointID(member.ID); s.members.endpoints[id] != nil {
+			s.note("members", "endpoint "+member.ID+" is gone from the list")
+			s.dropEndpoint(id)
 		}
 	}
-	for id, member := range s.members.listed {
+	for _, member := range changed {
 		if member.Kind == MemberInstance {
+			s.dropEndpoint(EndpointID(member.ID))
 			continue
 		}
-		e := s.members.endpoints[EndpointID(id)]
-		if e == nil || e.Incarnation != member.Incarnation {
-			e = &endpoint{id: EndpointID(id), listedAt: s.now, loaded: make(map[ModelKey]loadedEntry)}
-			s.members.endpoints[e.id] = e
-		}
-		e.Member = member
-	}
-	s.indexEndpoints()
-	for _, id := range endpointIDs(s.members.endpoints) {
-		if e := s.members.endpoints[id]; e.Leaving {
-			s.endpointLeaving(id, e.Incarnation)
-		}
+		s.updateEndpoint(member)
 	}
 }
 
-func (s *State) indexEndpoints() {
-	clear(s.members.engines)
-	clear(s.members.services)
-	for _, id := range endpointIDs(s.members.endpoints) {
-		e := s.members.endpoints[id]
-		index := s.members.services
-		if e.Kind == MemberEngine {
-			index = s.members.engines
-		}
-		index[e.Service] = append(index[e.Service], e)
+func (s *State) updateEndpoint(member Member) {
+	id := EndpointID(member.ID)
+	e := s.members.endpoints[id]
+	fresh := e == nil || e.Incarnation != member.Incarnation
+	if fresh || e.indexKey() != indexKey(member) {
+		s.dropEndpoint(id)
+	}
+	if fresh {
+		e = &endpoint{id: id, listedAt: s.now, loaded: make(map[ModelKey]loadedEntry)}
+	}
+	e.Member = member
+	if s.members.endpoints[id] == nil {
+		s.members.endpoints[id] = e
+		s.indexEndpoint(e)
+	}
+	if fresh {
+		s.recallLeaving(e)
+	}
+	if e.Leaving {
+		s.endpointLeaving(id, e.Incarnation)
 	}
-}
-
-// endpointByID returns an endpoint, or nil.
-func (s *State) endpointByID(id EndpointID) *endpoint { return s.members.endpoints[id] }
-
-// serviceEndpoints returns the endpoints of a plain service that are not
-// leaving, ordered by id.
-func (s *State) serviceEndpoints(service string) []*endpoint {
-	return staying(s.members.services[service])
-}
-
-// serviceEngines returns the engines that may hold models of a service and
-// are not leaving, ordered by id.
-func (s *State) serviceEngines(service string) []*endpoint {
-	return staying(s.members.engines[service])
-}
-
-// staying returns the endpoints that are not leaving. It copies only where
-// one is, since that is rare and requests ask often.
-func staying(endpoints []*endpoint) []*endpoint {
-	isLeaving := func(e *endpoint) bool { return e.leaving }
-	if !slices.ContainsFunc(endpoints, isLeaving) {
-		return endpoints
-	}
-	return slices.DeleteFunc(slices.Clone(endpoints), isLeaving)
 }
--- a/pkg/rpcore/peer.go
+++ b/pkg/rpcore/peer.go
@@ -40,6 +40,9 @@
 	// another digest.
 	Digest    uint64            `cbor:"digest"`
 	Documents []DocumentVersion `cbor:"documents,omitempty"`
+	// HasDocuments says that the sender has all documents that it knows to be
+	// accepted, so a receiver that has them too may serve.
+	HasDocuments bool `cbor:"has_documents,omitempty"`
 	// LeavingEndpoints lists endpoints that the sender knows to be leaving.
 	LeavingEndpoints []LeavingNotice `cbor:"leaving_endpoints,omitempty"`
 	// Waiting counts the requests in the sender's queues by rank.
@@ -85,10 +88,32 @@
 	Report EngineReport `cbor:"report"`
 }
 
-// LeavingNotice says that an incarnation of an endpoint is leaving or gone.
+// LeavingEvidence says what a LeavingNotice rests on.
+type LeavingEvidence string
+
+// The kinds of evidence. The zero value is firm: the list or the endpoint
+// itself said that it is leaving, and only a new incarnation ends that.
+const (
+	// LeavingRefused: a connection was refused. It holds until there is a
+	// report with a higher sequence.
+	LeavingRefused LeavingEvidence = "refused"
+	// LeavingRefuted: the endpoint reported with this sequence after a
+	// connection had been refused.
+	LeavingRefuted LeavingEvidence = "refuted"
+)
+
+// LeavingNotice says that an incarnation of an endpoint is leaving or gone, or
+// that it is not, after all.
 type LeavingNotice struct {
-	Endpoint    EndpointID  `cbor:"endpoint"`
-	Incarnation Incarnation `cbor:"incarnation"`
+	Endpoint    EndpointID      `cbor:"endpoint"`
+	Incarnation Incarnation     `cbor:"incarnation"`
+	Evidence    LeavingEvidence `cbor:"evidence,omitempty"`
+	// Sequence is that of the newest report that the sender knows to exist;
+	// zero for firm evidence.
+	Sequence uint64 `cbor:"sequence,omitempty"`
+	// Age is the time since the evidence, as it was passed on. It ends the
+	// repetition of notices by instances that hear them from each other.
+	Age time.Duration `cbor:"age,omitempty"`
 }
 
 // TicketKind says what a ticket is for.
--- a/pkg/rpcore/report.go
+++ b/pkg/rpcore/report.go
@@ -24,23 +24,36 @@
 // of the engine among the live instances of its failure domain, or among all
 // where that domain has none. The reporter shares what it learns.
 func (s *State) updatePolling() {
-	domains := s.liveByDomain()
-	var mine []*endpoint
-	for _, id := range endpointIDs(s.members.endpoints) {
-		e := s.members.endpoints[id]
-		if e.Kind == MemberEngine && s.pollsEngine(e, domains[e.FailureDomain]) {
-			mine = append(mine, e)
-		}
-	}
+	mine := s.engineReporterOf()
 	interval := max(minPollInterval, time.Duration(len(mine))*pollIntervalPerEngine)
 	s.stopPolling(mine)
 	for _, e := range mine {
-		if s.members.polled[e.id] == interval {
+		poll := PollEngine{Endpoint: e.id, Address: e.Address, Interval: interval}
+		if s.members.polled[e.id] == poll {
+			continue
+		}
+		s.members.polled[e.id] = poll
+		s.emit(poll)
+	}
+}
+
+// engineReporterOf returns the engines that this instance polls, ordered by
+// id. Engines of other domains are not looked at while those have instances.
+func (s *State) engineReporterOf() []*endpoint {
+	live := s.liveByDomain()
+	var mine []*endpoint
+	for domain, engines := range s.members.domains {
+		if domain != s.self.FailureDomain && len(live[domain]) > 0 {
 			continue
 		}
-		s.members.polled[e.id] = interval
-		s.emit(PollEngine{Endpoint: e.id, Address: e.Address, Interval: interval})
+		for _, e := range engines {
+			if s.pollsEngine(e, live[domain]) {
+				mine = append(mine, e)
+			}
+		}
 	}
+	slices.SortFunc(mine, func(a, b *endpoint) int { return compareEndpoint(a, b.id) })
+	return mine
 }
 
 // pollsEngine reports whether this instance polls an engine. An instance of
@@ -52,7 +65,7 @@
 	if rendezvous("report/"+string(e.id), local) == s.self.Instance {
 		return true
 	}
-	if e.FailureDomain != s.self.FailureDomain || e.listedAt.IsZero() {
+	if e.FailureDomain != s.self.FailureDomain {
 		return false
 	}
 	return s.now.Sub(e.reportedAt) > reportStale && s.now.Sub(e.listedAt) > reportStale
@@ -61,7 +74,7 @@
 func (s *State) stopPolling(mine []*endpoint) {
 	var stopped []EndpointID
 	for id := range s.members.polled {
-		kept := slices.ContainsFunc(mine, func(e *endpoint) bool { return e.id == id })
+		_, kept := slices.BinarySearchFunc(mine, id, compareEndpoint)
 		if !kept {
 			stopped = append(stopped, id)
 		}
@@ -85,8 +98,8 @@
 	changed := e.reportedAt.IsZero() || !sameModels(e.report, report)
 	e.report = report
 	e.reportedAt = s.now
+	s.endpointAnswered(e, report.Sequence, own)
 	if own {
-		s.endpointAnswered(e)
 		s.shareReport(e, changed)
 	}
 	if report.Leaving {
--- /dev/null
+++ b/pkg/rpcore/sim_document_test.go
@@ -0,0 +1,313 @@
+package rpcore
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// documentBound is the time after acceptance by which a version must be in
+// force at every reachable instance.
+const documentBound = 3 * time.Second
+
+// documentWatch checks the documents of every State at every step.
+type documentWatch struct {
+	sim *sim
+	// accepted holds the hash of each version that the table accepted, and
+	// submissions the version of each submission.
+	accepted    map[DocumentVersion]string
+	submissions map[string]DocumentVersion
+	inForce     map[*State]map[string]uint64
+	answers     map[string]AnswerSubmission
+}
+
+func withDocumentWatch(s *sim) *documentWatch {
+	w := &documentWatch{
+		sim: s, accepted: make(map[DocumentVersion]string), submissions: make(map[string]DocumentVersion),
+		inForce: make(map[*State]map[string]uint64), answers: make(map[string]AnswerSubmission),
+	}
+	s.table.onApplied = append(s.table.onApplied, w.applied)
+	s.onStep = append(s.onStep, w.step)
+	return w
+}
+
+func (w *documentWatch) applied(writes []RowWrite) {
+	row := writes[0].Document
+	version := DocumentVersion{row.Service, row.Version}
+	if hash, ok := w.accepted[version]; ok {
+		w.sim.t.Fatalf("%v accepted twice: %s, %s", version, hash, row.Hash)
+	}
+	w.accepted[version] = row.Hash
+	w.submissions[row.Submission] = version
+}
+
+// step checks that versions never decrease within a lifetime and that each
+// one has the accepted content.
+func (w *documentWatch) step(n *simNode, ev Event, effects []Effect) {
+	known := w.inForce[n.state]
+	if known == nil {
+		known = make(map[string]uint64)
+		w.inForce[n.state] = known
+	}
+	for service, active := range n.state.documents.inForce {
+		version := DocumentVersion{service, active.row.Version}
+		if version.Version < known[service] {
+			w.sim.t.Fatalf("%s: %s went from %d to %d on %T", n.self.Incarnation, service, known[service], version.Version, ev)
+		}
+		if version.Version == known[service] {
+			continue
+		}
+		known[service] = version.Version
+		if hash := w.accepted[version]; hash != active.row.Hash || hash != rpdocument.Hash(active.body) {
+			w.sim.t.Fatalf("%s: content of %v is %s, accepted was %q", n.self.Incarnation, version, active.row.Hash, hash)
+		}
+	}
+	for _, effect := range effects {
+		if answer, ok := effect.(AnswerSubmission); ok {
+			w.answers[answer.Submission] = answer
+		}
+	}
+}
+
+// checkAnswers checks that every answer is true now that nothing is under way.
+func (w *documentWatch) checkAnswers() {
+	for id, answer := range w.answers {
+		version, accepted := w.submissions[id]
+		switch answer.Result {
+		case SubmissionAccepted:
+			if !accepted || version.Version != answer.Version {
+				w.sim.t.Fatalf("submission %s was answered accepted as %d; the table has %v %v", id, answer.Version, accepted, version)
+			}
+		case SubmissionUnknown:
+		default:
+			if accepted {
+				w.sim.t.Fatalf("submission %s was answered %s and accepted as %v", id, answer.Result, version)
+			}
+		}
+	}
+}
+
+// submit edits a document at an instance.
+func (n *simNode) submit(id, service string, edited uint64) {
+	body := withBody(service, id)
+	n.post(0, func() {
+		n.reduce(func(at Stamp) Event {
+			return DocumentSubmitted{Stamp: at, Submission: id, Service: service, EditedVersion: edited, Editor: "e", Body: body}
+		})
+	})
+}
+
+// withBody returns a valid document; text makes its content differ.
+func withBody(service, text string) []byte {
+	return []byte("# " + text + "\nformat = 1\nservice = \"" + service + "\"\nteam = \"t\"\n" +
+		"editors = [\"0000000000000000000000000000000000000000000000000000000000000001\"]\n[spend]\naccelerators = 8\n")
+}
+
+// mustAccept submits at an instance and waits until it was answered.
+func (w *documentWatch) mustAccept(n *simNode, service string) uint64 {
+	id := fmt.Sprintf("s%d", len(w.answers))
+	version := n.sim.table.rows[RowKey{Kind: RowDocument, Service: service}].Version + 1
+	n.submit(id, service, version-1)
+	for range 1000 {
+		if answer, ok := w.answers[id]; ok {
+			if answer.Result != SubmissionAccepted {
+				w.sim.t.Fatalf("submission %s at %s: %s", id, n.self.Instance, answer.Result)
+			}
+			return version
+		}
+		n.sim.run(10 * time.Millisecond)
+	}
+	w.sim.t.Fatalf("submission %s has no answer", id)
+	return 0
+}
+
+// expectInForce checks that instances have a version in force.
+func (s *sim) expectInForce(nodes []*simNode, service string, version uint64) {
+	s.t.Helper()
+	for _, n := range nodes {
+		if got := n.state.documentVersion(service); got != version {
+			s.t.Fatalf("at %v: %s (%s) has %s version %d, not %d", s.now.Sub(s.start), n.self.Incarnation, n.self.FailureDomain, service, got, version)
+		}
+	}
+}
+
+// Guards against two operators who are both told that they won, and against
+// answers that the table contradicts, with lost answers, late writes, outages,
+// pauses and restarts.
+func TestRacingSubmissions(t *testing.T) {
+	withCases(t, func(rt *rapid.T) {
+		s := withSim(rt, rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(2, 6).Draw(rt, "instances"), 2)
+		s.net.loss = 0.1
+		s.list.lagMost = rapid.SampledFrom([]time.Duration{0, 5 * time.Second}).Draw(rt, "lag")
+		w := withDocumentWatch(s)
+		s.withStarted().run(2 * time.Second)
+		s.table.refused = rapid.Float64Range(0, 0.3).Draw(rt, "refused")
+		s.table.lost = rapid.Float64Range(0, 0.7).Draw(rt, "lost")
+		s.table.late, s.table.lateMost = 0.4, 10*time.Second
+		for round := range rapid.IntRange(1, 4).Draw(rt, "rounds") {
+			for i := range rapid.IntRange(2, 3).Draw(rt, "operators") {
+				n := s.nodes[s.rng.IntN(len(s.nodes))]
+				n.submit(fmt.Sprintf("r%d-%d", round, i), "mixadvies", s.table.rows[RowKey{Kind: RowDocument, Service: "mixadvies"}].Version)
+			}
+			s.run(s.delay(0, 200*time.Millisecond))
+			n := s.nodes[s.rng.IntN(len(s.nodes))]
+			switch rapid.IntRange(0, 3).Draw(rt, "fault") {
+			case 0:
+				n.restart()
+			case 1:
+				n.pause(s.delay(time.Second, 20*time.Second))
+			}
+			s.run(s.delay(0, 4*time.Second))
+		}
+		s.run(2 * time.Minute)
+		w.checkAnswers()
+	})
+}
+
+// Guards against a race without a winner, or with two, while the table works.
+func TestRaceHasOneWinner(t *testing.T) {
+	withCases(t, func(rt *rapid.T) {
+		s := withSim(rt, rapid.Uint64().Draw(rt, "seed"), 4, 2)
+		w := withDocumentWatch(s)
+		s.withStarted().run(2 * time.Second)
+		s.nodes[0].submit("a", "sber", 0)
+		s.run(rapid.SampledFrom([]time.Duration{0, 20 * time.Millisecond, 100 * time.Millisecond, time.Second}).Draw(rt, "apart"))
+		s.nodes[1].submit("b", "sber", 0)
+		s.run(5 * time.Second)
+		won := 0
+		for _, id := range []string{"a", "b"} {
+			if w.answers[id].Result == SubmissionAccepted {
+				won++
+			} else if w.answers[id].Result != SubmissionConflict {
+				rt.Fatalf("submission %s: %q", id, w.answers[id].Result)
+			}
+		}
+		if won != 1 {
+			rt.Fatalf("%d submissions were accepted", won)
+		}
+	})
+}
+
+// Guards against a version that does not reach an instance in time, with one
+// domain cut from the platform, cuts between domains, the object store down,
+// lost messages, pauses and restarts, and against a version that is lost by
+// restarts.
+func TestDocumentSpreads(t *testing.T) {
+	withCases(t, func(rt *rapid.T) {
+		d := rapid.IntRange(2, 4).Draw(rt, "domains")
+		s := withSim(rt, rapid.Uint64().Draw(rt, "seed"), d*rapid.IntRange(1, 4).Draw(rt, "per domain"), d)
+		s.net.loss, s.net.lossRun = 0.1, 1
+		s.list.lagMost = rapid.SampledFrom([]time.Duration{0, 5 * time.Second, 60 * time.Second}).Draw(rt, "lag")
+		w := withDocumentWatch(s)
+		s.withStarted().run(7 * time.Second)
+		var version uint64
+		for range rapid.IntRange(1, 4).Draw(rt, "rounds") {
+			version = w.checkSpread(rt)
+		}
+		s.withoutFaults()
+		s.run(10 * time.Second)
+		for _, n := range s.nodes {
+			n.restart()
+			s.run(2 * time.Second)
+		}
+		s.expectInForce(s.nodes, "mixadvies", version)
+		for _, n := range s.nodes {
+			n.restart()
+		}
+		s.run(documentBound)
+		s.expectInForce(s.nodes, "mixadvies", version)
+		w.checkAnswers()
+	})
+}
+
+// checkSpread accepts a version under faults and checks it after the bound at
+// the instances that were reachable throughout.
+func (w *documentWatch) checkSpread(rt *rapid.T) uint64 {
+	s := w.sim
+	s.withoutFaults()
+	domains := func(n *simNode) FailureDomain { return n.self.FailureDomain }
+	draw := func(label string) *simNode { return s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(rt, label)] }
+	cutOff, at := draw("cut off from the platform"), draw("accepting")
+	if domains(cutOff) != domains(at) {
+		s.net.platformCut[domains(cutOff)] = true
+	}
+	for range rapid.IntRange(0, 2).Draw(rt, "cuts") {
+		a, b := draw("cut"), draw("cut")
+		s.net.setCut(domains(a), domains(b), true)
+	}
+	for range rapid.IntRange(0, 2).Draw(rt, "faults") {
+		n := draw("faulty")
+		if rapid.Bool().Draw(rt, "restarts") {
+			n.restart()
+		} else if !n.paused {
+			n.pause(s.delay(time.Second, 20*time.Second))
+		}
+	}
+	s.run(time.Duration(rapid.IntRange(0, 8000).Draw(rt, "ms before")) * time.Millisecond)
+	for at.paused {
+		s.run(time.Second)
+	}
+	version := w.mustAccept(at, "mixadvies")
+	accepted := s.now
+	s.objects.down = rapid.Bool().Draw(rt, "object store down")
+	reachable := s.connected(at)
+	s.run(documentBound)
+	var steady []*simNode
+	for _, n := range reachable {
+		if n.takesPart() && !n.since.After(accepted) {
+			steady = append(steady, n)
+		}
+	}
+	s.expectInForce(steady, "mixadvies", version)
+	return version
+}
+
+func (s *sim) withoutFaults() {
+	clear(s.net.cuts)
+	clear(s.net.platformCut)
+	s.objects.down = false
+	s.table.down = false
+}
+
+// Guards against an instance that serves with a part of the documents: one
+// that starts during an outage must take all documents of its peers first.
+func TestStartDuringOutage(t *testing.T) {
+	withCases(t, func(rt *rapid.T) {
+		s := withSim(rt, rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(2, 9).Draw(rt, "instances"), 2)
+		s.net.loss, s.net.lossRun = rapid.Float64Range(0, 0.5).Draw(rt, "loss"), 2
+		w := withDocumentWatch(s)
+		s.withStarted().run(2 * time.Second)
+		versions := make(map[string]uint64)
+		for i := range rapid.IntRange(1, 5).Draw(rt, "documents") {
+			service := fmt.Sprintf("service-%d", i%3)
+			versions[service] = w.mustAccept(s.nodes[0], service)
+		}
+		s.run(15 * time.Second)
+		s.table.down, s.objects.down = true, true
+		restarted := s.nodes[:rapid.IntRange(1, len(s.nodes)-1).Draw(rt, "restarted")]
+		s.onStep = append(s.onStep, func(n *simNode, ev Event, _ []Effect) {
+			for service, version := range versions {
+				if got := n.state.documentVersion(service); n.state.hasDocuments() && got != version {
+					rt.Fatalf("%s has documents after %T, with %s at %d, not %d", n.self.Incarnation, ev, service, got, version)
+				}
+			}
+		})
+		for _, n := range restarted {
+			n.restart()
+			s.run(s.delay(0, 500*time.Millisecond))
+		}
+		s.run(15 * time.Second)
+		for service, version := range versions {
+			s.expectInForce(s.nodes, service, version)
+		}
+		for _, n := range s.nodes {
+			if !n.state.hasDocuments() {
+				rt.Fatalf("%s does not have documents", n.self.Incarnation)
+			}
+		}
+	})
+}
