Add golden files of whole sessions of several instances

Cause: a change of the order or content of effects is visible to no property. Change: five sessions (document race, platform outage, partition, leaving endpoint, planned restart) as text; -update writes them. Conclusion: each session is played twice and gives the same text.

--- /dev/null
+++ b/pkg/rpcore/golden_test.go
@@ -0,0 +1,251 @@
+package rpcore
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var updateGolden = flag.Bool("update", false, "write the golden files of sessions anew")
+
+// session records the events and effects of a sim as readable text.
+type session struct {
+	*sim
+	text bytes.Buffer
+}
+
+// withSession returns a system of one instance in each of n domains, which has
+// started and knows its members.
+func withSession(n int) *session {
+	rec := &session{sim: withSim(fatalf{}, 1, n, n)}
+	rec.onStep = append(rec.onStep, rec.record)
+	return rec
+}
+
+// fatalf ends a session that its own checks fail.
+type fatalf struct{}
+
+func (fatalf) Helper() {}
+
+func (fatalf) Fatalf(format string, args ...any) { panic(fmt.Sprintf(format, args...)) }
+
+// step writes a heading and does something.
+func (rec *session) step(text string, do func()) {
+	fmt.Fprintf(&rec.text, "\n== %s\n", text)
+	do()
+}
+
+// record writes an event and its effects. Events without an effect and the
+// regular traffic of each second are left out.
+func (rec *session) record(n *simNode, ev Event, effects []Effect) {
+	var lines []string
+	for _, effect := range effects {
+		if !regularEffect(effect) {
+			lines = append(lines, "    "+describe(effect))
+		}
+	}
+	if len(lines) == 0 {
+		return
+	}
+	fmt.Fprintf(&rec.text, "%8.3fs %s %s\n%s\n", rec.now.Sub(rec.start).Seconds(), n.self.Incarnation, describe(ev), strings.Join(lines, "\n"))
+}
+
+func regularEffect(effect Effect) bool {
+	switch effect := effect.(type) {
+	case SetAlarm:
+		return true
+	case ReadTable:
+		return effect.Prefix != ""
+	case SendPeer:
+		return effect.Message.Heartbeat != nil || effect.Message.ReportShare != nil
+	default:
+		return false
+	}
+}
+
+// describe writes a value as its type and the fields that are set.
+func describe(value any) string {
+	v := reflect.ValueOf(value)
+	return v.Type().Name() + describeFields(v)
+}
+
+func describeFields(v reflect.Value) string {
+	var parts []string
+	for i := range v.NumField() {
+		field := v.Type().Field(i)
+		if !field.IsExported() || field.Name == "Stamp" || field.Name == "Address" || v.Field(i).IsZero() {
+			continue
+		}
+		parts = append(parts, field.Name+"="+describeValue(v.Field(i)))
+	}
+	return "{" + strings.Join(parts, " ") + "}"
+}
+
+func describeValue(v reflect.Value) string {
+	if at, ok := v.Interface().(time.Time); ok {
+		return at.Format("15:04:05.000")
+	}
+	switch v.Kind() {
+	case reflect.Pointer:
+		return describeValue(v.Elem())
+	case reflect.Struct:
+		return describeFields(v)
+	case reflect.Slice:
+		if v.Type().Elem().Kind() == reflect.Uint8 {
+			return fmt.Sprintf("%d bytes", v.Len())
+		}
+		var parts []string
+		for i := range v.Len() {
+			parts = append(parts, describeValue(v.Index(i)))
+		}
+		return "[" + strings.Join(parts, " ") + "]"
+	case reflect.String:
+		if v.Len() == 64 {
+			// A hash: its start is enough to tell it from another.
+			return v.String()[:8]
+		}
+		return fmt.Sprintf("%q", v.String())
+	default:
+		return fmt.Sprint(v.Interface())
+	}
+}
+
+// Guards against a change of the order, number or content of effects that no
+// other test expects. A golden file is read in review; -update writes it.
+func TestSessions(t *testing.T) {
+	for name, play := range map[string]func() *session{
+		"document_race": playDocumentRace, "platform_outage": playPlatformOutage, "partition": playPartition,
+		"leaving_endpoint": playLeavingEndpoint, "planned_restart": playPlannedRestart,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			got := play().text.String()
+			g.Expect(play().text.String()).To(Equal(got), "the same session twice")
+			path := filepath.Join("testdata", name+".txt")
+			if *updateGolden {
+				g.Expect(os.MkdirAll("testdata", 0o755)).To(Succeed())
+				g.Expect(os.WriteFile(path, []byte(got), 0o644)).To(Succeed())
+			}
+			want, err := os.ReadFile(path)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(got).To(Equal(string(want)))
+		})
+	}
+}
+
+func (rec *session) begin() {
+	rec.step("all instances start", func() { rec.withStarted().run(2 * time.Second) })
+}
+
+func playDocumentRace() *session {
+	rec := withSession(3)
+	rec.begin()
+	rec.step("the first document is accepted", func() {
+		rec.nodes[0].submit("first", "mixadvies", 0)
+		rec.run(2 * time.Second)
+	})
+	rec.step("two operators edit version 1 at different instances", func() {
+		rec.nodes[0].submit("by anna", "mixadvies", 1)
+		rec.nodes[1].submit("by bram", "mixadvies", 1)
+		rec.run(2 * time.Second)
+	})
+	rec.step("the answers to writes are lost", func() {
+		rec.table.lost = 1
+		rec.nodes[2].submit("by cees", "mixadvies", 2)
+		rec.run(10 * time.Second)
+	})
+	return rec
+}
+
+func playPlatformOutage() *session {
+	rec := withSession(2)
+	rec.begin()
+	rec.step("a document is accepted", func() {
+		rec.nodes[0].submit("first", "kodovac", 0)
+		rec.run(2 * time.Second)
+	})
+	rec.step("table and object store go down; a submission fails", func() {
+		rec.table.down, rec.objects.down = true, true
+		rec.nodes[0].submit("second", "kodovac", 1)
+		rec.run(2 * time.Second)
+	})
+	rec.step("i001 restarts and takes the document of its peer", func() {
+		rec.nodes[1].restart()
+		rec.run(4 * time.Second)
+	})
+	rec.step("the platform is back; the submission is repeated", func() {
+		rec.table.down, rec.objects.down = false, false
+		rec.nodes[1].submit("third", "kodovac", 1)
+		rec.run(2 * time.Second)
+	})
+	return rec
+}
+
+func playPartition() *session {
+	rec := withSession(3)
+	rec.begin()
+	rec.step("domain C is cut from the others and from the platform", func() {
+		rec.net.setCut("A", "C", true)
+		rec.net.setCut("B", "C", true)
+		rec.net.platformCut["C"] = true
+		rec.run(6 * time.Second)
+	})
+	rec.step("a document is accepted in domain A", func() {
+		rec.nodes[0].submit("first", "sber", 0)
+		rec.run(3 * time.Second)
+	})
+	rec.step("domains B and C meet again", func() {
+		rec.net.setCut("B", "C", false)
+		rec.run(3 * time.Second)
+	})
+	return rec
+}
+
+func playLeavingEndpoint() *session {
+	rec := withSession(2)
+	e := rec.withEngine("engine-1", "A", "e1")
+	rec.begin()
+	rec.step("the engine refuses a connection of i001", func() {
+		rec.nodes[1].reduce(func(at Stamp) Event { return EngineUnreachable{at, "engine-1", true} })
+		rec.run(2 * time.Second)
+	})
+	rec.step("the engine reports that it is leaving", func() {
+		e.leaving = true
+		rec.run(2 * time.Second)
+	})
+	rec.step("a new incarnation is listed", func() {
+		e.Incarnation, e.leaving, e.sequence = "e2", false, 0
+		rec.list.put(rec.sim, e.Member)
+		rec.run(3 * time.Second)
+	})
+	return rec
+}
+
+func playPlannedRestart() *session {
+	rec := withSession(3)
+	rec.withEngine("engine-1", "B", "e1")
+	rec.begin()
+	rec.step("a document is accepted", func() {
+		rec.nodes[0].submit("first", "kodovac", 0)
+		rec.run(2 * time.Second)
+	})
+	rec.step("i001 is asked to stop", func() {
+		n := rec.nodes[1]
+		n.reduce(func(at Stamp) Event { return DrainRequested{at} })
+		rec.run(time.Second)
+	})
+	rec.step("i001 ends and starts again; the list lags by 3 s", func() {
+		rec.list.lagLeast, rec.list.lagMost = 3*time.Second, 3*time.Second
+		rec.nodes[1].restart()
+		rec.run(8 * time.Second)
+	})
+	return rec
+}
