--- a/internal/rpsettings/check.go
+++ b/internal/rpsettings/check.go
@@ -146,6 +146,7 @@
 		value Duration
 	}{
 		{"limits.cold_start_estimate", limits.ColdStartEstimate},
+		{"limits.list_lag", limits.ListLag},
 		{"limits.header_timeout", limits.HeaderTimeout},
 		{"limits.body_timeout", limits.BodyTimeout},
 		{"limits.idle_timeout", limits.IdleTimeout},
--- a/internal/rpsettings/defaults.go
+++ b/internal/rpsettings/defaults.go
@@ -39,6 +39,7 @@
 			EngineConcurrency:    rpcore.DefaultEngineConcurrency,
 			RequestsInProgress:   rpcore.DefaultRequestsInProgress,
 			ColdStartEstimate:    Duration(rpcore.DefaultColdStartEstimate),
+			ListLag:              Duration(rpcore.DefaultListLag),
 			RequestBodyBytes:     DefaultRequestBodyBytes,
 			RequestHeaderBytes:   DefaultRequestHeaderBytes,
 			HeaderTimeout:        DefaultHeaderTimeout,
--- a/internal/rpsettings/settings.go
+++ b/internal/rpsettings/settings.go
@@ -90,6 +90,8 @@
 	EngineConcurrency    int      `toml:"engine_concurrency"`
 	RequestsInProgress   int      `toml:"requests_in_progress"`
 	ColdStartEstimate    Duration `toml:"cold_start_estimate"`
+	// ListLag is the longest lag of a reading of the instance list.
+	ListLag Duration `toml:"list_lag"`
 
 	// RequestBodyBytes and RequestHeaderBytes bound one request.
 	RequestBodyBytes   int `toml:"request_body_bytes"`
@@ -135,6 +137,7 @@
 		RequestsInProgress:   s.Limits.RequestsInProgress,
 		DrainTimeout:         time.Duration(s.Drain.Timeout),
 		ColdStartEstimate:    time.Duration(s.Limits.ColdStartEstimate),
+		ListLag:              time.Duration(s.Limits.ListLag),
 	}
 }
 
--- a/internal/rpsystem/instance_test.go
+++ b/internal/rpsystem/instance_test.go
@@ -84,6 +84,10 @@
 key = %q
 [operators]
 bootstrap_editors = [%q]
+[limits]
+# The list of the tests lags by less than a second.
+list_lag = "5s"
+
 [drain]
 grace = "200ms"
 timeout = "30s"
--- a/pkg/rpcore/claim.go
+++ b/pkg/rpcore/claim.go
@@ -78,6 +78,12 @@
 	case WriteUnavailable:
 		s.refuseWithoutTable(r)
 	default:
+		if row := findRow(rows, c.key); row != nil && row.Version > c.version {
+			// The write can't take effect any more. Only the owner writes a claim that is not released, so the row
+			// shows whose claim it is although the answer was lost.
+			s.claimConflict(r, c, row)
+			return
+		}
 		// The write may still take effect.
 		s.settle(c, ClaimReleased)
 		s.refuseWithoutTable(r)
--- a/pkg/rpcore/id.go
+++ b/pkg/rpcore/id.go
@@ -87,6 +87,10 @@
 	RequestsInProgress int
 	// DrainTimeout bounds a planned stop.
 	DrainTimeout time.Duration
+	// ListLag is the longest lag of a reading of the instance list. A shorter
+	// one proves sooner that a failed instance is gone; one that is shorter
+	// than the platform's real lag is unsafe.
+	ListLag time.Duration
 	// ColdStartEstimate is the assumed load time before one was measured.
 	ColdStartEstimate time.Duration
 }
@@ -100,6 +104,7 @@
 	DefaultRequestsInProgress   = 20000
 	DefaultDrainTimeout         = 60 * time.Second
 	DefaultColdStartEstimate    = 3 * time.Second
+	DefaultListLag              = 60 * time.Second
 )
 
 // Policy selects between the policy of the system and the baselines that it
--- a/pkg/rpcore/order.go
+++ b/pkg/rpcore/order.go
@@ -90,7 +90,7 @@
 	}
 	e := s.endpointByID(load.slot.Engine)
 	if e == nil || e.Incarnation != load.slot.EngineIncarnation || e.leaving ||
-		s.draining || s.selfGone() || !s.specCurrent(load.spec) {
+		s.draining || !s.selfListed() || !s.specCurrent(load.spec) {
 		s.withdrawLoad(load)
 		return
 	}
--- a/pkg/rpcore/replica_load_test.go
+++ b/pkg/rpcore/replica_load_test.go
@@ -136,6 +136,9 @@
 func TestRestartedOwnerSendsNoOldOrder(t *testing.T) {
 	g := NewWithT(t)
 	w := withWorld(2, 1, false)
+	// A lifetime that was listed for less than listLagBound can't be proved
+	// gone sooner, since a reading that is behind lacks it too.
+	w.run(listLagBound)
 	w.demand(w.nodes["i1"], keyA, 1)
 	lost := w.holdOrders()
 	owner := lost.node
--- a/pkg/rpcore/reserve.go
+++ b/pkg/rpcore/reserve.go
@@ -86,7 +86,7 @@
 	// none of those can be applied any more.
 	r.tries = nil
 	spec, ok := s.replicaSpec(r.spec.key)
-	if !ok || s.draining || s.selfGone() || !s.selfListed() {
+	if !ok || s.draining || !s.selfListed() {
 		return nil
 	}
 	r.spec = spec
@@ -96,12 +96,6 @@
 	return s.reserveOnCandidate(r, rows)
 }
 
-// selfGone reports whether the instance list has declared this incarnation
-// gone. Others then take its orders for dead, so it must send none.
-func (s *State) selfGone() bool {
-	return s.incarnationGone(string(s.self.Instance), s.self.Incarnation)
-}
-
 // roomForReplica checks the bound of the model and the spend of its service.
 func (s *State) roomForReplica(r *reservation, slots []Slot) bool {
 	if len(slots) >= r.spec.max {
--- a/pkg/rpcore/served.go
+++ b/pkg/rpcore/served.go
@@ -1,7 +1,6 @@
 package rpcore
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -166,8 +165,6 @@
 	s.replicas.served[key] = slices.Delete(slices.Clone(old), i, i+1)
 }
 
-func compareEndpoint(e *endpoint, id EndpointID) int { return cmp.Compare(e.id, id) }
-
 // loadAnswered adds a model at once, without waiting for the lagging report,
 // and tells the peers.
 func (s *State) loadAnswered(slot Slot) {
--- a/pkg/rpcore/state.go
+++ b/pkg/rpcore/state.go
@@ -119,6 +119,7 @@
 	setDefault(&l.EngineConcurrency, DefaultEngineConcurrency)
 	setDefault(&l.RequestsInProgress, DefaultRequestsInProgress)
 	setDefault(&l.DrainTimeout, DefaultDrainTimeout)
+	setDefault(&l.ListLag, DefaultListLag)
 	setDefault(&l.ColdStartEstimate, DefaultColdStartEstimate)
 	return l
 }
