Record a time line of events with a hybrid logical clock

Cause: operators can't see the order of events over all processes. Change: each instance keeps a bounded ring of entries made from the reducer's events and effects, before the effects are carried out. Messages between instances carry the clock in a field that older versions ignore. The operators' interface serves the ring as lines of JSON.

--- a/internal/rpnode/node.go
+++ b/internal/rpnode/node.go
@@ -12,6 +12,10 @@
 // they were posted. The zero value works once Edges is set.
 type Node struct {
 	Edges Edges
+	// Record, where it is set, sees every event with its effects, before they
+	// are carried out: what it records of a message then comes before anything
+	// that the message causes. It must not keep the slice.
+	Record func(ev rpcore.Event, effects []rpcore.Effect)
 	// Observe, where it is set, sees every event with its effects, after they
 	// were carried out. It must not keep the slice.
 	Observe func(ev rpcore.Event, effects []rpcore.Effect, took time.Duration)
@@ -130,6 +134,9 @@
 	begin := time.Now()
 	effects := n.state.Reduce(ev)
 	took := time.Since(begin)
+	if n.Record != nil {
+		n.Record(ev, effects)
+	}
 	for _, effect := range effects {
 		n.carryOut(effect)
 	}
--- a/internal/rpoperator/answer.go
+++ b/internal/rpoperator/answer.go
@@ -58,6 +58,7 @@
 	CodeOutcomeUnknown       Code = "outcome_unknown"
 	CodeNotReady             Code = "not_ready"
 	CodeNotHealthy           Code = "not_healthy"
+	CodeQueryInvalid         Code = "query_invalid"
 )
 
 // Media types of the interface.
@@ -65,6 +66,7 @@
 	problemContentType = "application/problem+json"
 	tomlContentType    = "application/toml"
 	jsonContentType    = "application/json"
+	linesContentType   = "application/x-ndjson"
 )
 
 // Refusal is the application/problem+json answer (RFC 9457) to a request that
--- a/internal/rpoperator/client.go
+++ b/internal/rpoperator/client.go
@@ -89,6 +89,11 @@
 func documentPath(service string) string { return "/operator/v1/documents/" + service }
 
 func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte, answer any) error {
+	return c.send(ctx, method, path, header, body, func(res *http.Response) error { return decode(res, answer) })
+}
+
+// send sends a request and hands the answer to read.
+func (c *Client) send(ctx context.Context, method, path string, header http.Header, body []byte, read func(*http.Response) error) error {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address.String()+path, bytes.NewReader(body))
 	if err != nil {
 		return &UnreachableError{Address: c.Address, NotSent: true, Err: err}
@@ -103,7 +108,7 @@
 		return &UnreachableError{Address: c.Address, NotSent: errors.As(err, &op) && op.Op == "dial", Err: err}
 	}
 	defer func() { _ = res.Body.Close() }()
-	if err := decode(res, answer); err != nil {
+	if err := read(res); err != nil {
 		var refusal *Refusal
 		if errors.As(err, &refusal) {
 			return err
--- a/internal/rpoperator/doc.go
+++ b/internal/rpoperator/doc.go
@@ -18,6 +18,7 @@
 //	GET  /operator/v1/documents/{service}  one document, as TOML, or as JSON with Accept: application/json
 //	PUT  /operator/v1/documents/{service}  submits a document
 //	GET  /operator/v1/status               the state of the instance, as JSON
+//	GET  /operator/v1/timeline             the time line of the instance, as lines of JSON
 //	GET  /metrics, /healthz, /readyz, /debug/pprof/
 //
 // A PUT names the version that the operator edited in If-Match (0 for a new
@@ -26,6 +27,11 @@
 // problems), 503 (nothing was or will be accepted) or 504 (the outcome is not
 // known). Errors are application/problem+json with the fields of Refusal.
 //
+// The time line takes the parameters since (a clock: milliseconds since 1970,
+// or milliseconds.counter), limit, service, model, request, endpoint and part.
+// The first line is {"head": …} with the fields of rptimeline.Head, each other
+// line is an rptimeline.Entry, the oldest first.
+//
 // # Rights
 //
 // Only a credential in editors of the document in force may change it. The
--- a/internal/rpoperator/server.go
+++ b/internal/rpoperator/server.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 	"github.com/rs/zerolog"
 
+	"github.com/rattanpaddle/rattanpaddle/internal/rptimeline"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 )
 
@@ -39,6 +40,8 @@
 	Post func(rpcore.Event)
 	// Status returns a value for encoding/json.
 	Status func() any
+	// Timeline returns a selection of the time line.
+	Timeline func(rptimeline.Query) rptimeline.Page
 	// Healthy returns an error where the process should be replaced.
 	Healthy func() error
 	// Ready reports whether the balancer may send callers here, and why not.
@@ -70,6 +73,7 @@
 	router.HandleFunc("/operator/v1/documents/{service}", s.getDocument).Methods(http.MethodGet)
 	router.HandleFunc("/operator/v1/documents/{service}", s.putDocument).Methods(http.MethodPut)
 	router.HandleFunc("/operator/v1/status", s.status).Methods(http.MethodGet)
+	router.HandleFunc("/operator/v1/timeline", s.timeline).Methods(http.MethodGet)
 	router.HandleFunc("/healthz", s.healthz).Methods(http.MethodGet)
 	router.HandleFunc("/readyz", s.readyz).Methods(http.MethodGet)
 	if s.Metrics != nil {
--- a/internal/rppeer/frame.go
+++ b/internal/rppeer/frame.go
@@ -30,8 +30,11 @@
 
 // Envelope is the content of a frame.
 type Envelope struct {
-	Version uint64             `cbor:"version"`
-	From    rpcore.InstanceID  `cbor:"from"`
+	Version uint64            `cbor:"version"`
+	From    rpcore.InstanceID `cbor:"from"`
+	// Clock is the sender's clock of the time line; 0 where the sender keeps
+	// none. Older versions ignore it.
+	Clock   uint64             `cbor:"clock,omitempty"`
 	Message rpcore.PeerMessage `cbor:"message"`
 }
 
--- a/internal/rppeer/incoming.go
+++ b/internal/rppeer/incoming.go
@@ -6,6 +6,7 @@
 
 	"github.com/quic-go/quic-go"
 
+	"github.com/rattanpaddle/rattanpaddle/internal/rptimeline"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 )
 
@@ -123,6 +124,9 @@
 	if envelope.From != peer {
 		return WrongSenderError{Claimed: envelope.From, Certificate: peer}
 	}
+	if l.Merge != nil {
+		l.Merge(rptimeline.Clock(envelope.Clock))
+	}
 	if !envelope.empty() {
 		l.post(rpcore.PeerReceived{Stamp: stampNow(), From: peer, Message: envelope.Message})
 	}
--- a/internal/rppeer/links.go
+++ b/internal/rppeer/links.go
@@ -11,6 +11,7 @@
 	"github.com/quic-go/quic-go"
 	"github.com/rs/zerolog"
 
+	"github.com/rattanpaddle/rattanpaddle/internal/rptimeline"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 )
 
@@ -58,6 +59,11 @@
 	// Post takes the events. It must be safe for concurrent use; while it
 	// blocks, the senders are slowed down.
 	Post func(rpcore.Event)
+	// Tick returns the clock that goes out with a message, and Merge takes in
+	// the clock of a received one before the message is posted. Both may be
+	// nil. Merge must be safe for concurrent use.
+	Tick  func() rptimeline.Clock
+	Merge func(rptimeline.Clock)
 	// Log gets failures; its zero value drops them.
 	Log zerolog.Logger
 
@@ -152,7 +158,11 @@
 // before it returns, because the reducer may go on to change what it refers
 // to.
 func (l *Links) SendPeer(effect rpcore.SendPeer) {
-	frame, err := encodeFrame(&Envelope{Version: Version, From: l.Self, Message: effect.Message})
+	envelope := Envelope{Version: Version, From: l.Self, Message: effect.Message}
+	if l.Tick != nil {
+		envelope.Clock = uint64(l.Tick())
+	}
+	frame, err := encodeFrame(&envelope)
 	if err != nil {
 		l.Log.Error().Err(err).Str("peer", string(effect.To)).Msg("a message can't be sent")
 		return
--- a/internal/rpserve/instance.go
+++ b/internal/rpserve/instance.go
@@ -45,7 +45,7 @@
 		fx.StopTimeout(i.stopTimeout()),
 		fx.Supply(i.Settings, i.Log, i.start()),
 		fx.Provide(
-			newNode, newObserver, newMetrics, newEndpoints, newFront,
+			newTimeline, newNode, newObserver, newMetrics, newEndpoints, newFront,
 			newTable, newObjects, newList, newLinks, newOperator, newParts,
 		),
 		fx.Invoke(connectEdges),
--- a/internal/rpserve/provide.go
+++ b/internal/rpserve/provide.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/gravitational/trace"
+	"go.uber.org/fx"
 
 	"github.com/rattanpaddle/rattanpaddle/internal/rpendpoint"
 	"github.com/rattanpaddle/rattanpaddle/internal/rpfront"
@@ -14,13 +15,16 @@
 	"github.com/rattanpaddle/rattanpaddle/internal/rppeer"
 	"github.com/rattanpaddle/rattanpaddle/internal/rpplatform"
 	"github.com/rattanpaddle/rattanpaddle/internal/rpsettings"
+	"github.com/rattanpaddle/rattanpaddle/internal/rptimeline"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 )
 
 func newMetrics() *rpmetric.Metrics { return rpmetric.New() }
 
-func newNode(observer *observer) *rpnode.Node {
-	return &rpnode.Node{Observe: observer.observe}
+func newTimeline() *rptimeline.Recorder { return &rptimeline.Recorder{} }
+
+func newNode(observer *observer, timeline *rptimeline.Recorder) *rpnode.Node {
+	return &rpnode.Node{Observe: observer.observe, Record: timeline.Record}
 }
 
 func newEndpoints(log rplog.Log, node *rpnode.Node) *rpendpoint.Client {
@@ -109,28 +113,43 @@
 	}
 }
 
-func newLinks(settings *rpsettings.Settings, start rpcore.Start, log rplog.Log, node *rpnode.Node) *rppeer.Links {
+func newLinks(settings *rpsettings.Settings, start rpcore.Start, log rplog.Log, node *rpnode.Node, timeline *rptimeline.Recorder) *rppeer.Links {
 	return &rppeer.Links{
 		Self:        start.Self.Instance,
 		Listen:      settings.Listen.Peers.AddrPort,
 		Credentials: rppeer.Credentials{Certificate: settings.TLS.Pair, Authority: settings.TLS.Pool},
 		Post:        node.Post,
+		Tick:        timeline.Tick,
+		Merge:       timeline.Merge,
 		Log:         log.Part("peer"),
 	}
 }
 
-func newOperator(settings *rpsettings.Settings, log rplog.Log, node *rpnode.Node, metrics *rpmetric.Metrics, observer *observer) *rpoperator.Server {
+type operatorIn struct {
+	fx.In
+
+	Settings *rpsettings.Settings
+	Log      rplog.Log
+	Node     *rpnode.Node
+	Metrics  *rpmetric.Metrics
+	Observer *observer
+	Timeline *rptimeline.Recorder
+}
+
+func newOperator(in operatorIn) *rpoperator.Server {
+	node, metrics := in.Node, in.Metrics
 	return &rpoperator.Server{
 		Document:         func(service string) (rpoperator.InForce, bool) { return documentInForce(node, service) },
 		Documents:        func() []rpcore.DocumentRow { return documentRows(node) },
 		Post:             node.Post,
 		Status:           func() any { return status(node) },
 		Healthy:          func() error { return query(node, func(*rpcore.State) {}) },
-		Ready:            observer.ready,
+		Timeline:         in.Timeline.Select,
+		Ready:            in.Observer.ready,
 		Metrics:          metrics.Handler(),
-		BootstrapEditors: settings.Operators.BootstrapEditors,
+		BootstrapEditors: in.Settings.Operators.BootstrapEditors,
 		Submitted:        metrics.SubmissionEnded,
-		Log:              log.Part("operator"),
+		Log:              in.Log.Part("operator"),
 	}
 }
 
--- /dev/null
+++ b/internal/rptimeline/event.go
@@ -0,0 +1,92 @@
+package rptimeline
+
+import (
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// Codes of entries that no other package names.
+const (
+	CodeDone        = "done"
+	CodeUnavailable = "unavailable"
+	CodeRefused     = "refused"
+	CodeReady       = "ready"
+	CodeNotReady    = "not_ready"
+)
+
+func verdictByte(verdict rpverdict.Verdict) uint8 { return uint8(verdict) + 1 }
+
+func (r *Recorder) requestArrived(ev *rpcore.RequestArrived) {
+	r.add(ev.At, &record{
+		kind: KindRequestArrived, request: string(ev.Request.ID), service: ev.Request.Service, model: ev.Request.ModelName,
+		code: ev.Request.Rank.String(),
+	})
+}
+
+func (r *Recorder) firstToken(ev *rpcore.AttemptFirstToken) {
+	r.add(ev.At, &record{kind: KindFirstToken, attempt: string(ev.Attempt)})
+}
+
+func (r *Recorder) attemptEnded(ev *rpcore.AttemptEnded) {
+	r.add(ev.At, &record{
+		kind: KindAttemptEnded, request: string(ev.Request), attempt: string(ev.Attempt), code: string(ev.Reason),
+		verdict: verdictByte(ev.Verdict), count: uint64(max(0, ev.TokensRelayed)),
+	})
+}
+
+// event records the events that do not come with every request.
+func (r *Recorder) event(ev rpcore.Event) {
+	switch ev := ev.(type) {
+	case rpcore.RequestAbandoned:
+		r.add(ev.At, &record{kind: KindRequestAbandoned, request: string(ev.Request)})
+	case rpcore.PeerReceived:
+		r.received(&ev)
+	case rpcore.Start:
+		r.start(ev)
+	case rpcore.OrderAnswered:
+		r.add(ev.At, &record{kind: KindOrderAnswered, order: string(ev.Order), endpoint: string(ev.Endpoint), code: string(ev.Result), text: ev.Detail})
+	case rpcore.EngineReported:
+		r.enginePolled(false, ev.Report.Endpoint, &record{kind: KindEngineReachable, endpoint: string(ev.Report.Endpoint)})
+	case rpcore.EngineUnreachable:
+		rec := record{kind: KindEngineUnreachable, endpoint: string(ev.Endpoint)}
+		if ev.Refused {
+			rec.code = CodeRefused
+		}
+		r.enginePolled(true, ev.Endpoint, &rec)
+	case rpcore.ListUnavailable:
+		r.add(ev.At, &record{kind: KindListUnavailable})
+	case rpcore.TableReadDone:
+		if ev.Unavailable {
+			r.add(ev.At, &record{kind: KindTableReadFailed})
+		}
+	case rpcore.TableWriteDone:
+		r.add(ev.At, &record{kind: KindTableWriteDone, code: string(ev.Outcome)})
+	case rpcore.DocumentLoaded:
+		r.documentLoaded(ev)
+	case rpcore.DocumentSubmitted:
+		r.add(ev.At, &record{kind: KindDocumentSubmitted, service: ev.Service, count: ev.EditedVersion + 1, text: "submission " + ev.Submission})
+	case rpcore.PeerLost:
+		r.add(ev.At, &record{kind: KindPeerLost, peer: string(ev.Peer)})
+	case rpcore.DrainRequested:
+		r.add(ev.At, &record{kind: KindDrainRequested})
+	}
+}
+
+// enginePolled records only polls that end otherwise than the one before:
+// every engine is polled several times a second.
+func (r *Recorder) enginePolled(failed bool, id rpcore.EndpointID, rec *record) {
+	before, known := r.unreachable[id]
+	if r.unreachable == nil || known && before == failed {
+		return
+	}
+	r.unreachable[id] = failed
+	r.follow(rec)
+}
+
+func (r *Recorder) documentLoaded(ev rpcore.DocumentLoaded) {
+	rec := record{kind: KindDocumentLoaded, service: ev.Service, count: ev.Version, code: CodeDone}
+	if ev.Unavailable {
+		rec.code = CodeUnavailable
+	}
+	r.add(ev.At, &rec)
+}
--- /dev/null
+++ b/internal/rptimeline/message.go
@@ -0,0 +1,54 @@
+package rptimeline
+
+import (
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+func (r *Recorder) received(ev *rpcore.PeerReceived) {
+	rec := record{kind: KindMessageReceived, peer: string(ev.From)}
+	if fillMessage(&rec, &ev.Message) {
+		r.add(ev.At, &rec)
+	}
+}
+
+func (r *Recorder) sent(effect *rpcore.SendPeer) {
+	rec := record{kind: KindMessageSent, peer: string(effect.To)}
+	if fillMessage(&rec, &effect.Message) {
+		r.follow(&rec)
+	}
+}
+
+// fillMessage reports whether the message is recorded. Heartbeats and reports
+// are not: an instance of the designed size sends and gets about 140 a second.
+func fillMessage(rec *record, message *rpcore.PeerMessage) bool {
+	switch m := message; {
+	case m.Heartbeat != nil, m.ReportShare != nil:
+		return false
+	case m.DocumentPush != nil:
+		rec.code, rec.service, rec.count = "document_push", m.DocumentPush.Service, m.DocumentPush.Version
+	case m.DocumentRequest != nil:
+		rec.code = "document_request"
+	case m.Demand != nil:
+		rec.code, rec.text = "demand", m.Demand.Adapter
+		setModel(rec, m.Demand.Model)
+	case m.DemandAnswer != nil:
+		rec.code, rec.text = "demand_answer", m.DemandAnswer.Impossible
+		setModel(rec, m.DemandAnswer.Model)
+	case m.ReplicaNotice != nil:
+		rec.code, rec.endpoint = "replica_notice", string(m.ReplicaNotice.Endpoint)
+		setModel(rec, m.ReplicaNotice.Loaded.Key)
+	case m.LeavingNotice != nil:
+		rec.code, rec.endpoint = "leaving_notice", string(m.LeavingNotice.Endpoint)
+	case m.TicketRequest != nil:
+		rec.code, rec.text = "ticket_request", string(m.TicketRequest.Kind)
+	case m.TicketGrant != nil:
+		rec.code = "ticket_grant"
+	case m.TicketRelease != nil:
+		rec.code = "ticket_release"
+	default:
+		rec.code = "unknown"
+	}
+	return true
+}
+
+func setModel(rec *record, key rpcore.ModelKey) { rec.service, rec.model = key.Service, key.Name }
--- /dev/null
+++ b/internal/rptimeline/origins.go
@@ -0,0 +1,55 @@
+package rptimeline
+
+// origins remembers what the first entry of a request, attempt or order says,
+// for the later ones. To record it with each of them would cost more in the
+// event loop than to look it up here.
+type origins struct {
+	requests map[string]origin
+	attempts map[string]origin
+	orders   map[string]origin
+}
+
+type origin struct {
+	request, service, model, endpoint string
+}
+
+func newOrigins() *origins {
+	return &origins{requests: map[string]origin{}, attempts: map[string]origin{}, orders: map[string]origin{}}
+}
+
+func (o *origins) fill(e *Entry) {
+	switch e.Kind {
+	case KindRequestArrived:
+		o.requests[e.Request] = origin{service: e.Service, model: e.Model}
+	case KindAttemptStarted:
+		o.requests[e.Request].set(e)
+		o.attempts[e.Attempt] = origin{e.Request, e.Service, e.Model, e.Endpoint}
+	case KindOrderSent:
+		o.orders[e.Order] = origin{"", e.Service, e.Model, e.Endpoint}
+	default:
+		o.later(e)
+	}
+}
+
+func (o *origins) later(e *Entry) {
+	switch {
+	case e.Attempt != "":
+		o.attempts[e.Attempt].set(e)
+	case e.Order != "":
+		o.orders[e.Order].set(e)
+	case e.Request != "":
+		o.requests[e.Request].set(e)
+	}
+}
+
+// set fills the fields that the entry lacks.
+func (o origin) set(e *Entry) {
+	for _, field := range []struct {
+		to   *string
+		from string
+	}{{&e.Request, o.request}, {&e.Service, o.service}, {&e.Model, o.model}, {&e.Endpoint, o.endpoint}} {
+		if *field.to == "" {
+			*field.to = field.from
+		}
+	}
+}
--- /dev/null
+++ b/internal/rptimeline/recorder.go
@@ -0,0 +1,86 @@
+package rptimeline
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+// Recorder keeps the time line of one instance. Its zero value works.
+type Recorder struct {
+	// Entries and Bytes bound the ring; 0 stands for the default. They must be
+	// set before the first event.
+	Entries int
+	Bytes   int
+
+	clock LogicalClock
+	// rejected counts clocks of peers that were too far ahead.
+	rejected atomic.Uint64
+
+	mu      sync.Mutex
+	ring    *ring
+	pending []any
+	self    rpcore.Identity
+	started Clock
+	// unreachable holds the engines by whether their last poll failed.
+	unreachable map[rpcore.EndpointID]bool
+	// at is the time of the event whose effects are recorded.
+	at time.Time
+}
+
+// Tick returns the clock to send with a message.
+func (r *Recorder) Tick() Clock { return r.clock.Tick(time.Now()) }
+
+// Merge takes in the clock of a received message; 0 is the clock of an older
+// version, which sends none.
+func (r *Recorder) Merge(peer Clock) {
+	if !r.clock.Merge(peer, time.Now()) {
+		r.rejected.Add(1)
+	}
+}
+
+// Record records an event and its effects. It must be called before the
+// effects are carried out, by one goroutine at a time. It keeps neither.
+func (r *Recorder) Record(ev rpcore.Event, effects []rpcore.Effect) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ring == nil {
+		r.allocate()
+	}
+	r.recordEvent(ev)
+	for _, effect := range effects {
+		r.recordEffect(effect)
+	}
+}
+
+// add stamps a record. The time is that of the event, which saves a reading
+// of the system's clock.
+func (r *Recorder) add(at time.Time, rec *record) {
+	r.at = at
+	rec.clock = r.clock.Tick(at)
+	rec.part = kinds[rec.kind].Part
+	r.ring.add(rec)
+}
+
+// follow stamps a record of an effect, which has the time of its event.
+func (r *Recorder) follow(rec *record) { r.add(r.at, rec) }
+
+func (r *Recorder) allocate() {
+	if r.Entries == 0 {
+		r.Entries = DefaultEntries
+	}
+	if r.Bytes == 0 {
+		r.Bytes = DefaultBytes
+	}
+	r.ring = newRing(r.Entries, r.Bytes)
+	r.pending = make([]any, 0, pendingLimit)
+}
+
+func (r *Recorder) start(ev rpcore.Start) {
+	r.unreachable = make(map[rpcore.EndpointID]bool)
+	rec := record{kind: KindInstanceStarted, code: string(ev.Self.Incarnation), text: "failure domain " + string(ev.Self.FailureDomain)}
+	r.add(ev.At, &rec)
+	r.self, r.started = ev.Self, rec.clock
+}
--- /dev/null
+++ b/internal/rptimeline/ring.go
@@ -0,0 +1,199 @@
+package rptimeline
+
+import (
+	"encoding/binary"
+	"math/bits"
+	"strings"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// Bounds of a ring.
+const (
+	// DefaultEntries holds about 100 s at the designed peak of 78 requests a
+	// second for each instance, with 4 entries a request.
+	DefaultEntries = 32768
+	DefaultBytes   = 8 << 20
+	// fieldBytes bounds a field. Longer ones are cut.
+	fieldBytes = 255
+	// headBytes holds clock, count, mask, kind, part and verdict.
+	headBytes = 21
+	// recordBytes is the largest record: a head and nine fields.
+	recordBytes = headBytes + 9*(1+fieldBytes)
+)
+
+// record is an entry as it is recorded.
+type record struct {
+	clock   Clock
+	count   uint64
+	kind    Kind
+	part    Part
+	verdict uint8
+
+	request, attempt, service, model, endpoint, order, peer, code, text string
+}
+
+// ring keeps the newest records in one byte slice. The slice holds no
+// pointers, so the garbage collector does not scan it, and the bound in bytes
+// is exact. It is not safe for concurrent use.
+//
+// The records are in [oldest, at), or in [oldest, end) and [0, at) where the
+// ring is wrapped.
+type ring struct {
+	buffer []byte
+	// lengths holds the length of each record by its sequence number. To read
+	// it from the buffer in drop would cost a cache miss for every record.
+	lengths         []uint16
+	mask            uint64
+	limit           uint64
+	oldest, at, end int
+	wrapped         bool
+	// first and next are the sequence numbers of the oldest record and of the
+	// next one.
+	first, next uint64
+}
+
+func newRing(entries, bytes int) *ring {
+	limit := uint64(max(entries, 1))
+	places := uint64(1) << bits.Len64(limit-1)
+	return &ring{
+		buffer: make([]byte, max(bytes, 2*recordBytes)), limit: limit,
+		lengths: make([]uint16, places), mask: places - 1,
+	}
+}
+
+// add appends a record and drops the oldest ones that it may replace. It
+// makes room for the largest record, which saves a pass over the fields.
+func (r *ring) add(rec *record) {
+	if r.at+recordBytes > len(r.buffer) {
+		r.wrap()
+	}
+	for r.wrapped && r.oldest < r.at+recordBytes {
+		r.drop()
+	}
+	if r.next-r.first == r.limit {
+		r.drop()
+	}
+	length := rec.encode(r.buffer[r.at : r.at+recordBytes])
+	r.lengths[r.next&r.mask] = uint16(length)
+	r.at += length
+	r.next++
+}
+
+// wrap goes on at the begin of the buffer. What is left behind this place is
+// older than all other records.
+func (r *ring) wrap() {
+	for r.wrapped {
+		r.drop()
+	}
+	if r.first == r.next {
+		r.oldest, r.at = 0, 0
+		return
+	}
+	r.end, r.at, r.wrapped = r.at, 0, true
+}
+
+func (r *ring) drop() {
+	r.oldest += r.length(r.first)
+	r.first++
+	if r.wrapped && r.oldest == r.end {
+		r.oldest, r.wrapped = 0, false
+	}
+}
+
+func (r *ring) length(sequence uint64) int { return int(r.lengths[sequence&r.mask]) }
+
+// cursor is a place in the ring that a reader keeps while it does not hold
+// the lock.
+type cursor struct {
+	sequence uint64
+	offset   int
+}
+
+// settle moves a cursor on to the oldest record where its own was dropped. It
+// reports whether there is a record at the cursor.
+func (r *ring) settle(c *cursor) bool {
+	switch {
+	case c.sequence <= r.first:
+		c.sequence, c.offset = r.first, r.oldest
+	case r.wrapped && c.offset == r.end:
+		c.offset = 0
+	}
+	return c.sequence < r.next
+}
+
+// read decodes the record at a settled cursor and moves the cursor on.
+func (r *ring) read(c *cursor) Entry {
+	length := r.length(c.sequence)
+	entry := decode(r.buffer[c.offset : c.offset+length])
+	c.sequence++
+	c.offset += length
+	return entry
+}
+
+// oldestClock returns the clock of the oldest record, 0 where there is none.
+func (r *ring) oldestClock() Clock {
+	if r.first == r.next {
+		return 0
+	}
+	return decode(r.buffer[r.oldest : r.oldest+r.length(r.first)]).Clock
+}
+
+// encode writes a record and returns its length. A mask says which fields it
+// has.
+func (rec *record) encode(to []byte) int {
+	_ = to[headBytes]
+	binary.LittleEndian.PutUint64(to, uint64(rec.clock))
+	binary.LittleEndian.PutUint64(to[8:], rec.count)
+	to[18], to[19], to[20] = byte(rec.kind), byte(rec.part), rec.verdict
+	at, mask := headBytes, uint16(0)
+	for i, field := range [...]*string{
+		&rec.request, &rec.attempt, &rec.service, &rec.model, &rec.endpoint,
+		&rec.order, &rec.peer, &rec.code, &rec.text,
+	} {
+		if n := min(len(*field), fieldBytes); n > 0 {
+			mask |= 1 << i
+			to[at] = byte(n)
+			copy(to[at+1:], (*field)[:n])
+			at += 1 + n
+		}
+	}
+	binary.LittleEndian.PutUint16(to[16:], mask)
+	return at
+}
+
+// splitModel splits the name that a caller sent.
+func (e *Entry) splitModel() {
+	if service, model, ok := strings.Cut(e.Model, "/"); ok {
+		e.Service, e.Model = service, model
+	}
+}
+
+func decode(data []byte) Entry {
+	entry := Entry{
+		Clock: Clock(binary.LittleEndian.Uint64(data)),
+		Count: binary.LittleEndian.Uint64(data[8:]),
+		Kind:  Kind(data[18]),
+		Part:  Part(data[19]),
+	}
+	if data[20] > 0 {
+		verdict := rpverdict.Verdict(data[20] - 1)
+		entry.Verdict = &verdict
+	}
+	mask := binary.LittleEndian.Uint16(data[16:])
+	data = data[headBytes:]
+	for i, field := range [...]*string{
+		&entry.Request, &entry.Attempt, &entry.Service, &entry.Model, &entry.Endpoint,
+		&entry.Order, &entry.Peer, &entry.Code, &entry.Text,
+	} {
+		if mask&(1<<i) != 0 {
+			length := int(data[0])
+			*field = string(data[1 : 1+length])
+			data = data[1+length:]
+		}
+	}
+	if entry.Service == "" {
+		entry.splitModel()
+	}
+	return entry
+}
