--- a/internal/rpcommand/document.go
+++ b/internal/rpcommand/document.go
@@ -182,19 +182,3 @@
 }
 
 func formatTime(t time.Time) string { return t.UTC().Format(time.RFC3339) }
-
-func status(ctx context.Context, p *Program, args *operatorReportArgs) error {
-	client, err := args.client()
-	if err != nil {
-		return err
-	}
-	raw, err := client.Status(ctx)
-	if err != nil {
-		return err
-	}
-	text, err := flatten(raw)
-	if err != nil {
-		return err
-	}
-	return p.report(args.Output, raw, text)
-}
--- /dev/null
+++ b/internal/rpcommand/documentstatus.go
@@ -0,0 +1,196 @@
+package rpcommand
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpoperator"
+	"github.com/rattanpaddle/rattanpaddle/internal/rptimeview"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+type documentStatusArgs struct {
+	OutputArgs
+	OperatorsArgs
+	Service string `arg:"positional,required" placeholder:"SERVICE" help:"the name of the service"`
+}
+
+// documentStatusReport says which version is in force where.
+type documentStatusReport struct {
+	Service string `json:"service"`
+	// Newest is the highest version that an instance has or knows of.
+	Newest    uint64             `json:"newest_version"`
+	Domains   []domainDocument   `json:"failure_domains"`
+	Instances []instanceDocument `json:"instances"`
+	// NotReached names the instances, or else the addresses, without an
+	// answer.
+	NotReached []string `json:"not_reached"`
+}
+
+// domainDocument sums up a failure domain.
+type domainDocument struct {
+	FailureDomain rpcore.FailureDomain `json:"failure_domain"`
+	// Lowest and Highest are equal where all instances that answered have one
+	// version; 0 is none.
+	Lowest  uint64 `json:"lowest_version"`
+	Highest uint64 `json:"highest_version"`
+	// Since is when the last of the instances got its version.
+	Since     time.Time `json:"since"`
+	Instances int       `json:"instances"`
+}
+
+type instanceDocument struct {
+	Instance      rpcore.InstanceID    `json:"instance"`
+	FailureDomain rpcore.FailureDomain `json:"failure_domain"`
+	Version       uint64               `json:"version"`
+	Since         time.Time            `json:"since"`
+}
+
+func documentStatus(ctx context.Context, p *Program, args *documentStatusArgs) error {
+	addresses, err := args.addresses()
+	if err != nil {
+		return err
+	}
+	if !rpdocument.ValidName(args.Service) {
+		return usageError("%q is not a name of a service", args.Service)
+	}
+	statuses, errs := statusOfAll(ctx, addresses)
+	report, first := buildDocumentStatus(args.Service, addresses, statuses, errs)
+	if len(report.Instances) == 0 {
+		return &rptimeview.NoneReachedError{Addresses: len(addresses), First: first}
+	}
+	return p.report(args.Output, report, report.text())
+}
+
+func statusOfAll(ctx context.Context, addresses []netip.AddrPort) ([]rpcore.Status, []error) {
+	statuses, errs := make([]rpcore.Status, len(addresses)), make([]error, len(addresses))
+	var group sync.WaitGroup
+	for i, address := range addresses {
+		group.Go(func() {
+			client := rpoperator.Client{Address: address}
+			raw, err := client.Status(ctx)
+			if err == nil {
+				err = json.Unmarshal(raw, &statuses[i])
+			}
+			errs[i] = err
+		})
+	}
+	group.Wait()
+	return statuses, errs
+}
+
+func buildDocumentStatus(service string, addresses []netip.AddrPort, statuses []rpcore.Status, errs []error) (*documentStatusReport, error) {
+	r := &documentStatusReport{Service: service, NotReached: []string{}}
+	var first error
+	seen, live := map[rpcore.InstanceID]bool{}, map[rpcore.InstanceID]bool{}
+	for i := range statuses {
+		if errs[i] != nil {
+			first = cmp.Or(first, errs[i])
+			r.NotReached = append(r.NotReached, addresses[i].String())
+			continue
+		}
+		s := &statuses[i]
+		for _, other := range s.Instances {
+			live[other.ID] = live[other.ID] || other.Live
+		}
+		if !seen[s.Instance] {
+			seen[s.Instance] = true
+			r.add(s)
+		}
+	}
+	for id, isLive := range live {
+		if isLive && !seen[id] {
+			r.NotReached = append(r.NotReached, string(id))
+		}
+	}
+	slices.Sort(r.NotReached)
+	r.sumUp()
+	return r, first
+}
+
+func (r *documentStatusReport) add(s *rpcore.Status) {
+	at := instanceDocument{Instance: s.Instance, FailureDomain: s.FailureDomain}
+	for i := range s.Documents {
+		if d := &s.Documents[i]; d.Service == r.Service {
+			at.Version, at.Since = d.Version, d.Since
+		}
+	}
+	r.Newest = max(r.Newest, at.Version)
+	for _, missing := range s.Missing {
+		if missing.Service == r.Service {
+			r.Newest = max(r.Newest, missing.Version)
+		}
+	}
+	r.Instances = append(r.Instances, at)
+}
+
+func (r *documentStatusReport) sumUp() {
+	slices.SortFunc(r.Instances, func(a, b instanceDocument) int {
+		return cmp.Or(cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(a.Instance, b.Instance))
+	})
+	for _, at := range r.Instances {
+		if n := len(r.Domains); n == 0 || r.Domains[n-1].FailureDomain != at.FailureDomain {
+			r.Domains = append(r.Domains, domainDocument{FailureDomain: at.FailureDomain, Lowest: at.Version})
+		}
+		domain := &r.Domains[len(r.Domains)-1]
+		domain.Instances++
+		domain.Lowest, domain.Highest = min(domain.Lowest, at.Version), max(domain.Highest, at.Version)
+		if at.Since.After(domain.Since) {
+			domain.Since = at.Since
+		}
+	}
+}
+
+func (r *documentStatusReport) text() string {
+	var b strings.Builder
+	if r.Newest == 0 {
+		fmt.Fprintf(&b, "No instance that answered has a document of service %s.\n", r.Service)
+	} else {
+		fmt.Fprintf(&b, "Service %s. The newest version that is known is %d.\n", r.Service, r.Newest)
+	}
+	fmt.Fprintf(&b, "\n%-16s %-20s %9s  %-24s %s\n", "FAILURE DOMAIN", "INSTANCE", "VERSION", "IN FORCE SINCE", "STATE")
+	for _, d := range r.Domains {
+		version := fmt.Sprint(d.Lowest)
+		if d.Lowest != d.Highest {
+			version = fmt.Sprintf("%d to %d", d.Lowest, d.Highest)
+		}
+		fmt.Fprintf(&b, "%-16s %-20s %9s  %-24s %s\n", d.FailureDomain, fmt.Sprintf("all %d", d.Instances), version, sinceText(d.Since), r.state(d.Lowest))
+		for _, at := range r.Instances {
+			if at.FailureDomain == d.FailureDomain {
+				fmt.Fprintf(&b, "%-16s %-20s %9d  %-24s %s\n", "", at.Instance, at.Version, sinceText(at.Since), r.state(at.Version))
+			}
+		}
+	}
+	if len(r.NotReached) > 0 {
+		fmt.Fprintf(&b, "\nNot reached: %s. What they have in force is not known.\n", strings.Join(r.NotReached, ", "))
+	} else {
+		b.WriteString("\nAll live instances answered.\n")
+	}
+	return b.String()
+}
+
+func (r *documentStatusReport) state(version uint64) string {
+	switch {
+	case version == 0:
+		return "none"
+	case version < r.Newest:
+		return "behind"
+	default:
+		return "current"
+	}
+}
+
+func sinceText(t time.Time) string {
+	if t.IsZero() {
+		return "-"
+	}
+	return t.UTC().Format("2006-01-02T15:04:05.000Z")
+}
--- a/internal/rpcommand/table.go
+++ b/internal/rpcommand/table.go
@@ -54,8 +54,20 @@
 		}, documentAccept),
 		define(command{name: "document show", aliases: []string{"get"}, help: "Print the document of a service that is in force."}, documentShow),
 		define(command{name: "document list", aliases: []string{"ls"}, help: "List the documents in force."}, documentList),
+		define(command{
+			name: "document status", aliases: []string{"where"}, help: "Say at which instances a document is in force, and since when.",
+			detail: "It names the live instances that gave no answer.",
+		}, documentStatus),
 		define(command{name: "document example", help: "Print a document with comments."}, documentExample),
 		define(command{name: "status", help: "Print the state of an instance."}, status),
+		define(command{
+			name: "timeline", aliases: []string{"events"}, help: "Print what happened at several instances, in causal order.",
+			detail: "Gaps, and instances that gave no answer, are named. An instance keeps its newest entries only.",
+		}, timeline),
+		define(command{
+			name: "explain", aliases: []string{"why"}, help: "Say what one request met at each step, and its verdict.",
+			detail: "Name all instances: the request is known to the one that took it.",
+		}, explain),
 		define(command{name: "version", help: "Print the version of the program."}, version),
 		define(command{name: "docs commands", hidden: true, help: "Print docs/commands.md."}, docsCommands),
 		define(command{name: "docs metrics", hidden: true, help: "Print docs/metrics.md."}, docsMetrics),
--- /dev/null
+++ b/internal/rpcommand/timeline.go
@@ -0,0 +1,118 @@
+package rpcommand
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rptimeline"
+	"github.com/rattanpaddle/rattanpaddle/internal/rptimeview"
+)
+
+// OperatorsArgs name the instances to ask.
+type OperatorsArgs struct {
+	Operators []netip.AddrPort `arg:"--operator,separate,env:RATTANPADDLE_OPERATOR" placeholder:"ADDRESS" help:"operators' address of an instance; may be given more than once"`
+}
+
+func (a *OperatorsArgs) addresses() ([]netip.AddrPort, error) {
+	if len(a.Operators) == 0 {
+		return nil, usageError("--operator is missing. Write the operators' address of each instance, such as 127.0.0.1:8081")
+	}
+	return a.Operators, nil
+}
+
+type timelineArgs struct {
+	OperatorsArgs
+	Format   string `arg:"-o,--output" placeholder:"FORMAT" default:"text" help:"text, json (lines), chrome (trace events) or html (one page)"`
+	Since    string `arg:"--since" placeholder:"TIME" help:"the first time: a duration before now such as 10m, or a time such as 2026-05-04T03:02:01Z"`
+	Limit    int    `arg:"--limit" default:"10000" help:"the newest entries of each instance"`
+	Service  string `arg:"--service" placeholder:"NAME" help:"only entries about this service"`
+	Model    string `arg:"--model" placeholder:"NAME" help:"only entries about this model or adapter, with or without its service"`
+	Request  string `arg:"--request" placeholder:"ID" help:"only entries about this request"`
+	Endpoint string `arg:"--endpoint" placeholder:"NAME" help:"only entries about this endpoint"`
+	Part     string `arg:"--part" placeholder:"NAME" help:"only entries of this part, such as replicas"`
+}
+
+func (a *timelineArgs) query(now time.Time) (rptimeline.Query, error) {
+	query := rptimeline.Query{
+		Limit: a.Limit, Service: a.Service, Model: a.Model, Request: a.Request, Endpoint: a.Endpoint, Part: a.Part,
+	}
+	if !slices.Contains(rptimeview.Formats, rptimeview.Format(a.Format)) {
+		return query, usageError("--output: %q is not a format. Write text, json, chrome or html", a.Format)
+	}
+	if a.Limit < 1 {
+		return query, usageError("--limit: write a whole number above 0")
+	}
+	if a.Part != "" {
+		if _, err := rptimeline.ParsePart(a.Part); err != nil {
+			return query, usageError("--part: %w", err)
+		}
+	}
+	since, err := parseSince(a.Since, now)
+	query.Since = since
+	return query, err
+}
+
+func parseSince(text string, now time.Time) (rptimeline.Clock, error) {
+	if text == "" {
+		return 0, nil
+	}
+	if before, err := time.ParseDuration(text); err == nil && before > 0 {
+		return rptimeline.ClockAt(now.Add(-before)), nil
+	}
+	at, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return 0, usageError("--since: %q is not a time. Write a duration such as 10m, or a time such as 2026-05-04T03:02:01Z", text)
+	}
+	return rptimeline.ClockAt(at), nil
+}
+
+func timeline(ctx context.Context, p *Program, args *timelineArgs) error {
+	addresses, err := args.addresses()
+	if err != nil {
+		return err
+	}
+	query, err := args.query(time.Now())
+	if err != nil {
+		return err
+	}
+	view := rptimeview.Gather(ctx, addresses, query)
+	if err := view.Err(); err != nil {
+		return err
+	}
+	return view.Write(p.Stdout, rptimeview.Format(args.Format))
+}
+
+type explainArgs struct {
+	OutputArgs
+	OperatorsArgs
+	Request string `arg:"positional,required" placeholder:"REQUEST_ID" help:"the id of the request, which the answer carries in X-Request-Id"`
+}
+
+func explain(ctx context.Context, p *Program, args *explainArgs) error {
+	addresses, err := args.addresses()
+	if err != nil {
+		return err
+	}
+	if strings.TrimSpace(args.Request) == "" {
+		return usageError("the id of the request is empty")
+	}
+	view := rptimeview.Gather(ctx, addresses, rptimeline.Query{Request: args.Request})
+	if err := view.Err(); err != nil {
+		return err
+	}
+	if len(view.Entries) > 0 && view.Entries[0].Model != "" {
+		// The loads that the request waited for have entries of their own, at
+		// the home of the model.
+		first := &view.Entries[0]
+		loads := rptimeview.Gather(ctx, addresses, rptimeline.Query{Since: first.Clock, Model: first.ModelName(), Part: rptimeline.PartReplicas.String()})
+		view = view.With(loads)
+	}
+	explanation, err := rptimeview.Explain(view, args.Request)
+	if err != nil {
+		return err
+	}
+	return p.report(args.Output, explanation, explanation.Text())
+}
--- a/internal/rptimeline/kind.go
+++ b/internal/rptimeline/kind.go
@@ -156,3 +156,12 @@
 	*p = parsed
 	return err
 }
+
+// Parts returns all parts.
+func Parts() []Part {
+	parts := make([]Part, len(partNames))
+	for i := range parts {
+		parts[i] = Part(i)
+	}
+	return parts
+}
--- a/internal/rptimeline/recorder_test.go
+++ b/internal/rptimeline/recorder_test.go
@@ -158,7 +158,8 @@
 	claim := rpcore.RowWrite{Key: rpcore.RowKey{Kind: rpcore.RowClaim, Service: "s", Name: "SECRET"}}
 	push := rpcore.PeerMessage{DocumentPush: &rpcore.DocumentPush{Body: []byte("SECRET")}}
 	recorder.Record(rpcore.RequestArrived{Stamp: at(0), Request: request}, []rpcore.Effect{
-		rpcore.WriteTable{Writes: []rpcore.RowWrite{claim}}, rpcore.SendPeer{Message: push},
+		rpcore.WriteTable{Writes: []rpcore.RowWrite{claim}},
+		rpcore.SendPeer{Message: push},
 		rpcore.ReplayOutcome{Request: "r", Outcome: rpcore.Outcome{Body: []byte("SECRET")}},
 	})
 	recorder.Record(rpcore.DocumentSubmitted{Stamp: at(1), Editor: "SECRET", Body: []byte("SECRET")}, nil)
--- /dev/null
+++ b/internal/rptimeview/merge.go
@@ -0,0 +1,154 @@
+package rptimeview
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rptimeline"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+// Codes of remarks. They are stable.
+const (
+	RemarkOverwritten   = "timeline_gap_overwritten"
+	RemarkOmitted       = "timeline_gap_limit"
+	RemarkStarted       = "timeline_gap_started"
+	RemarkUnreachable   = "timeline_unreachable"
+	RemarkNotAsked      = "timeline_not_asked"
+	RemarkClockRejected = "timeline_clock_rejected"
+)
+
+// Remark says what a view does not show.
+type Remark struct {
+	Code string `json:"code"`
+	// Clock is the end of a gap; entries before it are missing. It is 0 for
+	// what concerns the whole view.
+	Clock    rptimeline.Clock `json:"clock"`
+	Instance string           `json:"instance,omitempty"`
+	Address  string           `json:"address,omitempty"`
+	Text     string           `json:"text"`
+}
+
+// View is a merged time line.
+type View struct {
+	// Heads describe the instances that answered, ordered by name.
+	Heads   []rptimeline.Head
+	Remarks []Remark
+	Entries []rptimeline.Entry
+	err     error
+	asked   int
+}
+
+// Merge puts the entries of all sources in causal order.
+func Merge(sources []Source, query rptimeline.Query) *View {
+	v := &View{asked: len(sources)}
+	known := map[rpcore.InstanceID]bool{}
+	for i := range sources {
+		v.add(&sources[i], query, known)
+	}
+	v.addNotAsked(known)
+	slices.SortFunc(v.Heads, func(a, b rptimeline.Head) int { return cmp.Compare(a.Instance, b.Instance) })
+	slices.SortStableFunc(v.Entries, compareEntries)
+	slices.SortStableFunc(v.Remarks, func(a, b Remark) int {
+		return cmp.Or(cmp.Compare(a.Clock, b.Clock), cmp.Compare(a.Instance+a.Address, b.Instance+b.Address))
+	})
+	return v
+}
+
+// Err returns an error where no instance answered.
+func (v *View) Err() error {
+	if len(v.Heads) > 0 || v.err == nil {
+		return nil
+	}
+	return &NoneReachedError{Addresses: v.asked, First: v.err}
+}
+
+func (v *View) add(source *Source, query rptimeline.Query, known map[rpcore.InstanceID]bool) {
+	if source.Err != nil {
+		v.err = cmp.Or(v.err, source.Err)
+		v.Remarks = append(v.Remarks, Remark{
+			Code: RemarkUnreachable, Address: source.Address.String(),
+			Text: "The instance at " + source.Address.String() + " gave no time line. Its entries are missing. " + source.Err.Error(),
+		})
+		return
+	}
+	head := source.Page.Head
+	if slices.ContainsFunc(v.Heads, func(h rptimeline.Head) bool { return h.Instance == head.Instance }) {
+		return
+	}
+	v.Heads = append(v.Heads, head)
+	v.Entries = append(v.Entries, source.Page.Entries...)
+	v.addGaps(&source.Page, query)
+	for _, instance := range source.Instances {
+		if instance.Live {
+			known[instance.ID] = true
+		}
+	}
+}
+
+func (v *View) addGaps(page *rptimeline.Page, query rptimeline.Query) {
+	head := &page.Head
+	gap := func(code string, clock rptimeline.Clock, text string) {
+		v.Remarks = append(v.Remarks, Remark{Code: code, Clock: clock, Instance: head.Instance, Text: text})
+	}
+	switch {
+	case head.Overwritten > 0 && query.Since < head.Oldest:
+		gap(RemarkOverwritten, head.Oldest, fmt.Sprintf("Entries of %s before this time were overwritten. Number: %d.", head.Instance, head.Overwritten))
+	case query.Since > 0 && query.Since < head.Started:
+		gap(RemarkStarted, head.Started, fmt.Sprintf("The process of %s started at this time. Entries of an earlier process are gone.", head.Instance))
+	}
+	if head.Omitted > 0 && len(page.Entries) > 0 {
+		gap(RemarkOmitted, page.Entries[0].Clock, fmt.Sprintf("Entries of %s before this time are not shown, because of the limit. Number: %d.", head.Instance, head.Omitted))
+	}
+	if head.RejectedClocks > 0 {
+		gap(RemarkClockRejected, 0, fmt.Sprintf("%s got messages with a clock more than %s ahead. Number: %d. The order of some entries may be wrong.",
+			head.Instance, rptimeline.MaxAhead, head.RejectedClocks))
+	}
+}
+
+func (v *View) addNotAsked(known map[rpcore.InstanceID]bool) {
+	for id := range known {
+		if !slices.ContainsFunc(v.Heads, func(h rptimeline.Head) bool { return h.Instance == string(id) }) {
+			v.Remarks = append(v.Remarks, Remark{
+				Code: RemarkNotAsked, Instance: string(id),
+				Text: fmt.Sprintf("%s is live and gave no time line. Its entries are missing.", id),
+			})
+		}
+	}
+}
+
+// lines calls each for remarks and entries in their order; exactly one of the
+// arguments is set.
+func (v *View) lines(each func(*Remark, *rptimeline.Entry)) {
+	next := 0
+	for i := range v.Entries {
+		for next < len(v.Remarks) && v.Remarks[next].Clock <= v.Entries[i].Clock {
+			each(&v.Remarks[next], nil)
+			next++
+		}
+		each(nil, &v.Entries[i])
+	}
+	for ; next < len(v.Remarks); next++ {
+		each(&v.Remarks[next], nil)
+	}
+}
+
+// With adds the entries and remarks of another view that this one lacks.
+func (v *View) With(other *View) *View {
+	merged := *v
+	merged.Entries = slices.Clone(v.Entries)
+	for i := range other.Entries {
+		e := &other.Entries[i]
+		same := func(have rptimeline.Entry) bool { return have.Clock == e.Clock && have.Instance == e.Instance }
+		if !slices.ContainsFunc(v.Entries, same) {
+			merged.Entries = append(merged.Entries, *e)
+		}
+	}
+	slices.SortStableFunc(merged.Entries, compareEntries)
+	return &merged
+}
+
+func compareEntries(a, b rptimeline.Entry) int {
+	return cmp.Or(cmp.Compare(a.Clock, b.Clock), cmp.Compare(a.Instance, b.Instance))
+}
