--- a/internal/rpcommand/exit.go
+++ b/internal/rpcommand/exit.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 
+	"github.com/rattanpaddle/rattanpaddle/internal/rpmessage"
 	"github.com/rattanpaddle/rattanpaddle/internal/rpoperator"
 )
 
@@ -23,19 +24,41 @@
 	ExitUnknown
 )
 
-// ExitCodes says what each exit code means.
-var ExitCodes = []struct {
+// ExitMeaning says what an exit code means.
+type ExitMeaning struct {
 	Code ExitCode
-	Help string
-}{
-	{ExitDone, "The command did what it was asked."},
-	{ExitFailed, "The command failed for another reason. The message says why."},
-	{ExitUsage, "The arguments are wrong. Nothing was done."},
-	{ExitInvalid, "A settings file or a document has problems. Nothing was done."},
-	{ExitRefused, "The credential does not allow this, or the instance refused the request."},
-	{ExitConflict, "Another version of the document was accepted first. Yours was not accepted."},
-	{ExitUnavailable, "The instance or the platform's service is not available. Nothing was done."},
-	{ExitUnknown, "The outcome is not known: the document may have been accepted. Look before you try again."},
+	// Message is the code of the message in rpmessage.
+	Message string
+	Help    string
+}
+
+// ExitCodes says what each exit code means.
+var ExitCodes = []ExitMeaning{
+	exitMessage(ExitDone, "exit_done"),
+	exitMessage(ExitFailed, "exit_failed"),
+	exitMessage(ExitUsage, "exit_usage"),
+	exitMessage(ExitInvalid, "exit_invalid"),
+	exitMessage(ExitRefused, "exit_refused"),
+	exitMessage(ExitConflict, "exit_conflict"),
+	exitMessage(ExitUnavailable, "exit_unavailable"),
+	exitMessage(ExitUnknown, "exit_unknown"),
+}
+
+func exitMessage(code ExitCode, name string) ExitMeaning {
+	message, _ := rpmessage.Find(rpmessage.AreaExit, name)
+	return ExitMeaning{code, name, message.Happened}
+}
+
+// advice returns the message that says what to do about an error.
+func advice(err error, code ExitCode) rpmessage.Message {
+	var refusal *rpoperator.Refusal
+	if errors.As(err, &refusal) {
+		if message, ok := rpmessage.Find(rpmessage.AreaOperator, string(refusal.Code)); ok {
+			return message
+		}
+	}
+	message, _ := rpmessage.Find(rpmessage.AreaExit, ExitCodes[code].Message)
+	return message
 }
 
 // exitError is an error with its exit code.
--- a/internal/rpcommand/program.go
+++ b/internal/rpcommand/program.go
@@ -40,6 +40,8 @@
 	if code != ExitDone {
 		_, _ = fmt.Fprintf(p.Stderr, "%s: %v\n", programName, err)
 		p.printProblems(err)
+		message := advice(err, code)
+		_, _ = fmt.Fprintf(p.Stderr, "What to do: %s (%s)\n", message.Do, message.Code)
 	}
 	return int(code)
 }
--- a/internal/rpcommand/run.go
+++ b/internal/rpcommand/run.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"github.com/rattanpaddle/rattanpaddle/internal/rpdemo"
+	"github.com/rattanpaddle/rattanpaddle/internal/rpmessage"
 	"github.com/rattanpaddle/rattanpaddle/internal/rpmetric"
 	"github.com/rattanpaddle/rattanpaddle/internal/rpsettings"
 )
@@ -95,6 +96,10 @@
 	return p.print(rpmetric.Docs())
 }
 
+func docsMessages(_ context.Context, p *Program, _ *noArgs) error {
+	return p.print(rpmessage.Docs())
+}
+
 // Version is the version of the program. The linker sets it for a release.
 var Version = "development"
 
--- a/internal/rpcommand/table.go
+++ b/internal/rpcommand/table.go
@@ -70,6 +70,7 @@
 		}, explain),
 		define(command{name: "version", help: "Print the version of the program."}, version),
 		define(command{name: "docs commands", hidden: true, help: "Print docs/commands.md."}, docsCommands),
+		define(command{name: "docs messages", hidden: true, help: "Print docs/messages.md."}, docsMessages),
 		define(command{name: "docs metrics", hidden: true, help: "Print docs/metrics.md."}, docsMetrics),
 	}
 }
--- a/internal/rplog/log.go
+++ b/internal/rplog/log.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpmessage"
 )
 
 // Format is the form of the entries.
@@ -59,7 +61,8 @@
 		return zerolog.Nop()
 	}
 	out := partWriter{out: l.out, prefix: []byte(name + ": ")}
-	return zerolog.New(out).Level(l.levels.Of(name)).With().Timestamp().Str(partField, name).Logger()
+	logger := zerolog.New(out).Level(l.levels.Of(name)).With().Timestamp().Str(partField, name).Logger()
+	return logger.Hook(zerolog.HookFunc(addCode))
 }
 
 // messageStart is the start of the message in an encoded entry. zerolog writes
@@ -88,3 +91,10 @@
 	}
 	return len(entry), nil
 }
+
+// addCode adds the code of the message, by which an operator finds what to do.
+func addCode(e *zerolog.Event, _ zerolog.Level, message string) {
+	if code, ok := rpmessage.LogCode(message); ok {
+		e.Str("code", code)
+	}
+}
--- a/internal/rptimeline/query.go
+++ b/internal/rptimeline/query.go
@@ -4,6 +4,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"strings"
 )
 
 // DefaultLimit bounds the entries of an answer.
@@ -84,11 +85,18 @@
 	return e.Clock >= q.Since &&
 		(q.Service == "" || q.Service == e.Service) &&
 		(q.Model == "" || q.Model == e.Model || q.Model == e.ModelName()) &&
-		(q.Request == "" || q.Request == e.Request) &&
+		(q.Request == "" || MatchesRequest(q.Request, e.Request)) &&
 		(q.Endpoint == "" || q.Endpoint == e.Endpoint) &&
 		(q.Part == "" || q.Part == e.Part.String())
 }
 
+// MatchesRequest reports whether an id is the one that was asked for. The
+// front adds a dot and a unique part to an id that a caller chose, so the part
+// before it matches too.
+func MatchesRequest(asked, id string) bool {
+	return strings.HasPrefix(id, asked) && (len(id) == len(asked) || id[len(asked)] == '.')
+}
+
 // Head describes the time line of an instance and a selection of it.
 type Head struct {
 	Instance      string `json:"instance"`
--- a/internal/rptimeview/explain.go
+++ b/internal/rptimeview/explain.go
@@ -48,10 +48,12 @@
 // for are part of the explanation.
 func Explain(v *View, request string) (*Explanation, error) {
 	x := &Explanation{Request: request, Remarks: append([]Remark{}, v.Remarks...)}
-	about := slices.DeleteFunc(slices.Clone(v.Entries), func(e rptimeline.Entry) bool { return e.Request != request })
-	if len(about) == 0 {
-		return nil, &UnknownRequestError{Request: request}
+	about, err := entriesAbout(v, request)
+	if err != nil {
+		return nil, err
 	}
+	request = about[0].Request
+	x.Request = request
 	x.Model = about[0].ModelName()
 	x.end(about)
 	begin, end := about[0].Clock, waitEnd(about)
@@ -65,6 +67,40 @@
 	return x, nil
 }
 
+// entriesAbout returns the entries of the one request that an id names.
+func entriesAbout(v *View, request string) ([]rptimeline.Entry, error) {
+	var about []rptimeline.Entry
+	var ids []string
+	for i := range v.Entries {
+		e := &v.Entries[i]
+		if !rptimeline.MatchesRequest(request, e.Request) {
+			continue
+		}
+		about = append(about, *e)
+		if !slices.Contains(ids, e.Request) {
+			ids = append(ids, e.Request)
+		}
+	}
+	switch len(ids) {
+	case 0:
+		return nil, &UnknownRequestError{Request: request}
+	case 1:
+		return about, nil
+	}
+	return nil, &SeveralRequestsError{Request: request, IDs: ids}
+}
+
+// SeveralRequestsError says that callers gave several requests the same id.
+type SeveralRequestsError struct {
+	Request string
+	IDs     []string
+}
+
+func (e *SeveralRequestsError) Error() string {
+	return fmt.Sprintf("Callers sent %d requests with the id %s. Write the whole id of one: %s",
+		len(e.IDs), e.Request, strings.Join(e.IDs, ", "))
+}
+
 // waitEnd returns the clock of the first attempt, or that of the end.
 func waitEnd(about []rptimeline.Entry) rptimeline.Clock {
 	for i := range about {
