--- a/internal/rpcommand/accept_test.go
+++ b/internal/rpcommand/accept_test.go
@@ -31,7 +31,7 @@
 	n.server = &rpoperator.Server{
 		Document: n.document, Post: n.post, AnswerTimeout: 10 * time.Millisecond,
 		Documents: func() []rpcore.DocumentRow { return []rpcore.DocumentRow{n.current.Row} },
-		Status:    func() any { return map[string]any{"ready": true, "peers": []string{"entry-2"}} },
+		Status:    func() any { return withStatus("entry-1a", "d1", 8) },
 	}
 	for _, credential := range credentials {
 		n.server.BootstrapEditors = append(n.server.BootstrapEditors, rpdocument.Hash([]byte(credential)))
@@ -127,5 +127,5 @@
 	g.Expect(withRun(t, &Program{}, "document", "show", "mixadvies").stdout).To(HaveSuffix(body()))
 	g.Expect(withRun(t, &Program{}, "document", "diff", file).stdout).To(
 		Equal("Changes to version 1:\nModel bag-small: at most 4 replicas, was 3.\n"))
-	g.Expect(withRun(t, &Program{}, "status").stdout).To(Equal("peers[0]: entry-2\nready: true\n"))
+	g.Expect(withRun(t, &Program{}, "status").stdout).To(Equal(wantStatus))
 }
--- a/internal/rpcommand/status.go
+++ b/internal/rpcommand/status.go
@@ -71,7 +71,7 @@
 
 func writeEndpoints(b *strings.Builder, endpoints []rpcore.EndpointStatus) {
 	fmt.Fprintf(b, "\nEndpoints: %d\n  %-24s %-8s %-14s %-16s %8s %8s %19s %7s  %s\n", len(endpoints),
-		"ENDPOINT", "KIND", "SERVICE", "FAILURE DOMAIN", "REQUESTS", "MODELS", "MEMORY USED OF", "REPORT", "STATE")
+		"ENDPOINT", "KIND", "SERVICE", "FAILURE DOMAIN", "REQUESTS", "MODELS", "MEMORY IN USE", "REPORT", "STATE")
 	for i := range endpoints {
 		e := &endpoints[i]
 		state := "in use"
--- a/internal/rpmessage/logs.go
+++ b/internal/rpmessage/logs.go
@@ -19,6 +19,7 @@
 	logLine("log_report_failed", "endpoint: report was not read", "The report of an engine could not be read.", "If it lasts, check the engine."),
 	logLine("log_list_failed", "list: reading failed", "The instance list could not be read.", "If it lasts, check the platform's list."),
 	logLine("log_registration_failed", "list: registration failed", "The instance could not enter itself in the list.", "If it lasts, check the platform's list."),
+	logLine("log_objects_failed", "objects: ", "The object store did not answer as it should.", "If it lasts, check the object store."),
 	logLine("log_row_unencodable", "table: a row can't be encoded", "A row of the table can't be encoded.", "Report the line as a fault of the program."),
 	logLine("log_table_read_failed", "table: read failed", "The table could not be read.", "If it lasts, check the table service."),
 	logLine("log_table_write_failed", "table: write failed", "The table could not be written.", "If it lasts, check the table service."),
--- a/internal/rppeer/frame_test.go
+++ b/internal/rppeer/frame_test.go
@@ -127,3 +127,25 @@
 		}
 	})
 }
+
+// Guards against a clock that makes a message unreadable for a version that
+// does not know it, and against a message without a clock being refused.
+func TestClockIsOptional(t *testing.T) {
+	g := NewWithT(t)
+	message := rpcore.PeerMessage{Demand: &rpcore.Demand{Waiting: 3}}
+	frame, err := encodeFrame(&Envelope{Version: Version, From: "i1", Clock: 7, Message: message})
+	g.Expect(err).NotTo(HaveOccurred())
+	var older struct {
+		Version uint64             `cbor:"version"`
+		From    rpcore.InstanceID  `cbor:"from"`
+		Message rpcore.PeerMessage `cbor:"message"`
+	}
+	g.Expect(frameDecoding.Unmarshal(frame[frameHeader:], &older)).To(Succeed())
+	g.Expect(older.Message).To(Equal(message))
+	envelope, err := decodeFrame(encodeAny(t, older))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(envelope).To(Equal(Envelope{Version: Version, From: "i1", Message: message}))
+	envelope, err = decodeFrame(frame[frameHeader:])
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(envelope.Clock).To(BeEquivalentTo(7))
+}
