--- a/internal/rptimeview/explain.go
+++ b/internal/rptimeview/explain.go
@@ -200,7 +200,10 @@
 	if !ok {
 		reason = "Reason: " + e.Code + "."
 	}
-	text := fmt.Sprintf("The attempt at endpoint %s ended. %s Tokens to the caller: %d.", e.Endpoint, reason, e.Count)
+	text := fmt.Sprintf("The attempt at endpoint %s ended. %s", e.Endpoint, reason)
+	if e.Count > 0 {
+		text += fmt.Sprintf(" Tokens of the stream to the caller: %d.", e.Count)
+	}
 	if e.Verdict != nil {
 		text += " Verdict of the attempt: " + e.Verdict.String() + "."
 	}
