Add a harness that measures the policy in virtual time

Several States run against small fakes of the network, the platform and the engines through the exported interface of rpcore only.

--- /dev/null
+++ b/internal/rpmeasure/coldstart.go
@@ -0,0 +1,127 @@
+package rpmeasure
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+// coldConcurrency is the number of requests that an engine runs at once in the
+// cold start measures, so that a burst of 50 does not wait for one engine.
+const coldConcurrency = 64
+
+// coldBurst sends 50 requests at all instances within 20 ms for one idle model
+// whose checkpoint one engine has in the given place.
+func coldBurst(place rpcore.CheckpointPlace) measure {
+	return func(d Deployment, o Options) figures {
+		o.Concurrency = coldConcurrency
+		w := NewWorld(d, o)
+		keys := d.models()
+		key := keys[w.rng.IntN(len(keys))]
+		w.put(key, place)
+		w.Run(8*time.Second + time.Duration(w.rng.IntN(1000))*time.Millisecond)
+		calls := w.burst(key, 50, 20*time.Millisecond)
+		w.Run(time.Minute)
+		took := loadTimes[place].Seconds()
+		return figures{
+			"p50_ratio":     quantile(firstTokens(calls), 0.5) / took,
+			"p99_ratio":     quantile(firstTokens(calls), 0.99) / took,
+			"loads":         float64(len(w.loads)),
+			"without_token": float64(withoutToken(calls)),
+		}
+	}
+}
+
+var loadTimes = map[rpcore.CheckpointPlace]time.Duration{
+	rpcore.PlaceMemory: loadFromMemory, rpcore.PlaceDisk: loadFromDisk, rpcore.PlaceRemote: loadFromStore,
+}
+
+// put puts a checkpoint into the given place of a random engine.
+func (w *World) put(key rpcore.ModelKey, place rpcore.CheckpointPlace) {
+	var engines []*engine
+	for _, e := range w.engines {
+		if e.member.Service == key.Service {
+			engines = append(engines, e)
+		}
+	}
+	e := engines[w.rng.IntN(len(engines))]
+	switch place {
+	case rpcore.PlaceMemory:
+		e.cache(checkpoint(key))
+	case rpcore.PlaceDisk:
+		e.onDisk[checkpoint(key)] = true
+	}
+}
+
+func (w *World) burst(key rpcore.ModelKey, n int, spread time.Duration) []*Call {
+	calls := make([]*Call, n)
+	for i := range calls {
+		w.after(time.Duration(w.rng.Int64N(int64(spread))), func() {
+			calls[i] = w.Send(w.rng.IntN(len(w.instances)), Call{Model: key, Tokens: 20})
+		})
+	}
+	return calls
+}
+
+// wakeMany sends the first requests of 40 idle models within 10 s. One in five
+// checkpoints is in the memory of an engine, three in ten are on a disk, and
+// the others come from the weight store.
+func wakeMany(d Deployment, o Options) figures {
+	o.Concurrency = coldConcurrency
+	w := NewWorld(d, o)
+	keys := d.models()
+	w.rng.Shuffle(len(keys), func(i, j int) { keys[i], keys[j] = keys[j], keys[i] })
+	places := make([]rpcore.CheckpointPlace, 40)
+	for i := range places {
+		places[i] = rpcore.PlaceRemote
+		if n := w.rng.IntN(10); n < 2 {
+			places[i] = rpcore.PlaceMemory
+		} else if n < 5 {
+			places[i] = rpcore.PlaceDisk
+		}
+		w.put(keys[i], places[i])
+	}
+	w.Run(8 * time.Second)
+	wakes := make([]time.Duration, len(places))
+	calls := make([]*Call, len(places))
+	for i := range calls {
+		wakes[i] = time.Duration(w.rng.Int64N(int64(10 * time.Second)))
+		w.after(wakes[i], func() {
+			calls[i] = w.Send(w.rng.IntN(len(w.instances)), Call{Model: keys[i], Tokens: 20})
+		})
+	}
+	w.Run(2 * time.Minute)
+	floor := quantile(wakeFloor(wakes, places, d.StartsPerSecond), 0.99)
+	return figures{
+		"floor_p99_s": floor, "p99_s": quantile(firstTokens(calls), 0.99),
+		"p99_ratio": quantile(firstTokens(calls), 0.99) / floor,
+		"loads":     float64(len(w.loads)), "loads_at_once": float64(w.store.peak), "without_token": float64(withoutToken(calls)),
+	}
+}
+
+// wakeFloor returns the least time that each model needs: its load time, and
+// for the weight store the wait in the best order for the slowest one, which
+// is that of arrival, over 4 places and the rate of starts. Messages, table
+// and prefill count as nothing.
+func wakeFloor(wakes []time.Duration, places []rpcore.CheckpointPlace, perSecond float64) []float64 {
+	order := make([]int, len(wakes))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return int(wakes[a] - wakes[b]) })
+	var free [storeAtFullSpeed]time.Duration
+	var next time.Duration
+	floor := make([]float64, len(wakes))
+	for _, i := range order {
+		floor[i] = loadTimes[places[i]].Seconds()
+		if places[i] == rpcore.PlaceRemote {
+			slices.Sort(free[:])
+			start := max(wakes[i], free[0], next)
+			free[0] = start + loadFromStore
+			next = start + time.Duration(float64(time.Second)/perSecond)
+			floor[i] = (free[0] - wakes[i]).Seconds()
+		}
+	}
+	return floor
+}
--- /dev/null
+++ b/internal/rpmeasure/day.go
@@ -0,0 +1,100 @@
+package rpmeasure
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// The trace of a day: sessions arrive as a Poisson process per model, at a
+// rate that falls with the popularity of the model and follows the hour; a
+// session is a geometric number of requests with exponential gaps.
+const (
+	dayLength          = 24 * time.Hour
+	sessionsOfFirst    = 150.0
+	popularityExponent = 0.8
+	requestsInSession  = 10.0
+	gapInSession       = 8 * time.Second
+	// dayInstances keeps the run short; heartbeats grow with the square.
+	dayInstances = 3
+)
+
+// hourShare is the rate of sessions by hour relative to the mean.
+func hourShare(hour int) float64 {
+	switch {
+	case hour < 7:
+		return 0.3
+	case hour >= 9 && hour < 17:
+		return 1.7
+	default:
+		return 0.9
+	}
+}
+
+// idleDay runs a day of bursty arrivals and sums up the time for which
+// accelerators held a replica without a request.
+func idleDay(d Deployment, o Options) figures {
+	o.Concurrency = coldConcurrency
+	d.Instances = dayInstances
+	w := NewWorld(d, o)
+	trace := rand.New(rand.NewPCG(o.Seed, 99))
+	for i, place := range trace.Perm(len(d.models())) {
+		w.put(d.models()[i], []rpcore.CheckpointPlace{rpcore.PlaceDisk, rpcore.PlaceRemote}[i%2])
+		rate := sessionsOfFirst / math.Pow(float64(place+1), popularityExponent)
+		w.sessions(d.models()[i], rate/dayLength.Seconds(), trace)
+	}
+	w.Run(dayLength + time.Minute)
+	w.settleIdle()
+	var calls []*Call
+	for _, call := range w.calls {
+		calls = append(calls, call)
+	}
+	times := firstTokens(calls)
+	return figures{
+		"idle_hours": w.idle.Hours(), "p99_s": quantile(times, 0.99), "p99_9_s": quantile(times, 0.999),
+		"urgent_p99_s":  quantile(firstTokens(ofRank(calls, rpdocument.RankUrgent)), 0.99),
+		"loads":         float64(len(w.loads)),
+		"requests":      float64(len(calls)),
+		"without_token": float64(withoutToken(calls)),
+	}
+}
+
+// sessions plans the sessions of one model over the day. The trace is drawn
+// before the run, so it is the same for every policy.
+func (w *World) sessions(key rpcore.ModelKey, perSecond float64, trace *rand.Rand) {
+	at := time.Duration(0)
+	for {
+		// Thinning: candidates at the highest rate, each kept by its hour.
+		at += seconds(trace.ExpFloat64() / (perSecond * hourShare(12)))
+		if at >= dayLength {
+			return
+		}
+		if trace.Float64()*hourShare(12) > hourShare(int(at.Hours())) {
+			continue
+		}
+		rank := []rpdocument.Rank{rpdocument.RankUrgent, rpdocument.RankNormal, rpdocument.RankBackground}[[]int{0, 1, 1, 1, 2}[trace.IntN(5)]]
+		for next := at; ; next += seconds(trace.ExpFloat64() * gapInSession.Seconds()) {
+			call, i := Call{Model: key, Rank: rank, Tokens: 10 + trace.IntN(50)}, trace.IntN(dayInstances)
+			w.after(10*time.Second+next, func() { w.Send(i, call) })
+			if trace.Float64() < 1/requestsInSession {
+				break
+			}
+		}
+	}
+}
+
+// settleIdle counts the replicas that are still idle.
+func (w *World) settleIdle() {
+	for _, e := range w.engines {
+		for _, m := range e.loaded {
+			if m.requests == 0 {
+				w.addIdle(m)
+			}
+		}
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/rpmeasure/engine.go
@@ -0,0 +1,215 @@
+package rpmeasure
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// Times of the engines.
+const (
+	loadFromMemory = 300 * time.Millisecond
+	loadFromDisk   = 900 * time.Millisecond
+	loadFromStore  = 1800 * time.Millisecond
+	loadAdapter    = 10 * time.Millisecond
+	prefillTime    = 10 * time.Millisecond
+	tokenTime      = 30 * time.Millisecond
+	reportLag      = 500 * time.Millisecond
+	// checkpointsInMemory bounds the host memory of an engine; its disk holds
+	// every checkpoint that was loaded there.
+	checkpointsInMemory = 3
+)
+
+// engine is a fake of a model engine with continuous batching: up to
+// concurrency requests run at once at full speed, the others wait by rank.
+type engine struct {
+	world       *World
+	member      rpcore.Member
+	concurrency int
+	loaded      map[rpcore.ModelKey]*loadedModel
+	loading     map[rpcore.ModelKey]bool
+	highest     uint64
+	sequence    uint64
+	running     int
+	waiting     [rpdocument.RankCount][]*work
+	inMemory    []string
+	onDisk      map[string]bool
+}
+
+type loadedModel struct {
+	rpcore.LoadedModel
+	requests  int
+	idleSince time.Time
+}
+
+// work is one attempt at an engine.
+type work struct {
+	rpcore.StartAttempt
+	call     *Call
+	from     *instance
+	canceled bool
+	started  bool
+}
+
+func (e *engine) place(name string) rpcore.CheckpointPlace {
+	switch {
+	case slices.Contains(e.inMemory, name):
+		return rpcore.PlaceMemory
+	case e.onDisk[name]:
+		return rpcore.PlaceDisk
+	default:
+		return rpcore.PlaceRemote
+	}
+}
+
+func (e *engine) report() rpcore.EngineReport {
+	e.sequence++
+	r := rpcore.EngineReport{
+		Endpoint: rpcore.EndpointID(e.member.ID), Incarnation: e.member.Incarnation, Sequence: e.sequence,
+		TakenAt: e.world.now, Memory: e.member.Memory, Running: e.running, HighestFence: e.highest,
+	}
+	for _, queue := range e.waiting {
+		r.Waiting += len(queue)
+	}
+	for _, m := range e.loaded {
+		r.Loaded = append(r.Loaded, m.LoadedModel)
+	}
+	slices.SortFunc(r.Loaded, func(a, b rpcore.LoadedModel) int { return a.Key.Compare(b.Key) })
+	for name := range e.onDisk {
+		r.Cached = append(r.Cached, rpcore.CachedCheckpoint{Checkpoint: name, Place: e.place(name)})
+	}
+	slices.SortFunc(r.Cached, func(a, b rpcore.CachedCheckpoint) int {
+		return slices.Compare([]byte(a.Checkpoint), []byte(b.Checkpoint))
+	})
+	return r
+}
+
+// order carries out an order and calls answer with the result.
+func (e *engine) order(o rpcore.SendOrder, answer func(rpcore.OrderResult)) {
+	if o.Fence < e.highest {
+		answer(rpcore.OrderFenced)
+		return
+	}
+	e.highest = o.Fence
+	if o.Kind == rpcore.OrderUnloadModel || o.Kind == rpcore.OrderUnloadAdapter {
+		e.unload(o.Model)
+		answer(rpcore.OrderDone)
+		return
+	}
+	e.loading[o.Model] = true
+	e.world.loads = append(e.world.loads, o)
+	done := func() { e.finishLoad(o, answer) }
+	switch place := e.place(o.Checkpoint); {
+	case o.Kind == rpcore.OrderLoadAdapter:
+		e.world.after(loadAdapter, done)
+	case place == rpcore.PlaceMemory:
+		e.world.after(loadFromMemory, done)
+	case place == rpcore.PlaceDisk:
+		e.world.after(loadFromDisk, done)
+	default:
+		e.world.store.load(loadFromStore, done)
+	}
+}
+
+func (e *engine) finishLoad(o rpcore.SendOrder, answer func(rpcore.OrderResult)) {
+	if !e.loading[o.Model] {
+		answer(rpcore.OrderRejected)
+		return
+	}
+	delete(e.loading, o.Model)
+	model := rpcore.LoadedModel{Key: o.Model, Version: o.Version, BaseModel: o.BaseModel, Memory: o.Memory}
+	e.loaded[o.Model] = &loadedModel{LoadedModel: model, idleSince: e.world.now}
+	e.cache(o.Checkpoint)
+	answer(rpcore.OrderDone)
+}
+
+// cache puts a checkpoint first in the host memory and on the disk.
+func (e *engine) cache(name string) {
+	e.onDisk[name] = true
+	e.inMemory = slices.DeleteFunc(e.inMemory, func(other string) bool { return other == name })
+	e.inMemory = slices.Insert(e.inMemory, 0, name)
+	e.inMemory = e.inMemory[:min(len(e.inMemory), checkpointsInMemory)]
+}
+
+func (e *engine) unload(key rpcore.ModelKey) {
+	delete(e.loading, key)
+	if m := e.loaded[key]; m != nil && m.requests == 0 {
+		e.world.addIdle(m)
+	}
+	delete(e.loaded, key)
+}
+
+func (e *engine) submit(w *work) {
+	m := e.loaded[w.servedName()]
+	if m == nil {
+		w.end(rpcore.AttemptNotLoaded, rpverdict.NotRun)
+		return
+	}
+	if m.requests == 0 {
+		e.world.addIdle(m)
+	}
+	m.requests++
+	queue := &e.waiting[max(0, w.Rank.Index())]
+	*queue = append(*queue, w)
+	e.schedule()
+}
+
+func (w *work) servedName() rpcore.ModelKey {
+	if w.Adapter != "" {
+		return rpcore.ModelKey{Service: w.Model.Service, Name: w.Adapter}
+	}
+	return w.Model
+}
+
+// schedule starts waiting requests, the most urgent first.
+func (e *engine) schedule() {
+	for i := range e.waiting {
+		for len(e.waiting[i]) > 0 && e.running < e.concurrency {
+			w := e.waiting[i][0]
+			e.waiting[i] = e.waiting[i][1:]
+			e.start(w)
+		}
+	}
+}
+
+func (e *engine) start(w *work) {
+	e.running++
+	w.started = true
+	e.world.after(prefillTime, func() {
+		if !w.canceled {
+			w.firstToken()
+		}
+	})
+	e.world.after(prefillTime+time.Duration(w.call.Tokens)*tokenTime, func() {
+		if !w.canceled {
+			e.finish(w)
+			w.end(rpcore.AttemptComplete, rpverdict.Ran)
+		}
+	})
+}
+
+func (e *engine) finish(w *work) {
+	if w.started {
+		e.running--
+	}
+	if m := e.loaded[w.servedName()]; m != nil {
+		m.requests--
+		m.idleSince = e.world.now
+	}
+	e.schedule()
+}
+
+func (e *engine) cancel(w *work) {
+	if w.canceled {
+		return
+	}
+	w.canceled = true
+	for i := range e.waiting {
+		e.waiting[i] = slices.DeleteFunc(e.waiting[i], func(other *work) bool { return other == w })
+	}
+	e.finish(w)
+	w.end(rpcore.AttemptCanceled, rpverdict.MayHaveRun)
+}
--- /dev/null
+++ b/internal/rpmeasure/instance.go
@@ -0,0 +1,140 @@
+package rpmeasure
+
+import (
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// instance carries out the effects of one State.
+type instance struct {
+	world    *World
+	identity rpcore.Identity
+	state    rpcore.State
+	alarm    int
+	// polls counts the changes of the polling of an engine, so that the
+	// earlier polling stops.
+	polls map[rpcore.EndpointID]int
+	work  map[rpcore.AttemptID]*work
+}
+
+func (n *instance) reduce(ev rpcore.Event) {
+	for _, effect := range n.state.Reduce(ev) {
+		n.carryOut(effect)
+	}
+}
+
+func (n *instance) carryOut(effect rpcore.Effect) {
+	w := n.world
+	switch effect := effect.(type) {
+	case rpcore.SetAlarm:
+		n.setAlarm(effect.At)
+	case rpcore.StartAttempt:
+		n.startAttempt(effect)
+	case rpcore.CancelAttempt:
+		if job := n.work[effect.Attempt]; job != nil {
+			e := w.byID[string(job.Endpoint)].(*engine)
+			w.after(w.link(n.identity.FailureDomain, e.member.FailureDomain), func() { e.cancel(job) })
+		}
+	case rpcore.RefuseRequest:
+		call := w.calls[effect.Request]
+		call.Refused, call.Code = w.now, string(effect.Refusal.Code)
+	case rpcore.PollEngine:
+		n.polls[effect.Endpoint]++
+		if effect.Interval > 0 {
+			n.poll(effect, n.polls[effect.Endpoint])
+		}
+	case rpcore.SendOrder:
+		n.sendOrder(effect)
+	case rpcore.ReadTable:
+		w.after(readTime, func() {
+			n.reduce(rpcore.TableReadDone{Stamp: w.stamp(), Op: effect.Op, Rows: w.table.read(effect.Keys, effect.Prefix)})
+		})
+	case rpcore.WriteTable:
+		w.after(writeTime, func() {
+			n.reduce(rpcore.TableWriteDone{Stamp: w.stamp(), Op: effect.Op, Outcome: w.table.write(effect.Writes)})
+		})
+	case rpcore.LoadDocument:
+		w.after(readTime, func() {
+			n.reduce(rpcore.DocumentLoaded{
+				Stamp: w.stamp(), Service: effect.Service, Version: effect.Version, Hash: effect.Hash, Body: w.bodies[effect.Hash],
+			})
+		})
+	case rpcore.SendPeer:
+		to := w.byID[string(effect.To)].(*instance)
+		w.after(w.link(n.identity.FailureDomain, to.identity.FailureDomain), func() {
+			to.reduce(rpcore.PeerReceived{Stamp: w.stamp(), From: n.identity.Instance, Message: effect.Message})
+		})
+	}
+}
+
+func (n *instance) setAlarm(at time.Time) {
+	n.alarm++
+	alarm := n.alarm
+	n.world.at(at, func() {
+		if n.alarm == alarm {
+			n.reduce(rpcore.Tick{Stamp: n.world.stamp()})
+		}
+	})
+}
+
+func (n *instance) startAttempt(start rpcore.StartAttempt) {
+	w := n.world
+	e := w.byID[string(start.Endpoint)].(*engine)
+	job := &work{StartAttempt: start, call: w.calls[start.Request], from: n}
+	n.work[start.Attempt] = job
+	w.after(w.link(n.identity.FailureDomain, e.member.FailureDomain), func() { e.submit(job) })
+}
+
+// toInstance runs a function when a message of the engine has arrived.
+func (w *work) toInstance(run func(world *World)) {
+	world := w.from.world
+	e := world.byID[string(w.Endpoint)].(*engine)
+	world.after(world.link(w.from.identity.FailureDomain, e.member.FailureDomain), func() { run(world) })
+}
+
+func (w *work) firstToken() {
+	w.toInstance(func(world *World) {
+		if w.call.First.IsZero() {
+			w.call.First = world.now
+		}
+		w.from.reduce(rpcore.AttemptFirstToken{Stamp: world.stamp(), Attempt: w.Attempt, Request: w.Request})
+	})
+}
+
+func (w *work) end(reason rpcore.AttemptReason, verdict rpverdict.Verdict) {
+	w.toInstance(func(world *World) {
+		if reason == rpcore.AttemptComplete {
+			w.call.Ended = world.now
+		}
+		delete(w.from.work, w.Attempt)
+		w.from.reduce(rpcore.AttemptEnded{
+			Stamp: world.stamp(), Attempt: w.Attempt, Request: w.Request, Reason: reason, Verdict: verdict,
+		})
+	})
+}
+
+// poll delivers the report of an engine with its lag.
+func (n *instance) poll(poll rpcore.PollEngine, round int) {
+	if n.polls[poll.Endpoint] != round {
+		return
+	}
+	w := n.world
+	report := w.byID[string(poll.Endpoint)].(*engine).report()
+	w.after(reportLag, func() { n.reduce(rpcore.EngineReported{Stamp: w.stamp(), Report: report}) })
+	w.after(poll.Interval, func() { n.poll(poll, round) })
+}
+
+func (n *instance) sendOrder(o rpcore.SendOrder) {
+	w := n.world
+	e := w.byID[string(o.Endpoint)].(*engine)
+	delay := w.link(n.identity.FailureDomain, e.member.FailureDomain)
+	w.after(delay, func() {
+		e.order(o, func(result rpcore.OrderResult) {
+			w.after(delay, func() {
+				n.reduce(rpcore.OrderAnswered{Stamp: w.stamp(), Order: o.Order, Endpoint: o.Endpoint, Result: result})
+			})
+		})
+	})
+}
--- /dev/null
+++ b/internal/rpmeasure/platform.go
@@ -0,0 +1,120 @@
+package rpmeasure
+
+import (
+	"math"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+// table is the transactional table of the platform.
+type table map[rpcore.RowKey]rpcore.Row
+
+func (t table) read(keys []rpcore.RowKey, prefix rpcore.RowKind) []rpcore.Row {
+	var rows []rpcore.Row
+	for _, key := range keys {
+		if row, ok := t[key]; ok {
+			rows = append(rows, row)
+		}
+	}
+	for key, row := range t {
+		if prefix != "" && key.Kind == prefix {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+func (t table) write(writes []rpcore.RowWrite) rpcore.WriteOutcome {
+	for _, w := range writes {
+		if t[w.Key].Version != w.ExpectVersion {
+			return rpcore.WriteConflict
+		}
+	}
+	for _, w := range writes {
+		t[w.Key] = rpcore.Row{Key: w.Key, Version: w.ExpectVersion + 1, Nonce: w.Nonce, RowBody: w.RowBody}
+	}
+	return rpcore.WriteApplied
+}
+
+// storeAtFullSpeed is the number of loads that the weight store serves at full
+// speed. With more, each gets its share.
+const storeAtFullSpeed = 4
+
+// weightStore starts loads at a bounded rate and shares its speed between
+// those in flight.
+type weightStore struct {
+	clock     *clock
+	perSecond float64
+	nextStart time.Time
+	active    []*storeLoad
+	changed   time.Time
+	round     uint64
+	peak      int
+}
+
+type storeLoad struct {
+	// left is the rest of the load at full speed.
+	left time.Duration
+	done func()
+}
+
+func (s *weightStore) load(took time.Duration, done func()) {
+	start := s.clock.now
+	if s.nextStart.After(start) {
+		start = s.nextStart
+	}
+	s.nextStart = start.Add(time.Duration(float64(time.Second) / s.perSecond))
+	s.clock.at(start, func() {
+		s.progress()
+		s.active = append(s.active, &storeLoad{took, done})
+		s.peak = max(s.peak, len(s.active))
+		s.schedule()
+	})
+}
+
+func (s *weightStore) speed() float64 {
+	return min(1, storeAtFullSpeed/float64(max(1, len(s.active))))
+}
+
+func (s *weightStore) progress() {
+	passed := time.Duration(float64(s.clock.now.Sub(s.changed)) * s.speed())
+	s.changed = s.clock.now
+	for _, load := range s.active {
+		load.left -= passed
+	}
+}
+
+func (s *weightStore) schedule() {
+	s.round++
+	if len(s.active) == 0 {
+		return
+	}
+	round, first := s.round, time.Duration(math.MaxInt64)
+	for _, load := range s.active {
+		first = min(first, load.left)
+	}
+	wait := time.Duration(float64(max(first, 0))/s.speed()) + time.Nanosecond
+	s.clock.after(wait, func() {
+		if s.round == round {
+			s.finish()
+		}
+	})
+}
+
+func (s *weightStore) finish() {
+	s.progress()
+	var rest, done []*storeLoad
+	for _, load := range s.active {
+		if load.left <= 0 {
+			done = append(done, load)
+		} else {
+			rest = append(rest, load)
+		}
+	}
+	s.active = rest
+	s.schedule()
+	for _, load := range done {
+		load.done()
+	}
+}
