Prefer requests that can still end before their deadline

Change: a request that is likely to end late starts only where no other waits, and admission adds the run time, twice the mean of the service.

--- a/pkg/rpcore/admission.go
+++ b/pkg/rpcore/admission.go
@@ -26,7 +26,7 @@
 		return full
 	}
 	wait, ok := s.predictedWait(r)
-	if !ok || !s.now.Add(wait).After(r.cutoff) {
+	if !ok || !s.now.Add(wait+s.runTime(r.lane)).After(r.cutoff) {
 		return nil
 	}
 	// The replica is asked for even so, or a model whose cold start exceeds
@@ -38,6 +38,18 @@
 	return late
 }
 
+// runTimeFactor covers requests that take longer than the mean.
+const runTimeFactor = 2
+
+// runTime returns the time that most requests of a lane need at an endpoint. A
+// request that starts with less time left is likely to be cancelled.
+func (s *State) runTime(l *lane) time.Duration {
+	if s.policy.FirstInFirstOut {
+		return 0
+	}
+	return runTimeFactor * time.Duration(l.service.duration)
+}
+
 func (s *State) queueLimit(r *request) int {
 	document := r.lane.service.document
 	if !s.policy.FirstInFirstOut {
@@ -92,7 +104,7 @@
 // been observed under load, from the time that the service's requests take.
 func (s *State) assumedGap(l *lane, endpoints int) time.Duration {
 	slots := s.limits.EngineConcurrency * max(1, endpoints)
-	return time.Duration(l.service.duration) / time.Duration(slots)
+	return runTimeFactor * time.Duration(l.service.duration) / time.Duration(slots)
 }
 
 func (l *lane) moreUrgent(queue int) int {
--- a/pkg/rpcore/dispatch.go
+++ b/pkg/rpcore/dispatch.go
@@ -104,16 +104,16 @@
 		if best != nil && (v.servedAt > best.servedAt || (v.servedAt == best.servedAt && v.name >= best.name)) {
 			continue
 		}
-		if l.hasHead(s.now, passed) {
+		if l.hasHead(s.now, s.runTime(l), passed) {
 			best = v
 		}
 	}
 	return best
 }
 
-func (l *lane) hasHead(now time.Time, passed []*request) bool {
+func (l *lane) hasHead(now time.Time, need time.Duration, passed []*request) bool {
 	for i := range l.queues {
-		if l.queues[i].first(now, passed) != nil {
+		if l.queues[i].first(now, need, passed) != nil {
 			return true
 		}
 	}
@@ -127,7 +127,7 @@
 			continue
 		}
 		for i := range l.queues {
-			head := l.queues[i].first(s.now, passed)
+			head := l.queues[i].first(s.now, s.runTime(l), passed)
 			if head != nil && (heads[i] == nil || compareRequests(head, heads[i]) < 0) {
 				heads[i] = head
 			}
--- a/pkg/rpcore/queue.go
+++ b/pkg/rpcore/queue.go
@@ -39,8 +39,22 @@
 }
 
 // first returns the first request that may still start, apart from those to
-// skip, or nil.
-func (q rankQueue) first(now time.Time, skip []*request) *request {
+// skip, or nil. A request that is likely to end after its deadline, since
+// requests take need, starts only where no other waits: cancelled work is lost
+// capacity.
+func (q rankQueue) first(now time.Time, need time.Duration, skip []*request) *request {
+	if need == 0 || len(q) == 0 || q[0].cutoff.After(now.Add(need)) {
+		return q.firstOpen(now, skip)
+	}
+	enough := now.Add(need)
+	i, _ := slices.BinarySearchFunc(q, enough, func(r *request, at time.Time) int { return r.cutoff.Compare(at) })
+	if r := q[i:].firstOpen(now, skip); r != nil {
+		return r
+	}
+	return q[:i].firstOpen(now, skip)
+}
+
+func (q rankQueue) firstOpen(now time.Time, skip []*request) *request {
 	for _, r := range q {
 		if r.cutoff.After(now) && !slices.Contains(skip, r) {
 			return r
