Send urgent requests ahead of capacity to engines that others use too

Change: while at most 4 urgent requests wait at an instance, they go to engines that are full, which run urgent work first. Engines that only this instance uses are excluded, since there each free place is seen at once (TestFloorsHoldInOverload).

--- a/pkg/rpcore/dispatch.go
+++ b/pkg/rpcore/dispatch.go
@@ -209,6 +209,7 @@
 func (s *State) dispatchActive() {
 	for _, l := range slices.Clone(s.requests.active) {
 		s.dispatchLane(l)
+		s.dispatchAhead(l)
 		if l.waiting == 0 {
 			continue
 		}
--- a/pkg/rpcore/queue.go
+++ b/pkg/rpcore/queue.go
@@ -156,6 +156,7 @@
 	l.compactAges()
 	s.activate(l)
 	s.dispatchLane(l)
+	s.dispatchAhead(l)
 	if r.phase == phaseQueued {
 		s.demand(l)
 	}
