Remove costs of heartbeats and upkeep that grow with the fleet

Cause: each heartbeat recomputed the live instances, and each second of upkeep compared every polled engine with every engine to poll and sorted all engine ids twice. Change: a heartbeat recomputes them only where its sender's state changes; the polled engines are looked up in a set; the order of the engines is kept with the index.

--- a/pkg/rpcore/heartbeat.go
+++ b/pkg/rpcore/heartbeat.go
@@ -205,7 +205,10 @@
 	p.digest = heartbeat.Digest
 	p.waiting = heartbeat.Waiting
 	p.leaving = heartbeat.Leaving || p.Leaving
-	s.liveChanged(s.updateLive())
+	if _, live := slices.BinarySearch(s.members.live, from); live == p.leaving {
+		// Most heartbeats change nothing, and an update looks at every instance.
+		s.liveChanged(s.updateLive())
+	}
 	for _, notice := range heartbeat.LeavingEndpoints {
 		s.leavingNoticeReceived(notice)
 	}
--- a/pkg/rpcore/member.go
+++ b/pkg/rpcore/member.go
@@ -13,6 +13,8 @@
 	listed    map[string]Member
 	absences  map[lifetime]*absence
 	endpoints map[EndpointID]*endpoint
+	// order lists the ids of endpoints in order.
+	order []EndpointID
 	// engines and services index the endpoints by service, ordered by id.
 	engines  map[string][]*endpoint
 	services map[string][]*endpoint
@@ -229,7 +231,8 @@
 func (s *State) indexEndpoints() {
 	clear(s.members.engines)
 	clear(s.members.services)
-	for _, id := range endpointIDs(s.members.endpoints) {
+	s.members.order = endpointIDs(s.members.endpoints)
+	for _, id := range s.members.order {
 		e := s.members.endpoints[id]
 		index := s.members.services
 		if e.Kind == MemberEngine {
--- a/pkg/rpcore/report.go
+++ b/pkg/rpcore/report.go
@@ -26,7 +26,7 @@
 func (s *State) updatePolling() {
 	domains := s.liveByDomain()
 	var mine []*endpoint
-	for _, id := range endpointIDs(s.members.endpoints) {
+	for _, id := range s.members.order {
 		e := s.members.endpoints[id]
 		if e.Kind == MemberEngine && s.pollsEngine(e, domains[e.FailureDomain]) {
 			mine = append(mine, e)
@@ -59,10 +59,13 @@
 }
 
 func (s *State) stopPolling(mine []*endpoint) {
+	kept := make(map[EndpointID]bool, len(mine))
+	for _, e := range mine {
+		kept[e.id] = true
+	}
 	var stopped []EndpointID
 	for id := range s.members.polled {
-		kept := slices.ContainsFunc(mine, func(e *endpoint) bool { return e.id == id })
-		if !kept {
+		if !kept[id] {
 			stopped = append(stopped, id)
 		}
 	}
--- a/pkg/rpcore/review.go
+++ b/pkg/rpcore/review.go
@@ -98,7 +98,7 @@
 
 // dueEngines adds the rows of the engines that this instance is the home of.
 func (s *State) dueEngines(due []RowKey) []RowKey {
-	for _, id := range endpointIDs(s.members.endpoints) {
+	for _, id := range s.members.order {
 		row := engineRowKey(id)
 		if s.members.endpoints[id].Kind != MemberEngine || s.replicaHome("engine/"+string(id)) != s.self.Instance {
 			continue
