--- a/pkg/rpcore/replicaspec.go
+++ b/pkg/rpcore/replicaspec.go
@@ -67,15 +67,18 @@
 	return ok && now.version == spec.version && now.max > 0
 }
 
-// worth returns how much one request of a rank counts; a document that sets
-// no worth counts each request as 1.
+// worth returns how much one request of a rank counts relative to the rank
+// normal; worth weighs ranks against each other, while the price of
+// accelerators is absolute. A document that sets no worth counts each request
+// as 1.
 func (s *State) worth(service string, rank rpdocument.Rank) float64 {
 	doc := s.replicas.seams.document(s, service)
 	if doc == nil {
 		return 1
 	}
-	if w := doc.Rank(rank).Worth; w > 0 {
-		return w
+	w, normal := doc.Rank(rank).Worth, doc.Rank(rpdocument.RankNormal).Worth
+	if w > 0 && normal > 0 {
+		return w / normal
 	}
 	return 1
 }
