--- a/pkg/rpcore/idle.go
+++ b/pkg/rpcore/idle.go
@@ -16,9 +16,9 @@
 	// useDecay is the time constant of the rate of announced use.
 	useDecay = time.Hour
 	// acceleratorPrice is the cost of one accelerator for one second, in
-	// seconds that one request of worth 1 waits. With it a model of worth 1
-	// that loads in 3 s is kept for 75 s after its last use.
-	acceleratorPrice = 0.02
+	// seconds that one request of rank normal waits. With it a model of rank
+	// normal that loads in 3 s is kept for 50 s after its last use.
+	acceleratorPrice = 0.03
 	// returnShare is the share of replicas that are used again within as long
 	// a time as they have been idle.
 	returnShare = 0.5
