--- a/internal/rpsettings/check_test.go
+++ b/internal/rpsettings/check_test.go
@@ -83,7 +83,7 @@
 	g.Expect(settings.PeersAddress().String()).To(Equal("10.0.0.5:8082"))
 	g.Expect(settings.CoreLimits()).To(Equal(rpcore.Limits{
 		WeightLoads: 4, WeightLoadsPerSecond: 12, AdapterLoads: 30, EngineConcurrency: 16,
-		RequestsInProgress: 20000, DrainTimeout: time.Minute, ColdStartEstimate: 3 * time.Second,
+		RequestsInProgress: 20000, DrainTimeout: time.Minute, ListLag: time.Minute, ColdStartEstimate: 3 * time.Second,
 	}))
 }
 
