--- a/internal/rpcapacity/page.go
+++ b/internal/rpcapacity/page.go
@@ -94,8 +94,9 @@
 	fmt.Fprintf(b, "| heartbeats of one instance, everyone to everyone | %d peers | %.0f bytes/s | %.0f |\n", z.Instances-1, mesh, networkBudgetBytes)
 	fmt.Fprintf(b, "| heartbeats of one instance, as built | %.0f + %.0f peers | %.0f bytes/s | %.0f |\n", z.localPeers(), z.remotePeers(), chosen, networkBudgetBytes)
 	fmt.Fprintf(b, "| heartbeats of one instance in groups of 2 or 3 | %d peers | %.0f bytes/s | %.0f |\n\n", remotePeers, groups, networkBudgetBytes)
-	b.WriteString("Groups of 2 or 3 instances, as the related paper proposes for session state, cost least, but a change would need\n" +
-		"about 9 hops (log₂ of 460) over groups that fail together with a rack. They are not adopted.\n\n")
+	b.WriteString("Groups of 2 or 3 instances, as \"Active-Active, N+1 Amphorae Setup\" (OpenStack Octavia) proposes for session state,\n" +
+		"cost least, but a change would need about 9 hops (log₂ of 460) over groups that fail together with a rack. They are\n" +
+		"not adopted.\n\n")
 	b.WriteString("Time for a change to reach all 27 failure domains: one hop to 2 instances of each other domain, one to their own\n" +
 		"domain, and a request and answer for the body at each: 6 one-way delays, about 10 ms within a region. A failure domain\n" +
 		"that is cut from the accepting one reads the table within 1 s, or compares digests with a third one within 5 s: this\n" +
