--- a/internal/rpendpoint/limits.go
+++ b/internal/rpendpoint/limits.go
@@ -1,6 +1,9 @@
 package rpendpoint
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Limits bounds what the client reads and how long it waits. A zero field
 // stands for its default.
@@ -48,21 +51,14 @@
 )
 
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.DialTimeout, DefaultDialTimeout)
-	setDefault(&l.CancelTimeout, DefaultCancelTimeout)
-	setDefault(&l.PollTimeout, DefaultPollTimeout)
-	setDefault(&l.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&l.IdleConnections, DefaultIdleConnections)
-	setDefault(&l.LineBytes, DefaultLineBytes)
-	setDefault(&l.AnswerBytes, DefaultAnswerBytes)
-	setDefault(&l.ServiceAnswerBytes, DefaultServiceAnswerBytes)
-	setDefault(&l.ReportBytes, DefaultReportBytes)
+	l.DialTimeout = cmp.Or(l.DialTimeout, DefaultDialTimeout)
+	l.CancelTimeout = cmp.Or(l.CancelTimeout, DefaultCancelTimeout)
+	l.PollTimeout = cmp.Or(l.PollTimeout, DefaultPollTimeout)
+	l.IdleTimeout = cmp.Or(l.IdleTimeout, DefaultIdleTimeout)
+	l.IdleConnections = cmp.Or(l.IdleConnections, DefaultIdleConnections)
+	l.LineBytes = cmp.Or(l.LineBytes, DefaultLineBytes)
+	l.AnswerBytes = cmp.Or(l.AnswerBytes, DefaultAnswerBytes)
+	l.ServiceAnswerBytes = cmp.Or(l.ServiceAnswerBytes, DefaultServiceAnswerBytes)
+	l.ReportBytes = cmp.Or(l.ReportBytes, DefaultReportBytes)
 	return l
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/rpendpoint/order.go
+++ b/internal/rpendpoint/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -49,9 +50,7 @@
 }
 
 func (c *Client) sendOrder(order rpcore.SendOrder) (rpcore.OrderResult, string) {
-	timeout := order.Timeout
-	setDefault(&timeout, defaultOrderTimeout)
-	ctx, cancel := context.WithTimeout(c.ctx, timeout)
+	ctx, cancel := context.WithTimeout(c.ctx, cmp.Or(order.Timeout, defaultOrderTimeout))
 	defer cancel()
 	req, err := orderRequest(ctx, order)
 	if err != nil {
--- a/internal/rpfront/limits.go
+++ b/internal/rpfront/limits.go
@@ -1,6 +1,7 @@
 package rpfront
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
@@ -47,22 +48,15 @@
 const writePart = 64 << 10
 
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.BodyBytes, DefaultBodyBytes)
-	setDefault(&l.PlainBodyBytes, DefaultPlainBodyBytes)
-	setDefault(&l.HeaderBytes, DefaultHeaderBytes)
-	setDefault(&l.URLBytes, DefaultURLBytes)
-	setDefault(&l.ReadHeaderTimeout, DefaultReadHeaderTimeout)
-	setDefault(&l.BodyTimeout, DefaultBodyTimeout)
-	setDefault(&l.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&l.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&l.Streams, DefaultStreams)
-	setDefault(&l.RequestTimeout, DefaultRequestTimeout)
+	l.BodyBytes = cmp.Or(l.BodyBytes, DefaultBodyBytes)
+	l.PlainBodyBytes = cmp.Or(l.PlainBodyBytes, DefaultPlainBodyBytes)
+	l.HeaderBytes = cmp.Or(l.HeaderBytes, DefaultHeaderBytes)
+	l.URLBytes = cmp.Or(l.URLBytes, DefaultURLBytes)
+	l.ReadHeaderTimeout = cmp.Or(l.ReadHeaderTimeout, DefaultReadHeaderTimeout)
+	l.BodyTimeout = cmp.Or(l.BodyTimeout, DefaultBodyTimeout)
+	l.IdleTimeout = cmp.Or(l.IdleTimeout, DefaultIdleTimeout)
+	l.WriteTimeout = cmp.Or(l.WriteTimeout, DefaultWriteTimeout)
+	l.Streams = cmp.Or(l.Streams, DefaultStreams)
+	l.RequestTimeout = cmp.Or(l.RequestTimeout, DefaultRequestTimeout)
 	return l
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/pkg/rpcore/state.go
+++ b/pkg/rpcore/state.go
@@ -1,6 +1,7 @@
 package rpcore
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 )
@@ -113,20 +114,13 @@
 }
 
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.WeightLoads, DefaultWeightLoads)
-	setDefault(&l.WeightLoadsPerSecond, DefaultWeightLoadsPerSecond)
-	setDefault(&l.AdapterLoads, DefaultAdapterLoads)
-	setDefault(&l.EngineConcurrency, DefaultEngineConcurrency)
-	setDefault(&l.RequestsInProgress, DefaultRequestsInProgress)
-	setDefault(&l.DrainTimeout, DefaultDrainTimeout)
-	setDefault(&l.ListLag, DefaultListLag)
-	setDefault(&l.ColdStartEstimate, DefaultColdStartEstimate)
+	l.WeightLoads = cmp.Or(l.WeightLoads, DefaultWeightLoads)
+	l.WeightLoadsPerSecond = cmp.Or(l.WeightLoadsPerSecond, DefaultWeightLoadsPerSecond)
+	l.AdapterLoads = cmp.Or(l.AdapterLoads, DefaultAdapterLoads)
+	l.EngineConcurrency = cmp.Or(l.EngineConcurrency, DefaultEngineConcurrency)
+	l.RequestsInProgress = cmp.Or(l.RequestsInProgress, DefaultRequestsInProgress)
+	l.DrainTimeout = cmp.Or(l.DrainTimeout, DefaultDrainTimeout)
+	l.ListLag = cmp.Or(l.ListLag, DefaultListLag)
+	l.ColdStartEstimate = cmp.Or(l.ColdStartEstimate, DefaultColdStartEstimate)
 	return l
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
