--- a/internal/rpcapacity/size.go
+++ b/internal/rpcapacity/size.go
@@ -52,6 +52,8 @@
 	pollSecondsPerEngine   = 0.04
 	shareSeconds           = 1.0
 	listSeconds            = 0.5
+	modelAuditSeconds      = 30.0
+	engineAuditSeconds     = 60.0
 	// wireOverhead is what QUIC, UDP and IP add to a message, in bytes, as
 	// the benchmarks of internal/rppeer show: 195 for a message of 152.
 	wireOverhead = 43.0
@@ -134,7 +136,8 @@
 
 func (z Size) tableReads() float64 {
 	readers := float64(z.Domains)
-	return readers + z.loads()*loadWrites
+	audits := float64(z.Models)/modelAuditSeconds + float64(z.Engines)/engineAuditSeconds
+	return readers + audits + z.loads()*loadWrites
 }
 
 func (z Size) changes() float64 { return z.ChangesPerDay / secondsPerDay }
