Refuse table items whose body is of another kind than their key

Cause: readItem took any body, so a damaged or foreign item could reach the reducer as a row with a missing pointer. Change: a row must have exactly the body of its kind; fuzz targets for table items and the instance list. TestReadsOfManyRows wrote rows without a body, which the reducer never does; they have one now, and the checks are the same.

--- /dev/null
+++ b/internal/rpplatform/fuzz_test.go
@@ -0,0 +1,75 @@
+package rpplatform
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+// Guards against an item of the table that stops the process, or that the
+// reducer takes for a row of another kind than its key says.
+func FuzzReadItem(f *testing.F) {
+	write := rpcore.RowWrite{
+		Key:     rpcore.RowKey{Kind: rpcore.RowDocument, Service: "s"},
+		Nonce:   "n",
+		RowBody: rpcore.RowBody{Document: &rpcore.DocumentRow{Service: "s", Version: 1}},
+	}
+	seed, err := writeItem(&write)
+	if err != nil {
+		f.Fatal(err)
+	}
+	body := seed[attributeBody].(*types.AttributeValueMemberB).Value
+	f.Add(partitionKey(write.Key), sortKey(write.Key), "1", body)
+	f.Add("model", "s/m", "1", body)
+	f.Add("claim-00", "s/%zz", "-1", []byte{0xa1})
+	f.Fuzz(func(t *testing.T, partition, sort, version string, body []byte) {
+		row, err := readItem(item{
+			attributePartition: text(partition),
+			attributeSort:      text(sort),
+			attributeVersion:   &types.AttributeValueMemberN{Value: version},
+			attributeNonce:     text("n"),
+			attributeBody:      &types.AttributeValueMemberB{Value: body},
+		})
+		if err == nil && !bodyFits(row) {
+			t.Fatalf("a row of kind %q has another body", row.Key.Kind)
+		}
+	})
+}
+
+// Guards against an answer of the instance list that stops the process, and
+// against a cut answer that passes for a short list.
+func FuzzDecodeMembers(f *testing.F) {
+	f.Add([]byte(`[{"id":"a","kind":"engine","address":"127.0.0.1:1"}]`))
+	f.Add([]byte(`[]`))
+	f.Add([]byte(`null`))
+	f.Add([]byte(`[{"id":"a"}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		members, err := decodeMembers(bytes.NewReader(body))
+		if err != nil {
+			return
+		}
+		var elements []json.RawMessage
+		if json.Unmarshal(body, &elements) != nil || len(elements) != len(members) {
+			t.Fatalf("%d members from %q", len(members), body)
+		}
+	})
+}
+
+// Guards against a row whose body has another kind than its key: the reducer
+// would read a missing pointer.
+func TestItemOfAnotherKindIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	write := rpcore.RowWrite{
+		Key:     rpcore.RowKey{Kind: rpcore.RowModel, Service: "s", Name: "m"},
+		RowBody: rpcore.RowBody{Claim: &rpcore.ClaimRow{}},
+	}
+	found, err := writeItem(&write)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = readItem(found)
+	g.Expect(err).To(MatchError(ContainSubstring("not of the kind")))
+}
--- a/internal/rpplatform/item.go
+++ b/internal/rpplatform/item.go
@@ -91,5 +91,25 @@
 		invalid.Reason = err.Error()
 		return rpcore.Row{}, invalid
 	}
+	if !bodyFits(row) {
+		invalid.Reason = "the body is not of the kind that the key says"
+		return rpcore.Row{}, invalid
+	}
 	return row, nil
 }
+
+// bodyFits reports whether a row has exactly the body of its kind.
+func bodyFits(row rpcore.Row) bool {
+	bodies := map[rpcore.RowKind]bool{
+		rpcore.RowDocument: row.Document != nil,
+		rpcore.RowModel:    row.Model != nil,
+		rpcore.RowEngine:   row.Engine != nil,
+		rpcore.RowClaim:    row.Claim != nil,
+	}
+	for kind, set := range bodies {
+		if set != (kind == row.Key.Kind) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/rpplatform/table_test.go
+++ b/internal/rpplatform/table_test.go
@@ -96,14 +96,18 @@
 // claims that a read of the kind does not find in their partitions.
 func TestReadsOfManyRows(t *testing.T) {
 	const rows = 130
-	for _, kind := range []rpcore.RowKind{rpcore.RowDocument, rpcore.RowClaim} {
+	bodies := map[rpcore.RowKind]rpcore.RowBody{
+		rpcore.RowDocument: {Document: &rpcore.DocumentRow{}},
+		rpcore.RowClaim:    {Claim: &rpcore.ClaimRow{}},
+	}
+	for kind, body := range bodies {
 		g := NewWithT(t)
 		table := withTable(t, withServer(t, &rpstandin.Table{PageBytes: 600, BatchItems: 30}))
 		keys := make([]rpcore.RowKey, 0, rows+1)
 		for n := range rows {
 			key := rpcore.RowKey{Kind: kind, Service: fmt.Sprintf("s%03d", n)}
 			keys = append(keys, key)
-			g.Expect(table.write(rpcore.RowWrite{Key: key, Nonce: "n1"})).To(Equal(rpcore.WriteApplied))
+			g.Expect(table.write(rpcore.RowWrite{Key: key, Nonce: "n1", RowBody: body})).To(Equal(rpcore.WriteApplied))
 		}
 		g.Expect(table.read(rpcore.ReadTable{Prefix: kind}).Rows).To(HaveLen(rows))
 		g.Expect(table.read(rpcore.ReadTable{Keys: append(keys, keys[0])}).Rows).To(HaveLen(rows))
