--- a/internal/rpplatform/table_test.go
+++ b/internal/rpplatform/table_test.go
@@ -32,6 +32,10 @@
 			Owner: "i1", ClaimedAt: at, ExpiresAt: at.Add(time.Hour),
 			Outcome: &rpcore.Outcome{Status: 200, Body: rapid.SliceOfN(rapid.Byte(), 1, 100).Draw(rt, "body")},
 		}}
+		if key.Kind == rpcore.RowModel {
+			slot := rpcore.Slot{Nonce: "s1", Engine: rpcore.EndpointID(key.Service), State: rpcore.SlotReserved, ReservedAt: at}
+			body = rpcore.RowBody{Model: &rpcore.ModelRow{Slots: []rpcore.Slot{slot}}}
+		}
 		g.Expect(table.write(rpcore.RowWrite{Key: key, Nonce: "n1", RowBody: body})).To(Equal(rpcore.WriteApplied))
 		read := table.read(rpcore.ReadTable{Keys: []rpcore.RowKey{key}})
 		g.Expect(read.Rows).To(Equal([]rpcore.Row{{Key: key, Version: 1, Nonce: "n1", RowBody: body}}))
