Wait until a paused process has stopped in the system tests

Ruled out: an order before the reservation stands in the table. The log of the failed run has one order, after the transaction that the gate held.

Change: pause returns when every thread of the process is stopped, and the gate passes the answer on only then.

Conclusion: the failure was a fault of the test. Its check is unchanged.

--- a/internal/rpsystem/kill_test.go
+++ b/internal/rpsystem/kill_test.go
@@ -1,7 +1,6 @@
 package rpsystem
 
 import (
-	"syscall"
 	"testing"
 	"time"
 
@@ -41,11 +40,10 @@
 // sends the load order.
 func TestKillBeforeLoadOrder(t *testing.T) {
 	withKinds(t, func(c *cluster) {
-		found := c.signalReserver("cold", syscall.SIGKILL)
+		found := c.stopReserver("cold", (*instance).kill)
 		answers := ask(c.instances, "cold", 3, 8, 20*time.Second)
 		var killed *instance
 		NewWithT(c.t).Eventually(found, longTime).Should(Receive(&killed))
-		killed.kill()
 		NewWithT(c.t).Expect(killed.logged("orders a load", service+"/cold")).To(BeFalse())
 		c.checkKilled(killed, answers)
 	})
--- a/internal/rpsystem/pause_test.go
+++ b/internal/rpsystem/pause_test.go
@@ -37,7 +37,7 @@
 	withKinds(t, func(c *cluster) {
 		waiting := ask(c.instances, "cold", 2, 8, 10*time.Second)
 		paused := c.orderer("cold")
-		paused.signal(syscall.SIGSTOP)
+		paused.pause()
 		NewWithT(c.t).Expect(c.loadedAt("cold")).To(BeEmpty(), "the load ended before the pause")
 		c.checkOthers(paused)
 		c.checkResumed(paused, waiting)
@@ -48,7 +48,7 @@
 // after its reservation stands in the table and before it hears of that.
 func TestPauseBeforeLoadOrder(t *testing.T) {
 	withKinds(t, func(c *cluster) {
-		found := c.signalReserver("cold", syscall.SIGSTOP)
+		found := c.stopReserver("cold", (*instance).pause)
 		waiting := ask(c.instances, "cold", 2, 8, 10*time.Second)
 		var paused *instance
 		NewWithT(c.t).Eventually(found, longTime).Should(Receive(&paused))
@@ -71,15 +71,16 @@
 	})
 }
 
-// signalReserver sends a signal to the first instance that reserves a load of a
-// model, after the table has applied that and before the instance hears of it.
-func (c *cluster) signalReserver(name string, signal syscall.Signal) <-chan *instance {
+// stopReserver pauses or kills the first instance that reserves a load of a
+// model, after the table has applied that. The instance does not hear of it: the
+// answer is passed on when stop has returned.
+func (c *cluster) stopReserver(name string, stop func(*instance)) <-chan *instance {
 	found := make(chan *instance, 1)
 	var once sync.Once
 	for _, i := range c.instances {
 		i.gates["table"].watch(func() {
 			once.Do(func() {
-				_ = i.cmd.Process.Signal(signal)
+				stop(i)
 				found <- i
 			})
 		}, "TransactWriteItems", name)
--- a/internal/rpsystem/process_test.go
+++ b/internal/rpsystem/process_test.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -77,6 +78,20 @@
 	NewWithT(p.t).Expect(p.cmd.Process.Signal(signal)).To(Succeed())
 }
 
+// pause stops the process and returns when no thread of it runs any more. On a
+// busy machine a process runs on for hundreds of milliseconds after kill(2) has
+// returned.
+func (p *process) pause() {
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+	for !processStopped(p.cmd.Process.Pid) {
+		select {
+		case <-p.done:
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
 // kill ends the process at once, also where it is paused.
 func (p *process) kill() {
 	_ = p.cmd.Process.Kill()
