Load a model again after its engine died, and leave frozen engines

Cause: two new system tests failed. (1) TestEngineDiesDuringLoad: an engine died in the middle of a load and left the list; the model was refused with deadline_exceeded at all instances for the 80 s of the test. The owner of the unanswered load order lived, the engine was gone, and the slot counts as resolvable only with a dead owner or a listed engine, so it stayed. (2) TestEngineFreezes: an engine was paused with SIGSTOP. It kept its connections open, and instances went on sending to it: a request waited 40 s for its deadline, and the test took 146 s.

Ruled out for (1): the list (all instances logged the removal at once) and the load tickets (other models loaded).

Change: (1) the owner of a load order whose attempt ended without an answer counts it as dead when the list proves the engine's incarnation gone. spec/replica.pml has engines that go and come back later, this step, and the fault of freeing without it. (2) An engine without a report for 5 s gets no new work while another one has reported, and repeatable attempts there are cancelled and resumed elsewhere.

With the change taken out or widened to any instance, TestUnansweredOrderEndsWithItsEngine fails; without the routing or the cancelling, TestSilentEngine or TestAllEnginesSilent fails.

The safety of (1) rests on an assumption that docs/PROOFS.md lists.

--- a/pkg/rpcore/attempt.go
+++ b/pkg/rpcore/attempt.go
@@ -18,6 +18,9 @@
 	version     string
 	startedAt   time.Time
 	answering   bool
+	// abandoned says that the attempt was canceled because its endpoint is
+	// silent.
+	abandoned bool
 }
 
 func (s *State) newAttemptID() AttemptID {
--- a/pkg/rpcore/heartbeat.go
+++ b/pkg/rpcore/heartbeat.go
@@ -34,6 +34,7 @@
 	}
 	// The reports of a peer may have stopped without a change in membership.
 	s.updatePolling()
+	s.abandonSilent()
 }
 
 func (s *State) liveChanged(changed bool) {
--- a/pkg/rpcore/order.go
+++ b/pkg/rpcore/order.go
@@ -212,6 +212,20 @@
 	}
 }
 
+// settleGone takes in that engines are gone whose load orders this instance has
+// no answer to. The attempt of such an order is over and its connection closed,
+// so with its engine the order has gone too. Only the owner of an order can tell:
+// to others it may be an order that a paused owner is still to send.
+func (s *State) settleGone() {
+	for _, nonce := range sortedKeys(s.replicas.loads) {
+		load := s.replicas.loads[nonce]
+		if load.phase == loadAmbiguous && s.incarnationGone(string(load.slot.Engine), load.slot.EngineIncarnation) {
+			load.phase = loadDead
+			s.releaseSlot(load.slot, load.slot.Model)
+		}
+	}
+}
+
 // reportShowsOrder reports whether a report proves that the load order of a
 // slot has arrived. The number of the order itself proves it. So does the
 // model where the report shows a newer number: the newer number was handed out
--- a/pkg/rpcore/replica_load_test.go
+++ b/pkg/rpcore/replica_load_test.go
@@ -131,6 +131,27 @@
 	g.Expect(w.faults).To(BeEmpty())
 }
 
+// The engine of an unanswered order is gone. Its slot must be freed, or a model
+// with one replica can't be loaded as long as the owner of the order lives. A
+// paused owner may still send the order, so nobody else may free the slot.
+func TestUnansweredOrderEndsWithItsEngine(t *testing.T) {
+	g := NewWithT(t)
+	w := withWorld(2, 1, false)
+	w.run(listLagBound)
+	w.demand(w.nodes["i1"], keyA, 1)
+	late := w.holdOrders()
+	owner := late.node
+	delete(w.engines, late.order.Endpoint)
+	owner.paused = true
+	w.run(time.Hour)
+	g.Expect(w.tableSlots(keyA)).To(ConsistOf(HaveField("Engine", late.order.Endpoint)))
+	owner.paused = false
+	w.deliver(owner, OrderAnswered{Order: late.order.Order, Endpoint: late.order.Endpoint, Result: OrderUnknown})
+	w.run(10 * time.Second)
+	g.Expect(w.tableSlots(keyA)).To(BeEmpty())
+	g.Expect(w.faults).To(BeEmpty())
+}
+
 // A restarted instance must not send the order of an old slot, and the slot of
 // its former incarnation must be freed.
 func TestRestartedOwnerSendsNoOldOrder(t *testing.T) {
--- a/pkg/rpcore/review.go
+++ b/pkg/rpcore/review.go
@@ -40,6 +40,7 @@
 		s.withdrawUnsent()
 		return
 	}
+	s.settleGone()
 	var due []RowKey
 	for _, key := range s.maintainedModels() {
 		if s.isReplicaHome(key) {
--- a/pkg/rpcore/routing.go
+++ b/pkg/rpcore/routing.go
@@ -142,8 +142,9 @@
 	all := s.endpointsOf(r.lane)
 	ejected := s.ejectedOf(all)
 	others := s.hasOther(all, &ejected, r)
+	heard := s.hasHeard(all, &ejected)
 	for _, e := range all {
-		if ejected.contains(e) || (others && e.id == r.failedAt) || !r.canResumeAt(e) {
+		if ejected.contains(e) || (heard && s.unheard(e)) || (others && e.id == r.failedAt) || !r.canResumeAt(e) {
 			continue
 		}
 		if e.FailureDomain == s.self.FailureDomain || s.policy.RandomRouting {
--- /dev/null
+++ b/pkg/rpcore/silent.go
@@ -0,0 +1,72 @@
+package rpcore
+
+import "time"
+
+const (
+	// silentPatience is the least time that an attempt has at an engine that
+	// has stopped to report, so that a request does not wander between engines
+	// while their reports are late.
+	silentPatience = 3 * time.Second
+	// abandonLimit bounds the attempts that one look abandons. Requests of a
+	// whole engine would otherwise come to the others at the same moment.
+	abandonLimit = 32
+)
+
+// unheard reports whether an engine has stopped to report: its process is
+// frozen, or no instance can reach it. Its connections stay open in both cases,
+// so an attempt there would wait until the deadline of its request. Plain
+// services don't report and are never silent.
+func (s *State) unheard(e *endpoint) bool {
+	return e.Kind == MemberEngine && !e.reportedAt.IsZero() && s.now.Sub(e.reportedAt) > reportLifetime
+}
+
+// hasHeard reports whether one of the endpoints that takes work is not silent.
+// Where all are silent, it is rather this instance that hears nothing.
+func (s *State) hasHeard(all []*endpoint, ejected *ejectedSet) bool {
+	for _, e := range all {
+		if !e.leaving && !ejected.contains(e) && !s.unheard(e) {
+			return true
+		}
+	}
+	return false
+}
+
+// abandonSilent cancels repeatable attempts at silent engines whose requests
+// can go on elsewhere. AttemptEnded then repeats the request, or resumes its
+// stream after the tokens that were relayed.
+func (s *State) abandonSilent() {
+	left := abandonLimit
+	for _, id := range sortedKeys(s.requests.attempts) {
+		a := s.requests.attempts[id]
+		if left == 0 || !s.shouldAbandon(a) {
+			continue
+		}
+		left--
+		a.abandoned = true
+		s.emit(Note{Part: "requests", Text: "cancels an attempt at an engine that does not report", Endpoint: a.endpoint})
+		s.cancelAttempt(a.request)
+	}
+}
+
+func (s *State) shouldAbandon(a *attempt) bool {
+	r := a.request
+	if a.abandoned || r.attempt != a || r.singleRun || s.now.Sub(a.startedAt) < silentPatience {
+		return false
+	}
+	e := s.endpointOf(a)
+	if e == nil || !s.unheard(e) {
+		return false
+	}
+	for _, other := range s.endpointsOf(r.lane) {
+		if other != e && !other.leaving && !s.unheard(other) && !other.health.ejected(s.now) && r.canResumeWith(a, other) {
+			return true
+		}
+	}
+	return false
+}
+
+// canResumeWith reports whether an endpoint can go on with the answer of an
+// attempt that is under way.
+func (r *request) canResumeWith(a *attempt, e *endpoint) bool {
+	return !a.answering || e.loaded[r.key].Version == a.version
+}
--- /dev/null
+++ b/pkg/rpcore/silent_test.go
@@ -0,0 +1,73 @@
+package rpcore
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// advanceHearing lets seconds pass in which only some engines report.
+func (r *rig) advanceHearing(seconds int, heard ...*endpoint) []Effect {
+	var effects []Effect
+	for range seconds {
+		effects = append(effects, r.advance(time.Second)...)
+		for _, e := range heard {
+			e.reportedAt = r.now
+		}
+	}
+	return effects
+}
+
+// Guards against requests that wait until their deadline at an engine that is
+// frozen, while another one could take them.
+func TestSilentEngine(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig("a", Limits{}, Policy{})
+	frozen, other := r.engine("e1", "m"), r.engine("e2", "m")
+	other.FailureDomain = "fd2"
+	r.advanceHearing(1, frozen, other)
+	start := started(r.ask("r1", "m"))
+	g.Expect(start.Endpoint).To(Equal(frozen.id))
+	r.send(AttemptFirstToken{Stamp: r.stamp(), Attempt: start.Attempt, Request: start.Request})
+	g.Expect(summary(r.advanceHearing(4, other))).To(BeEmpty(), "the engine may only be late")
+	g.Expect(summary(r.advanceHearing(6, other))).To(Equal([]string{"cancel"}))
+	g.Expect(summary(r.ask("r2", "m"))).To(Equal([]string{"start r2@e2"}))
+	effects := r.send(AttemptEnded{
+		Stamp: r.stamp(), Attempt: start.Attempt, Request: start.Request, Reason: AttemptCanceled,
+		Verdict: rpverdict.MayHaveRun, TokensRelayed: 5,
+	})
+	resumed := started(append(effects, r.advanceHearing(1, other)...))
+	g.Expect(resumed.Endpoint).To(Equal(other.id))
+	g.Expect(resumed.ResumeAfter).To(Equal(5))
+	r.advanceHearing(1, frozen, other)
+	g.Expect(summary(r.ask("r3", "m"))).To(Equal([]string{"start r3@e1"}), "the engine reports again")
+}
+
+// Guards against an instance that hears of no engine, and for that takes work
+// away from engines that run it.
+func TestAllEnginesSilent(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig("a", Limits{}, Policy{})
+	e1, e2 := r.engine("e1", "m"), r.engine("e2", "m")
+	r.advanceHearing(1, e1, e2)
+	started(r.ask("r1", "m"))
+	g.Expect(summary(r.advanceHearing(12))).To(BeEmpty())
+	started(r.ask("r2", "m"))
+}
+
+// Guards against a request that may run only once and is canceled or repeated
+// because its engine is silent.
+func TestSilentEngineKeepsSingleRun(t *testing.T) {
+	g := NewWithT(t)
+	var table fakeTable
+	r := newRig("a", Limits{}, Policy{})
+	frozen, other := r.engine("e1", "once"), r.engine("e2", "once")
+	other.FailureDomain = "fd2"
+	r.advanceHearing(1, frozen, other)
+	request := Request{ID: "r1", ModelName: "kodovac/once", IdempotencyKey: "k"}
+	g.Expect(started(table.settle(r, r.arrive(request))).Endpoint).To(Equal(frozen.id))
+	g.Expect(summary(r.advanceHearing(12, other))).To(BeEmpty())
+}
--- a/spec/replica.pml
+++ b/spec/replica.pml
@@ -4,7 +4,8 @@
  * One model with at most one replica, two engines, two instances. Every table
  * transaction is one atomic step. Orders may be delivered at any later time
  * or never; answers may be lost; instances pause (by interleaving) and
- * restart; engines restart. One engine enforces fencing and one ignores it.
+ * restart; engines go and come back. One engine enforces fencing and one
+ * ignores it.
  *
  * Size: three fencing numbers an engine, one restart of an instance and one of
  * an engine.
@@ -12,7 +13,8 @@
  * Checked: at most one engine has the model loaded.
  *
  * Assumption: an order of an instance that the list shows as gone is delivered
- * or lost before the list shows it.
+ * or lost before the list shows it. The same holds for an order whose owner has
+ * closed the connection, once the list shows its engine as gone.
  *
  * Deliberate faults, for which the check must fail:
  *   FAULT_FREE_ON_LAPSE       a slot is freed without evidence
@@ -21,6 +23,7 @@
  *   FAULT_SEND_TWICE          a load order is sent again after a lost answer
  *   FAULT_NO_INCARNATION      orders do not name the engine's incarnation
  *   FAULT_RESTART_PROVES_ABSENCE  a restart of an engine that ignores fencing frees a slot
+ *   FAULT_GONE_ENDS_ORDER     an engine that is gone frees a slot whose order may still be sent
  *   FAULT_STALE_OWNER         a restarted owner sends the order of its last lifetime
  */
 
@@ -38,6 +41,8 @@
 bool loaded[ENGINES];
 byte highest[ENGINES];
 byte einc[ENGINES];
+/* The engine is gone and has not come back; the list shows no lifetime. */
+bool down[ENGINES];
 
 /* Orders under way and answers, by engine and fencing number. */
 bool load_sent[6], unload_sent[6];
@@ -97,7 +102,7 @@
 		:: load_sent[IX(e, 3)] -> f = 3
 		fi;
 		if
-		:: load_sent[IX(e, f)] ->
+		:: load_sent[IX(e, f)] && !down[e] ->
 			load_sent[IX(e, f)] = false;
 			if
 			:: ENFORCES(e) && (f < highest[e]
@@ -129,7 +134,7 @@
 		:: unload_sent[IX(e, 3)] -> f = 3
 		fi;
 		if
-		:: unload_sent[IX(e, f)] ->
+		:: unload_sent[IX(e, f)] && !down[e] ->
 			unload_sent[IX(e, f)] = false;
 			if
 			:: ENFORCES(e) && (f < highest[e]
@@ -156,9 +161,11 @@
 		engine_restarts > 0 ->
 		engine_restarts--;
 		einc[e]++;
+		down[e] = true;
 		loaded[e] = false;
 		highest[e] = 0
 	}
+	:: atomic { down[e] -> down[e] = false }
 	od
 }
 
@@ -217,6 +224,19 @@
 		fi;
 		forget_load()
 	}
+	/*
+	 * The attempt ended without an answer, and the engine is gone. The order
+	 * was delivered or is lost.
+	 */
+	:: atomic {
+		mine && sent && !load_answered[IX(m_engine, m_fence)] && einc[m_engine] != m_einc ->
+		load_sent[IX(m_engine, m_fence)] = false;
+		if
+		:: used && s_engine == m_engine && s_fence == m_fence -> s_dead = true
+		:: else -> skip
+		fi;
+		forget_load()
+	}
 	/* Withdraw an order that was never sent. */
 	:: atomic {
 		mine && !sent ->
@@ -269,14 +289,19 @@
 	/*
 	 * Free the slot of an engine whose lifetime is over. An engine that ignores
 	 * fencing may have carried out the load order in its next lifetime, so
-	 * there only an unload is evidence.
+	 * there only an unload is evidence. While there is no next lifetime, the
+	 * order has to be dead.
 	 */
 	:: atomic {
 		used && ENGINE_GONE &&
 #ifdef FAULT_RESTART_PROVES_ABSENCE
 		ORDER_DEAD ->
 #else
-		ENFORCES(s_engine) ->
+		(ENFORCES(s_engine) || down[s_engine]
+#ifndef FAULT_GONE_ENDS_ORDER
+			&& ORDER_DEAD
+#endif
+			) ->
 #endif
 		free_slot()
 	}
