Let only a later report refute a refused connection

Cause: refusals and reports were ordered by sequence alone.

Change: notices of refusals and reports carry their age, each instance keeps the time of both by its own clock, and a report refutes a refusal only where it is at least 250 ms later. Otherwise the refusal is taken in with the sequence of that report, so that this report refutes it nowhere and the next one does. The order of notices by sequence stays, so instances still converge. The 250 ms cover the time on the way, which ages don't count, and are below the shortest poll interval, so a wrong doubt costs one poll. A second refused connection renews the time. An absent age is 0: an older version answers a refusal at once, within the margin, so its refutation is not believed either.

--- a/pkg/rpcore/endpoint.go
+++ b/pkg/rpcore/endpoint.go
@@ -16,11 +16,17 @@
 	// refused says that leaving rests on a refused connection alone, which a
 	// report after answered refutes.
 	refused bool
+	// refusedAt is the time of the last refused connection that is known, by
+	// this instance's clock.
+	refusedAt time.Time
 	// answered is the highest sequence of a report that is known to exist. For
 	// a plain service, which reports nothing, it counts the refusals that
 	// ended.
 	answered uint64
-	listedAt time.Time
+	// answeredAt is the time at which that report was taken, by this instance's
+	// clock. It is kept while no refusal holds.
+	answeredAt time.Time
+	listedAt   time.Time
 	// sharedAt is the time at which the report was last sent to the peers.
 	sharedAt time.Time
 	// report is the newest report of the incarnation; reportedAt is the time
--- a/pkg/rpcore/leaving.go
+++ b/pkg/rpcore/leaving.go
@@ -14,6 +14,12 @@
 	at time.Time
 }
 
+// notice returns the notice with its present age.
+func (r leavingRecord) notice(now time.Time) LeavingNotice {
+	r.Age = now.Sub(r.at)
+	return r.LeavingNotice
+}
+
 const (
 	// leavingRepeat outlasts listLagBound, so that an instance that starts
 	// while the list still shows an endpoint as staying hears of it.
@@ -27,6 +33,12 @@
 	// serviceRefusalHold is the time for which a refused connection keeps work
 	// away from a plain service, which has no reports that could refute it.
 	serviceRefusalHold = 10 * time.Second
+	// refusalMargin is how much later than a refused connection a report must
+	// be to refute the refusal. Ages don't count the time that messages are
+	// under way, so a report that was taken before the refusal may seem to be
+	// later by that. The margin is below minPollInterval, so that the first
+	// poll after a refused one refutes.
+	refusalMargin = 250 * time.Millisecond
 )
 
 // supersedes reports whether a notice about the same incarnation says more
@@ -58,24 +70,44 @@
 // too.
 func (s *State) endpointRefused(id EndpointID, incarnation Incarnation) {
 	e := s.members.endpoints[id]
-	if e == nil || e.Incarnation != incarnation || e.leaving {
+	if e == nil || e.Incarnation != incarnation {
+		return
+	}
+	e.refusedAt = s.now
+	if e.leaving {
 		return
 	}
-	s.spreadLeaving(LeavingNotice{Endpoint: id, Incarnation: incarnation, Evidence: LeavingRefused, Sequence: e.answered})
+	s.spreadLeaving(e.refusal(e.answered, 0))
+}
+
+func (e *endpoint) refusal(sequence uint64, age time.Duration) LeavingNotice {
+	return LeavingNotice{Endpoint: e.id, Incarnation: e.Incarnation, Evidence: LeavingRefused, Sequence: sequence, Age: age}
+}
+
+func (e *endpoint) refutation(sequence uint64, age time.Duration) LeavingNotice {
+	return LeavingNotice{Endpoint: e.id, Incarnation: e.Incarnation, Evidence: LeavingRefuted, Sequence: sequence, Age: age}
 }
 
-// endpointAnswered takes in that an endpoint reported, or that the hold of a
-// plain service is over. Whoever learned of it first hand tells the peers.
+// refutes reports whether a report was taken after a connection was refused.
+// The sequence does not show it: the instance that was refused may not have
+// heard of the reports taken shortly before.
+func refutes(reportAt, refusedAt time.Time) bool { return reportAt.Sub(refusedAt) > refusalMargin }
+
+// endpointAnswered takes in that an endpoint reported just now, or that the
+// hold of a plain service is over. Whoever learned of it first hand tells the
+// peers.
 func (s *State) endpointAnswered(e *endpoint, sequence uint64, firstHand bool) {
-	if e.refused && sequence > e.answered {
-		notice := LeavingNotice{Endpoint: e.id, Incarnation: e.Incarnation, Evidence: LeavingRefuted, Sequence: sequence}
-		if firstHand {
-			s.spreadLeaving(notice)
-		} else {
-			s.learnLeaving(notice)
-		}
+	switch {
+	case sequence <= e.answered:
+	case !e.refused:
+		e.answered, e.answeredAt = sequence, s.now
+	case !refutes(s.now, e.refusedAt):
+		s.learnLeaving(e.refusal(sequence, s.now.Sub(e.refusedAt)))
+	case firstHand:
+		s.spreadLeaving(e.refutation(sequence, 0))
+	default:
+		s.learnLeaving(e.refutation(sequence, 0))
 	}
-	e.answered = max(e.answered, sequence)
 }
 
 // spreadLeaving takes in a notice of this instance and tells the peers where
@@ -102,20 +134,56 @@
 // leavingNoticeReceived takes in the evidence of a peer. A notice about an
 // endpoint that the list does not show yet is kept for it.
 func (s *State) leavingNoticeReceived(from InstanceID, notice LeavingNotice) {
+	notice.Age = max(0, notice.Age)
 	e := s.members.endpoints[notice.Endpoint]
-	switch {
-	case e == nil || e.Incarnation != notice.Incarnation:
+	if e == nil || e.Incarnation != notice.Incarnation {
 		s.recordLeaving(notice)
-	case notice.Evidence == LeavingRefused && !e.leaving && notice.Sequence < e.answered:
-		refuted := LeavingNotice{Endpoint: e.id, Incarnation: e.Incarnation, Evidence: LeavingRefuted, Sequence: e.answered}
+		return
+	}
+	at := s.now.Add(-notice.Age)
+	switch {
+	case notice.Evidence == LeavingRefused && notice.Sequence < e.answered:
+		s.earlierRefusal(from, e, at)
+	case notice.Evidence == LeavingRefuted && e.refused && notice.Sequence > e.answered && !refutes(at, e.refusedAt):
+		s.raiseRefusal(from, e, notice.Sequence)
+	case s.learnLeaving(notice):
+		s.forwardLeaving(from, notice)
+	}
+}
+
+// earlierRefusal takes in a refusal by an instance that had not heard of the
+// newest report.
+func (s *State) earlierRefusal(from InstanceID, e *endpoint, at time.Time) {
+	switch {
+	case e.leaving:
+		e.refusedAt = later(e.refusedAt, at)
+	case refutes(e.answeredAt, at):
+		refuted := e.refutation(e.answered, s.now.Sub(e.answeredAt))
 		s.sendPeer(from, PeerMessage{LeavingNotice: &refuted})
 	default:
-		if s.learnLeaving(notice) {
-			s.forwardLeaving(from, notice)
-		}
+		e.refusedAt = at
+		s.raiseRefusal(from, e, e.answered)
 	}
 }
 
+// raiseRefusal repeats a refusal with the sequence of a report that was taken
+// before it, so that this report refutes it nowhere and the next one does.
+func (s *State) raiseRefusal(from InstanceID, e *endpoint, sequence uint64) {
+	notice := e.refusal(sequence, s.now.Sub(e.refusedAt))
+	if !s.learnLeaving(notice) {
+		return
+	}
+	s.sendPeer(from, PeerMessage{LeavingNotice: &notice})
+	s.forwardLeaving(from, notice)
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // forwardLeaving sends a notice from another failure domain on at once. A peer
 // of the own domain has told all of that domain, and heartbeats repair losses
 // there within a second; between domains they would take too long.
@@ -147,16 +215,17 @@
 		}
 		return true
 	case LeavingRefused:
-		return s.applyRefusal(e, notice.Sequence)
+		return s.applyRefusal(e, notice.Sequence, s.now.Add(-notice.Age))
 	case LeavingRefuted:
-		return s.applyRefutation(e, notice.Sequence)
+		return s.applyRefutation(e, notice.Sequence, s.now.Add(-notice.Age))
 	default:
 		// A newer version may know other evidence.
 		return false
 	}
 }
 
-func (s *State) applyRefusal(e *endpoint, sequence uint64) bool {
+func (s *State) applyRefusal(e *endpoint, sequence uint64, at time.Time) bool {
+	e.refusedAt = later(e.refusedAt, at)
 	if sequence < e.answered || (e.refused && sequence == e.answered) {
 		return false
 	}
@@ -183,11 +252,11 @@
 	})
 }
 
-func (s *State) applyRefutation(e *endpoint, sequence uint64) bool {
+func (s *State) applyRefutation(e *endpoint, sequence uint64, at time.Time) bool {
 	if sequence <= e.answered {
 		return false
 	}
-	e.answered = sequence
+	e.answered, e.answeredAt = sequence, at
 	if !e.refused {
 		return false
 	}
@@ -229,7 +298,7 @@
 // the first time, or again after a reading that was behind.
 func (s *State) recallLeaving(e *endpoint) {
 	if i := s.leavingRecordOf(e.id, e.Incarnation); i >= 0 {
-		s.applyLeaving(s.members.leaving[i].LeavingNotice)
+		s.applyLeaving(s.members.leaving[i].notice(s.now))
 	}
 }
 
@@ -254,9 +323,7 @@
 	}
 	notices := make([]LeavingNotice, n)
 	for i := range notices {
-		record := records[(s.members.leavingOffset+i)%len(records)]
-		notices[i] = record.LeavingNotice
-		notices[i].Age = s.now.Sub(record.at)
+		notices[i] = records[(s.members.leavingOffset+i)%len(records)].notice(s.now)
 	}
 	return notices
 }
--- a/pkg/rpcore/peer.go
+++ b/pkg/rpcore/peer.go
@@ -106,10 +106,13 @@
 // itself said that it is leaving, and only a new incarnation ends that.
 const (
 	// LeavingRefused: a connection was refused. It holds until there is a
-	// report with a higher sequence.
+	// report with a higher sequence that was taken later. An instance that
+	// knows of a report with a higher sequence that was taken earlier repeats
+	// the refusal with that sequence.
 	LeavingRefused LeavingEvidence = "refused"
 	// LeavingRefuted: the endpoint reported with this sequence after a
-	// connection had been refused.
+	// connection had been refused. A receiver that knows of a refusal after
+	// that report does not believe it.
 	LeavingRefuted LeavingEvidence = "refuted"
 )
 
@@ -122,8 +125,11 @@
 	// Sequence is that of the newest report that the sender knows to exist;
 	// zero for firm evidence.
 	Sequence uint64 `cbor:"sequence,omitempty"`
-	// Age is the time since the evidence, as it was passed on. It ends the
-	// repetition of notices by instances that hear them from each other.
+	// Age is the time since the refused connection, the report or the firm
+	// evidence, by the clocks of the instances that passed it on and without
+	// the time on the way. It tells a refusal that ended from a new one, and
+	// ends the repetition of notices by instances that hear them from each
+	// other. Older versions send it in heartbeats only; an absent age is 0.
 	Age time.Duration `cbor:"age,omitempty"`
 }
 
