Let the request properties use up the repetitions of a write

Cause: the fault "grant a claim whose write stays unknown after all retries" was said to be covered by TestRequestProperties. TestClaimWithoutTable found it, by the code of the refusal at the deadline only.

Change: the property test has an action in which the table loses all answers for as long as the repetitions take. TestClaimWithoutTable also expects that no attempt starts.

--- a/pkg/rpcore/claim_test.go
+++ b/pkg/rpcore/claim_test.go
@@ -97,6 +97,7 @@
 			}
 			effects = append(effects, table.answer(r, effects[i], mode)...)
 		}
+		g.Expect(effectsOf[StartAttempt](effects)).To(BeEmpty(), "the claim may belong to another request")
 		if refused := effectsOf[RefuseRequest](effects); len(refused) > 0 {
 			g.Expect(refused[0].Refusal.Code).To(Equal(rpverdict.CodeTableUnavailable))
 			break
--- a/pkg/rpcore/request_property_test.go
+++ b/pkg/rpcore/request_property_test.go
@@ -145,6 +145,18 @@
 	m.answerCall(i, rapid.SampledFrom(modes).Draw(m.t, "mode"))
 }
 
+// loseAnswers has the table lose its answers for as long as the repetitions of
+// a write take. Single lost answers hardly ever use them up.
+func (m *requestModel) loseAnswers() {
+	lost := []tableMode{tableAppliesAnswerLost, tableDropsAnswerLost, tableDelaysAnswerLost}
+	for retry := range maxWriteRetries + 1 {
+		for len(m.calls) > 0 {
+			m.answerCall(0, rapid.SampledFrom(lost).Draw(m.t, "lost"))
+		}
+		m.advance(retryDelay(retry + 1))
+	}
+}
+
 func (m *requestModel) answerCall(i int, mode tableMode) {
 	call := m.calls[i]
 	m.calls = append(m.calls[:i], m.calls[i+1:]...)
@@ -291,6 +303,7 @@
 			"answer table": func(*rapid.T) { m.answerTable() },
 			"table again":  func(*rapid.T) { m.answerTable() },
 			"delayed":      func(*rapid.T) { m.applyDelayed() },
+			"lose answers": func(*rapid.T) { m.loseAnswers() },
 			"end":          func(*rapid.T) { m.endAttempt() },
 			"repeat end":   func(*rapid.T) { m.repeatEnd() },
 			"abandon":      func(*rapid.T) { m.abandon() },
