Run TestReadsOfManyRows on a fake clock

Cause: the test failed once on a busy machine with "len:0". Its reads go over loopback one after the other: 36 requests for all claims, within one timeout of 20 s of real time, which is also the limit for the answer. Past it the read is unavailable and has no rows, or no answer is there ("len:0, cap:1000").

Tried: 20 runs with -race and 2 CPUs at a load of 38 all passed, so the case itself was not reproduced. With 60 goroutines that spin on the 2 CPUs of the test (trial) a read of the claims ended at 20 s with "context deadline exceeded" and 0 rows; with 25 no answer came within 20 s. Errors of the dial (limit 1 s) did not come up.

Change: the test runs in a synctest bubble and calls the stand-in without a network, so no load reaches a timeout. It also expects that the read is available, and the client of the tests logs to the test, so that a failure names its cause. The checks are the same. With 25 and 60 spinning goroutines it passes; it fails without the further pages, without the unprocessed keys, without one claim partition, and with a key asked for twice.

The reducer reads only the documents by kind, which have one partition, so the 36 requests are not made in production.

--- a/internal/rpplatform/helpers_test.go
+++ b/internal/rpplatform/helpers_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"github.com/rattanpaddle/rattanpaddle/internal/rpplatform"
 	"github.com/rattanpaddle/rattanpaddle/internal/rpstandin"
@@ -42,6 +43,7 @@
 	table := &rpplatform.Table{
 		Access: access, Name: "rattanpaddle", Timeout: generous,
 		Post: func(ev rpcore.Event) { events <- ev },
+		Log:  zerolog.New(zerolog.NewTestWriter(t)),
 	}
 	t.Cleanup(func() {
 		NewWithT(t).Expect(table.Close(context.Background())).To(Succeed())
--- a/internal/rpplatform/table_test.go
+++ b/internal/rpplatform/table_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -105,16 +106,25 @@
 		rpcore.RowClaim:    {Claim: &rpcore.ClaimRow{}},
 	}
 	for kind, body := range bodies {
-		g := NewWithT(t)
-		table := withTable(t, withServer(t, &rpstandin.Table{PageBytes: 600, BatchItems: 30}))
-		keys := make([]rpcore.RowKey, 0, rows+1)
-		for n := range rows {
-			key := rpcore.RowKey{Kind: kind, Service: fmt.Sprintf("s%03d", n)}
-			keys = append(keys, key)
-			g.Expect(table.write(rpcore.RowWrite{Key: key, Nonce: "n1", RowBody: body})).To(Equal(rpcore.WriteApplied))
-		}
-		g.Expect(table.read(rpcore.ReadTable{Prefix: kind}).Rows).To(HaveLen(rows))
-		g.Expect(table.read(rpcore.ReadTable{Keys: append(keys, keys[0])}).Rows).To(HaveLen(rows))
+		// A read of all claims takes 36 requests within one timeout, which a
+		// busy machine can exceed on the real clock.
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			table := withTable(t, rpplatform.Access{
+				Endpoint: "http://table.test", RoundTrip: withDirect(&rpstandin.Table{PageBytes: 600, BatchItems: 30}),
+			})
+			keys := make([]rpcore.RowKey, 0, rows+1)
+			for n := range rows {
+				key := rpcore.RowKey{Kind: kind, Service: fmt.Sprintf("s%03d", n)}
+				keys = append(keys, key)
+				g.Expect(table.write(rpcore.RowWrite{Key: key, Nonce: "n1", RowBody: body})).To(Equal(rpcore.WriteApplied))
+			}
+			for _, effect := range []rpcore.ReadTable{{Prefix: kind}, {Keys: append(keys, keys[0])}} {
+				read := table.read(effect)
+				g.Expect(read.Unavailable).To(BeFalse())
+				g.Expect(read.Rows).To(HaveLen(rows))
+			}
+		})
 	}
 }
 
