Send urgent requests ahead while any wait, in turns with due floors

Sending ahead stops there once 5 urgent requests wait; from then on the instance has only the places of its own requests, which end less often than urgent requests arrive, so the queue does not shrink again. Engines of other failure domains were also left out where the own one had some with capacity. Reports are 0.5 to 1.5 s old, so an engine looks full when it is not.

Change: the number of waiting urgent requests no longer stops sending ahead. The stop kept floors; now requests that go ahead take turns like all others, so a rank whose floor is due goes ahead as well.

--- /dev/null
+++ b/pkg/rpcore/ahead_test.go
@@ -0,0 +1,76 @@
+package rpcore
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// withBusyEngines returns a rig with engines of concurrency 4 that run others
+// requests of other instances each, apart from one of this instance.
+func withBusyEngines(engines, others int) *rig {
+	r := newRig("a", Limits{EngineConcurrency: 4}, Policy{})
+	ranks := &r.documents["kodovac"].Ranks
+	ranks.Urgent.Floor, ranks.Normal.Floor = 0.1, 0.25
+	ranks.Urgent.Deadline = rpdocument.Duration(time.Minute)
+	for i := range engines {
+		r.engine(fmt.Sprint("e", i+1), "m")
+	}
+	for i, e := range r.endpoints {
+		r.arrive(Request{ID: RequestID(fmt.Sprint("own", i+1)), ModelName: "kodovac/m", Rank: rpdocument.RankNormal})
+		e.report = EngineReport{Endpoint: e.id, Incarnation: e.Incarnation, Sequence: 1, Running: others + 1}
+		e.reportedAt = r.now
+	}
+	return r
+}
+
+func (r *rig) askRank(rank rpdocument.Rank, n int) []string {
+	var lines []string
+	for i := range n {
+		id := RequestID(fmt.Sprintf("%s%d", rank, i+1))
+		lines = append(lines, summary(r.arrive(Request{ID: id, ModelName: "kodovac/m", Rank: rank}))...)
+	}
+	return lines
+}
+
+// Guards against urgent requests that wait at the instance while the engine
+// would run them next, and against other ranks that are sent ahead alone.
+func TestUrgentGoesAhead(t *testing.T) {
+	g := NewWithT(t)
+	r := withBusyEngines(1, 3)
+	g.Expect(r.askRank(rpdocument.RankNormal, 1)).To(BeEmpty())
+	g.Expect(r.askRank(rpdocument.RankUrgent, 1)).To(Equal([]string{"start urgent1@e1"}))
+	g.Expect(summary(r.advance(time.Second))).To(BeEmpty())
+}
+
+// Guards against urgent requests that are sent ahead to an engine that only
+// this instance uses. They would only lengthen its queue.
+func TestNothingGoesAheadAtOwnEngine(t *testing.T) {
+	g := NewWithT(t)
+	r := withBusyEngines(1, 0)
+	g.Expect(r.askRank(rpdocument.RankUrgent, 4)).To(HaveLen(3))
+}
+
+// Guards against urgent requests that stop going ahead once several of them
+// wait: those would wait for the few places of this instance for long.
+func TestManyUrgentGoAhead(t *testing.T) {
+	g := NewWithT(t)
+	r := withBusyEngines(1, 12)
+	g.Expect(r.askRank(rpdocument.RankUrgent, 10)).To(BeEmpty())
+	r.endpoints[0].report.Sequence, r.endpoints[0].report.Running = 2, 4
+	g.Expect(summary(r.advance(time.Second))).To(HaveLen(4), "up to twice the concurrency of 4, with 4 at the engine")
+}
+
+// Guards against urgent work beyond the capacity that keeps a rank from its
+// floor by going ahead of it.
+func TestFloorGoesAhead(t *testing.T) {
+	g := NewWithT(t)
+	r := withBusyEngines(1, 3)
+	g.Expect(r.askRank(rpdocument.RankNormal, 4)).To(BeEmpty())
+	lines := r.askRank(rpdocument.RankUrgent, 6)
+	g.Expect(lines).To(Equal([]string{"start urgent1@e1", "start urgent2@e1", "start urgent3@e1", "start normal1@e1"}))
+}
--- a/pkg/rpcore/dispatch.go
+++ b/pkg/rpcore/dispatch.go
@@ -34,11 +34,7 @@
 		if e == nil {
 			return
 		}
-		lanes := s.lanesAt(e)
-		if !slices.Contains(lanes, l) {
-			lanes = append(lanes, l)
-		}
-		if !s.dispatchOne(lanes) {
+		if !s.dispatchOne(s.lanesWith(e, l), (*State).route) {
 			return
 		}
 	}
@@ -46,7 +42,7 @@
 
 // dispatchAt starts requests while an endpoint has capacity.
 func (s *State) dispatchAt(e *endpoint) {
-	for s.hasCapacity(e) && s.dispatchOne(s.lanesAt(e)) {
+	for s.hasCapacity(e) && s.dispatchOne(s.lanesAt(e), (*State).route) {
 		continue
 	}
 }
@@ -69,9 +65,18 @@
 	return lanes
 }
 
-// dispatchOne starts the request whose turn it is and reports whether there
-// was one.
-func (s *State) dispatchOne(lanes []*lane) bool {
+// lanesWith returns the lanes at an endpoint and the one given.
+func (s *State) lanesWith(e *endpoint, l *lane) []*lane {
+	lanes := s.lanesAt(e)
+	if !slices.Contains(lanes, l) {
+		lanes = append(lanes, l)
+	}
+	return lanes
+}
+
+// dispatchOne starts the request whose turn it is at the endpoint that route
+// chooses, and reports whether there was one.
+func (s *State) dispatchOne(lanes []*lane, route func(*State, *request) *endpoint) bool {
 	var buffer [maxPassedOver]*request
 	passed := buffer[:0]
 	for range maxPassedOver {
@@ -81,7 +86,7 @@
 		}
 		heads := s.headsOf(service, lanes, passed)
 		r := heads[service.nextQueue(&heads)]
-		e := s.route(r)
+		e := route(s, r)
 		if e == nil {
 			passed = append(passed, r)
 			continue
