Send urgent requests ahead to the engine with the fewest own ones waiting

At 0.3 of the capacity hardly any should wait. The choice compared loads from reports that are 0.5 to 1.5 s old and count all ranks, so for that time all instances sent to the engines that looked least loaded. Work of other ranks does not delay urgent work there. Change: an instance counts its urgent attempts without a first token per engine and chooses the engine with the fewest, at random between equal ones.

--- a/pkg/rpcore/ahead.go
+++ b/pkg/rpcore/ahead.go
@@ -39,7 +39,9 @@
 }
 
 // routeAhead chooses the endpoint that a request is sent ahead to, or returns
-// nil.
+// nil. Only urgent work delays urgent work at an engine, and no report tells
+// how much of it waits there, so the endpoint with the fewest own urgent
+// attempts without a first token is chosen.
 func (s *State) routeAhead(r *request) *endpoint {
 	s.routeCandidates(r)
 	buffer := &s.requests.routeBuffer
@@ -50,10 +52,28 @@
 	for _, e := range buffer.far {
 		s.addOpenAhead(e)
 	}
-	if len(buffer.free) == 0 {
-		return nil
+	return s.leastUnanswered(buffer.free)
+}
+
+// leastUnanswered chooses at random between equal endpoints, since instances
+// that all took the first would send their work to one engine.
+func (s *State) leastUnanswered(free []*endpoint) *endpoint {
+	var best *endpoint
+	ties := 0
+	for _, e := range free {
+		switch {
+		case best == nil || e.health.load.unanswered < best.health.load.unanswered:
+			best = e
+			ties = 1
+		case e.health.load.unanswered == best.health.load.unanswered:
+			ties++
+			if s.rng.IntN(ties) == 0 {
+				best = e
+			}
+		default:
+		}
 	}
-	return s.lessLoaded(buffer.free)
+	return best
 }
 
 func (s *State) addOpenAhead(e *endpoint) {
--- a/pkg/rpcore/ahead_test.go
+++ b/pkg/rpcore/ahead_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
 // withBusyEngines returns a rig with engines of concurrency 4 that run others
@@ -74,3 +75,33 @@
 	lines := r.askRank(rpdocument.RankUrgent, 6)
 	g.Expect(lines).To(Equal([]string{"start urgent1@e1", "start urgent2@e1", "start urgent3@e1", "start normal1@e1"}))
 }
+
+// Guards against urgent requests that pile up at one engine, also after an
+// attempt whose first token or end was not taken off the count, or both were.
+func TestUrgentSpreadsAhead(t *testing.T) {
+	g := NewWithT(t)
+	r := withBusyEngines(4, 3)
+	var starts []StartAttempt
+	r.seen = func(effects []Effect) { starts = append(starts, effectsOf[StartAttempt](effects)...) }
+	r.askRank(rpdocument.RankUrgent, 4)
+	engines := map[EndpointID]bool{}
+	for _, a := range starts {
+		engines[a.Endpoint] = true
+	}
+	g.Expect(engines).To(HaveLen(4))
+	for i := range 8 {
+		a := starts[i]
+		if i%2 == 0 {
+			r.send(AttemptFirstToken{Stamp: r.stamp(), Attempt: a.Attempt, Request: a.Request})
+		} else {
+			r.send(RequestAbandoned{Stamp: r.stamp(), Request: a.Request})
+			r.end(a, AttemptCanceled, rpverdict.MayHaveRun)
+		}
+		r.arrive(Request{ID: RequestID(fmt.Sprint("next", i)), ModelName: "kodovac/m", Rank: rpdocument.RankUrgent})
+		g.Expect(starts).To(HaveLen(5 + i))
+		g.Expect(starts[4+i].Endpoint).To(Equal(a.Endpoint))
+		if i%2 == 0 {
+			r.complete(a)
+		}
+	}
+}
--- a/pkg/rpcore/attempt.go
+++ b/pkg/rpcore/attempt.go
@@ -36,6 +36,9 @@
 	r.lane.inFlight++
 	e.inFlight++
 	e.health.load.peak = max(e.health.load.peak, e.inFlight)
+	if r.rank == rpdocument.RankUrgent {
+		e.health.load.unanswered++
+	}
 	s.startProbe(e, a)
 	s.emit(StartAttempt{
 		Attempt: a.id, Request: r.ID, Endpoint: e.id, Address: e.Address,
@@ -57,9 +60,19 @@
 	if a == nil || a.request.ID != ev.Request || a.request.attempt != a || a.answering {
 		return
 	}
-	a.answering = true
-	if e := s.endpointOf(a); e != nil {
+	e := s.endpointOf(a)
+	if e != nil {
 		s.endpointWorked(e, a)
+		a.answered(e)
+	}
+	a.answering = true
+}
+
+// answered takes the first token, or the end before it, of an attempt off the
+// count of its endpoint.
+func (a *attempt) answered(e *endpoint) {
+	if a.request.rank == rpdocument.RankUrgent && !a.answering && e.health.load.unanswered > 0 {
+		e.health.load.unanswered--
 	}
 }
 
@@ -103,6 +116,7 @@
 	a.request.lane.inFlight--
 	if e != nil && e.inFlight > 0 {
 		e.inFlight--
+		a.answered(e)
 	}
 }
 
--- a/pkg/rpcore/routing.go
+++ b/pkg/rpcore/routing.go
@@ -18,7 +18,8 @@
 	free []*endpoint
 }
 
-// endpointLoad estimates what other instances run at an endpoint.
+// endpointLoad estimates what other instances run at an endpoint, and counts
+// the urgent attempts of this instance that wait there.
 type endpointLoad struct {
 	// life is the incarnation that all own figures of the endpoint are about.
 	life Incarnation
@@ -27,6 +28,8 @@
 	sequence uint64
 	others   int
 	peak     int
+	// unanswered counts the own urgent attempts without a first token.
+	unanswered int
 	// busyUntil is the time until which the endpoint said that it takes no
 	// more work.
 	busyUntil time.Time
