Send urgent requests further ahead while few of them wait

Change: while at most 4 urgent requests wait at an instance, the bound is 4 times the concurrency. With more waiting it stays at 2 times.

--- a/pkg/rpcore/ahead.go
+++ b/pkg/rpcore/ahead.go
@@ -6,9 +6,21 @@
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
 )
 
-// aheadFactor bounds the requests at an engine, in its concurrency, up to
-// which they are sent ahead of capacity.
-const aheadFactor = 2
+const (
+	// aheadFactor bounds the requests at an engine, in its concurrency, up to
+	// which they are sent ahead of capacity. What waits at an engine keeps it
+	// busy while reports lag, but can't move to another one.
+	aheadFactor = 2
+	// aheadFactorFew is the bound while at most aheadFew urgent requests wait
+	// at the instance. Urgent work is then below the capacity, and what waits at
+	// an engine is work of other ranks that does not delay it. Below a factor of
+	// 3, urgent requests missed their target in trials. Beyond aheadFew, urgent
+	// work may exceed the capacity. With a factor of 3 or more, so much work of
+	// other ranks then waited behind it at the engines that rank background fell
+	// below its floor.
+	aheadFactorFew = 4
+	aheadFew       = 4
+)
 
 // dispatchAhead sends requests to engines that run as many requests as they
 // can, while urgent ones wait. The engine starts the urgent ones before all
@@ -44,13 +56,14 @@
 // attempts without a first token is chosen.
 func (s *State) routeAhead(r *request) *endpoint {
 	s.routeCandidates(r)
+	bound := s.aheadBound(r.lane.service)
 	buffer := &s.requests.routeBuffer
 	buffer.free = buffer.free[:0]
 	for _, e := range buffer.near {
-		s.addOpenAhead(e)
+		s.addOpenAhead(e, bound)
 	}
 	for _, e := range buffer.far {
-		s.addOpenAhead(e)
+		s.addOpenAhead(e, bound)
 	}
 	return s.leastUnanswered(buffer.free)
 }
@@ -76,7 +89,16 @@
 	return best
 }
 
-func (s *State) addOpenAhead(e *endpoint) {
+// aheadBound returns the number of requests at an engine from which none of a
+// service is sent ahead.
+func (s *State) aheadBound(service *serviceState) int {
+	if service.waiting[rpdocument.RankUrgent.Index()] <= aheadFew {
+		return aheadFactorFew * s.limits.EngineConcurrency
+	}
+	return aheadFactor * s.limits.EngineConcurrency
+}
+
+func (s *State) addOpenAhead(e *endpoint, bound int) {
 	s.refresh(e)
 	load := &e.health.load
 	// Where only this instance uses an engine, each place that becomes free
@@ -84,7 +106,7 @@
 	if e.leaving || load.busyUntil.After(s.now) || load.others == 0 {
 		return
 	}
-	if s.loadOf(e) < aheadFactor*s.limits.EngineConcurrency {
+	if s.loadOf(e) < bound {
 		s.requests.routeBuffer.free = append(s.requests.routeBuffer.free, e)
 	}
 }
