Let requests that would end late yield to those of all ranks

An endpoint's lane often held only requests with too little time: admission counted them as work ahead of new requests and refused the new ones, and dispatch let them use the turn and the floor of their rank. Change: a request that is likely to end late starts only where none of any rank can start in its place, and admission does not count it ahead of others.

--- a/pkg/rpcore/admission.go
+++ b/pkg/rpcore/admission.go
@@ -85,8 +85,9 @@
 		}
 		wait = expected
 	}
-	ahead := l.queues[r.queue].position(r)
-	if ahead == 0 {
+	queue := l.queues[r.queue]
+	ahead := queue.position(r) - queue.late(s.now, s.runTime(l))
+	if ahead <= 0 {
 		return wait, true
 	}
 	pace := &l.paces[r.queue]
--- a/pkg/rpcore/dispatch.go
+++ b/pkg/rpcore/dispatch.go
@@ -109,30 +109,41 @@
 		if best != nil && (v.servedAt > best.servedAt || (v.servedAt == best.servedAt && v.name >= best.name)) {
 			continue
 		}
-		if l.hasHead(s.now, s.runTime(l), passed) {
+		if l.hasHead(s.now, passed) {
 			best = v
 		}
 	}
 	return best
 }
 
-func (l *lane) hasHead(now time.Time, need time.Duration, passed []*request) bool {
+func (l *lane) hasHead(now time.Time, passed []*request) bool {
 	for i := range l.queues {
-		if l.queues[i].first(now, need, passed) != nil {
+		if l.queues[i].first(now, 0, passed) != nil {
 			return true
 		}
 	}
 	return false
 }
 
+// headsOf returns the heads of the ranks. A request that is likely to end after
+// its deadline is one only where no other waits, of whichever rank: cancelled
+// work is lost capacity, and it would use up the floor of its rank.
 func (s *State) headsOf(service *serviceState, lanes []*lane, passed []*request) rankHeads {
+	heads := s.headsWith(service, lanes, passed, s.runTime)
+	if heads != (rankHeads{}) {
+		return heads
+	}
+	return s.headsWith(service, lanes, passed, func(*lane) time.Duration { return 0 })
+}
+
+func (s *State) headsWith(service *serviceState, lanes []*lane, passed []*request, needed func(*lane) time.Duration) rankHeads {
 	var heads rankHeads
 	for _, l := range lanes {
 		if l.service != service {
 			continue
 		}
 		for i := range l.queues {
-			head := l.queues[i].first(s.now, s.runTime(l), passed)
+			head := l.queues[i].first(s.now, needed(l), passed)
 			if head != nil && (heads[i] == nil || compareRequests(head, heads[i]) < 0) {
 				heads[i] = head
 			}
--- /dev/null
+++ b/pkg/rpcore/late_test.go
@@ -0,0 +1,39 @@
+package rpcore
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// Guards against requests that are likely to miss their deadline and still
+// take the turn of their rank, and against an admission that refuses requests
+// because of them.
+func TestLateRequestsYield(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig("a", Limits{EngineConcurrency: 1}, Policy{})
+	r.engine("e1", "m")
+	ask := func(id string, rank rpdocument.Rank, timeout time.Duration) []Effect {
+		return r.arrive(Request{ID: RequestID(id), ModelName: "kodovac/m", Rank: rank, Timeout: timeout})
+	}
+	a := started(ask("first", rpdocument.RankNormal, time.Hour))
+	r.advance(5 * time.Second)
+	r.complete(a)
+	a = started(ask("second", rpdocument.RankNormal, time.Hour))
+	for i := range 3 {
+		g.Expect(summary(ask(fmt.Sprint("late", i+1), rpdocument.RankNormal, 40*time.Second))).To(BeEmpty())
+	}
+	g.Expect(summary(ask("background", rpdocument.RankBackground, time.Hour))).To(BeEmpty())
+	r.advance(35 * time.Second)
+	g.Expect(summary(ask("fresh", rpdocument.RankNormal, 30*time.Second))).To(BeEmpty())
+	var order []RequestID
+	for range 3 {
+		a = started(r.complete(a))
+		order = append(order, a.Request)
+	}
+	g.Expect(order).To(Equal([]RequestID{"fresh", "background", "late1"}))
+}
--- a/pkg/rpcore/queue.go
+++ b/pkg/rpcore/queue.go
@@ -38,20 +38,23 @@
 	*q = slices.Delete(*q, i, i+1)
 }
 
-// first returns the first request that may still start, apart from those to
-// skip, or nil. A request that is likely to end after its deadline, since
-// requests take need, starts only where no other waits: cancelled work is lost
-// capacity.
+// first returns the first request with more than need left, apart from those
+// to skip, or nil. A need of 0 finds every request that may still start.
 func (q rankQueue) first(now time.Time, need time.Duration, skip []*request) *request {
-	if need == 0 || len(q) == 0 || q[0].cutoff.After(now.Add(need)) {
-		return q.firstOpen(now, skip)
+	if need > 0 {
+		q = q[q.late(now, need):]
 	}
-	enough := now.Add(need)
-	i, _ := slices.BinarySearchFunc(q, enough, func(r *request, at time.Time) int { return r.cutoff.Compare(at) })
-	if r := q[i:].firstOpen(now, skip); r != nil {
-		return r
+	return q.firstOpen(now, skip)
+}
+
+// late returns the number of requests that are likely to end after their
+// deadline, since requests take need.
+func (q rankQueue) late(now time.Time, need time.Duration) int {
+	if need == 0 {
+		return 0
 	}
-	return q[:i].firstOpen(now, skip)
+	i, _ := slices.BinarySearchFunc(q, now.Add(need), func(r *request, at time.Time) int { return r.cutoff.Compare(at) })
+	return i
 }
 
 func (q rankQueue) firstOpen(now time.Time, skip []*request) *request {
