Keep the other measures in the file when some are measured

Cause: scripts/measure with a prefix replaced docs/measurements.json with the measures of that prefix alone. Change: the command takes the earlier file and keeps the measures there that do not run, by measure, deployment and policy, in the order of the list. Measures that no longer exist are dropped.

--- a/internal/rpmeasure/measure/main.go
+++ b/internal/rpmeasure/measure/main.go
@@ -1,9 +1,10 @@
 // Command measure runs the measures of internal/rpmeasure and writes them as
-// JSON to the standard output.
+// JSON to the standard output. EARLIER is a file that it wrote before; the
+// measures there that do not run now are kept.
 //
 // # Usage
 //
-//	go run ./internal/rpmeasure/measure [NAME-PREFIX [SEEDS]]
+//	go run ./internal/rpmeasure/measure [NAME-PREFIX [SEEDS [EARLIER]]]
 package main
 
 import (
@@ -24,10 +25,11 @@
 	if len(os.Args) > 2 {
 		seeds, _ = strconv.Atoi(os.Args[2])
 	}
-	report := struct {
-		Cases   []*rpmeasure.Case             `json:"cases"`
-		Reducer map[string]map[string]float64 `json:"reducer,omitempty"`
-	}{Reducer: make(map[string]map[string]float64)}
+	report := rpmeasure.Report{Reducer: make(map[string]map[string]float64)}
+	earlier := rpmeasure.Report{}
+	if len(os.Args) > 3 {
+		exitOn(read(os.Args[3], &earlier))
+	}
 	if strings.HasPrefix("reducer", prefix) {
 		for _, engines := range []int{100, 1000, 12000} {
 			report.Reducer[strconv.Itoa(engines)] = rpmeasure.Reducer(engines)
@@ -43,7 +45,20 @@
 	}
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", " ")
-	if err := encoder.Encode(report); err != nil {
+	report.KeepFrom(&earlier)
+	exitOn(encoder.Encode(report))
+}
+
+func read(path string, report *rpmeasure.Report) error {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(body, report)
+}
+
+func exitOn(err error) {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/internal/rpmeasure/merge.go
@@ -0,0 +1,32 @@
+package rpmeasure
+
+import "slices"
+
+// Report is the content of docs/measurements.json.
+type Report struct {
+	Cases   []*Case                       `json:"cases"`
+	Reducer map[string]map[string]float64 `json:"reducer,omitempty"`
+}
+
+type caseName struct{ measure, deployment, policy string }
+
+func (c *Case) name() caseName { return caseName{c.Measure, c.Deployment, c.Policy} }
+
+// KeepFrom adds the measures of an earlier report that this one lacks, in the
+// order of Cases. A run of one measure thus leaves the others in the file.
+// Measures that no longer exist are dropped.
+func (r *Report) KeepFrom(earlier *Report) {
+	byName := make(map[caseName]*Case)
+	for _, c := range slices.Concat(earlier.Cases, r.Cases) {
+		byName[c.name()] = c
+	}
+	r.Cases = nil
+	for _, c := range Cases() {
+		if kept := byName[c.name()]; kept != nil {
+			r.Cases = append(r.Cases, kept)
+		}
+	}
+	if len(r.Reducer) == 0 {
+		r.Reducer = earlier.Reducer
+	}
+}
--- /dev/null
+++ b/internal/rpmeasure/merge_test.go
@@ -0,0 +1,26 @@
+package rpmeasure
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a run of one measure that drops the others from the file, and
+// against one that keeps its own earlier result.
+func TestKeepFrom(t *testing.T) {
+	g := NewWithT(t)
+	all := Cases()
+	for _, c := range all {
+		c.Seeds = []uint64{1}
+	}
+	earlier := Report{Cases: all, Reducer: map[string]map[string]float64{"100": {"ns": 1}}}
+	rerun := *all[3]
+	rerun.Seeds = []uint64{1, 2}
+	report := Report{Cases: []*Case{&rerun}}
+	report.KeepFrom(&earlier)
+	want := append([]*Case{}, all...)
+	want[3] = &rerun
+	g.Expect(report.Cases).To(HaveExactElements(want))
+	g.Expect(report.Reducer).To(Equal(earlier.Reducer))
+}
