--- a/pkg/rpcore/dispatch.go
+++ b/pkg/rpcore/dispatch.go
@@ -34,11 +34,7 @@
 		if e == nil {
 			return
 		}
-		lanes := s.lanesAt(e)
-		if !slices.Contains(lanes, l) {
-			lanes = append(lanes, l)
-		}
-		if !s.dispatchOne(lanes) {
+		if !s.dispatchOne(s.lanesWith(e, l), (*State).route) {
 			return
 		}
 	}
@@ -46,7 +42,7 @@
 
 // dispatchAt starts requests while an endpoint has capacity.
 func (s *State) dispatchAt(e *endpoint) {
-	for s.hasCapacity(e) && s.dispatchOne(s.lanesAt(e)) {
+	for s.hasCapacity(e) && s.dispatchOne(s.lanesAt(e), (*State).route) {
 		continue
 	}
 }
@@ -69,9 +65,18 @@
 	return lanes
 }
 
-// dispatchOne starts the request whose turn it is and reports whether there
-// was one.
-func (s *State) dispatchOne(lanes []*lane) bool {
+// lanesWith returns the lanes at an endpoint and the one given.
+func (s *State) lanesWith(e *endpoint, l *lane) []*lane {
+	lanes := s.lanesAt(e)
+	if !slices.Contains(lanes, l) {
+		lanes = append(lanes, l)
+	}
+	return lanes
+}
+
+// dispatchOne starts the request whose turn it is at the endpoint that route
+// chooses, and reports whether there was one.
+func (s *State) dispatchOne(lanes []*lane, route func(*State, *request) *endpoint) bool {
 	var buffer [maxPassedOver]*request
 	passed := buffer[:0]
 	for range maxPassedOver {
@@ -81,7 +86,7 @@
 		}
 		heads := s.headsOf(service, lanes, passed)
 		r := heads[service.nextQueue(&heads)]
-		e := s.route(r)
+		e := route(s, r)
 		if e == nil {
 			passed = append(passed, r)
 			continue
@@ -104,30 +109,41 @@
 		if best != nil && (v.servedAt > best.servedAt || (v.servedAt == best.servedAt && v.name >= best.name)) {
 			continue
 		}
-		if l.hasHead(s.now, s.runTime(l), passed) {
+		if l.hasHead(s.now, passed) {
 			best = v
 		}
 	}
 	return best
 }
 
-func (l *lane) hasHead(now time.Time, need time.Duration, passed []*request) bool {
+func (l *lane) hasHead(now time.Time, passed []*request) bool {
 	for i := range l.queues {
-		if l.queues[i].first(now, need, passed) != nil {
+		if l.queues[i].first(now, 0, passed) != nil {
 			return true
 		}
 	}
 	return false
 }
 
+// headsOf returns the heads of the ranks. A request that is likely to end after
+// its deadline is one only where no other waits, of whichever rank: cancelled
+// work is lost capacity, and it would use up the floor of its rank.
 func (s *State) headsOf(service *serviceState, lanes []*lane, passed []*request) rankHeads {
+	heads := s.headsWith(service, lanes, passed, s.runTime)
+	if heads != (rankHeads{}) {
+		return heads
+	}
+	return s.headsWith(service, lanes, passed, func(*lane) time.Duration { return 0 })
+}
+
+func (s *State) headsWith(service *serviceState, lanes []*lane, passed []*request, needed func(*lane) time.Duration) rankHeads {
 	var heads rankHeads
 	for _, l := range lanes {
 		if l.service != service {
 			continue
 		}
 		for i := range l.queues {
-			head := l.queues[i].first(s.now, s.runTime(l), passed)
+			head := l.queues[i].first(s.now, needed(l), passed)
 			if head != nil && (heads[i] == nil || compareRequests(head, heads[i]) < 0) {
 				heads[i] = head
 			}
