Keep an index of the models and engines that an instance is the home of

Cause: each second the upkeep sorted all endpoints, hashed each engine against all live instances after every reading of the list, which cleared the cache of homes twice a second, sorted all models, and looked up all polled engines.

Change: homeIndex keeps the engines and models of this instance in order. It follows the live instances by their difference: only the keys of an instance that left are weighed against all others, and a new instance is weighed against the home alone. Members, documents, replicas and slots mark it as out of date. The reporter of an engine is worked out again only after a change, and the polls are compared only where they may differ. The state of replicas is compared with the list only after a change. Events, effects and their order stay the same. No heap of due times is needed: a home has 26 engines and 5 models at the design size, and the rows with slots have to be looked at each second in any case.

--- a/pkg/rpcore/endpoint.go
+++ b/pkg/rpcore/endpoint.go
@@ -33,7 +33,11 @@
 	// inFlight counts the attempts of this instance.
 	inFlight int
 	health   endpointHealth
-	cache    cacheView
+	// home is the home of the engine, for the live instances of homeIndex.
+	home InstanceID
+	// row is the row of the engine as known, nil before it was first read.
+	row   *knownRow
+	cache cacheView
 }
 
 // loadedEntry is a model or adapter that an endpoint has loaded.
--- a/pkg/rpcore/endpoint_index.go
+++ b/pkg/rpcore/endpoint_index.go
@@ -20,10 +20,12 @@
 
 // indexEndpoint adds an endpoint to the indexes.
 func (s *State) indexEndpoint(e *endpoint) {
+	s.members.changes++
 	if e.Kind != MemberEngine {
 		insertEndpoint(s.members.services, e.Service, e)
 		return
 	}
+	e.row = s.replicas.rows[engineRowKey(e.id)]
 	insertEndpoint(s.members.engines, e.Service, e)
 	insertEndpoint(s.members.domains, e.FailureDomain, e)
 }
@@ -35,6 +37,7 @@
 		return
 	}
 	delete(s.members.endpoints, id)
+	s.members.changes++
 	if e.Kind != MemberEngine {
 		removeEndpoint(s.members.services, e.Service, e)
 		return
@@ -65,6 +68,8 @@
 	return strings.Compare(string(e.id), string(id))
 }
 
+func compareEndpoints(a, b *endpoint) int { return strings.Compare(string(a.id), string(b.id)) }
+
 // endpointByID returns an endpoint, or nil.
 func (s *State) endpointByID(id EndpointID) *endpoint { return s.members.endpoints[id] }
 
--- /dev/null
+++ b/pkg/rpcore/home_index_test.go
@@ -0,0 +1,116 @@
+package rpcore
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// homesByScan is homeEngines without an index.
+func (s *State) homesByScan() (homes []EndpointID) {
+	for _, id := range endpointIDs(s.members.endpoints) {
+		if s.members.endpoints[id].Kind == MemberEngine && s.homeOf("engine/"+string(id)) == s.self.Instance {
+			homes = append(homes, id)
+		}
+	}
+	return homes
+}
+
+// polledByScan is engineReporterOf without an index.
+func (s *State) polledByScan() (polled []EndpointID) {
+	live := s.liveByDomain()
+	for _, id := range endpointIDs(s.members.endpoints) {
+		e := s.members.endpoints[id]
+		reporters, own := live[e.FailureDomain], e.FailureDomain == s.self.FailureDomain
+		if len(reporters) == 0 {
+			reporters = s.members.live
+		} else if !own {
+			continue
+		}
+		stopped := own && s.now.Sub(e.reportedAt) > reportStale && s.now.Sub(e.listedAt) > reportStale
+		if e.Kind == MemberEngine && (stopped || rendezvous("report/"+string(id), reporters) == s.self.Instance) {
+			polled = append(polled, id)
+		}
+	}
+	return polled
+}
+
+func idsOf(endpoints []*endpoint) (ids []EndpointID) {
+	for _, e := range endpoints {
+		ids = append(ids, e.id)
+	}
+	return ids
+}
+
+// Guards against indexes that miss a change of the list, of the live instances
+// or of a failure domain, so that nobody reviews or polls an engine.
+func TestHomeIndexesFollowChanges(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := withDriver()
+		all := map[string]Member{"a": {ID: "a", Kind: MemberInstance, Incarnation: "a-1", FailureDomain: "A"}}
+		domain := rapid.SampledFrom([]FailureDomain{"A", "B", "C"})
+		for i := range rapid.IntRange(1, 60).Draw(rt, "changes") {
+			engine := fmt.Sprint("e", rapid.IntRange(0, 20).Draw(rt, "engine"))
+			peer := InstanceID(fmt.Sprint("p", rapid.IntRange(0, 5).Draw(rt, "peer")))
+			switch rapid.IntRange(0, 6).Draw(rt, "kind") {
+			case 0:
+				all[engine] = Member{
+					ID: engine, Kind: MemberEngine, Service: "s", Incarnation: Incarnation(fmt.Sprint(i % 3)),
+					FailureDomain: domain.Draw(rt, "domain"), Leaving: rapid.Bool().Draw(rt, "leaving"),
+				}
+			case 1:
+				delete(all, engine)
+			case 2:
+				all[string(peer)] = Member{ID: string(peer), Kind: MemberInstance, Incarnation: "1", FailureDomain: domain.Draw(rt, "domain")}
+			case 3:
+				delete(all, string(peer))
+			case 4:
+				p := all[string(peer)]
+				d.feed(PeerReceived{d.stamp(), peer, PeerMessage{Heartbeat: &Heartbeat{Identity: Identity{peer, p.Incarnation, p.FailureDomain}}}})
+			case 5:
+				report := EngineReport{Endpoint: EndpointID(engine), Incarnation: all[engine].Incarnation, Sequence: uint64(i + 1)}
+				if name := rapid.IntRange(0, 5).Draw(rt, "model"); name > 0 {
+					report.Loaded = []LoadedModel{{Key: ModelKey{"s", fmt.Sprint(name)}}}
+				}
+				d.feed(EngineReported{d.stamp(), report})
+			case 6:
+				d.pass(rapid.IntRange(1, 4).Draw(rt, "seconds"))
+			}
+			if rapid.Bool().Draw(rt, "list") {
+				d.listAll(all)
+			}
+			if rapid.Bool().Draw(rt, "look") {
+				d.checkIndexes(rt)
+			}
+		}
+		d.checkIndexes(rt)
+	})
+}
+
+func (d *driver) listAll(all map[string]Member) {
+	var members []Member
+	for _, id := range sortedKeys(all) {
+		members = append(members, all[id])
+	}
+	d.list(members...)
+}
+
+func (d *driver) checkIndexes(rt *rapid.T) {
+	if got, want := idsOf(d.homeEngines()), d.homesByScan(); !slices.Equal(got, want) {
+		rt.Fatalf("home of %v, not of %v", got, want)
+	}
+	if got, want := idsOf(d.engineReporterOf()), d.polledByScan(); !slices.Equal(got, want) {
+		rt.Fatalf("polls %v, not %v", got, want)
+	}
+	models := slices.DeleteFunc(d.maintainedModels(), func(key ModelKey) bool { return d.homeOf(key.String()) != d.self.Instance })
+	if got := d.homeModels(); !slices.Equal(got, models) {
+		rt.Fatalf("maintains %v, not %v", got, models)
+	}
+	for id, view := range d.replicas.engines {
+		if d.endpointByID(id) != view.endpoint {
+			rt.Fatalf("keeps what an earlier lifetime of %s has loaded", id)
+		}
+	}
+}
--- a/pkg/rpcore/member.go
+++ b/pkg/rpcore/member.go
@@ -9,7 +9,9 @@
 // memberView holds the instance list, the peers and the endpoints.
 type memberView struct {
 	// listings counts the readings of the instance list.
-	listings  uint64
+	listings uint64
+	// changes counts the changes of the list and of the endpoints.
+	changes   uint64
 	listed    map[string]Member
 	presences presences
 	endpoints map[EndpointID]*endpoint
@@ -20,10 +22,8 @@
 	domains  map[FailureDomain][]*endpoint
 	peers    map[InstanceID]*peer
 	// live is the ordered result of liveInstances.
-	live []InstanceID
-	// polled holds what was last asked for each engine that this instance
-	// polls.
-	polled map[EndpointID]PollEngine
+	live    []InstanceID
+	polling pollingView
 	// leaving holds the notices that heartbeats repeat.
 	leaving []leavingRecord
 	// gone holds the proofs that heartbeats repeat.
@@ -42,7 +42,7 @@
 		domains:   make(map[FailureDomain][]*endpoint),
 		peers:     make(map[InstanceID]*peer),
 		live:      []InstanceID{s.self.Instance},
-		polled:    make(map[EndpointID]PollEngine),
+		polling:   pollingView{asked: make(map[EndpointID]PollEngine)},
 	}
 	s.after(s.jitter(heartbeatInterval/10), (*State).heartbeatTick)
 }
@@ -52,6 +52,9 @@
 func (s *State) membersListed(members []Member) {
 	s.members.listings++
 	changed, removed := s.compareList(members)
+	if len(changed)+len(removed) > 0 {
+		s.members.changes++
+	}
 	s.updatePresences(changed, removed)
 	if len(s.members.listed) == 0 {
 		s.members.listed = make(map[string]Member, len(members))
--- a/pkg/rpcore/rendezvous.go
+++ b/pkg/rpcore/rendezvous.go
@@ -6,12 +6,11 @@
 // highest score is the home of the key; when it leaves, only its own keys
 // move.
 func rendezvousScore(key, candidate string) uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	_, _ = digest.WriteString(key)
-	_, _ = digest.Write([]byte{0})
-	_, _ = digest.WriteString(candidate)
-	return digest.Sum64()
+	var buffer [128]byte
+	text := append(buffer[:0], key...)
+	text = append(text, 0)
+	text = append(text, candidate...)
+	return xxhash.Sum64(text)
 }
 
 // rendezvous returns the candidate with the highest score for the key, or ""
--- a/pkg/rpcore/replica.go
+++ b/pkg/rpcore/replica.go
@@ -1,6 +1,14 @@
 package rpcore
 
-import "time"
+import (
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// homesLimit bounds the homes that are kept, since documents drop models. The
+// design size has 2,300 models and adapters.
+const homesLimit = 8192
 
 // replicaView holds the replicas, their slots and the orders under way.
 type replicaView struct {
@@ -19,8 +27,11 @@
 	releases map[Nonce]*release
 	orders   map[OrderID]*order
 	measured map[loadTimeKey]time.Duration
-	// homes caches homeOf until the members change.
+	// homes caches homeOf for the live instances of index.
 	homes map[string]InstanceID
+	index homeIndex
+	// synced is the count of member changes that engines takes in.
+	synced uint64
 	// tableDown is the time of the first of the table's failures that no
 	// success has followed.
 	tableDown time.Time
@@ -81,6 +92,7 @@
 		orders:     make(map[OrderID]*order),
 		measured:   make(map[loadTimeKey]time.Duration),
 		homes:      make(map[string]InstanceID),
+		index:      homeIndex{documents: make(map[string]*rpdocument.Document)},
 		documentAt: make(map[string]time.Time),
 	}
 	s.tickets = ticketView{asks: make(map[Nonce]*ticketAsk), held: make(map[Nonce]*ticketLease)}
@@ -101,11 +113,15 @@
 	return m
 }
 
-// replicaHome returns the home of a key; the result is kept until the members
-// change, since a fleet has many keys and many instances.
+// replicaHome returns the home of a key; the result is kept, since a fleet has
+// many keys and many instances.
 func (s *State) replicaHome(key string) InstanceID {
+	s.followLive()
 	home, ok := s.replicas.homes[key]
 	if !ok {
+		if len(s.replicas.homes) >= homesLimit {
+			clear(s.replicas.homes)
+		}
 		home = s.homeOf(key)
 		s.replicas.homes[key] = home
 	}
@@ -119,7 +135,10 @@
 // replicaMembersChanged reacts to a change of the instance list or of the
 // peers that can be reached.
 func (s *State) replicaMembersChanged() {
-	clear(s.replicas.homes)
+	if s.replicas.synced == s.members.changes {
+		return
+	}
+	s.replicas.synced = s.members.changes
 	for _, id := range sortedKeys(s.replicas.engines) {
 		s.syncEngine(id)
 	}
@@ -128,6 +147,7 @@
 // replicaDocumentChanged reacts to a new document in force.
 func (s *State) replicaDocumentChanged(service string) {
 	s.replicas.documentAt[service] = s.now
+	s.replicas.index.modelsChanged = true
 	for _, nonce := range sortedKeys(s.replicas.loads) {
 		load := s.replicas.loads[nonce]
 		if load.slot.Model.Service == service && !s.specCurrent(load.spec) {
--- a/pkg/rpcore/replicarow.go
+++ b/pkg/rpcore/replicarow.go
@@ -84,6 +84,9 @@
 	if known == nil {
 		known = &knownRow{Row: Row{Key: row.Key}}
 		s.replicas.rows[row.Key] = known
+		if e := s.members.endpoints[EndpointID(row.Key.Name)]; e != nil && row.Key == engineRowKey(e.id) {
+			e.row = known
+		}
 	}
 	if row.Version < known.Version {
 		return
@@ -93,6 +96,9 @@
 			delete(s.replicas.seen, slot.Nonce)
 		}
 	}
+	if row.Key.Kind == RowModel && (len(slotsOf(&known.Row)) == 0) != (len(slotsOf(&row)) == 0) {
+		s.maintainedChanged(ModelKey{Service: row.Key.Service, Name: row.Key.Name})
+	}
 	known.Row = row
 	known.readAt = s.now
 	for _, slot := range slotsOf(&row) {
--- a/pkg/rpcore/report.go
+++ b/pkg/rpcore/report.go
@@ -6,12 +6,6 @@
 )
 
 const (
-	// minPollInterval is the interval at which an engine is polled while the
-	// instance polls few.
-	minPollInterval = 500 * time.Millisecond
-	// pollIntervalPerEngine stretches the interval, so that an instance sends
-	// at most 25 polls a second.
-	pollIntervalPerEngine = 40 * time.Millisecond
 	// reportStale is the age at which a report of a peer no longer shows that
 	// the engine is being polled.
 	reportStale = 5 * time.Second
@@ -20,72 +14,6 @@
 	shareInterval = time.Second
 )
 
-// updatePolling polls the engines whose reporter this instance is: the home
-// of the engine among the live instances of its failure domain, or among all
-// where that domain has none. The reporter shares what it learns.
-func (s *State) updatePolling() {
-	mine := s.engineReporterOf()
-	interval := max(minPollInterval, time.Duration(len(mine))*pollIntervalPerEngine)
-	s.stopPolling(mine)
-	for _, e := range mine {
-		poll := PollEngine{Endpoint: e.id, Address: e.Address, Interval: interval}
-		if s.members.polled[e.id] == poll {
-			continue
-		}
-		s.members.polled[e.id] = poll
-		s.emit(poll)
-	}
-}
-
-// engineReporterOf returns the engines that this instance polls, ordered by
-// id. Engines of other domains are not looked at while those have instances.
-func (s *State) engineReporterOf() []*endpoint {
-	live := s.liveByDomain()
-	var mine []*endpoint
-	for domain, engines := range s.members.domains {
-		if domain != s.self.FailureDomain && len(live[domain]) > 0 {
-			continue
-		}
-		for _, e := range engines {
-			if s.pollsEngine(e, live[domain]) {
-				mine = append(mine, e)
-			}
-		}
-	}
-	slices.SortFunc(mine, func(a, b *endpoint) int { return compareEndpoint(a, b.id) })
-	return mine
-}
-
-// pollsEngine reports whether this instance polls an engine. An instance of
-// the engine's own domain also polls when the reporter's reports have stopped.
-func (s *State) pollsEngine(e *endpoint, local []InstanceID) bool {
-	if len(local) == 0 {
-		local = s.members.live
-	}
-	if rendezvous("report/"+string(e.id), local) == s.self.Instance {
-		return true
-	}
-	if e.FailureDomain != s.self.FailureDomain {
-		return false
-	}
-	return s.now.Sub(e.reportedAt) > reportStale && s.now.Sub(e.listedAt) > reportStale
-}
-
-func (s *State) stopPolling(mine []*endpoint) {
-	var stopped []EndpointID
-	for id := range s.members.polled {
-		_, kept := slices.BinarySearchFunc(mine, id, compareEndpoint)
-		if !kept {
-			stopped = append(stopped, id)
-		}
-	}
-	slices.Sort(stopped)
-	for _, id := range stopped {
-		delete(s.members.polled, id)
-		s.emit(PollEngine{Endpoint: id})
-	}
-}
-
 // engineReported takes in a report; own says that this instance polled it.
 func (s *State) engineReported(report EngineReport, own bool) {
 	e := s.members.endpoints[report.Endpoint]
--- a/pkg/rpcore/review.go
+++ b/pkg/rpcore/review.go
@@ -41,10 +41,8 @@
 		return
 	}
 	var due []RowKey
-	for _, key := range s.maintainedModels() {
-		if s.isReplicaHome(key) {
-			due = s.maintainModel(key, due)
-		}
+	for _, key := range s.homeModels() {
+		due = s.maintainModel(key, due)
 	}
 	s.audit(s.dueEngines(due))
 }
@@ -82,7 +80,7 @@
 func (s *State) maintainModel(key ModelKey, due []RowKey) []RowKey {
 	spec, ok := s.replicaSpec(key)
 	if !ok || !spec.adapter() {
-		if row := modelRowKey(key); s.auditDue(row, modelAudit) {
+		if row := modelRowKey(key); s.auditDue(s.replicas.rows[row], modelAudit) {
 			due = append(due, row)
 		}
 	}
@@ -98,13 +96,9 @@
 
 // dueEngines adds the rows of the engines that this instance is the home of.
 func (s *State) dueEngines(due []RowKey) []RowKey {
-	for _, id := range endpointIDs(s.members.endpoints) {
-		row := engineRowKey(id)
-		if s.members.endpoints[id].Kind != MemberEngine || s.replicaHome("engine/"+string(id)) != s.self.Instance {
-			continue
-		}
-		if s.auditDue(row, engineAudit) {
-			due = append(due, row)
+	for _, e := range s.homeEngines() {
+		if s.auditDue(e.row, engineAudit) {
+			due = append(due, engineRowKey(e.id))
 		}
 	}
 	return due
@@ -112,8 +106,7 @@
 
 // auditDue reports whether a row should be read again: it is old, or it has a
 // slot that something can be done about.
-func (s *State) auditDue(key RowKey, age time.Duration) bool {
-	known := s.replicas.rows[key]
+func (s *State) auditDue(known *knownRow, age time.Duration) bool {
 	if known == nil {
 		return true
 	}
@@ -168,8 +161,8 @@
 // changed.
 func (s *State) auditService(service string) {
 	var due []RowKey
-	for _, key := range s.maintainedModels() {
-		if key.Service == service && s.isReplicaHome(key) {
+	for _, key := range s.homeModels() {
+		if key.Service == service {
 			due = append(due, modelRowKey(key))
 		}
 	}
--- a/pkg/rpcore/served.go
+++ b/pkg/rpcore/served.go
@@ -146,6 +146,9 @@
 		return
 	}
 	s.replicas.served[key] = slices.Insert(slices.Clone(old), i, e)
+	if len(old) == 0 {
+		s.maintainedChanged(key)
+	}
 	if s.usable(e, key) {
 		s.replicas.seams.ready(s, key)
 		s.evaluateAdapters(key)
@@ -160,6 +163,7 @@
 	}
 	if len(old) == 1 {
 		delete(s.replicas.served, key)
+		s.maintainedChanged(key)
 		return
 	}
 	s.replicas.served[key] = slices.Delete(slices.Clone(old), i, i+1)
