Measure the capacity and the reducer again after the indexes of homes

Cause: the pages showed the upkeep from before the indexes, and the page of capacity proposed a load vector every 2 s that alone would take the budget.

But the home of a model decides on lost replicas and lost answers by the highest fencing number and by reports taken after a time, also for engines of other domains. A scheme that sends only changes needs a way to ask for these; it was not begun.

Conclusion: processor and memory are within the budgets on this machine, the network is not.

--- a/internal/rpcapacity/page.go
+++ b/internal/rpcapacity/page.go
@@ -136,7 +136,7 @@
 var networkChanges = map[string]string{
 	"membership and document digests":           "heartbeats of 60 bytes, and 2 s within a failure domain",
 	"reports of the polled engines":             "engines push changes, or report as deltas in binary",
-	"sharing of reports":                        "share model changes only; one compact load vector of the own domain every 2 s",
+	"sharing of reports":                        "share model changes only; one packed load vector of the own domain every 4 s (2.4 KB/s by a trial, 4.7 at 2 s)",
 	"reading of the instance list":              "a list that answers with what changed since a version",
 	"changes of documents":                      "send differences in place of whole bodies",
 	"demand for replicas":                       "one message for all models of a home",
--- a/internal/rptimeline/pending.go
+++ b/internal/rptimeline/pending.go
@@ -9,9 +9,10 @@
 
 // pendingLimit is the number of events and effects that wait to be encoded.
 // The events of requests are by far the most. Encoding many at once finds its
-// code and the end of the ring in the processor's caches: recording then took
-// 5 to 6 % of the node loop's processor time in place of 8 % for one at a time
-// (BenchmarkNodeLoop, one processor). 256 gave 5 %.
+// code and the end of the ring in the processor's caches: with 64, recording
+// took 5 to 6 % of the node loop's processor time in place of 8 % for one at a
+// time, and with 256 it took 5 % (BenchmarkNodeLoop, one processor). These are
+// figures from before entries were encoded by kind and without a lock.
 const pendingLimit = 64
 
 // pending holds events and effects that are not encoded yet. The event loop
