Send nothing ahead to engines whose reports have stopped

Cause: found in review. The load of an engine is the own requests alone once its newest report is older than 5 s, so each instance could have sent up to 4 times the concurrency there, without knowledge of the others. Change: an engine without a recent report takes nothing ahead of capacity.

--- a/pkg/rpcore/ahead.go
+++ b/pkg/rpcore/ahead.go
@@ -102,8 +102,8 @@
 	s.refresh(e)
 	load := &e.health.load
 	// Where only this instance uses an engine, each place that becomes free
-	// is seen at once.
-	if e.leaving || load.busyUntil.After(s.now) || load.others == 0 {
+	// is seen at once. Without reports nothing bounds what others send.
+	if e.leaving || load.busyUntil.After(s.now) || load.others == 0 || s.now.Sub(e.reportedAt) > reportLifetime {
 		return
 	}
 	if s.loadOf(e) < bound {
--- a/pkg/rpcore/ahead_test.go
+++ b/pkg/rpcore/ahead_test.go
@@ -63,6 +63,15 @@
 	g.Expect(r.askRank(rpdocument.RankUrgent, 4)).To(HaveLen(3))
 }
 
+// Guards against urgent requests that go on ahead after the reports about an
+// engine have stopped.
+func TestNothingGoesAheadWithoutReports(t *testing.T) {
+	g := NewWithT(t)
+	r := withBusyEngines(1, 3)
+	r.advance(reportLifetime + time.Second)
+	g.Expect(r.askRank(rpdocument.RankUrgent, 8)).To(HaveLen(3), "the concurrency of 4 less the own request")
+}
+
 // Guards against urgent requests that stop going ahead once several of them
 // wait: those would wait for the few places of this instance for long.
 func TestManyUrgentGoAhead(t *testing.T) {
