--- a/internal/rpcommand/status.go
+++ b/internal/rpcommand/status.go
@@ -40,6 +40,7 @@
 	writeInstances(&b, s.Instances)
 	writeEndpoints(&b, s.Endpoints)
 	writeModels(&b, s.Models)
+	writeSpend(&b, s.Spend)
 	writeDocuments(&b, s)
 	return b.String()
 }
@@ -104,6 +105,19 @@
 	fmt.Fprintf(b, "  Models without a replica and without requests: %d.\n", idle)
 }
 
+// writeSpend lists what the services use of what their documents allow.
+func writeSpend(b *strings.Builder, spend []rpcore.SpendStatus) {
+	fmt.Fprintf(b, "\nSpend: %d\n  %-24s %12s %8s %20s %8s  %s\n", len(spend),
+		"SERVICE", "ACCELERATORS", "AT MOST", "HOURS OF DAY (UTC)", "AT MOST", "COUNTED AT")
+	for _, s := range spend {
+		counted := "not counted"
+		if !s.CountedAt.IsZero() {
+			counted = formatTime(s.CountedAt)
+		}
+		fmt.Fprintf(b, "  %-24s %12d %8d %20.2f %8.2f  %s\n", s.Service, s.Accelerators, s.MaxAccelerators, s.HoursUsed, s.HoursPerDay, counted)
+	}
+}
+
 func writeDocuments(b *strings.Builder, s *rpcore.Status) {
 	fmt.Fprintf(b, "\nDocuments: %d\n  %-24s %8s  %-20s  %s\n", len(s.Documents), "SERVICE", "VERSION", "IN FORCE SINCE", "ACCEPTED AT")
 	for i := range s.Documents {
--- a/internal/rpcommand/status_test.go
+++ b/internal/rpcommand/status_test.go
@@ -30,7 +30,11 @@
 			{ID: "engine-1", Kind: rpcore.MemberEngine, Service: "mix", FailureDomain: "d1", InFlight: 2, Memory: 80 * rpdocument.GiB, MemoryLoaded: 16 * rpdocument.GiB, Loaded: []rpcore.ModelKey{{Service: "mix", Name: "m"}}, ReportAge: time.Second},
 			{ID: "plain-1", Kind: rpcore.MemberService, Service: "mix", FailureDomain: "d2", Leaving: true, ReportAge: -1},
 		},
-		Models:    []rpcore.ModelStatus{{Model: rpcore.ModelKey{Service: "mix", Name: "m"}, MaxReplicas: 2, Loaded: 1, Waiting: 8}, {Model: rpcore.ModelKey{Service: "mix", Name: "idle"}}},
+		Models: []rpcore.ModelStatus{{Model: rpcore.ModelKey{Service: "mix", Name: "m"}, MaxReplicas: 2, Loaded: 1, Waiting: 8}, {Model: rpcore.ModelKey{Service: "mix", Name: "idle"}}},
+		Spend: []rpcore.SpendStatus{
+			{Service: "mix", Accelerators: 2, MaxAccelerators: 8, HoursUsed: 1.5, HoursPerDay: 120, CountedAt: reportTime},
+			{Service: "new", MaxAccelerators: 4, HoursPerDay: 96},
+		},
 		Documents: []rpcore.DocumentInForce{{DocumentRow: rpcore.DocumentRow{Service: "mix", Version: version, AcceptedAt: reportTime}, Since: reportTime.Add(time.Second)}},
 		Missing:   []rpcore.DocumentVersion{{Service: "mix", Version: 9}},
 	}
@@ -60,6 +64,11 @@
   mix/m                                          1               2        8
   Models without a replica and without requests: 1.
 
+Spend: 2
+  SERVICE                  ACCELERATORS  AT MOST   HOURS OF DAY (UTC)  AT MOST  COUNTED AT
+  mix                                 2        8                 1.50   120.00  2026-05-04T03:02:01Z
+  new                                 0        4                 0.00    96.00  not counted
+
 Documents: 1
   SERVICE                   VERSION  IN FORCE SINCE        ACCEPTED AT
   mix                             8  2026-05-04T03:02:02Z  2026-05-04T03:02:01Z
--- a/internal/rpmessage/logs.go
+++ b/internal/rpmessage/logs.go
@@ -51,6 +51,7 @@
 	note("note_slot_freed", "freed a slot", "A replica is unloaded and its memory is free.", nothing),
 	note("note_evicted", "evicts an idle replica", "An idle replica is unloaded, for memory or for the spend of the service.", "If it happens often, add engines or raise the spend."),
 	note("note_idle_unloaded", "unloads an idle replica", "A replica without requests is unloaded.", nothing),
+	note("note_hours_used_up", "accelerator hours of the day are used up", "A service has used its accelerator hours of this day, so none of its models is loaded before the next day (UTC).", "If it happens often, raise spend.accelerator_hours_per_day in the document."),
 	note("note_taken_over", "takes over a replica", "The instance takes over a replica of an instance that is gone.", nothing),
 	note("note_version_replaced", "replaces version", "A replica of an old version is replaced.", nothing),
 }
--- a/internal/rpmessage/refusals.go
+++ b/internal/rpmessage/refusals.go
@@ -17,6 +17,7 @@
 	caller("deadline_unreachable", "The predicted wait is longer than the deadline allows.", "Allow more time, keep warm replicas, or add engines."),
 	caller("deadline_exceeded", "The deadline passed before the answer was complete.", "Run explain with the id of the request to see where the time went."),
 	caller("no_replica", "No replica of the model is loaded and none can be loaded now.", "Look at memory and spend in the output of status, and at the table service."),
+	caller("accelerator_hours_used", "The service has used its accelerator hours of this day, and no replica of the model is loaded.", "Wait for the next day (UTC), or raise spend.accelerator_hours_per_day in the document."),
 	caller("no_endpoint", "No endpoint of the service is available.", "Check that the endpoints of the service run and are in the instance list."),
 	caller("table_unavailable", "The table service is unavailable, so a request that may run only once can't be started.", "Restore the table service, then send the request again."),
 	caller("attempt_failed", "The endpoint failed to answer.", "Look at the verdict first, then at the log of the endpoint."),
--- a/internal/rpmetric/table.go
+++ b/internal/rpmetric/table.go
@@ -119,7 +119,7 @@
 	rpverdict.CodeIdempotencyKeyRequired, rpverdict.CodeIdempotencyKeyReused, rpverdict.CodeInvalidHeader,
 	rpverdict.CodeNoDocument, rpverdict.CodeDraining, rpverdict.CodeQueueFull,
 	rpverdict.CodeDeadlineUnreachable, rpverdict.CodeDeadlineExceeded, rpverdict.CodeNoReplica,
-	rpverdict.CodeNoEndpoint, rpverdict.CodeTableUnavailable, rpverdict.CodeAttemptFailed,
+	rpverdict.CodeAcceleratorHoursUsed, rpverdict.CodeNoEndpoint, rpverdict.CodeTableUnavailable, rpverdict.CodeAttemptFailed,
 	rpverdict.CodeStreamBroken, rpverdict.CodeEarlierAttemptUnknown, rpverdict.CodeOutcomeNotKept,
 	rpverdict.CodeTooManyStreams,
 }
--- a/internal/rpplatform/item.go
+++ b/internal/rpplatform/item.go
@@ -105,6 +105,7 @@
 		rpcore.RowModel:    row.Model != nil,
 		rpcore.RowEngine:   row.Engine != nil,
 		rpcore.RowClaim:    row.Claim != nil,
+		rpcore.RowSpend:    row.Spend != nil,
 	}
 	for kind, set := range bodies {
 		if set != (kind == row.Key.Kind) {
--- a/internal/rptimeline/message.go
+++ b/internal/rptimeline/message.go
@@ -32,7 +32,10 @@
 		rec.code, rec.text = "demand", m.Demand.Adapter
 		setModel(rec, m.Demand.Model)
 	case m.DemandAnswer != nil:
-		rec.code, rec.text = "demand_answer", m.DemandAnswer.Impossible
+		rec.code = "demand_answer"
+		if refused := m.DemandAnswer.Refusal; refused != nil {
+			rec.text = refused.Detail
+		}
 		setModel(rec, m.DemandAnswer.Model)
 	case m.ReplicaNotice != nil:
 		rec.code, rec.endpoint = "replica_notice", string(m.ReplicaNotice.Endpoint)
--- a/pkg/rpcore/demand.go
+++ b/pkg/rpcore/demand.go
@@ -117,7 +117,7 @@
 	}
 	m.heard[from] = heardDemand{Demand: d, at: s.now}
 	s.evaluate(m)
-	answer := &DemandAnswer{Model: d.Model, Adapter: d.Adapter, Impossible: s.impossibleNow(m)}
+	answer := &DemandAnswer{Model: d.Model, Adapter: d.Adapter, Refusal: s.impossibleNow(m)}
 	if expected, ok := s.expectedReplica(m.key); ok {
 		answer.Expected = expected
 	}
@@ -131,8 +131,8 @@
 	}
 	m.unansweredSince = time.Time{}
 	m.expectedAt = s.now.Add(answer.Expected)
-	if answer.Impossible != "" {
-		s.replicas.seams.impossible(s, m.key, answer.Impossible)
+	if answer.Refusal != nil {
+		s.replicas.seams.impossible(s, m.key, *answer.Refusal)
 	}
 }
 
--- a/pkg/rpcore/dispatch.go
+++ b/pkg/rpcore/dispatch.go
@@ -233,16 +233,16 @@
 		l.unserved = s.now
 	}
 	if s.now.Sub(l.unserved) >= unservedGrace {
-		s.refuseWaiting(l, rpverdict.CodeNoEndpoint, "The service has no endpoint.")
+		refused := rpverdict.Refuse(rpverdict.CodeNoEndpoint, "The service has no endpoint.")
+		refused.RetryAfter = retryAfterDefault
+		s.refuseWaiting(l, refused)
 	}
 }
 
 // refuseWaiting refuses all requests that wait in a lane.
-func (s *State) refuseWaiting(l *lane, code rpverdict.Code, detail string) {
+func (s *State) refuseWaiting(l *lane, refused rpverdict.Refusal) {
 	for i := range l.queues {
 		for _, r := range slices.Clone(l.queues[i]) {
-			refused := rpverdict.Refuse(code, detail)
-			refused.RetryAfter = retryAfterDefault
 			s.refuseWith(r, refused)
 		}
 	}
--- a/pkg/rpcore/estimate.go
+++ b/pkg/rpcore/estimate.go
@@ -87,6 +87,9 @@
 	if expected, ok := s.expectedSlot(spec); ok {
 		return expected, true
 	}
+	if s.hoursLack(spec) {
+		return 0, false
+	}
 	if m := s.replicas.models[key]; m != nil && m.expectedAt.After(s.now) {
 		return m.expectedAt.Sub(s.now), true
 	}
--- a/pkg/rpcore/evaluate.go
+++ b/pkg/rpcore/evaluate.go
@@ -3,14 +3,16 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
 // evaluate decides whether a model needs another replica and starts its
 // reservation. It runs at the home, or at an instance whose home is lost.
 func (s *State) evaluate(m *modelState) {
-	if reason := s.impossibleNow(m); reason != "" {
+	if refused := s.impossibleNow(m); refused != nil {
 		if m.demanding {
-			s.replicas.seams.impossible(s, m.key, reason)
+			s.replicas.seams.impossible(s, m.key, *refused)
 		}
 		return
 	}
@@ -25,6 +27,9 @@
 		}
 		return
 	}
+	if !spec.adapter() && s.hoursUsedUp(m.key.Service) {
+		return
+	}
 	replicas, pending := s.prospects(spec)
 	want := s.wantReplicas(m, spec, need, replicas, pending)
 	if replicas < want {
@@ -91,8 +96,23 @@
 	return min(want, spec.max)
 }
 
-// impossibleNow returns why no replica of a model can come now, or "".
-func (s *State) impossibleNow(m *modelState) string {
+// impossibleNow returns the refusal where no replica of a model can come now,
+// or nil.
+func (s *State) impossibleNow(m *modelState) *rpverdict.Refusal {
+	if reason := s.missingNow(m); reason != "" {
+		refused := rpverdict.Refuse(rpverdict.CodeNoReplica, reason)
+		refused.RetryAfter = retryAfterDefault
+		return &refused
+	}
+	if spec, ok := s.replicaSpec(m.key); ok && len(s.serving(m.key)) == 0 && s.hoursLack(spec) {
+		refused := s.refuseForHours(m.key.Service)
+		return &refused
+	}
+	return nil
+}
+
+// missingNow returns what a replica of a model lacks now, or "".
+func (s *State) missingNow(m *modelState) string {
 	spec, ok := s.replicaSpec(m.key)
 	if !ok {
 		if s.replicas.seams.document(s, m.key.Service) == nil {
--- a/pkg/rpcore/idle.go
+++ b/pkg/rpcore/idle.go
@@ -138,10 +138,15 @@
 	return 1 + (pressureFactor-1)*excess
 }
 
-// unloadIdle frees at most one idle replica of a model.
+// unloadIdle frees at most one idle replica of a model. Once the accelerator
+// hours of the day are used up, no idle replica stays, not even a warm one:
+// the bound of the document is on all replicas.
 func (s *State) unloadIdle(key ModelKey) {
 	spec, ok := s.replicaSpec(key)
 	served := s.serving(key)
+	if !spec.adapter() && s.hoursUsedUp(key.Service) {
+		spec.warm = 0
+	}
 	if !ok || len(served) <= spec.warm {
 		return
 	}
@@ -158,6 +163,9 @@
 	if s.inUse(e, spec.key) || idle < recentUse || s.adapterInUse(e, spec) {
 		return false
 	}
+	if !spec.adapter() && s.hoursUsedUp(spec.key.Service) {
+		return true
+	}
 	if s.policy.FixedKeepAlive > 0 {
 		return idle >= s.policy.FixedKeepAlive
 	}
--- a/pkg/rpcore/peer.go
+++ b/pkg/rpcore/peer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
 // PeerMessage is a message between instances. Exactly one of the pointers is
@@ -82,8 +83,8 @@
 	Model    ModelKey      `cbor:"model"`
 	Adapter  string        `cbor:"adapter,omitempty"`
 	Expected time.Duration `cbor:"expected"`
-	// Impossible says why no replica can come, where that is so.
-	Impossible string `cbor:"impossible,omitempty"`
+	// Refusal says why no replica can come, where that is so.
+	Refusal *rpverdict.Refusal `cbor:"refusal,omitempty"`
 }
 
 // ReportShare passes on a report of an engine that the sender polls.
--- a/pkg/rpcore/replica_load_test.go
+++ b/pkg/rpcore/replica_load_test.go
@@ -248,7 +248,7 @@
 	doc.Models[1].Memory = 9 * gib
 	n.doc = doc
 	w.demand(n, keyB, 1)
-	g.Expect(n.refused[keyB]).To(ContainSubstring("memory"))
+	g.Expect(n.refused[keyB].Detail).To(ContainSubstring("memory"))
 }
 
 // A planned stop waits for the orders under way and for the record of their
--- a/pkg/rpcore/replica_policy_test.go
+++ b/pkg/rpcore/replica_policy_test.go
@@ -137,7 +137,9 @@
 func TestSpendBoundsLoads(t *testing.T) {
 	g := NewWithT(t)
 	w := withWorld(1, 3, true)
-	w.setDocument(func(d *rpdocument.Document) { d.Spend.Accelerators = 1 })
+	w.setDocument(func(d *rpdocument.Document) {
+		d.Spend = rpdocument.Spend{Accelerators: 1, AcceleratorHoursPerDay: rpdocument.HoursPerDay}
+	})
 	n := w.nodes["i1"]
 	w.load(n, keyA)
 	w.demand(n, keyB, 1)
--- a/pkg/rpcore/replica_world_test.go
+++ b/pkg/rpcore/replica_world_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
 // world is a small stand-in of the platform, the engines and the network
@@ -29,6 +30,8 @@
 	slotOf map[string]Nonce
 	orders []SendOrder
 	faults []string
+	// freed is the time for which the slots that were freed had been reserved.
+	freed time.Duration
 }
 
 // item is something that is under way.
@@ -52,7 +55,7 @@
 	state    *State
 	doc      *rpdocument.Document
 	use      map[ModelKey]modelUse
-	refused  map[ModelKey]string
+	refused  map[ModelKey]rpverdict.Refusal
 	alarm    time.Time
 	paused   bool
 	dead     bool
@@ -105,7 +108,7 @@
 func (w *world) addNode(id InstanceID, incarnation int, policy Policy) *fakeNode {
 	n := &fakeNode{
 		identity: Identity{Instance: id, Incarnation: Incarnation(fmt.Sprint(incarnation)), FailureDomain: "fd1"},
-		state:    new(State), doc: w.doc, use: make(map[ModelKey]modelUse), refused: make(map[ModelKey]string),
+		state:    new(State), doc: w.doc, use: make(map[ModelKey]modelUse), refused: make(map[ModelKey]rpverdict.Refusal),
 	}
 	w.nodes[id] = n
 	w.deliver(n, Start{Self: n.identity, Seed: uint64(len(id) + incarnation), Policy: policy})
@@ -114,7 +117,7 @@
 	seams.services = func(*State) []string { return []string{"svc"} }
 	seams.use = func(_ *State, key ModelKey) modelUse { return n.use[key] }
 	seams.ready = func(_ *State, key ModelKey) { delete(n.use, key) }
-	seams.impossible = func(_ *State, key ModelKey, reason string) { n.refused[key] = reason }
+	seams.impossible = func(_ *State, key ModelKey, refused rpverdict.Refusal) { n.refused[key] = refused }
 	return n
 }
 
@@ -340,6 +343,12 @@
 		}
 	}
 	for _, row := range write.Writes {
+		old := w.table[row.Key]
+		for _, slot := range slotsOf(&old) {
+			if row.Model != nil && slotIndex(row.Model.Slots, slot.Nonce) < 0 {
+				w.freed += w.now.Sub(slot.ReservedAt)
+			}
+		}
 		w.table[row.Key] = Row{Key: row.Key, Version: row.ExpectVersion + 1, Nonce: row.Nonce, RowBody: row.RowBody}
 		if row.Engine != nil {
 			for _, slot := range row.Engine.Slots {
@@ -357,6 +366,9 @@
 			done.Rows = append(done.Rows, row)
 		}
 	}
+	if row, ok := w.table[RowKey{Kind: read.Prefix, Service: "svc"}]; ok && !done.Unavailable {
+		done.Rows = append(done.Rows, row)
+	}
 	return done
 }
 
--- a/pkg/rpcore/replicarow.go
+++ b/pkg/rpcore/replicarow.go
@@ -134,16 +134,17 @@
 		if !edit(&slots[j]) {
 			slots = slices.Delete(slots, j, j+1)
 		}
-		writes = append(writes, slotsWrite(row, slots, mark, bump))
+		writes = append(writes, s.slotsWrite(row, slots, mark, bump))
 	}
 	return writes
 }
 
 // slotsWrite returns the write that gives a row other slots.
-func slotsWrite(row *Row, slots []Slot, mark Nonce, bump bool) RowWrite {
+func (s *State) slotsWrite(row *Row, slots []Slot, mark Nonce, bump bool) RowWrite {
 	w := RowWrite{Key: row.Key, ExpectVersion: row.Version, Nonce: mark}
 	if row.Key.Kind == RowModel {
 		w.Model = &ModelRow{Slots: slots}
+		s.keepFreed(row.Model, w.Model)
 		return w
 	}
 	w.Engine = &EngineRow{Slots: slots}
--- a/pkg/rpcore/replicaseam.go
+++ b/pkg/rpcore/replicaseam.go
@@ -1,6 +1,9 @@
 package rpcore
 
-import "github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+import (
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
 
 // replicaSeams are the functions of the documents and requests that the
 // replica code calls. A test that drives replicas alone replaces them.
@@ -9,7 +12,7 @@
 	services   func(*State) []string
 	use        func(*State, ModelKey) modelUse
 	ready      func(*State, ModelKey)
-	impossible func(*State, ModelKey, string)
+	impossible func(*State, ModelKey, rpverdict.Refusal)
 }
 
 func newReplicaSeams() replicaSeams {
--- a/pkg/rpcore/reserve.go
+++ b/pkg/rpcore/reserve.go
@@ -53,7 +53,7 @@
 	}
 	r := &reservation{spec: spec, need: need, want: want, candidates: candidates}
 	r.change = &rowChange{
-		keys:   r.keys(),
+		keys:   s.reservationKeys(r),
 		decide: func(s *State, rows []Row) []RowWrite { return s.decideReserve(r, rows) },
 		done:   func(s *State, result changeResult) { s.reserved(m, r, result) },
 	}
@@ -61,10 +61,13 @@
 	s.changeRows(r.change)
 }
 
-func (r *reservation) keys() []RowKey {
+func (s *State) reservationKeys(r *reservation) []RowKey {
 	var keys []RowKey
 	if !r.spec.adapter() {
 		keys = append(keys, modelRowKey(r.spec.key))
+		if _, bounded := s.hoursBound(r.spec.key.Service); bounded {
+			keys = append(keys, spendRowKey(r.spec.key.Service))
+		}
 	}
 	for _, c := range r.candidates {
 		keys = append(keys, engineRowKey(c.endpoint.id))
@@ -97,12 +100,13 @@
 }
 
 // roomForReplica checks the bound of the model and the spend of its service.
+// Nothing is evicted where the hours of the day are used up.
 func (s *State) roomForReplica(r *reservation, slots []Slot) bool {
 	if len(slots) >= r.spec.max {
 		r.blocked = "the document allows no further replica"
 		return false
 	}
-	if s.hopefulSlots(r.spec, slots) >= r.want {
+	if s.hopefulSlots(r.spec, slots) >= r.want || s.hoursUsedUp(r.spec.key.Service) {
 		return false
 	}
 	if s.spendLacks(r.spec) {
@@ -195,13 +199,13 @@
 	engine := rowOrEmpty(rows, engineRowKey(c.endpoint.id))
 	mark := s.newNonce()
 	slot := s.newSlot(r.spec, c.endpoint)
-	write := slotsWrite(engine, append(slices.Clone(slotsOf(engine)), slot), mark, true)
+	write := s.slotsWrite(engine, append(slices.Clone(slotsOf(engine)), slot), mark, true)
 	slot.Fence = write.Engine.Fence
 	write.Engine.Slots[len(write.Engine.Slots)-1].Fence = slot.Fence
 	writes := []RowWrite{write}
 	if !r.spec.adapter() {
 		model := rowOrEmpty(rows, modelRowKey(r.spec.key))
-		writes = append(writes, slotsWrite(model, append(slices.Clone(slotsOf(model)), slot), mark, false))
+		writes = append(writes, s.slotsWrite(model, append(slices.Clone(slotsOf(model)), slot), mark, false))
 	}
 	r.tries = append(r.tries, slotTry{slot: slot, writes: writes})
 	return writes
--- a/pkg/rpcore/review.go
+++ b/pkg/rpcore/review.go
@@ -47,6 +47,9 @@
 		}
 	}
 	s.audit(s.dueEngines(due))
+	if s.spendDue() {
+		s.updateSpend()
+	}
 }
 
 func (s *State) withdrawUnsent() {
--- a/pkg/rpcore/rollout.go
+++ b/pkg/rpcore/rollout.go
@@ -10,10 +10,10 @@
 const rolloutBlocked = 5 * time.Second
 
 // rolloutDue reports whether slots of a model have another version than the
-// document.
+// document. An old version stays where none may be loaded on this day.
 func (s *State) rolloutDue(key ModelKey, slots []Slot) bool {
 	spec, ok := s.replicaSpec(key)
-	if !ok || spec.adapter() {
+	if !ok || spec.adapter() || s.hoursUsedUp(key.Service) {
 		return false
 	}
 	return slices.ContainsFunc(slots, func(slot Slot) bool {
--- a/pkg/rpcore/row.go
+++ b/pkg/rpcore/row.go
@@ -16,6 +16,7 @@
 	RowModel    RowKind = "model"
 	RowEngine   RowKind = "engine"
 	RowClaim    RowKind = "claim"
+	RowSpend    RowKind = "spend"
 )
 
 // RowKey names one row.
@@ -24,7 +25,7 @@
 	// Service is empty for an engine row.
 	Service string
 	// Name is the model, the engine or the idempotency key; it is empty for
-	// a document row.
+	// a document row and a spend row.
 	Name string
 }
 
@@ -45,6 +46,7 @@
 	Model    *ModelRow    `cbor:"model,omitempty"`
 	Engine   *EngineRow   `cbor:"engine,omitempty"`
 	Claim    *ClaimRow    `cbor:"claim,omitempty"`
+	Spend    *SpendRow    `cbor:"spend,omitempty"`
 }
 
 // RowWrite is one conditional put of a transaction. The write gives the row
@@ -129,6 +131,33 @@
 // ModelRow holds the replica slots of a model over all failure domains.
 type ModelRow struct {
 	Slots []Slot `cbor:"slots"`
+	// Freed is the time of the day FreedDay (UTC) for which slots that were
+	// freed since had been reserved, summed over them.
+	FreedDay time.Time     `cbor:"freed_day"`
+	Freed    time.Duration `cbor:"freed,omitempty"`
+}
+
+// SpendRow is the count of the accelerator time that a service used on one
+// day. It sums up the rows of the models; the home of the service writes it
+// once a spendInterval while the service uses accelerators.
+type SpendRow struct {
+	// Day is the begin of the day (UTC).
+	Day       time.Time `cbor:"day"`
+	CountedAt time.Time `cbor:"counted_at"`
+	// Used is the accelerator time of Day until CountedAt, and Accelerators
+	// the accelerators in use then.
+	Used         time.Duration `cbor:"used"`
+	Accelerators int           `cbor:"accelerators"`
+	// Models holds the models with time on Day, ordered by name.
+	Models []ModelSpend `cbor:"models"`
+}
+
+// ModelSpend is the accelerator time that a model used on one day.
+type ModelSpend struct {
+	Name string `cbor:"name"`
+	// Accelerators is the number of accelerators of one replica.
+	Accelerators int           `cbor:"accelerators"`
+	Used         time.Duration `cbor:"used"`
 }
 
 // EngineRow holds the fencing counter and the reservations of an engine. A
--- /dev/null
+++ b/pkg/rpcore/spend.go
@@ -0,0 +1,287 @@
+package rpcore
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+const (
+	// spendInterval is the time between two counts of the accelerator time of
+	// a service, and between two reads of all counts by an instance. A
+	// reservation reads the count again, so it rests on one that is at most
+	// that old and errs by at most the accelerators in use at once times this
+	// interval. What else depends on the count may be one interval later.
+	spendInterval = time.Minute
+	spendDay      = 24 * time.Hour
+)
+
+func spendRowKey(service string) RowKey { return RowKey{Kind: RowSpend, Service: service} }
+
+// dayOf returns the begin of the UTC day of a time.
+func dayOf(at time.Time) time.Time { return at.UTC().Truncate(spendDay) }
+
+func (s *State) untilNextDay() time.Duration { return dayOf(s.now).Add(spendDay).Sub(s.now) }
+
+// spendDue spreads the counts of the instances over the interval.
+func (s *State) spendDue() bool {
+	const ticks = uint64(spendInterval / maintenanceInterval)
+	return s.replicas.ticks%ticks == xxhash.Sum64String(string(s.self.Instance))%ticks
+}
+
+// updateSpend reads the counts of all services and counts those that this
+// instance is the home of.
+func (s *State) updateSpend() {
+	s.readTableKind(RowSpend, func(s *State, read TableReadDone) {
+		if read.Unavailable {
+			return
+		}
+		for i := range read.Rows {
+			s.takeRow(read.Rows[i])
+		}
+		for _, service := range s.replicas.seams.services(s) {
+			if s.replicaHome("spend/"+service) == s.self.Instance {
+				s.countSpend(service)
+			}
+		}
+	})
+}
+
+// countSpend sums up the accelerator time of a service from the rows of its
+// models. Each count starts from those rows, so a count that was lost, made
+// twice or made by another home leaves no error behind.
+func (s *State) countSpend(service string) {
+	doc := s.replicas.seams.document(s, service)
+	if doc == nil || doc.Spend.Accelerators == 0 || len(doc.Models) == 0 || s.draining {
+		return
+	}
+	before := s.hoursUsedUp(service)
+	s.changeRows(&rowChange{
+		keys:   s.spendKeys(service, doc),
+		decide: func(s *State, rows []Row) []RowWrite { return s.decideSpend(service, rows) },
+		done: func(s *State, _ changeResult) {
+			if !before && s.hoursUsedUp(service) {
+				s.note("replicas", "accelerator hours of the day are used up: "+service)
+			}
+		},
+	})
+}
+
+// spendKeys returns the row of the count and those of the models that the
+// document declares or the count names.
+func (s *State) spendKeys(service string, doc *rpdocument.Document) []RowKey {
+	keys := []RowKey{spendRowKey(service)}
+	for i := range doc.Models {
+		keys = append(keys, modelRowKey(ModelKey{Service: service, Name: doc.Models[i].Name}))
+	}
+	if row := s.knownSpend(service); row != nil {
+		for _, model := range row.Models {
+			key := modelRowKey(ModelKey{Service: service, Name: model.Name})
+			if !slices.Contains(keys, key) {
+				keys = append(keys, key)
+			}
+		}
+	}
+	return keys
+}
+
+func (s *State) decideSpend(service string, rows []Row) []RowWrite {
+	doc := s.replicas.seams.document(s, service)
+	if doc == nil {
+		return nil
+	}
+	row := rowOrEmpty(rows, spendRowKey(service))
+	next := s.sumSpend(doc, row.Spend, rows)
+	if next.Accelerators == 0 && (row.Spend == nil || row.Spend.Accelerators == 0) && next.Used == row.Spend.usedAt(s.now) {
+		return nil
+	}
+	write := RowWrite{Key: row.Key, ExpectVersion: row.Version, Nonce: s.newNonce()}
+	write.Spend = next
+	return []RowWrite{write}
+}
+
+// sumSpend adds up what the rows of the models show. A model that the document
+// has dropped keeps its time of the day.
+func (s *State) sumSpend(doc *rpdocument.Document, old *SpendRow, rows []Row) *SpendRow {
+	next := &SpendRow{Day: dayOf(s.now), CountedAt: s.now}
+	models := make(map[string]ModelSpend)
+	if old != nil && old.Day.Equal(next.Day) {
+		for _, model := range old.Models {
+			models[model.Name] = model
+		}
+	}
+	for i := range doc.Models {
+		model := models[doc.Models[i].Name]
+		model.Name, model.Accelerators = doc.Models[i].Name, doc.Models[i].Accelerators
+		models[model.Name] = model
+	}
+	for _, name := range sortedKeys(models) {
+		model := models[name]
+		row := findRow(rows, RowKey{Kind: RowModel, Service: doc.Service, Name: name})
+		used := time.Duration(model.Accelerators) * s.replicaTime(row)
+		// A clock that is behind must not take back what was counted.
+		model.Used = max(model.Used, used)
+		next.Accelerators += model.Accelerators * len(slotsOf(row))
+		next.Used += model.Used
+		if model.Used > 0 {
+			next.Models = append(next.Models, model)
+		}
+	}
+	return next
+}
+
+// replicaTime returns the time of this day for which a model had slots, summed
+// over the slots.
+func (s *State) replicaTime(row *Row) time.Duration {
+	day := dayOf(s.now)
+	var used time.Duration
+	if row != nil && row.Model != nil && row.Model.FreedDay.Equal(day) {
+		used = row.Model.Freed
+	}
+	slots := slotsOf(row)
+	for i := range slots {
+		used += slots[i].timeSince(day, s.now)
+	}
+	return used
+}
+
+// timeSince returns the time for which a slot was reserved after the begin of
+// a day.
+func (slot *Slot) timeSince(day, now time.Time) time.Duration {
+	from := slot.ReservedAt
+	if from.Before(day) {
+		from = day
+	}
+	return max(now.Sub(from), 0)
+}
+
+// keepFreed carries the time of the freed slots over to the next version of a
+// row and adds that of the slots which the write frees. The time stands in the
+// same transaction as the removal, so neither can be lost without the other.
+func (s *State) keepFreed(old, next *ModelRow) {
+	if old == nil {
+		return
+	}
+	day := dayOf(s.now)
+	if old.FreedDay.After(day) {
+		// The clock of another instance has passed midnight already.
+		day = old.FreedDay
+	}
+	var freed time.Duration
+	if old.FreedDay.Equal(day) {
+		freed = old.Freed
+	}
+	for i := range old.Slots {
+		if slotIndex(next.Slots, old.Slots[i].Nonce) < 0 {
+			freed += old.Slots[i].timeSince(day, s.now)
+		}
+	}
+	if freed > 0 {
+		next.FreedDay, next.Freed = day, freed
+	}
+}
+
+// usedAt returns the accelerator time of the day of a time, which goes on at
+// the rate of the last count.
+func (r *SpendRow) usedAt(now time.Time) time.Duration {
+	if r == nil {
+		return 0
+	}
+	day := dayOf(now)
+	from, used := r.CountedAt, time.Duration(0)
+	if from.Before(day) {
+		from = day
+	}
+	if r.Day.Equal(day) {
+		used = r.Used
+	}
+	return used + time.Duration(r.Accelerators)*max(now.Sub(from), 0)
+}
+
+// knownSpend returns the count of a service as known, or nil.
+func (s *State) knownSpend(service string) *SpendRow {
+	if known := s.replicas.rows[spendRowKey(service)]; known != nil {
+		return known.Spend
+	}
+	return nil
+}
+
+// hoursBound returns the accelerator hours that a service may use in a day,
+// and whether that is less than its accelerators can use.
+func (s *State) hoursBound(service string) (float64, bool) {
+	doc := s.replicas.seams.document(s, service)
+	if doc == nil || doc.Spend.Accelerators == 0 {
+		return 0, false
+	}
+	hours := doc.Spend.AcceleratorHoursPerDay
+	return hours, hours < rpdocument.HoursPerDay*float64(doc.Spend.Accelerators)
+}
+
+// hoursUsedUp reports whether a service has used its accelerator hours of this
+// day, over the count as known.
+func (s *State) hoursUsedUp(service string) bool {
+	hours, bounded := s.hoursBound(service)
+	return bounded && s.knownSpend(service).usedAt(s.now).Hours() >= hours
+}
+
+// hoursLack reports whether no replica of a model, or of the base model of an
+// adapter, may be loaded on this day.
+func (s *State) hoursLack(spec replicaSpec) bool {
+	if !s.hoursUsedUp(spec.key.Service) {
+		return false
+	}
+	if !spec.adapter() {
+		_, coming := s.expectedSlot(spec)
+		return !coming
+	}
+	base, ok := s.replicaSpec(spec.baseKey())
+	return ok && len(s.serving(base.key)) == 0 && s.hoursLack(base)
+}
+
+func (s *State) refuseForHours(service string) rpverdict.Refusal {
+	hours, _ := s.hoursBound(service)
+	refused := rpverdict.Refuse(rpverdict.CodeAcceleratorHoursUsed, fmt.Sprintf(
+		"Service %s has used its %v accelerator hours of this day (UTC), so no model is loaded before the next day.", service, hours))
+	refused.RetryAfter = s.untilNextDay()
+	return refused
+}
+
+// SpendStatus compares what a service uses with what its document allows.
+type SpendStatus struct {
+	Service string `json:"service"`
+	// Accelerators are those in use now.
+	Accelerators    int `json:"accelerators"`
+	MaxAccelerators int `json:"max_accelerators"`
+	// HoursUsed are the accelerator hours of this day (UTC).
+	HoursUsed   float64 `json:"accelerator_hours_used"`
+	HoursPerDay float64 `json:"accelerator_hours_per_day"`
+	// CountedAt is the time of the last count known here; it is zero where
+	// nothing was counted.
+	CountedAt time.Time `json:"counted_at"`
+}
+
+func (s *State) spendStatus() []SpendStatus {
+	var status []SpendStatus
+	for _, service := range s.documents.names {
+		spend := s.document(service).Spend
+		if spend.Accelerators == 0 {
+			continue
+		}
+		entry := SpendStatus{
+			Service: service, Accelerators: s.acceleratorsUsed(service), MaxAccelerators: spend.Accelerators,
+			HoursPerDay: spend.AcceleratorHoursPerDay,
+		}
+		if row := s.knownSpend(service); row != nil {
+			entry.HoursUsed, entry.CountedAt = row.usedAt(s.now).Hours(), row.CountedAt
+		}
+		status = append(status, entry)
+	}
+	slices.SortFunc(status, func(a, b SpendStatus) int { return strings.Compare(a.Service, b.Service) })
+	return status
+}
--- a/pkg/rpcore/status.go
+++ b/pkg/rpcore/status.go
@@ -18,6 +18,7 @@
 	Instances []InstanceStatus  `json:"instances"`
 	Endpoints []EndpointStatus  `json:"endpoints"`
 	Models    []ModelStatus     `json:"models"`
+	Spend     []SpendStatus     `json:"spend"`
 	Documents []DocumentInForce `json:"documents"`
 	Missing   []DocumentVersion `json:"missing_documents"`
 }
@@ -100,6 +101,7 @@
 		Instances: s.instanceStatus(),
 		Endpoints: s.endpointStatus(),
 		Models:    s.modelStatus(),
+		Spend:     s.spendStatus(),
 		Documents: s.Documents(),
 		Missing:   s.missingDocuments(),
 	}
--- a/pkg/rpcore/use.go
+++ b/pkg/rpcore/use.go
@@ -60,14 +60,13 @@
 }
 
 // replicaImpossible refuses requests that wait for a model or adapter that
-// can't be loaded, with the reason. Requests that an endpoint can still serve
-// go on waiting.
-func (s *State) replicaImpossible(key ModelKey, reason string) {
+// can't be loaded. Requests that an endpoint can still serve go on waiting.
+func (s *State) replicaImpossible(key ModelKey, refused rpverdict.Refusal) {
 	l := s.requests.lanes[key]
 	if l == nil || len(s.endpointsOf(l)) > 0 {
 		return
 	}
-	s.refuseWaiting(l, rpverdict.CodeNoReplica, reason)
+	s.refuseWaiting(l, refused)
 }
 
 // endpointsChanged reacts to endpoints that came, are leaving or are gone.
--- a/pkg/rpverdict/refusal.go
+++ b/pkg/rpverdict/refusal.go
@@ -27,6 +27,7 @@
 	CodeDeadlineUnreachable    Code = "deadline_unreachable"
 	CodeDeadlineExceeded       Code = "deadline_exceeded"
 	CodeNoReplica              Code = "no_replica"
+	CodeAcceleratorHoursUsed   Code = "accelerator_hours_used"
 	CodeNoEndpoint             Code = "no_endpoint"
 	CodeTableUnavailable       Code = "table_unavailable"
 	CodeAttemptFailed          Code = "attempt_failed"
@@ -57,6 +58,7 @@
 	CodeDeadlineUnreachable:    {http.StatusServiceUnavailable, "The predicted wait is longer than the deadline allows."},
 	CodeDeadlineExceeded:       {http.StatusGatewayTimeout, "The deadline passed before the answer was complete."},
 	CodeNoReplica:              {http.StatusServiceUnavailable, "No replica of the model is loaded and none can be loaded now."},
+	CodeAcceleratorHoursUsed:   {http.StatusServiceUnavailable, "The service has used its accelerator hours of this day, and no replica of the model is loaded."},
 	CodeNoEndpoint:             {http.StatusServiceUnavailable, "No endpoint of the service is available."},
 	CodeTableUnavailable:       {http.StatusServiceUnavailable, "The table service is unavailable, so a request that may run only once can't be started."},
 	CodeAttemptFailed:          {http.StatusBadGateway, "The endpoint failed to answer."},
