Add golden sessions of cold start, overload, charges and a paused holder

Cause: the golden sessions showed documents and membership only.

Change: the sim carries out load orders and attempts (sim_work_test.go), and seven sessions are added: a burst at three instances, overload of each rank, a charge whose table answer is lost, one whose endpoint answer is lost, and a holder of a reservation that is paused for 100 s. The charge sessions also check that the charge ran once. Repeated demands (every 250 ms) and their answers are left out of the text.

--- a/pkg/rpcore/golden_test.go
+++ b/pkg/rpcore/golden_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
 )
 
 var updateGolden = flag.Bool("update", false, "write the golden files of sessions anew")
@@ -48,7 +50,7 @@
 func (rec *session) record(n *simNode, ev Event, effects []Effect) {
 	var lines []string
 	for _, effect := range effects {
-		if !regularEffect(effect) {
+		if !regularEffect(ev, effect) {
 			lines = append(lines, "    "+describe(effect))
 		}
 	}
@@ -58,19 +60,32 @@
 	fmt.Fprintf(&rec.text, "%8.3fs %s %s\n%s\n", rec.now.Sub(rec.start).Seconds(), n.self.Incarnation, describe(ev), strings.Join(lines, "\n"))
 }
 
-func regularEffect(effect Effect) bool {
+func regularEffect(ev Event, effect Effect) bool {
 	switch effect := effect.(type) {
 	case SetAlarm:
 		return true
 	case ReadTable:
 		return effect.Prefix != ""
 	case SendPeer:
-		return effect.Message.Heartbeat != nil || effect.Message.ReportShare != nil
+		message := effect.Message
+		return message.Heartbeat != nil || message.ReportShare != nil || repeatedDemand(message) ||
+			message.DemandAnswer != nil && message.DemandAnswer.Refusal == nil && answersRepeated(ev)
 	default:
 		return false
 	}
 }
 
+// repeatedDemand reports whether a demand was sent before: it is sent every
+// 250 ms while requests wait.
+func repeatedDemand(message PeerMessage) bool {
+	return message.Demand != nil && message.Demand.Oldest > 0
+}
+
+func answersRepeated(ev Event) bool {
+	received, ok := ev.(PeerReceived)
+	return ok && repeatedDemand(received.Message)
+}
+
 // describe writes a value as its type and the fields that are set.
 func describe(value any) string {
 	v := reflect.ValueOf(value)
@@ -124,6 +139,10 @@
 	for name, play := range map[string]func() *session{
 		"document_race": playDocumentRace, "platform_outage": playPlatformOutage, "partition": playPartition,
 		"leaving_endpoint": playLeavingEndpoint, "planned_restart": playPlannedRestart,
+		"cold_start_burst": playColdStartBurst, "overload_urgent": playOverload(rpdocument.RankUrgent),
+		"overload_normal": playOverload(rpdocument.RankNormal), "overload_background": playOverload(rpdocument.RankBackground),
+		"charge_table_answer_lost": playChargeTableAnswerLost, "charge_endpoint_answer_lost": playChargeEndpointAnswerLost,
+		"paused_holder": playPausedHolder,
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
--- /dev/null
+++ b/pkg/rpcore/golden_work_test.go
@@ -0,0 +1,200 @@
+package rpcore
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// workDocument declares one model, and one route whose requests may run only
+// once. The queues and deadlines are short, so that an overload fits a page.
+const workDocument = `format = 1
+service = "mixadvies"
+team = "t"
+editors = ["0000000000000000000000000000000000000000000000000000000000000001"]
+[spend]
+accelerators = 2
+[ranks.urgent]
+target = "1s"
+deadline = "6s"
+queue_limit = 6
+floor = 0.2
+[ranks.normal]
+target = "1s"
+deadline = "6s"
+queue_limit = 6
+floor = 0.2
+[ranks.background]
+target = "1s"
+deadline = "6s"
+queue_limit = 6
+floor = 0.2
+[[models]]
+name = "bag"
+version = "1"
+checkpoint = "bag/1"
+memory = "8GiB"
+max_replicas = 1
+[[routes]]
+path_prefix = "/charge"
+methods = ["POST"]
+`
+
+// withWork returns a session of n instances in which the document is in force.
+func withWork(n int) *session {
+	rec := withSession(n)
+	rec.limits = Limits{EngineConcurrency: 2}
+	return rec
+}
+
+func (rec *session) beginWork(document string) {
+	rec.begin()
+	rec.step("the document is accepted", func() {
+		rec.nodes[0].submitBody("first", "mixadvies", 0, []byte(document))
+		rec.run(2 * time.Second)
+		if result := rec.nodes[0].submitted["first"].Result; result != SubmissionAccepted {
+			rec.t.Fatalf("the document is %s", result)
+		}
+	})
+}
+
+func (rec *session) withBagEngine(id string, domain FailureDomain) *simEngine {
+	e := rec.withEngine(id, domain, "e1")
+	e.Memory, e.Accelerators, e.EnforcesFencing = 10*rpdocument.GiB, 1, true
+	rec.list.put(rec.sim, e.Member)
+	return e
+}
+
+func bagRequest(id string, rank rpdocument.Rank) Request {
+	return Request{ID: RequestID(id), ModelName: "mixadvies/bag", Rank: rank}
+}
+
+// The document allows two replicas. One load must start, and every waiting request must be dispatched once.
+func playColdStartBurst() *session {
+	rec := withWork(3)
+	for _, id := range []string{"engine-1", "engine-2"} {
+		rec.withBagEngine(id, "A").loadTime = 2500 * time.Millisecond
+	}
+	rec.beginWork(strings.Replace(workDocument, "max_replicas = 1", "max_replicas = 2", 1))
+	rec.step("two requests arrive at each of three instances; the model is not loaded", func() {
+		for i := range 6 {
+			rec.nodes[i%3].arrive(time.Duration(i)*time.Millisecond, bagRequest(fmt.Sprintf("r%d", i), rpdocument.RankNormal))
+		}
+		rec.run(5 * time.Second)
+	})
+	return rec
+}
+
+// The rank in excess must be refused, and each rank must keep its floor.
+func playOverload(rank rpdocument.Rank) func() *session {
+	return func() *session {
+		rec := withWork(1)
+		rec.withBagEngine("engine-1", "A")
+		rec.beginWork(workDocument)
+		rec.step("the model is loaded", func() {
+			rec.nodes[0].arrive(0, bagRequest("warm", rpdocument.RankNormal))
+			rec.run(4 * time.Second)
+		})
+		rec.step("rank "+rank.String()+" sends 25 requests a second, the others 2; the engine serves 10", func() {
+			for i := range 50 {
+				rec.nodes[0].arrive(time.Duration(i)*40*time.Millisecond, bagRequest(fmt.Sprintf("%s-%d", rank, i), rank))
+			}
+			for i := range 4 {
+				for _, other := range rpdocument.Ranks {
+					if other != rank {
+						rec.nodes[0].arrive(time.Duration(i)*500*time.Millisecond, bagRequest(fmt.Sprintf("%s-%d", other, i), other))
+					}
+				}
+			}
+			rec.run(5 * time.Second)
+		})
+		return rec
+	}
+}
+
+func chargeRequest(id string) Request {
+	return Request{
+		ID: RequestID(id), Service: "mixadvies", Method: "POST", Path: "/charge",
+		IdempotencyKey: "key-1", Fingerprint: "f",
+	}
+}
+
+func withCharge() (*session, *simEngine) {
+	rec := withWork(2)
+	e := rec.withPlainService("till-1", "mixadvies", "A")
+	rec.beginWork(workDocument)
+	return rec, e
+}
+
+// endCharge checks what the text of a session alone would not make fail.
+func (rec *session) endCharge(e *simEngine) *session {
+	if e.runs != 1 {
+		rec.t.Fatalf("the charge ran %d times", e.runs)
+	}
+	return rec
+}
+
+// The claim must be found by its nonce, and the charge must run once.
+func playChargeTableAnswerLost() *session {
+	rec, e := withCharge()
+	rec.step("a charge arrives; the table writes the claim and its answer is lost", func() {
+		rec.table.loseAnswers = 1
+		rec.nodes[0].arrive(0, chargeRequest("charge-1"))
+		rec.run(3 * time.Second)
+	})
+	rec.step("the caller sends the charge again to i001", func() {
+		rec.nodes[1].arrive(0, chargeRequest("charge-2"))
+		rec.run(3 * time.Second)
+	})
+	return rec.endCharge(e)
+}
+
+// The charge must not be sent again, and must not be called not_run.
+func playChargeEndpointAnswerLost() *session {
+	rec, e := withCharge()
+	rec.step("a charge arrives; it runs and the answer of the endpoint is lost", func() {
+		e.loseAnswers = 1
+		rec.nodes[0].arrive(0, chargeRequest("charge-1"))
+		rec.run(3 * time.Second)
+	})
+	rec.step("the caller sends the charge again to i001", func() {
+		rec.nodes[1].arrive(0, chargeRequest("charge-2"))
+		rec.run(3 * time.Second)
+	})
+	return rec.endCharge(e)
+}
+
+// The slot must stay while its holder is paused, until the order is fenced
+// off; the late order of the holder must have no effect.
+func playPausedHolder() *session {
+	rec := withWork(2)
+	rec.withBagEngine("engine-1", "A")
+	rec.beginWork(workDocument)
+	rec.step("a request arrives at the home, which is paused when the table has written its reservation", func() {
+		home := rec.node(rec.nodes[0].state.replicaHome("mixadvies/bag"))
+		reserved := false
+		rec.table.onApplied = append(rec.table.onApplied, func(writes []RowWrite) {
+			if writes[0].Engine != nil && !reserved {
+				reserved = true
+				home.pause(100 * time.Second)
+			}
+		})
+		home.arrive(0, bagRequest("r1", rpdocument.RankNormal))
+		rec.run(2 * time.Second)
+	})
+	rec.step("the other instance waits for evidence, then fences the order off and frees the slot", func() {
+		rec.run(90 * time.Second)
+	})
+	rec.step("the holder resumes", func() {
+		rec.run(12 * time.Second)
+	})
+	rec.step("a request arrives at each instance", func() {
+		for i, n := range rec.nodes {
+			n.arrive(0, bagRequest(fmt.Sprintf("r%d", i+2), rpdocument.RankNormal))
+		}
+		rec.run(6 * time.Second)
+	})
+	return rec
+}
--- a/pkg/rpcore/sim_document_test.go
+++ b/pkg/rpcore/sim_document_test.go
@@ -93,7 +93,10 @@
 
 // submit edits a document at an instance.
 func (n *simNode) submit(id, service string, edited uint64) {
-	body := withBody(service, id)
+	n.submitBody(id, service, edited, withBody(service, id))
+}
+
+func (n *simNode) submitBody(id, service string, edited uint64, body []byte) {
 	n.post(0, func() {
 		n.reduce(func(at Stamp) Event {
 			return DocumentSubmitted{Stamp: at, Submission: id, Service: service, EditedVersion: edited, Editor: "e", Body: body}
--- a/pkg/rpcore/sim_engine_test.go
+++ b/pkg/rpcore/sim_engine_test.go
@@ -6,6 +6,7 @@
 // listens at its address.
 type simEngine struct {
 	Member
+	simWork
 	sequence uint64
 	leaving  bool
 	refusing bool
@@ -13,7 +14,10 @@
 
 // withEngine adds an engine to the list.
 func (s *sim) withEngine(id string, domain FailureDomain, incarnation Incarnation) *simEngine {
-	e := &simEngine{Member: Member{ID: id, Kind: MemberEngine, Service: "mixadvies", FailureDomain: domain, Incarnation: incarnation}}
+	e := &simEngine{
+		Member:  Member{ID: id, Kind: MemberEngine, Service: "mixadvies", FailureDomain: domain, Incarnation: incarnation},
+		simWork: newSimWork(),
+	}
 	s.engines[EndpointID(id)] = e
 	s.list.put(s, e.Member)
 	return e
@@ -45,5 +49,6 @@
 	e.sequence++
 	return EngineReported{at, EngineReport{
 		Endpoint: id, Incarnation: e.Incarnation, Sequence: e.sequence, TakenAt: at.At, Leaving: e.leaving,
+		Memory: e.Memory, Loaded: e.loadedModels(), Running: len(e.running), Waiting: len(e.waiting), HighestFence: e.highest,
 	}}
 }
--- a/pkg/rpcore/sim_platform_test.go
+++ b/pkg/rpcore/sim_platform_test.go
@@ -17,6 +17,9 @@
 	// applied up to lateMost after its answer was lost.
 	refused, lost, late float64
 	lateMost            time.Duration
+	// loseAnswers is the number of writes whose answers get lost after they
+	// took effect.
+	loseAnswers int
 	// onApplied sees every transaction that took effect.
 	onApplied []func(writes []RowWrite)
 }
@@ -69,6 +72,9 @@
 	}
 	fate := s.rng.Float64()
 	switch {
+	case t.loseAnswers > 0 && t.apply(writes):
+		t.loseAnswers--
+		return WriteUnknown
 	case fate < t.refused:
 		return WriteUnavailable
 	case fate < t.refused+t.lost:
--- a/pkg/rpcore/sim_test.go
+++ b/pkg/rpcore/sim_test.go
@@ -58,6 +58,7 @@
 	objects simObjects
 	list    simList
 	engines map[EndpointID]*simEngine
+	limits  Limits
 	// onStep sees every event of a State with its effects.
 	onStep []func(n *simNode, ev Event, effects []Effect)
 }
@@ -139,7 +140,9 @@
 		ID: string(n.self.Instance), Kind: MemberInstance, FailureDomain: n.self.FailureDomain,
 		Incarnation: n.self.Incarnation, Address: n.address(),
 	})
-	n.reduce(func(at Stamp) Event { return Start{Stamp: at, Self: n.self, Seed: n.sim.rng.Uint64()} })
+	n.reduce(func(at Stamp) Event {
+		return Start{Stamp: at, Self: n.self, Seed: n.sim.rng.Uint64(), Limits: n.sim.limits}
+	})
 	n.post(time.Millisecond, n.pollList)
 }
 
@@ -253,6 +256,12 @@
 		n.submitted[effect.Submission] = effect
 	case PollEngine:
 		n.pollEngine(effect)
+	case SendOrder:
+		n.order(effect)
+	case StartAttempt:
+		n.attempt(effect)
+	case CancelAttempt:
+		n.cancel(effect.Attempt)
 	case SendPeer:
 		n.send(effect)
 	}
--- /dev/null
+++ b/pkg/rpcore/sim_work_test.go
@@ -0,0 +1,156 @@
+package rpcore
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// simWork is what an engine or a plain service does. It runs up to limit
+// attempts at once and keeps the others waiting.
+type simWork struct {
+	loadTime, runTime time.Duration
+	limit             int
+	highest           uint64
+	loads             map[ModelKey]*simLoad
+	running, waiting  []*simAttempt
+	// loseAnswers is the number of attempts whose answer gets lost after they
+	// ran.
+	loseAnswers int
+	// runs counts the attempts that ran.
+	runs int
+}
+
+type simLoad struct {
+	order  SendOrder
+	loaded bool
+}
+
+type simAttempt struct {
+	StartAttempt
+	node *simNode
+}
+
+func newSimWork() simWork {
+	return simWork{loadTime: 3 * time.Second, runTime: 200 * time.Millisecond, limit: 2, loads: make(map[ModelKey]*simLoad)}
+}
+
+// withPlainService adds the endpoint of a plain service to the list.
+func (s *sim) withPlainService(id, service string, domain FailureDomain) *simEngine {
+	e := &simEngine{
+		Member:  Member{ID: id, Kind: MemberService, Service: service, FailureDomain: domain, Incarnation: "e1"},
+		simWork: newSimWork(),
+	}
+	s.engines[EndpointID(id)] = e
+	s.list.put(s, e.Member)
+	return e
+}
+
+// order delivers an order to an engine and its answer back.
+func (n *simNode) order(effect SendOrder) {
+	s := n.sim
+	s.after(s.delay(s.net.minDelay, s.net.maxDelay), func() {
+		e := s.engines[effect.Endpoint]
+		result, wait := e.take(s, effect)
+		n.post(wait+s.delay(s.net.minDelay, s.net.maxDelay), func() {
+			n.reduce(func(at Stamp) Event {
+				return OrderAnswered{Stamp: at, Order: effect.Order, Endpoint: effect.Endpoint, Result: result}
+			})
+		})
+	})
+}
+
+func (e *simEngine) take(s *sim, order SendOrder) (OrderResult, time.Duration) {
+	if e.EnforcesFencing && (order.Fence < e.highest || order.Incarnation != e.Incarnation) {
+		return OrderFenced, 0
+	}
+	e.highest = max(e.highest, order.Fence)
+	if order.Kind == OrderUnloadModel {
+		delete(e.loads, order.Model)
+		return OrderDone, 0
+	}
+	if e.loads[order.Model] == nil {
+		load := &simLoad{order: order}
+		e.loads[order.Model] = load
+		s.after(e.loadTime, func() { load.loaded = true })
+	}
+	return OrderDone, e.loadTime
+}
+
+func (e *simEngine) loadedModels() []LoadedModel {
+	var models []LoadedModel
+	for _, key := range sortedModels(e.loads) {
+		if load := e.loads[key]; load.loaded {
+			models = append(models, LoadedModel{Key: key, Version: load.order.Version, Memory: load.order.Memory})
+		}
+	}
+	return models
+}
+
+// attempt hands an attempt to its endpoint.
+func (n *simNode) attempt(effect StartAttempt) {
+	s := n.sim
+	s.after(s.delay(s.net.minDelay, s.net.maxDelay), func() {
+		e := s.engines[effect.Endpoint]
+		e.waiting = append(e.waiting, &simAttempt{effect, n})
+		e.runNext(s)
+	})
+}
+
+func (e *simEngine) runNext(s *sim) {
+	for len(e.waiting) > 0 && len(e.running) < e.limit {
+		a := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		e.running = append(e.running, a)
+		e.runs++
+		s.after(e.runTime, func() {
+			if i := slices.Index(e.running, a); i >= 0 {
+				e.running = slices.Delete(e.running, i, i+1)
+				e.end(s, a)
+				e.runNext(s)
+			}
+		})
+	}
+}
+
+func (e *simEngine) end(s *sim, a *simAttempt) {
+	ended := AttemptEnded{Attempt: a.Attempt, Request: a.Request, Reason: AttemptComplete, Verdict: rpverdict.Ran}
+	if e.loseAnswers > 0 {
+		e.loseAnswers--
+		ended.Reason, ended.Verdict = AttemptBroken, rpverdict.MayHaveRun
+	} else if a.Record {
+		ended.Outcome = &Outcome{Status: 200, Body: []byte("charged")}
+	}
+	a.node.ended(s, ended)
+}
+
+func (n *simNode) ended(s *sim, ended AttemptEnded) {
+	n.post(s.delay(s.net.minDelay, s.net.maxDelay), func() {
+		n.reduce(func(at Stamp) Event { ended.Stamp = at; return ended })
+	})
+}
+
+// cancel ends an attempt that is under way.
+func (n *simNode) cancel(id AttemptID) {
+	for _, key := range sortedKeys(n.sim.engines) {
+		e := n.sim.engines[key]
+		for _, list := range []*[]*simAttempt{&e.running, &e.waiting} {
+			i := slices.IndexFunc(*list, func(a *simAttempt) bool { return a.Attempt == id })
+			if i < 0 {
+				continue
+			}
+			a := (*list)[i]
+			*list = slices.Delete(*list, i, i+1)
+			n.ended(n.sim, AttemptEnded{Attempt: id, Request: a.Request, Reason: AttemptCanceled, Verdict: rpverdict.MayHaveRun})
+			e.runNext(n.sim)
+		}
+	}
+}
+
+// arrive hands a request of a caller to an instance after a delay.
+func (n *simNode) arrive(after time.Duration, request Request) {
+	n.post(after, func() {
+		n.reduce(func(at Stamp) Event { return RequestArrived{Stamp: at, Request: request} })
+	})
+}
