--- a/pkg/rpcore/sim_document_test.go
+++ b/pkg/rpcore/sim_document_test.go
@@ -171,6 +171,24 @@
 	})
 }
 
+// Guards against "not accepted" for a submission whose write takes effect long
+// after all answers were lost. TestRacingSubmissions does not reach this case.
+func TestUnknownSubmissionIsCalledUnknown(t *testing.T) {
+	s := withSim(t, 1, 2, 2)
+	w := withDocumentWatch(s)
+	s.withStarted().run(2 * time.Second)
+	s.table.lost, s.table.late, s.table.lateMost = 1, 1, time.Hour
+	s.nodes[0].submit("a", "sber", 0)
+	s.run(2 * time.Minute)
+	if answer := w.answers["a"]; answer.Result != SubmissionUnknown {
+		t.Fatalf("answered %q", answer.Result)
+	}
+	s.run(time.Hour)
+	if _, accepted := w.submissions["a"]; !accepted {
+		t.Fatal("the write never took effect")
+	}
+}
+
 // Guards against a race without a winner, or with two, while the table works.
 func TestRaceHasOneWinner(t *testing.T) {
 	withCases(t, func(rt *rapid.T) {
