--- a/pkg/rpcore/review.go
+++ b/pkg/rpcore/review.go
@@ -46,6 +46,9 @@
 		due = s.maintainModel(key, due)
 	}
 	s.audit(s.dueEngines(due))
+	if s.spendDue() {
+		s.updateSpend()
+	}
 }
 
 func (s *State) withdrawUnsent() {
