Count replicas that were loaded without an order

Cause: a model that an engine has without a slot (loaded by hand, or at the start of the engine) was served and otherwise ignored: it did not count against the maximum of the document nor against the memory of the engine, and it was never unloaded.

Change: such a replica counts in both bounds of a reservation at once. After 10 s without a slot the home of the engine writes one, also above the maximum; the upkeep that unloads idle and surplus replicas does the rest. addSlot is shared with reservations.

--- a/internal/rpmessage/logs.go
+++ b/internal/rpmessage/logs.go
@@ -39,6 +39,7 @@
 	note("note_endpoint_refused", "endpoint refused a connection", "An endpoint refused a connection and gets no new work until it reports.", "Check the endpoint."),
 	note("note_endpoint_reports", "endpoint reports again", "An endpoint reports again and gets work.", nothing),
 	note("note_endpoint_gone", "endpoint ", "An endpoint is gone from the instance list.", nothing),
+	note("note_replica_found", "takes over a replica that was loaded without an order", "An engine has a model that this system did not load. It counts like any other replica now.", "Look at who loads models by hand or at the start of the engine."),
 	note("note_endpoint_silent", "cancels an attempt at an engine that does not report", "An engine has not reported for 5 seconds. Its request goes on at another engine.", "Look at whether the engine's process is frozen or can't be reached."),
 	note("note_endpoint_ejected", "ejected an endpoint after failures", "An endpoint failed several times and gets no work for some time.", "Look at the log of the endpoint."),
 	note("note_request_id_in_use", "ignored a request whose id is in use", "A request has the id of another one in progress.", "Report the line as a fault of the program."),
--- a/pkg/rpcore/endpoint.go
+++ b/pkg/rpcore/endpoint.go
@@ -53,6 +53,9 @@
 	since time.Time
 	// unloading says that an unload was decided on, so no new work is sent.
 	unloading bool
+	// unrecordedSince is the time since which it is known to have no slot; zero
+	// where it has one.
+	unrecordedSince time.Time
 }
 
 // serves reports whether new work for a model may be sent to the endpoint.
--- a/pkg/rpcore/replicarow.go
+++ b/pkg/rpcore/replicarow.go
@@ -145,6 +145,21 @@
 	return writes
 }
 
+// addSlot returns the writes that add a slot with the next fencing number of its
+// engine, and the slot with that number. The rows get mark as their nonce.
+func (s *State) addSlot(slot Slot, rows []Row, mark Nonce) (Slot, []RowWrite) {
+	engine := rowOrEmpty(rows, engineRowKey(slot.Engine))
+	write := s.slotsWrite(engine, append(slices.Clone(slotsOf(engine)), slot), mark, true)
+	slot.Fence = write.Engine.Fence
+	write.Engine.Slots[len(write.Engine.Slots)-1].Fence = slot.Fence
+	writes := []RowWrite{write}
+	if slot.BaseModel == "" {
+		model := rowOrEmpty(rows, modelRowKey(slot.Model))
+		writes = append(writes, s.slotsWrite(model, append(slices.Clone(slotsOf(model)), slot), mark, false))
+	}
+	return slot, writes
+}
+
 // slotsWrite returns the write that gives a row other slots.
 func (s *State) slotsWrite(row *Row, slots []Slot, mark Nonce, bump bool) RowWrite {
 	w := RowWrite{Key: row.Key, ExpectVersion: row.Version, Nonce: mark}
--- a/pkg/rpcore/reserve.go
+++ b/pkg/rpcore/reserve.go
@@ -1,7 +1,6 @@
 package rpcore
 
 import (
-	"slices"
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
@@ -102,7 +101,7 @@
 // roomForReplica checks the bound of the model and the spend of its service.
 // Nothing is evicted where the hours of the day are used up.
 func (s *State) roomForReplica(r *reservation, slots []Slot) bool {
-	if len(slots) >= r.spec.max {
+	if len(slots)+s.unrecordedReplicas(r.spec.key, slots) >= r.spec.max {
 		r.blocked = "the document allows no further replica"
 		return false
 	}
@@ -167,7 +166,7 @@
 // fits checks the memory of an engine over its reservations.
 func (s *State) fits(spec replicaSpec, e *endpoint, slots []Slot) bool {
 	return s.mayHost(spec, e, slots) &&
-		sumMemory(slots)+uint64(spec.memory) <= uint64(engineMemory(e))
+		sumMemory(slots)+uint64(unrecordedMemory(e, slots))+uint64(spec.memory) <= uint64(engineMemory(e))
 }
 
 // mayHost checks everything but the memory: the engine is the one that the
@@ -196,17 +195,8 @@
 }
 
 func (s *State) reserveWrites(r *reservation, c candidate, rows []Row) []RowWrite {
-	engine := rowOrEmpty(rows, engineRowKey(c.endpoint.id))
 	mark := s.newNonce()
-	slot := s.newSlot(r.spec, c.endpoint)
-	write := s.slotsWrite(engine, append(slices.Clone(slotsOf(engine)), slot), mark, true)
-	slot.Fence = write.Engine.Fence
-	write.Engine.Slots[len(write.Engine.Slots)-1].Fence = slot.Fence
-	writes := []RowWrite{write}
-	if !r.spec.adapter() {
-		model := rowOrEmpty(rows, modelRowKey(r.spec.key))
-		writes = append(writes, s.slotsWrite(model, append(slices.Clone(slotsOf(model)), slot), mark, false))
-	}
+	slot, writes := s.addSlot(s.newSlot(r.spec, c.endpoint), rows, mark)
 	r.tries = append(r.tries, slotTry{slot: slot, writes: writes})
 	return writes
 }
--- a/pkg/rpcore/review.go
+++ b/pkg/rpcore/review.go
@@ -129,7 +129,8 @@
 		}
 	}
 	if known.Key.Kind != RowModel {
-		return slices.ContainsFunc(slots, s.adapterOutdated)
+		e := s.endpointByID(EndpointID(known.Key.Name))
+		return slices.ContainsFunc(slots, s.adapterOutdated) || e != nil && len(s.adoptable(e, slots)) > 0
 	}
 	if len(slots) == 0 {
 		return false
@@ -187,6 +188,11 @@
 				s.freeSlot(slot)
 			}
 		}
+		if e := s.endpointByID(EndpointID(key.Name)); e != nil {
+			for _, loaded := range s.adoptable(e, slots) {
+				s.adopt(e, loaded)
+			}
+		}
 		return
 	}
 	model := ModelKey{Service: key.Service, Name: key.Name}
