Show the history of a document to its editors

The table row of a document names the accepted version and 20 earlier ones, but no command showed them.

rattanpaddle document history (also: document log) lists version, time, editor and content hash, and compares two versions with the code of document diff. The operators' interface has two new paths. They are for the editors of the document in force: a credential of a caller or of another team gets a refusal without content. The row is read from the table, because an instance that got a document from a peer may have its row without the history. If the row is newer than the document that gave the right, the answer is instance_behind, so that a version is not shown to an editor whom it removes.

New codes: version_not_kept, platform_unreadable.

--- a/internal/rpcommand/document.go
+++ b/internal/rpcommand/document.go
@@ -119,11 +119,18 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	doc, problems := rpdocument.Parse([]byte(answer.Body))
+	doc, err := parseVersion(answer.Document.Version, answer.Body)
+	return doc, answer.Document.Version, err
+}
+
+// parseVersion parses an accepted version. A newer program may have accepted
+// what this one can't read.
+func parseVersion(version uint64, body string) (*rpdocument.Document, error) {
+	doc, problems := rpdocument.Parse([]byte(body))
 	if len(problems) > 0 {
-		return nil, 0, fmt.Errorf("this program can't read version %d, which is in force: %w", answer.Document.Version, problems[0])
+		return nil, fmt.Errorf("this program can't read version %d: %w", version, problems[0])
 	}
-	return doc, answer.Document.Version, nil
+	return doc, nil
 }
 
 func changesText(changes []rpdocument.Change) string {
--- a/internal/rpcommand/exit.go
+++ b/internal/rpcommand/exit.go
@@ -113,7 +113,7 @@
 		return ExitInvalid
 	case rpoperator.CodeOutcomeUnknown:
 		return ExitUnknown
-	case rpoperator.CodePlatformUnavailable, rpoperator.CodeInstanceBehind, rpoperator.CodeTooManySubmissions:
+	case rpoperator.CodePlatformUnavailable, rpoperator.CodePlatformUnreadable, rpoperator.CodeInstanceBehind, rpoperator.CodeTooManySubmissions:
 		return ExitUnavailable
 	}
 	return ExitRefused
--- a/internal/rpcommand/table.go
+++ b/internal/rpcommand/table.go
@@ -58,6 +58,10 @@
 			name: "document status", aliases: []string{"where"}, help: "Say at which instances a document is in force, and since when.",
 			detail: "It names the live instances that gave no answer.",
 		}, documentStatus),
+		define(command{
+			name: "document history", aliases: []string{"log"}, help: "List the accepted versions of a document, and say what changed between two of them.",
+			detail: "It needs the credential of an editor. The table names the accepted version and 20 earlier ones.",
+		}, documentHistory),
 		define(command{name: "document example", help: "Print a document with comments."}, documentExample),
 		define(command{name: "status", help: "Print the state of an instance."}, status),
 		define(command{
--- a/internal/rpmessage/refusals.go
+++ b/internal/rpmessage/refusals.go
@@ -32,7 +32,7 @@
 	operator("method_not_allowed", "The path does not have this method.", "Use a method that the path has."),
 	operator("unknown_service", "This instance has no document of this service.", "Compare the name with the output of document list."),
 	operator("credential_missing", "The request has no credential.", "Give the credential of an editor."),
-	operator("credential_not_allowed", "The credential may not change this document.", "Ask an editor of the service to do it."),
+	operator("credential_not_allowed", "The credential may not change this document or read its history.", "Ask an editor of the service to do it."),
 	operator("edited_version_missing", "The request does not say which version was edited.", "Give the version that you edited, or 0 for a new service."),
 	operator("edited_version_invalid", "The version that was edited is not a number.", "Give a whole number."),
 	operator("body_too_large", "The document is larger than the limit.", "Make the document smaller."),
@@ -45,6 +45,8 @@
 	operator("outcome_unknown", "The platform gave no answer in time, so the document may have been accepted.", "Look at the version in force before you submit again."),
 	operator("not_ready", "The instance takes no work from callers now.", "Wait, or look at the reason in the detail."),
 	operator("not_healthy", "The event loop of the instance does not answer.", "Replace the process."),
+	operator("version_not_kept", "The row of the document does not name this version.", "Choose a version that document history lists."),
+	operator("platform_unreadable", "The table or the object store could not be read.", "Restore the service, then run the command again."),
 	operator("query_invalid", "A parameter of the time line is wrong.", "Correct the parameter that the detail names."),
 }
 
--- a/internal/rpoperator/answer.go
+++ b/internal/rpoperator/answer.go
@@ -59,6 +59,8 @@
 	CodeNotReady             Code = "not_ready"
 	CodeNotHealthy           Code = "not_healthy"
 	CodeQueryInvalid         Code = "query_invalid"
+	CodeVersionNotKept       Code = "version_not_kept"
+	CodePlatformUnreadable   Code = "platform_unreadable"
 )
 
 // Media types of the interface.
--- a/internal/rpoperator/client.go
+++ b/internal/rpoperator/client.go
@@ -29,7 +29,7 @@
 type Client struct {
 	// Address is the operators' address of the instance.
 	Address netip.AddrPort
-	// Credential is sent with a submission.
+	// Credential is sent with a submission and for a history.
 	Credential string
 	// HTTP may be nil.
 	HTTP *http.Client
--- a/internal/rpoperator/doc.go
+++ b/internal/rpoperator/doc.go
@@ -17,6 +17,10 @@
 //	GET  /operator/v1/documents            the documents in force, as JSON
 //	GET  /operator/v1/documents/{service}  one document, as TOML, or as JSON with Accept: application/json
 //	PUT  /operator/v1/documents/{service}  submits a document
+//	GET  /operator/v1/documents/{service}/history
+//	                                       who accepted which version when, as JSON
+//	GET  /operator/v1/documents/{service}/history/{version}
+//	                                       one of these versions with its body, as JSON
 //	GET  /operator/v1/status               the state of the instance, as JSON
 //	GET  /operator/v1/timeline             the time line of the instance, as lines of JSON
 //	GET  /metrics, /healthz, /readyz, /debug/pprof/
@@ -40,4 +44,7 @@
 // away. The first document of a service needs a credential that stands both
 // in the document's own editors and in operators.bootstrap_editors of the
 // instance's settings. The credential of a caller gives no right.
+//
+// The history and the bodies of earlier versions are for the same editors. The
+// document in force is open to everyone who reaches the operators' address.
 package rpoperator
--- a/internal/rpoperator/document.go
+++ b/internal/rpoperator/document.go
@@ -25,10 +25,7 @@
 	service := mux.Vars(r)["service"]
 	current, ok := s.inForce(service)
 	if !ok {
-		refuse(w, &Refusal{
-			Status: http.StatusNotFound, Code: CodeUnknownService,
-			Detail: fmt.Sprintf("This instance has no document of service %s.", quoteName(service)),
-		})
+		refuse(w, unknownService(service))
 		return
 	}
 	w.Header().Set("ETag", formatVersion(current.Row.Version))
@@ -73,10 +70,7 @@
 		return nil, &Refusal{Status: http.StatusNotFound, Code: CodeUnknownService, Detail: "The path has no valid name of a service."}
 	}
 	if sub.editor == "" {
-		return nil, &Refusal{
-			Status: http.StatusUnauthorized, Code: CodeCredentialMissing,
-			Detail: "The request has no credential. Send the header Authorization: Bearer CREDENTIAL.",
-		}
+		return nil, credentialMissing()
 	}
 	current, exists := s.inForce(sub.service)
 	if refusal := s.checkRight(sub.editor, current, exists); refusal != nil {
@@ -139,10 +133,7 @@
 	case version < inForce:
 		return conflict(sub, &current.Row)
 	case version > inForce:
-		return &Refusal{
-			Status: http.StatusServiceUnavailable, Code: CodeInstanceBehind, RetryAfter: retryAfterBehind,
-			Detail: fmt.Sprintf("This instance has version %d in force. Wait until it has version %d, or ask another instance.", inForce, version),
-		}
+		return behind(inForce, version)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/rpoperator/history.go
@@ -0,0 +1,149 @@
+package rpoperator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+// platformReadTimeout bounds a read of the platform's services for an
+// operator.
+const platformReadTimeout = 3 * time.Second
+
+// HistoryAnswer answers GET /operator/v1/documents/{service}/history.
+type HistoryAnswer struct {
+	Service string `json:"service"`
+	// Versions holds the accepted version and the earlier ones that the row
+	// names, the newest first.
+	Versions []rpcore.AcceptedVersion `json:"versions"`
+}
+
+// VersionAnswer answers GET /operator/v1/documents/{service}/history/{version}.
+type VersionAnswer struct {
+	Service string                 `json:"service"`
+	Version rpcore.AcceptedVersion `json:"version"`
+	// Body is the TOML text.
+	Body string `json:"body"`
+}
+
+func (s *Server) getHistory(w http.ResponseWriter, r *http.Request) {
+	versions, refusal := s.history(r)
+	if refusal != nil {
+		refuse(w, refusal)
+		return
+	}
+	writeJSON(w, http.StatusOK, HistoryAnswer{Service: mux.Vars(r)["service"], Versions: versions})
+}
+
+func (s *Server) getVersion(w http.ResponseWriter, r *http.Request) {
+	versions, refusal := s.history(r)
+	if refusal != nil {
+		refuse(w, refusal)
+		return
+	}
+	answer, refusal := s.version(r, versions)
+	if refusal != nil {
+		refuse(w, refusal)
+		return
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+// history returns the versions that the row in the table names. The row is
+// read from the table, because instances that got a document from a peer may
+// have its row without the history.
+func (s *Server) history(r *http.Request) ([]rpcore.AcceptedVersion, *Refusal) {
+	service, editor := mux.Vars(r)["service"], credentialSum(r)
+	if editor == "" {
+		return nil, credentialMissing()
+	}
+	if _, refusal := s.editable(service, editor); refusal != nil {
+		return nil, refusal
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), platformReadTimeout)
+	defer cancel()
+	row, err := s.acceptedRow(ctx, service)
+	if err != nil {
+		return nil, unreadable("The table could not be read.")
+	}
+	// The row may be newer than the document that gave the right. A document
+	// that came in force in between decides anew.
+	version, refusal := s.editable(service, editor)
+	switch {
+	case refusal != nil:
+		return nil, refusal
+	case row.Version > version:
+		return nil, behind(version, row.Version)
+	}
+	return append([]rpcore.AcceptedVersion{row.Accepted()}, row.History...), nil
+}
+
+// editable checks that the credential may edit the document in force and
+// returns its version.
+func (s *Server) editable(service, editor string) (uint64, *Refusal) {
+	current, ok := s.inForce(service)
+	if !ok {
+		return 0, unknownService(service)
+	}
+	return current.Row.Version, s.checkRight(editor, current, true)
+}
+
+func (s *Server) acceptedRow(ctx context.Context, service string) (*rpcore.DocumentRow, error) {
+	if s.AcceptedRow == nil {
+		return nil, http.ErrNotSupported
+	}
+	return s.AcceptedRow(ctx, service)
+}
+
+func (s *Server) version(r *http.Request, versions []rpcore.AcceptedVersion) (*VersionAnswer, *Refusal) {
+	wanted, err := strconv.ParseUint(mux.Vars(r)["version"], 10, 64)
+	i := slices.IndexFunc(versions, func(v rpcore.AcceptedVersion) bool { return v.Version == wanted })
+	if err != nil || i < 0 {
+		return nil, &Refusal{
+			Status: http.StatusNotFound, Code: CodeVersionNotKept,
+			Detail: fmt.Sprintf("The history has no such version. It has the versions %d to %d.", versions[len(versions)-1].Version, versions[0].Version),
+		}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), platformReadTimeout)
+	defer cancel()
+	if s.LoadBody == nil {
+		return nil, unreadable("The object store could not be read.")
+	}
+	body, err := s.LoadBody(ctx, versions[i].Hash)
+	if err != nil {
+		return nil, unreadable(fmt.Sprintf("The body of version %d could not be read from the object store.", wanted))
+	}
+	return &VersionAnswer{Service: mux.Vars(r)["service"], Version: versions[i], Body: string(body)}, nil
+}
+
+func unreadable(detail string) *Refusal {
+	return &Refusal{
+		Status: http.StatusServiceUnavailable, Code: CodePlatformUnreadable, RetryAfter: retryAfterUnavailable, Detail: detail,
+	}
+}
+
+// History returns the accepted versions of a service.
+func (c *Client) History(ctx context.Context, service string) (HistoryAnswer, error) {
+	var answer HistoryAnswer
+	err := c.do(ctx, http.MethodGet, documentPath(service)+"/history", c.authorization(), nil, &answer)
+	return answer, err
+}
+
+// Version returns an accepted version of a service with its body.
+func (c *Client) Version(ctx context.Context, service string, version uint64) (VersionAnswer, error) {
+	var answer VersionAnswer
+	path := documentPath(service) + "/history/" + strconv.FormatUint(version, 10)
+	err := c.do(ctx, http.MethodGet, path, c.authorization(), nil, &answer)
+	return answer, err
+}
+
+func (c *Client) authorization() http.Header {
+	return http.Header{"Authorization": {"Bearer " + c.Credential}}
+}
--- /dev/null
+++ b/internal/rpoperator/history_test.go
@@ -0,0 +1,121 @@
+package rpoperator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// withHistory returns a server whose table and object store have versions 1
+// and 2 of the example, with version 2 in force.
+func withHistory(t *testing.T) (*Server, *fakeReducer) {
+	t.Helper()
+	server, reducer := withServer(t, nil)
+	first := rpcore.AcceptedVersion{Version: 1, Hash: "first", Editor: sumOf(editor)}
+	reducer.table.Version, reducer.table.Hash = 2, "second"
+	reducer.table.History = []rpcore.AcceptedVersion{first}
+	// A notice of a peer leaves out the history.
+	reducer.inForce.Row.Version = 2
+	server.AcceptedRow = func(context.Context, string) (*rpcore.DocumentRow, error) {
+		row := reducer.table
+		return &row, nil
+	}
+	server.LoadBody = func(_ context.Context, hash string) ([]byte, error) {
+		if hash != "first" {
+			return nil, errors.New("down")
+		}
+		return []byte("body of the first"), nil
+	}
+	return server, reducer
+}
+
+func withGet(server *Server, path, credential string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodGet, "/operator/v1/documents/"+path, nil)
+	if credential != "" {
+		r.Header.Set("Authorization", "Bearer "+credential)
+	}
+	w := httptest.NewRecorder()
+	server.Handler().ServeHTTP(w, r)
+	return w
+}
+
+// Guards against a history or an old body that reaches a caller, another team
+// or someone without a credential, and against a wrong code.
+func TestHistoryRights(t *testing.T) {
+	for name, tc := range map[string]struct {
+		path, credential string
+		status           int
+		code             Code
+	}{
+		"no credential":      {"mixadvies/history", "", 401, CodeCredentialMissing},
+		"caller":             {"mixadvies/history", caller, 403, CodeCredentialNotAllowed},
+		"another team":       {"mixadvies/history", "stranger", 403, CodeCredentialNotAllowed},
+		"body, another team": {"mixadvies/history/1", "stranger", 403, CodeCredentialNotAllowed},
+		"unknown service":    {"bestelbalie/history", editor, 404, CodeUnknownService},
+		"version not kept":   {"mixadvies/history/3", editor, 404, CodeVersionNotKept},
+		"no number":          {"mixadvies/history/x", editor, 404, CodeVersionNotKept},
+		"store is down":      {"mixadvies/history/2", editor, 503, CodePlatformUnreadable},
+		"allowed":            {"mixadvies/history", editor, 200, ""},
+		"body, allowed":      {"mixadvies/history/1", otherEditor, 200, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			server, _ := withHistory(t)
+			answer := withGet(server, tc.path, tc.credential)
+			g.Expect(answer.Code).To(Equal(tc.status), answer.Body.String())
+			if tc.code == "" {
+				return
+			}
+			var refusal Refusal
+			g.Expect(json.Unmarshal(answer.Body.Bytes(), &refusal)).To(Succeed())
+			g.Expect(refusal.Code).To(Equal(tc.code))
+			g.Expect(answer.Body.String()).NotTo(Or(ContainSubstring("second"), ContainSubstring("body of the first")))
+		})
+	}
+}
+
+// Guards against a history without the versions that the instance's own row
+// lacks, and against a table that is down taken for an empty history.
+func TestHistoryIsThatOfTheTable(t *testing.T) {
+	g := NewWithT(t)
+	server, _ := withHistory(t)
+	var answer HistoryAnswer
+	g.Expect(json.Unmarshal(withGet(server, "mixadvies/history", editor).Body.Bytes(), &answer)).To(Succeed())
+	g.Expect(answer.Versions).To(HaveLen(2))
+	g.Expect(answer.Versions[0].Hash).To(Equal("second"))
+	g.Expect(answer.Versions[1].Hash).To(Equal("first"))
+	server.AcceptedRow = func(context.Context, string) (*rpcore.DocumentRow, error) { return nil, errors.New("down") }
+	g.Expect(withGet(server, "mixadvies/history", editor).Body.String()).To(ContainSubstring(string(CodePlatformUnreadable)))
+}
+
+// Guards against a version that is shown to an editor whom it removes, when it
+// is accepted between the check of the right and the reading of the row.
+func TestHistoryRacesWithAccept(t *testing.T) {
+	g := NewWithT(t)
+	server, reducer := withHistory(t)
+	without, problems := rpdocument.Parse(documentBody(`"`+sumOf(editor)+`", `, ""))
+	g.Expect(problems).To(BeEmpty())
+	read := server.AcceptedRow
+	inForce := false
+	server.AcceptedRow = func(ctx context.Context, service string) (*rpcore.DocumentRow, error) {
+		reducer.table.Version, reducer.table.Hash = 3, "third"
+		if inForce {
+			reducer.inForce.Document, reducer.inForce.Row = without, reducer.table
+		}
+		return read(ctx, service)
+	}
+	answer := withGet(server, "mixadvies/history", editor)
+	g.Expect(answer.Body.String()).To(And(ContainSubstring(string(CodeInstanceBehind)), Not(ContainSubstring("third"))))
+	inForce = true
+	answer = withGet(server, "mixadvies/history", editor)
+	g.Expect(answer.Body.String()).To(And(ContainSubstring(string(CodeCredentialNotAllowed)), Not(ContainSubstring("third"))))
+	g.Expect(withGet(server, "mixadvies/history", otherEditor).Body.String()).To(ContainSubstring("third"))
+}
--- a/internal/rpoperator/outcome.go
+++ b/internal/rpoperator/outcome.go
@@ -65,6 +65,29 @@
 	}
 }
 
+func unknownService(service string) *Refusal {
+	return &Refusal{
+		Status: http.StatusNotFound, Code: CodeUnknownService,
+		Detail: fmt.Sprintf("This instance has no document of service %s.", quoteName(service)),
+	}
+}
+
+func credentialMissing() *Refusal {
+	return &Refusal{
+		Status: http.StatusUnauthorized, Code: CodeCredentialMissing,
+		Detail: "The request has no credential. Send the header Authorization: Bearer CREDENTIAL.",
+	}
+}
+
+// behind refuses a request about a version that is newer than the one in force
+// here.
+func behind(inForce, version uint64) *Refusal {
+	return &Refusal{
+		Status: http.StatusServiceUnavailable, Code: CodeInstanceBehind, RetryAfter: retryAfterBehind,
+		Detail: fmt.Sprintf("This instance has version %d in force. Wait until it has version %d, or ask another instance.", inForce, version),
+	}
+}
+
 // readLimited reads a body of at most the size of a document.
 func readLimited(w http.ResponseWriter, r *http.Request) ([]byte, *Refusal) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, rpdocument.MaxBodyBytes))
--- a/internal/rpoperator/server.go
+++ b/internal/rpoperator/server.go
@@ -36,6 +36,10 @@
 	// Documents returns the rows of all documents in force, ordered by
 	// service.
 	Documents func() []rpcore.DocumentRow
+	// AcceptedRow reads the row of a document from the table.
+	AcceptedRow func(ctx context.Context, service string) (*rpcore.DocumentRow, error)
+	// LoadBody reads a body from the object store.
+	LoadBody func(ctx context.Context, hash string) ([]byte, error)
 	// Post hands an event to the reducer.
 	Post func(rpcore.Event)
 	// Status returns a value for encoding/json.
@@ -72,6 +76,8 @@
 	router.HandleFunc("/operator/v1/documents", s.listDocuments).Methods(http.MethodGet)
 	router.HandleFunc("/operator/v1/documents/{service}", s.getDocument).Methods(http.MethodGet)
 	router.HandleFunc("/operator/v1/documents/{service}", s.putDocument).Methods(http.MethodPut)
+	router.HandleFunc("/operator/v1/documents/{service}/history", s.getHistory).Methods(http.MethodGet)
+	router.HandleFunc("/operator/v1/documents/{service}/history/{version}", s.getVersion).Methods(http.MethodGet)
 	router.HandleFunc("/operator/v1/status", s.status).Methods(http.MethodGet)
 	router.HandleFunc("/operator/v1/timeline", s.timeline).Methods(http.MethodGet)
 	router.HandleFunc("/healthz", s.healthz).Methods(http.MethodGet)
--- a/internal/rpplatform/table_read.go
+++ b/internal/rpplatform/table_read.go
@@ -31,6 +31,28 @@
 	})
 }
 
+// Document reads the row of a document. The error is a NoDocumentError where
+// the table has none.
+func (t *Table) Document(ctx context.Context, service string) (*rpcore.DocumentRow, error) {
+	rows, err := t.read(ctx, rpcore.ReadTable{Keys: []rpcore.RowKey{{Kind: rpcore.RowDocument, Service: service}}})
+	if err != nil {
+		return nil, err
+	}
+	if len(rows) == 0 || rows[0].Document == nil {
+		return nil, NoDocumentError{Service: service}
+	}
+	return rows[0].Document, nil
+}
+
+// NoDocumentError reports a service without a row in the table.
+type NoDocumentError struct {
+	Service string
+}
+
+func (e NoDocumentError) Error() string {
+	return fmt.Sprintf("the table has no document of service %s", e.Service)
+}
+
 // read returns all rows or an error. A row that can't be decoded fails the
 // read, because a missing row would look like a removed one.
 func (t *Table) read(ctx context.Context, effect rpcore.ReadTable) ([]rpcore.Row, error) {
--- a/internal/rpserve/provide.go
+++ b/internal/rpserve/provide.go
@@ -134,6 +134,8 @@
 	Metrics  *rpmetric.Metrics
 	Observer *observer
 	Timeline *rptimeline.Recorder
+	Table    *rpplatform.Table
+	Objects  *rpplatform.Objects
 }
 
 func newOperator(in operatorIn) *rpoperator.Server {
@@ -141,6 +143,8 @@
 	return &rpoperator.Server{
 		Document:         func(service string) (rpoperator.InForce, bool) { return documentInForce(node, service) },
 		Documents:        func() []rpcore.DocumentRow { return documentRows(node) },
+		AcceptedRow:      in.Table.Document,
+		LoadBody:         in.Objects.Load,
 		Post:             node.Post,
 		Status:           func() any { return status(node) },
 		Healthy:          func() error { return query(node, func(*rpcore.State) {}) },
--- a/pkg/rpcore/submission.go
+++ b/pkg/rpcore/submission.go
@@ -89,13 +89,15 @@
 		Submission: sub.Submission,
 	}
 	if sub.previous != nil {
-		row.History = slices.Concat([]AcceptedVersion{sub.previous.accepted()}, sub.previous.History)
+		row.History = slices.Concat([]AcceptedVersion{sub.previous.Accepted()}, sub.previous.History)
 		row.History = row.History[:min(len(row.History), DocumentHistoryLimit)]
 	}
 	return row
 }
 
-func (r *DocumentRow) accepted() AcceptedVersion {
+// Accepted returns the version that the row accepts, as it is kept in the
+// history of later rows.
+func (r *DocumentRow) Accepted() AcceptedVersion {
 	return AcceptedVersion{r.Version, r.Hash, r.Editor, r.AcceptedAt, r.Submission}
 }
 
