Tell peers the operators' address of an instance

The operators' commands need the operators' address of every instance as flags, because no instance knows those of the others.

Heartbeats carry the address: the first ones to a peer, and then one every 30 s, so that a lost message is repaired. It takes at most 25 bytes. In every heartbeat of a node with 16 + 52 peers that would be 660 bytes/s; so it is 57 bytes/s (computed, not measured). Older versions ignore the field and do not send it. An address with a zone, without a port or for all interfaces is ignored: a zone has no bound. status names the address of each instance.

New setting advertise.operators, for an instance that listens on all addresses.

A list whose readings go back and forth makes a peer forget the address; then it is known again after at most 30 s.

--- a/internal/rppeer/frame_test.go
+++ b/internal/rppeer/frame_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"io"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -149,3 +150,31 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(envelope.Clock).To(BeEquivalentTo(7))
 }
+
+// Guards against an operators' address that an older version can't read past,
+// that costs bytes where there is none, and one that is no address.
+func TestOperatorsAddressIsOptional(t *testing.T) {
+	g := NewWithT(t)
+	address := netip.MustParseAddrPort("10.0.0.5:8081")
+	frame := func(address netip.AddrPort) []byte {
+		sent, err := encodeFrame(&Envelope{Version: Version, From: "i1", Message: rpcore.PeerMessage{Heartbeat: &rpcore.Heartbeat{Digest: 7, Operators: address}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		return sent[frameHeader:]
+	}
+	var older struct {
+		Message struct {
+			Heartbeat struct {
+				Digest uint64 `cbor:"digest"`
+			} `cbor:"heartbeat"`
+		} `cbor:"message"`
+	}
+	g.Expect(frameDecoding.Unmarshal(frame(address), &older)).To(Succeed())
+	g.Expect(older.Message.Heartbeat.Digest).To(BeEquivalentTo(7))
+	got, err := decodeFrame(frame(address))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got.Message.Heartbeat.Operators).To(Equal(address))
+	g.Expect(frame(netip.AddrPort{})).NotTo(ContainSubstring("operators"))
+	g.Expect(len(frame(address)) - len(frame(netip.AddrPort{}))).To(BeNumerically("<=", 25))
+	_, err = decodeFrame(encodeAny(t, map[string]any{"message": map[string]any{"heartbeat": map[string]any{"operators": []byte("no address")}}}))
+	g.Expect(err).To(HaveOccurred())
+}
--- a/internal/rpserve/instance.go
+++ b/internal/rpserve/instance.go
@@ -90,9 +90,10 @@
 			Incarnation:   newIncarnation(),
 			FailureDomain: rpcore.FailureDomain(i.Settings.Instance.FailureDomain),
 		},
-		Seed:   seed,
-		Limits: limits,
-		Policy: i.Settings.CorePolicy(),
+		Operators: i.Settings.OperatorsAddress(),
+		Seed:      seed,
+		Limits:    limits,
+		Policy:    i.Settings.CorePolicy(),
 	}
 }
 
--- a/internal/rpsettings/check.go
+++ b/internal/rpsettings/check.go
@@ -70,6 +70,10 @@
 		c.report.Add(key, fmt.Sprintf("Other instances can't connect to %s.", address),
 			"Write the IP address of this instance in advertise.peers.")
 	}
+	if operators := c.settings.Advertise.Operators; operators.IsValid() && operators.Addr().IsUnspecified() {
+		c.report.Add("advertise.operators", fmt.Sprintf("Operators can't connect to %s.", operators),
+			"Write the IP address of this instance in advertise.operators, or remove the key.")
+	}
 }
 
 func (c checker) checkPlatform() {
--- a/internal/rpsettings/settings.go
+++ b/internal/rpsettings/settings.go
@@ -44,7 +44,8 @@
 // Advertise holds the addresses that others use, where they differ from those
 // of Listen.
 type Advertise struct {
-	Peers Address `toml:"peers"`
+	Peers     Address `toml:"peers"`
+	Operators Address `toml:"operators"`
 }
 
 // Platform says where the platform's services are.
@@ -161,3 +162,17 @@
 	}
 	return s.Listen.Peers.AddrPort
 }
+
+// OperatorsAddress returns the address that the operators' client uses. It is
+// invalid where the instance listens on all addresses and the settings name
+// none; the client then reaches the instance only if an operator names it.
+func (s *Settings) OperatorsAddress() netip.AddrPort {
+	address := s.Listen.Operators.AddrPort
+	if s.Advertise.Operators.IsValid() {
+		address = s.Advertise.Operators.AddrPort
+	}
+	if address.Addr().IsUnspecified() {
+		return netip.AddrPort{}
+	}
+	return address
+}
--- a/pkg/rpcore/bench_test.go
+++ b/pkg/rpcore/bench_test.go
@@ -27,7 +27,7 @@
 	}
 	d := &driver{at: time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)}
 	self := Identity{InstanceID(members[0].ID), members[0].Incarnation, members[0].FailureDomain}
-	d.Reduce(Start{d.stamp(), self, 1, Limits{}, Policy{}})
+	d.Reduce(Start{Stamp: d.stamp(), Self: self, Seed: 1})
 	d.Reduce(MembersListed{d.stamp(), slices.Clone(members)})
 	return d, members
 }
--- a/pkg/rpcore/event.go
+++ b/pkg/rpcore/event.go
@@ -26,10 +26,13 @@
 // Start is the first event of a State.
 type Start struct {
 	Stamp
-	Self   Identity
-	Seed   uint64
-	Limits Limits
-	Policy Policy
+	Self Identity
+	// Operators is the operators' address that peers are told of; an invalid
+	// one is not told.
+	Operators netip.AddrPort
+	Seed      uint64
+	Limits    Limits
+	Policy    Policy
 }
 
 // Tick answers a SetAlarm.
--- a/pkg/rpcore/fault_test.go
+++ b/pkg/rpcore/fault_test.go
@@ -21,7 +21,7 @@
 // withDriver returns the started State of instance a in domain A.
 func withDriver() *driver {
 	d := &driver{at: time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)}
-	d.feed(Start{Stamp{d.at}, Identity{"a", "a-1", "A"}, 1, Limits{}, Policy{}})
+	d.feed(Start{Stamp: Stamp{d.at}, Self: Identity{"a", "a-1", "A"}, Seed: 1})
 	return d
 }
 
--- a/pkg/rpcore/heartbeat.go
+++ b/pkg/rpcore/heartbeat.go
@@ -1,6 +1,9 @@
 package rpcore
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 const (
 	heartbeatInterval = time.Second
@@ -10,6 +13,10 @@
 	remoteHeartbeatInterval = 5 * time.Second
 	// silentHeartbeatInterval applies to those that fell silent.
 	silentHeartbeatInterval = 2 * time.Second
+	// operatorsInterval repeats the operators' address, which a lost message
+	// may have carried. In every heartbeat its 25 bytes would cost a node of
+	// the design size 660 bytes/s; so they cost 57.
+	operatorsInterval = 30 * time.Second
 	// remoteHeartbeatSlots is the number of ticks over which the heartbeats to
 	// other failure domains are spread.
 	remoteHeartbeatSlots = int(remoteHeartbeatInterval / heartbeatInterval)
@@ -62,6 +69,9 @@
 	if !p.heardAt.IsZero() && p.digest != s.documents.digest {
 		heartbeat.Documents = s.documentVersions()
 	}
+	if p.toldAt.IsZero() || s.now.Sub(p.toldAt) >= operatorsInterval {
+		heartbeat.Operators, p.toldAt = s.operators, s.now
+	}
 	s.sendPeer(id, PeerMessage{Heartbeat: &heartbeat})
 }
 
@@ -86,9 +96,18 @@
 	}
 	listed := p.Incarnation == heartbeat.Incarnation
 	first := p.heardAt.IsZero()
+	if first {
+		// The peer may not have known this instance yet when it was told.
+		p.toldAt = time.Time{}
+	}
 	if listed {
 		s.peerHeard(p, heartbeat)
 	}
+	if usableAddress(heartbeat.Operators) {
+		// The list may not show this lifetime yet. The client of operators
+		// checks who answers, so an address that is out of date does no harm.
+		p.operators = heartbeat.Operators
+	}
 	// What is known of documents and endpoints does not depend on the list,
 	// which a domain that is cut from the platform can't read.
 	for _, notice := range heartbeat.LeavingEndpoints {
@@ -110,6 +129,13 @@
 	}
 }
 
+// usableAddress reports whether another host can use an address. It refuses a
+// zone, which has no bound and no meaning on another host.
+func usableAddress(address netip.AddrPort) bool {
+	addr := address.Addr()
+	return address.IsValid() && address.Port() != 0 && addr.Zone() == "" && !addr.IsUnspecified()
+}
+
 // peerHeard looks at the live instances again only where this heartbeat may
 // change them: 68 peers send one each second or five.
 func (s *State) peerHeard(p *peer, heartbeat Heartbeat) {
--- a/pkg/rpcore/peer.go
+++ b/pkg/rpcore/peer.go
@@ -1,6 +1,7 @@
 package rpcore
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
@@ -50,6 +51,10 @@
 	GoneInstances []Identity `cbor:"gone_instances,omitempty"`
 	// Waiting counts the requests in the sender's queues by rank.
 	Waiting [rpdocument.RankCount]int `cbor:"waiting"`
+	// Operators is the sender's address for operators. It is sent in the first
+	// heartbeats and then every operatorsInterval; older versions do not send
+	// it.
+	Operators netip.AddrPort `cbor:"operators,omitzero"`
 }
 
 // DocumentPush tells a peer of a document. Without Body it is a notice, and a
--- a/pkg/rpcore/peer_set.go
+++ b/pkg/rpcore/peer_set.go
@@ -1,6 +1,7 @@
 package rpcore
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -29,6 +30,10 @@
 	leaving  bool
 	digest   uint64
 	waiting  [3]int
+	// operators is the peer's address for operators, invalid where it is not
+	// known. toldAt is when the peer was last told of this instance's own.
+	operators netip.AddrPort
+	toldAt    time.Time
 }
 
 // updatePeers follows the instance list and chooses the peer set.
@@ -54,7 +59,12 @@
 	id := InstanceID(member.ID)
 	p := s.members.peers[id]
 	if p == nil || p.Incarnation != member.Incarnation {
-		p = &peer{listedAt: s.now}
+		fresh := &peer{listedAt: s.now}
+		if p != nil {
+			// This lifetime may have told its address before the list showed it.
+			fresh.operators = p.operators
+		}
+		p = fresh
 		s.members.peers[id] = p
 	}
 	p.Member = member
--- a/pkg/rpcore/sim_test.go
+++ b/pkg/rpcore/sim_test.go
@@ -58,6 +58,8 @@
 	objects simObjects
 	list    simList
 	engines map[EndpointID]*simEngine
+	// operators returns the operators' address of an instance.
+	operators func(*simNode) netip.AddrPort
 	// onStep sees every event of a State with its effects.
 	onStep []func(n *simNode, ev Event, effects []Effect)
 }
@@ -100,6 +102,7 @@
 func withSim(t fataler, seed uint64, n, d int) *sim {
 	start := time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
 	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 1)), start: start, now: start, engines: make(map[EndpointID]*simEngine)}
+	s.operators = func(*simNode) netip.AddrPort { return netip.AddrPort{} }
 	s.net = simNetwork{
 		minDelay: 500 * time.Microsecond, maxDelay: 20 * time.Millisecond, lost: make(map[[2]InstanceID]int),
 		cuts: make(map[[2]FailureDomain]bool), platformCut: make(map[FailureDomain]bool),
@@ -139,7 +142,9 @@
 		ID: string(n.self.Instance), Kind: MemberInstance, FailureDomain: n.self.FailureDomain,
 		Incarnation: n.self.Incarnation, Address: n.address(),
 	})
-	n.reduce(func(at Stamp) Event { return Start{Stamp: at, Self: n.self, Seed: n.sim.rng.Uint64()} })
+	n.reduce(func(at Stamp) Event {
+		return Start{Stamp: at, Self: n.self, Operators: n.sim.operators(n), Seed: n.sim.rng.Uint64()}
+	})
 	n.post(time.Millisecond, n.pollList)
 }
 
--- a/pkg/rpcore/state.go
+++ b/pkg/rpcore/state.go
@@ -3,19 +3,22 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 )
 
 // State is the view of one instance and the only state of the reducer. Its
 // zero value works after a Start event.
 type State struct {
-	self     Identity
-	limits   Limits
-	policy   Policy
-	rng      *rand.Rand
-	now      time.Time
-	draining bool
-	out      []Effect
+	self Identity
+	// operators is this instance's address for operators.
+	operators netip.AddrPort
+	limits    Limits
+	policy    Policy
+	rng       *rand.Rand
+	now       time.Time
+	draining  bool
+	out       []Effect
 
 	alarms    alarms
 	table     tableOps
@@ -90,6 +93,7 @@
 
 func (s *State) start(ev Start) {
 	s.self = ev.Self
+	s.operators = ev.Operators
 	s.limits = ev.Limits.withDefaults()
 	s.policy = ev.Policy
 	s.rng = rand.New(rand.NewPCG(ev.Seed, ev.Seed^0x9e3779b97f4a7c15))
--- a/pkg/rpcore/status.go
+++ b/pkg/rpcore/status.go
@@ -1,6 +1,7 @@
 package rpcore
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -28,6 +29,9 @@
 	FailureDomain FailureDomain `json:"failure_domain"`
 	Live          bool          `json:"live"`
 	Leaving       bool          `json:"leaving"`
+	// Operators is the address for operators. It is not set where the instance
+	// has not told it.
+	Operators netip.AddrPort `json:"operators,omitzero"`
 }
 
 // EndpointStatus is what the reporting instance knows of an endpoint.
@@ -110,7 +114,7 @@
 }
 
 func (s *State) instanceStatus() []InstanceStatus {
-	status := []InstanceStatus{{ID: s.self.Instance, FailureDomain: s.self.FailureDomain, Live: true, Leaving: s.draining}}
+	status := []InstanceStatus{{ID: s.self.Instance, FailureDomain: s.self.FailureDomain, Live: true, Leaving: s.draining, Operators: s.operators}}
 	for _, id := range s.allPeers() {
 		p := s.members.peers[id]
 		status = append(status, InstanceStatus{
@@ -118,6 +122,7 @@
 			FailureDomain: p.FailureDomain,
 			Live:          slices.Contains(s.members.live, id),
 			Leaving:       p.leaving,
+			Operators:     p.operators,
 		})
 	}
 	return status
