Record refusals of the HTTP front and explain loads of the base model

A request that the front refused (a body that is too large, a header that is wrong, a path that is unknown, too many requests in progress) had no entry in the time line, so explain did not know it. The explanation of a request for an adapter left out the load of its base model, which is often the longest wait.

The front posts RequestRejected with the id and the refusal only, because what it could not read may hold anything. The time line has it as request_rejected with its verdict, and the reducer counts it. An idempotent answer that was too large to keep is recorded as the refusal that the caller gets, not as a replayed answer. explain asks the document for the base model of an adapter.

The status has the refusals by code since the start, the accelerators in use against the document, and the replicas that the document keeps warm.

--- a/internal/rpcommand/timeline.go
+++ b/internal/rpcommand/timeline.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/rattanpaddle/rattanpaddle/internal/rpoperator"
 	"github.com/rattanpaddle/rattanpaddle/internal/rptimeline"
 	"github.com/rattanpaddle/rattanpaddle/internal/rptimeview"
 )
@@ -103,16 +104,46 @@
 	if err := view.Err(); err != nil {
 		return err
 	}
+	base := ""
 	if len(view.Entries) > 0 && view.Entries[0].Model != "" {
 		// The loads that the request waited for have entries of their own, at
-		// the home of the model.
+		// the homes of the model and of its base model.
 		first := &view.Entries[0]
-		loads := rptimeview.Gather(ctx, addresses, rptimeline.Query{Since: first.Clock, Model: first.ModelName(), Part: rptimeline.PartReplicas.String()})
-		view = view.With(loads)
+		base = baseModel(ctx, addresses, first.Service, first.Model)
+		for _, model := range []string{first.ModelName(), base} {
+			if model != "" {
+				loads := rptimeview.Gather(ctx, addresses, rptimeline.Query{Since: first.Clock, Model: model, Part: rptimeline.PartReplicas.String()})
+				view = view.With(loads)
+			}
+		}
 	}
-	explanation, err := rptimeview.Explain(view, args.Request)
+	explanation, err := rptimeview.Explain(view, args.Request, base)
 	if err != nil {
 		return err
 	}
 	return p.report(args.Output, explanation, explanation.Text())
 }
+
+// baseModel returns the full name of the base model of an adapter, as the first
+// instance that answers has it in force, or "" for a model. The time line does
+// not name it where the adapter was never ordered.
+func baseModel(ctx context.Context, addresses []netip.AddrPort, service, name string) string {
+	for _, address := range addresses {
+		client := rpoperator.Client{Address: address}
+		answer, err := client.Document(ctx, service)
+		if err != nil {
+			continue
+		}
+		doc, err := parseVersion(answer.Document.Version, answer.Body)
+		if err != nil {
+			continue
+		}
+		for i := range doc.Adapters {
+			if doc.Adapters[i].Name == name {
+				return service + "/" + doc.Adapters[i].BaseModel
+			}
+		}
+		return ""
+	}
+	return ""
+}
--- a/internal/rpfront/handler.go
+++ b/internal/rpfront/handler.go
@@ -24,12 +24,12 @@
 		if f.streams.Add(1) > int64(f.limits.Streams) {
 			refusal := rpverdict.Refuse(rpverdict.CodeTooManyStreams, "This instance holds as many requests as it may.")
 			refusal.RetryAfter = tooManyStreamsRetry
-			a.refuse(refusal)
+			f.reject(a, refusal)
 			return
 		}
 		request, attempt, refusal := read(w, r)
 		if refusal != nil {
-			a.refuse(*refusal)
+			f.reject(a, *refusal)
 			return
 		}
 		request.ID = a.id
@@ -45,7 +45,15 @@
 }
 
 func (f *Front) serveUnknown(w http.ResponseWriter, r *http.Request) {
-	f.newAnswer(w, r).refuse(rpverdict.Refuse(rpverdict.CodeUnknownRoute, "There is nothing at this path for this method."))
+	f.reject(f.newAnswer(w, r), rpverdict.Refuse(rpverdict.CodeUnknownRoute, "There is nothing at this path for this method."))
+}
+
+// reject refuses a request that the reducer does not know, and tells it for
+// the time line and the counts. Only the id and the refusal go there: what
+// could not be read may hold anything.
+func (f *Front) reject(a *answer, refusal rpverdict.Refusal) {
+	f.post(rpcore.RequestRejected{Stamp: stamp(), Request: a.id, Refusal: refusal})
+	a.refuse(refusal)
 }
 
 // exchange is one request on its way through the reducer.
--- a/internal/rpfront/limits_test.go
+++ b/internal/rpfront/limits_test.go
@@ -28,11 +28,11 @@
 }
 
 // Guards against malformed requests that reach the reducer or get an unclear
-// answer.
+// answer, and against a refusal that operators don't see.
 func TestInvalidRequests(t *testing.T) {
 	b := withBench(t, rpfront.Limits{BodyBytes: 2000, HeaderBytes: 1000, URLBytes: 100})
 	const chat, good = "/v1/chat/completions", `{"model":"mix/small"}`
-	for _, c := range []struct {
+	for i, c := range []struct {
 		name, path, body string
 		header           []string
 		code             rpverdict.Code
@@ -78,6 +78,11 @@
 		b.Expect(problem.Verdict).To(Equal(rpverdict.NotRun), c.name)
 		b.Expect(problem.Detail).NotTo(BeEmpty(), c.name)
 		b.Expect(resp.StatusCode).To(Equal(rpverdict.Refuse(c.code, "").Status()), c.name)
+		rejected := seenOf[rpcore.RequestRejected](b)
+		b.Expect(rejected).To(HaveLen(i+1), c.name)
+		b.Expect(string(rejected[i].Request)).To(Equal(resp.Header.Get("X-Request-Id")), c.name)
+		b.Expect(rejected[i].Refusal.Code).To(Equal(c.code), c.name)
+		b.Expect(rejected[i].Refusal.Detail).To(Equal(problem.Detail), c.name)
 	}
 	b.Expect(seenOf[rpcore.RequestArrived](b)).To(BeEmpty())
 }
@@ -104,6 +109,7 @@
 	b.Expect(b.readAll(resp)).To(ContainSubstring("too_many_streams"))
 	b.front.RefuseRequest(rpcore.RefuseRequest{Request: id, Refusal: rpverdict.Refuse(rpverdict.CodeNoEndpoint, "None.")})
 	<-done
+	b.Expect(seenOf[rpcore.RequestRejected](b)).To(HaveLen(1))
 }
 
 // Guards against fields that routing and admission miss, and against prefix
--- a/internal/rptimeline/effect.go
+++ b/internal/rptimeline/effect.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
 func (r *Recorder) attemptStarted(effect *rpcore.StartAttempt) {
@@ -42,7 +43,7 @@
 	case rpcore.CancelAttempt:
 		r.follow(&record{kind: KindAttemptCanceled, attempt: string(effect.Attempt)})
 	case rpcore.ReplayOutcome:
-		r.follow(&record{kind: KindOutcomeReplayed, request: string(effect.Request)})
+		r.replayed(&effect)
 	case rpcore.SendOrder:
 		r.follow(&record{
 			kind: KindOrderSent, order: string(effect.Order), service: effect.Model.Service, model: effect.Model.Name,
@@ -63,6 +64,16 @@
 	}
 }
 
+// replayed records a refusal for an outcome that was too large to keep: the
+// front answers with it, since there is no answer to replay.
+func (r *Recorder) replayed(effect *rpcore.ReplayOutcome) {
+	rec := record{kind: KindOutcomeReplayed, request: string(effect.Request)}
+	if effect.Outcome.Truncated {
+		rec.kind, rec.code, rec.verdict = KindRequestRefused, string(rpverdict.CodeOutcomeNotKept), verdictByte(rpverdict.Ran)
+	}
+	r.follow(&rec)
+}
+
 // writeSent names the first row of a write. The name of a claim row is an
 // idempotency key of a caller and is not recorded.
 func (r *Recorder) writeSent(write *rpcore.WriteTable) {
--- a/internal/rptimeline/event.go
+++ b/internal/rptimeline/event.go
@@ -39,6 +39,11 @@
 	switch ev := ev.(type) {
 	case rpcore.RequestAbandoned:
 		r.add(ev.At, &record{kind: KindRequestAbandoned, request: string(ev.Request)})
+	case rpcore.RequestRejected:
+		r.add(ev.At, &record{
+			kind: KindRequestRejected, request: string(ev.Request), code: string(ev.Refusal.Code),
+			verdict: verdictByte(ev.Refusal.Verdict), text: ev.Refusal.Detail,
+		})
 	case rpcore.PeerReceived:
 		r.received(&ev)
 	case rpcore.Start:
--- a/internal/rptimeline/kind.go
+++ b/internal/rptimeline/kind.go
@@ -34,6 +34,7 @@
 	KindReadyChanged
 	KindDrainRequested
 	KindDrained
+	KindRequestRejected
 	kindCount
 )
 
@@ -74,6 +75,7 @@
 	KindReadyChanged:       {"ready_changed", PartNode, "The answer of /readyz changed."},
 	KindDrainRequested:     {"drain_requested", PartNode, "A planned stop began."},
 	KindDrained:            {"drained", PartNode, "All work of the planned stop is finished."},
+	KindRequestRejected:    {"request_rejected", PartRequests, "The HTTP interface refused the request."},
 }
 
 // Kinds returns the description of all kinds.
--- a/internal/rptimeline/recorder_test.go
+++ b/internal/rptimeline/recorder_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rattanpaddle/rattanpaddle/internal/rptimeline"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
 var epoch = time.Date(2026, 5, 4, 3, 2, 1, 0, time.UTC)
@@ -176,3 +177,23 @@
 	g.Expect(recorder.Tick().Time()).To(BeTemporally("<", time.Now().Add(rptimeline.MaxAhead)))
 	g.Expect(recorder.Select(rptimeline.Query{}).Head.RejectedClocks).To(BeEquivalentTo(1))
 }
+
+// Guards against a refusal that the reducer does not give and that leaves no
+// entry, and against a refusal taken for a replayed answer.
+func TestRefusalsOfTheFrontAreRecorded(t *testing.T) {
+	g := NewWithT(t)
+	recorder := &rptimeline.Recorder{}
+	recorder.Record(rpcore.Start{Stamp: at(0), Self: rpcore.Identity{Instance: "a"}}, nil)
+	recorder.Record(rpcore.RequestRejected{Stamp: at(1), Request: "r1", Refusal: rpverdict.Refuse(rpverdict.CodeBodyTooLarge, "Too large.")}, nil)
+	recorder.Record(rpcore.Tick{Stamp: at(2)}, []rpcore.Effect{rpcore.ReplayOutcome{Request: "r2", Outcome: rpcore.Outcome{Truncated: true}}})
+	rejected := recorder.Select(rptimeline.Query{Request: "r1"}).Entries
+	g.Expect(rejected).To(HaveLen(1))
+	g.Expect(rejected[0].Kind).To(Equal(rptimeline.KindRequestRejected))
+	g.Expect(rejected[0].Code).To(Equal("body_too_large"))
+	g.Expect(rejected[0].Text).To(Equal("Too large."))
+	g.Expect(*rejected[0].Verdict).To(Equal(rpverdict.NotRun))
+	kept := recorder.Select(rptimeline.Query{Request: "r2"}).Entries
+	g.Expect(kept[0].Kind).To(Equal(rptimeline.KindRequestRefused))
+	g.Expect(kept[0].Code).To(Equal("outcome_not_kept"))
+	g.Expect(*kept[0].Verdict).To(Equal(rpverdict.Ran))
+}
--- a/internal/rptimeview/explain.go
+++ b/internal/rptimeview/explain.go
@@ -23,7 +23,9 @@
 type Explanation struct {
 	Request string `json:"request"`
 	Model   string `json:"model,omitempty"`
-	Steps   []Step `json:"steps"`
+	// BaseModel is set for an adapter.
+	BaseModel string `json:"base_model,omitempty"`
+	Steps     []Step `json:"steps"`
 	// Ended says that the end of the request is on the time line.
 	Ended bool `json:"ended"`
 	// Verdict is empty where it is not known.
@@ -44,10 +46,10 @@
 }
 
 // Explain explains a request. The view must hold the entries of the request;
-// where it also holds those of its model, the loads that the request waited
-// for are part of the explanation.
-func Explain(v *View, request string) (*Explanation, error) {
-	x := &Explanation{Request: request, Remarks: append([]Remark{}, v.Remarks...)}
+// where it also holds those of its model and, for an adapter, of the base
+// model, the loads that the request waited for are part of the explanation.
+func Explain(v *View, request, baseModel string) (*Explanation, error) {
+	x := &Explanation{Request: request, BaseModel: baseModel, Remarks: append([]Remark{}, v.Remarks...)}
 	about, err := entriesAbout(v, request)
 	if err != nil {
 		return nil, err
@@ -59,14 +61,29 @@
 	begin, end := about[0].Clock, waitEnd(about)
 	for i := range v.Entries {
 		e := &v.Entries[i]
-		load := e.Request == "" && x.Model != "" && e.ModelName() == x.Model && e.Part == rptimeline.PartReplicas && e.Kind != rptimeline.KindNote
-		if e.Request == request || load && e.Clock > begin && e.Clock < end {
-			x.Steps = append(x.Steps, Step{e.Clock, e.Instance, stepText(e)})
+		if e.Request == request || x.waitsFor(e) && e.Clock > begin && e.Clock < end {
+			x.Steps = append(x.Steps, Step{e.Clock, e.Instance, x.stepText(e)})
 		}
 	}
 	return x, nil
 }
 
+// waitsFor reports whether an entry is about a load of the model or of its
+// base model.
+func (x *Explanation) waitsFor(e *rptimeline.Entry) bool {
+	name := e.ModelName()
+	load := e.Request == "" && e.Part == rptimeline.PartReplicas && e.Kind != rptimeline.KindNote
+	return load && name != "" && (name == x.Model || name == x.BaseModel)
+}
+
+func (x *Explanation) stepText(e *rptimeline.Entry) string {
+	text := strings.TrimSpace(stepText(e))
+	if e.Request == "" && e.ModelName() == x.BaseModel {
+		text += " This is the base model of the adapter."
+	}
+	return text
+}
+
 // entriesAbout returns the entries of the one request that an id names.
 func entriesAbout(v *View, request string) ([]rptimeline.Entry, error) {
 	var about []rptimeline.Entry
@@ -126,7 +143,7 @@
 			worst = max(worst, *e.Verdict)
 		case e.Kind == rptimeline.KindOutcomeReplayed:
 			x.finish(rpverdict.Ran, "The caller got the recorded answer of an earlier request with the same idempotency key.")
-		case e.Kind == rptimeline.KindRequestRefused && e.Verdict != nil:
+		case (e.Kind == rptimeline.KindRequestRefused || e.Kind == rptimeline.KindRequestRejected) && e.Verdict != nil:
 			x.finish(*e.Verdict, "The request was refused with the code "+e.Code+".")
 		case e.Kind == rptimeline.KindRequestAbandoned:
 			if started {
@@ -162,6 +179,8 @@
 		return fmt.Sprintf("The instance canceled attempt %s.", e.Attempt)
 	case rptimeline.KindRequestRefused:
 		return fmt.Sprintf("The instance refused the request. Code: %s. %s", e.Code, e.Text)
+	case rptimeline.KindRequestRejected:
+		return fmt.Sprintf("The HTTP interface of the instance refused the request before it was queued. Code: %s. %s", e.Code, e.Text)
 	case rptimeline.KindOrderSent:
 		return fmt.Sprintf("The instance ordered engine %s: %s of %s.", e.Endpoint, strings.ReplaceAll(e.Code, "_", " "), e.ModelName())
 	case rptimeline.KindOrderAnswered:
@@ -221,7 +240,7 @@
 			wait = fmt.Sprintf("+%d ms", step.Clock.Milliseconds()-before.Milliseconds())
 		}
 		before = step.Clock
-		fmt.Fprintf(&b, "%s  %9s  %s: %s\n", formatClock(step.Clock), wait, step.Instance, strings.TrimSpace(step.Text))
+		fmt.Fprintf(&b, "%s  %9s  %s: %s\n", formatClock(step.Clock), wait, step.Instance, step.Text)
 	}
 	verdict := x.Verdict
 	if verdict == "" {
--- a/internal/rptimeview/view_test.go
+++ b/internal/rptimeview/view_test.go
@@ -82,7 +82,7 @@
 		g.Expect(withView().Write(&out, format)).To(Succeed())
 		withGolden(t, "timeline."+string(format), out.Bytes())
 	}
-	explanation, err := rptimeview.Explain(withView(), "order-7")
+	explanation, err := rptimeview.Explain(withView(), "order-7", "")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	withGolden(t, "explain.text", []byte(explanation.Text()))
 }
@@ -135,17 +135,48 @@
 	gone := entry("a", clock(2, 0), rptimeline.KindRequestAbandoned, func(e *rptimeline.Entry) { e.Request = "r" })
 	mayHaveRun := rpverdict.MayHaveRun
 	refused := entry("a", clock(2, 0), rptimeline.KindRequestRefused, func(e *rptimeline.Entry) { e.Request, e.Verdict = "r", &mayHaveRun })
+	rejected := entry("a", clock(2, 0), rptimeline.KindRequestRejected, func(e *rptimeline.Entry) { e.Request, e.Verdict = "r", new(rpverdict.NotRun) })
 	replayed := entry("a", clock(2, 0), rptimeline.KindOutcomeReplayed, func(e *rptimeline.Entry) { e.Request = "r" })
 	for verdict, entries := range map[string][]rptimeline.Entry{
-		"": {arrived, started}, "not_run": {arrived, gone}, "may_have_run": {arrived, started, gone}, "ran": {arrived, replayed},
+		"": {arrived, started}, "not_run": {rejected}, "may_have_run": {arrived, started, gone}, "ran": {arrived, replayed},
 	} {
-		x, err := rptimeview.Explain(&rptimeview.View{Entries: entries}, "r")
+		x, err := rptimeview.Explain(&rptimeview.View{Entries: entries}, "r", "")
 		NewWithT(t).Expect(err).NotTo(HaveOccurred())
 		NewWithT(t).Expect(x.Verdict).To(Equal(verdict))
 	}
-	x, err := rptimeview.Explain(&rptimeview.View{Entries: []rptimeline.Entry{arrived, refused}}, "r")
+	x, err := rptimeview.Explain(&rptimeview.View{Entries: []rptimeline.Entry{arrived, gone}}, "r", "")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	NewWithT(t).Expect(x.Verdict).To(Equal("not_run"))
+	x, err = rptimeview.Explain(&rptimeview.View{Entries: []rptimeline.Entry{arrived, refused}}, "r", "")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	NewWithT(t).Expect(x.Verdict).To(Equal("may_have_run"))
-	_, err = rptimeview.Explain(&rptimeview.View{}, "r")
+	_, err = rptimeview.Explain(&rptimeview.View{}, "r", "")
 	NewWithT(t).Expect(err).To(MatchError(&rptimeview.UnknownRequestError{Request: "r"}))
 }
+
+// Guards against an explanation of a request for an adapter without the load of
+// its base model, and with loads of other models or after the wait.
+func TestBaseModelIsExplained(t *testing.T) {
+	g := NewWithT(t)
+	about := func(kind rptimeline.Kind, ms int, model, request string) rptimeline.Entry {
+		return entry("a", clock(ms, 0), kind, func(e *rptimeline.Entry) {
+			e.Service, e.Model, e.Request, e.Code, e.Endpoint = "mix", model, request, "x", "engine-1"
+		})
+	}
+	view := &rptimeview.View{Entries: []rptimeline.Entry{
+		about(rptimeline.KindRequestArrived, 0, "adapter", "r"),
+		about(rptimeline.KindOrderSent, 1, "base", ""),
+		about(rptimeline.KindOrderSent, 2, "other", ""),
+		about(rptimeline.KindOrderSent, 3, "adapter", ""),
+		about(rptimeline.KindAttemptStarted, 4, "adapter", "r"),
+		about(rptimeline.KindOrderSent, 5, "base", ""),
+	}}
+	x, err := rptimeview.Explain(view, "r", "mix/base")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(x.BaseModel).To(Equal("mix/base"))
+	g.Expect(x.Steps).To(HaveLen(4))
+	g.Expect(x.Steps[1].Text).To(Equal("The instance ordered engine engine-1: x of mix/base. This is the base model of the adapter."))
+	x, err = rptimeview.Explain(view, "r", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(x.Steps).To(HaveLen(3))
+}
--- a/pkg/rpcore/event.go
+++ b/pkg/rpcore/event.go
@@ -78,6 +78,14 @@
 	Request Request
 }
 
+// RequestRejected says that the front refused a request that it did not hand
+// to the reducer: there is nothing to decide, but operators see it.
+type RequestRejected struct {
+	Stamp
+	Request RequestID
+	Refusal rpverdict.Refusal
+}
+
 // RequestAbandoned says that the caller is gone.
 type RequestAbandoned struct {
 	Stamp
--- a/pkg/rpcore/request.go
+++ b/pkg/rpcore/request.go
@@ -38,10 +38,12 @@
 	servedCount   uint64
 	attemptPrefix string
 	lastAttempt   uint64
-	ready         bool
-	drained       bool
-	laneBuffer    []*lane
-	routeBuffer   routeBuffer
+	// refusals counts since the start.
+	refusals    map[rpverdict.Code]uint64
+	ready       bool
+	drained     bool
+	laneBuffer  []*lane
+	routeBuffer routeBuffer
 }
 
 // requestPhase says what a request waits for.
@@ -116,7 +118,7 @@
 	}
 	r, refusal := s.accept(req)
 	if refusal != nil {
-		s.emit(RefuseRequest{Request: req.ID, Refusal: *refusal})
+		s.emitRefusal(req.ID, *refusal)
 		return
 	}
 	s.requests.byID[r.ID] = r
@@ -215,10 +217,23 @@
 		refusal.Verdict = max(refusal.Verdict, rpverdict.MayHaveRun)
 	}
 	s.cancelAttempt(r)
-	s.emit(RefuseRequest{Request: r.ID, Refusal: refusal})
+	s.emitRefusal(r.ID, refusal)
 	s.endRequest(r)
 }
 
+func (s *State) emitRefusal(id RequestID, refusal rpverdict.Refusal) {
+	s.countRefusal(refusal.Code)
+	s.emit(RefuseRequest{Request: id, Refusal: refusal})
+}
+
+// countRefusal counts for the status. The codes of this program bound the map.
+func (s *State) countRefusal(code rpverdict.Code) {
+	if s.requests.refusals == nil {
+		s.requests.refusals = make(map[rpverdict.Code]uint64)
+	}
+	s.requests.refusals[code]++
+}
+
 // cancelAttempt stops the current attempt. An attempt that may run only once
 // goes on until its deadline, so that its outcome can be recorded for the
 // next request with the same key.
--- a/pkg/rpcore/state.go
+++ b/pkg/rpcore/state.go
@@ -54,6 +54,8 @@
 		s.alarms.announced = time.Time{}
 	case RequestArrived:
 		s.requestArrived(ev.Request)
+	case RequestRejected:
+		s.countRefusal(ev.Refusal.Code)
 	case RequestAbandoned:
 		s.requestAbandoned(ev.Request)
 	case AttemptFirstToken:
--- a/pkg/rpcore/status.go
+++ b/pkg/rpcore/status.go
@@ -1,26 +1,31 @@
 package rpcore
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
 // Status is the report of one instance on itself and on what it sees.
 type Status struct {
 	Identity
-	At        time.Time         `json:"at"`
-	Ready     bool              `json:"ready"`
-	Draining  bool              `json:"draining"`
-	Waiting   map[string]int    `json:"waiting_requests"`
-	Running   int               `json:"requests_in_progress"`
-	Instances []InstanceStatus  `json:"instances"`
-	Endpoints []EndpointStatus  `json:"endpoints"`
-	Models    []ModelStatus     `json:"models"`
-	Documents []DocumentInForce `json:"documents"`
-	Missing   []DocumentVersion `json:"missing_documents"`
+	At       time.Time      `json:"at"`
+	Ready    bool           `json:"ready"`
+	Draining bool           `json:"draining"`
+	Waiting  map[string]int `json:"waiting_requests"`
+	Running  int            `json:"requests_in_progress"`
+	// Refusals counts the refusals since the instance started, by code.
+	Refusals  map[rpverdict.Code]uint64 `json:"refusals"`
+	Instances []InstanceStatus          `json:"instances"`
+	Endpoints []EndpointStatus          `json:"endpoints"`
+	Models    []ModelStatus             `json:"models"`
+	Spend     []SpendStatus             `json:"spend"`
+	Documents []DocumentInForce         `json:"documents"`
+	Missing   []DocumentVersion         `json:"missing_documents"`
 }
 
 // InstanceStatus is what the reporting instance knows of an instance.
@@ -51,10 +56,20 @@
 
 // ModelStatus compares what is loaded with what the document decided.
 type ModelStatus struct {
-	Model       ModelKey `json:"model"`
-	MaxReplicas int      `json:"max_replicas"`
-	Loaded      int      `json:"loaded_replicas"`
-	Waiting     int      `json:"waiting_requests"`
+	Model        ModelKey `json:"model"`
+	WarmReplicas int      `json:"warm_replicas"`
+	MaxReplicas  int      `json:"max_replicas"`
+	Loaded       int      `json:"loaded_replicas"`
+	Waiting      int      `json:"waiting_requests"`
+}
+
+// SpendStatus compares what a service uses with what its document allows.
+type SpendStatus struct {
+	Service string `json:"service"`
+	// Accelerators counts those of all reserved and loaded replicas, as far as
+	// the reporting instance knows.
+	Accelerators    int `json:"accelerators"`
+	MaxAccelerators int `json:"max_accelerators"`
 }
 
 // DocumentInForce is a document in force at the reporting instance.
@@ -101,9 +116,11 @@
 		Draining:  s.draining,
 		Waiting:   make(map[string]int, rpdocument.RankCount),
 		Running:   len(s.requests.byID),
+		Refusals:  maps.Clone(s.requests.refusals),
 		Instances: s.instanceStatus(),
 		Endpoints: s.endpointStatus(),
 		Models:    s.modelStatus(),
+		Spend:     s.spendStatus(),
 		Documents: s.Documents(),
 		Missing:   s.missingDocuments(),
 	}
@@ -165,16 +182,29 @@
 			model := &s.document(service).Models[i]
 			key := ModelKey{Service: service, Name: model.Name}
 			status = append(status, ModelStatus{
-				Model:       key,
-				MaxReplicas: model.MaxReplicas,
-				Loaded:      len(s.serving(key)),
-				Waiting:     s.modelUse(key).Waiting,
+				Model:        key,
+				WarmReplicas: model.WarmReplicas,
+				MaxReplicas:  model.MaxReplicas,
+				Loaded:       len(s.serving(key)),
+				Waiting:      s.modelUse(key).Waiting,
 			})
 		}
 	}
 	return status
 }
 
+func (s *State) spendStatus() []SpendStatus {
+	var status []SpendStatus
+	for _, service := range s.documents.names {
+		status = append(status, SpendStatus{
+			Service:         service,
+			Accelerators:    s.acceleratorsUsed(service),
+			MaxAccelerators: s.document(service).Spend.Accelerators,
+		})
+	}
+	return status
+}
+
 func (s *State) missingDocuments() []DocumentVersion {
 	var missing []DocumentVersion
 	for service, wanted := range s.documents.wanted {
--- /dev/null
+++ b/pkg/rpcore/status_test.go
@@ -0,0 +1,30 @@
+package rpcore
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// Guards against refusals that the status leaves out or counts twice, those of
+// the front and those at once among them, and against a spend without its
+// bound.
+func TestStatusCounts(t *testing.T) {
+	g := NewWithT(t)
+	d := withDriver()
+	d.list()
+	d.answerRead()
+	d.push("sber", 1, withBody("sber", "one"))
+	for _, id := range []RequestID{"r1", "r2"} {
+		d.feed(RequestArrived{d.stamp(), Request{ID: id, ModelName: "sber/none"}})
+	}
+	d.feed(RequestRejected{d.stamp(), "r3", rpverdict.Refuse(rpverdict.CodeBodyTooLarge, "Too large.")})
+	g.Expect(driverEffects[RefuseRequest](d)).To(HaveLen(2))
+	status := d.Status()
+	g.Expect(status.Refusals).To(Equal(map[rpverdict.Code]uint64{rpverdict.CodeUnknownModel: 2, rpverdict.CodeBodyTooLarge: 1}))
+	g.Expect(status.Spend).To(Equal([]SpendStatus{{Service: "sber", MaxAccelerators: d.document("sber").Spend.Accelerators}}))
+	status.Refusals[rpverdict.CodeBodyTooLarge] = 9
+	g.Expect(d.Status().Refusals[rpverdict.CodeBodyTooLarge]).To(BeEquivalentTo(1))
+}
