Reach all instances from one operators' address

status, timeline, explain and document status needed the address of each instance as a flag. They now ask the named instances for their status, then the instances that these know, until no new one is found (at most 1024 addresses, 64 at once, 5 s each). They send no credential. An instance that gives no answer is named with the reason; an address at which another instance answers counts as no answer.

status reports on all instances: requests are summed, endpoints have the freshest report, models, memory and spend are seen several times and not added. It shows refusals by code, spend against the document and the replicas to keep warm. Its JSON changed: what one instance says is in statuses.

--- a/internal/rpcommand/documentstatus.go
+++ b/internal/rpcommand/documentstatus.go
@@ -3,16 +3,12 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/netip"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/internal/rpoperator"
-	"github.com/rattanpaddle/rattanpaddle/internal/rptimeview"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
 )
@@ -55,65 +51,27 @@
 }
 
 func documentStatus(ctx context.Context, p *Program, args *documentStatusArgs) error {
-	addresses, err := args.addresses()
-	if err != nil {
-		return err
-	}
 	if !rpdocument.ValidName(args.Service) {
 		return usageError("%q is not a name of a service", args.Service)
 	}
-	statuses, errs := statusOfAll(ctx, addresses)
-	report, first := buildDocumentStatus(args.Service, addresses, statuses, errs)
-	if len(report.Instances) == 0 {
-		return &rptimeview.NoneReachedError{Addresses: len(addresses), First: first}
+	survey, err := args.survey(ctx)
+	if err != nil {
+		return err
 	}
+	report := buildDocumentStatus(args.Service, survey)
 	return p.report(args.Output, report, report.text())
 }
 
-func statusOfAll(ctx context.Context, addresses []netip.AddrPort) ([]rpcore.Status, []error) {
-	statuses, errs := make([]rpcore.Status, len(addresses)), make([]error, len(addresses))
-	var group sync.WaitGroup
-	for i, address := range addresses {
-		group.Go(func() {
-			client := rpoperator.Client{Address: address}
-			raw, err := client.Status(ctx)
-			if err == nil {
-				err = json.Unmarshal(raw, &statuses[i])
-			}
-			errs[i] = err
-		})
-	}
-	group.Wait()
-	return statuses, errs
-}
-
-func buildDocumentStatus(service string, addresses []netip.AddrPort, statuses []rpcore.Status, errs []error) (*documentStatusReport, error) {
+func buildDocumentStatus(service string, survey *rpoperator.Survey) *documentStatusReport {
 	r := &documentStatusReport{Service: service, NotReached: []string{}}
-	var first error
-	seen, live := map[rpcore.InstanceID]bool{}, map[rpcore.InstanceID]bool{}
-	for i := range statuses {
-		if errs[i] != nil {
-			first = cmp.Or(first, errs[i])
-			r.NotReached = append(r.NotReached, addresses[i].String())
-			continue
-		}
-		s := &statuses[i]
-		for _, other := range s.Instances {
-			live[other.ID] = live[other.ID] || other.Live
-		}
-		if !seen[s.Instance] {
-			seen[s.Instance] = true
-			r.add(s)
-		}
+	for i := range survey.Reached {
+		r.add(&survey.Reached[i].Status)
 	}
-	for id, isLive := range live {
-		if isLive && !seen[id] {
-			r.NotReached = append(r.NotReached, string(id))
-		}
+	for i := range survey.Missing {
+		r.NotReached = append(r.NotReached, survey.Missing[i].Name())
 	}
-	slices.Sort(r.NotReached)
 	r.sumUp()
-	return r, first
+	return r
 }
 
 func (r *documentStatusReport) add(s *rpcore.Status) {
--- a/internal/rpcommand/status.go
+++ b/internal/rpcommand/status.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -11,61 +12,81 @@
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
 )
 
-func status(ctx context.Context, p *Program, args *operatorReportArgs) error {
-	client, err := args.client()
-	if err != nil {
-		return err
-	}
-	raw, err := client.Status(ctx)
+type statusArgs struct {
+	OutputArgs
+	OperatorsArgs
+}
+
+func status(ctx context.Context, p *Program, args *statusArgs) error {
+	survey, err := args.survey(ctx)
 	if err != nil {
 		return err
 	}
-	var status rpcore.Status
-	if err := json.Unmarshal(raw, &status); err != nil {
-		return err
-	}
-	return p.report(args.Output, raw, statusText(&status))
+	report := mergeStatus(survey)
+	return p.report(args.Output, report, report.text())
 }
 
-// statusText returns the report of one instance.
-func statusText(s *rpcore.Status) string {
+func (r *statusReport) text() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "Instance %s in failure domain %s at %s.\n", s.Instance, s.FailureDomain, formatTime(s.At))
-	fmt.Fprintf(&b, "%s\n\n", stateSentence(s))
-	b.WriteString("Requests\n")
-	fmt.Fprintf(&b, "  in progress: %d\n", s.Running)
-	for _, rank := range rpdocument.Ranks {
-		fmt.Fprintf(&b, "  waiting with rank %s: %d\n", rank, s.Waiting[rank.String()])
+	fmt.Fprintf(&b, "Status at %s. Instances that answered: %d.\n", formatTime(r.At), len(r.Statuses))
+	for _, missing := range r.NotReached {
+		fmt.Fprintf(&b, "Not reached: %s. What it knows is not part of this report. %s.\n", missing.Name, strings.TrimSuffix(missing.Reason, "."))
 	}
-	writeInstances(&b, s.Instances)
-	writeEndpoints(&b, s.Endpoints)
-	writeModels(&b, s.Models)
-	writeDocuments(&b, s)
+	r.writeInstances(&b)
+	r.writeRequests(&b)
+	writeEndpoints(&b, r.Endpoints)
+	writeModels(&b, r.Models)
+	r.writeSpend(&b)
+	r.writeDocuments(&b)
 	return b.String()
 }
 
-func stateSentence(s *rpcore.Status) string {
+func (r *statusReport) writeInstances(b *strings.Builder) {
+	fmt.Fprintf(b, "\nInstances: %d\n  %-20s %-16s %-20s %11s %8s %8s %10s\n", len(r.Instances),
+		"INSTANCE", "FAILURE DOMAIN", "STATE", "IN PROGRESS", "URGENT", "NORMAL", "BACKGROUND")
+	for _, i := range r.Instances {
+		s := r.statusOf(i.ID)
+		if s == nil {
+			fmt.Fprintf(b, "  %-20s %-16s %-20s %11s %8s %8s %10s\n", i.ID, i.FailureDomain, "not reached, "+liveness(i), "-", "-", "-", "-")
+			continue
+		}
+		fmt.Fprintf(b, "  %-20s %-16s %-20s %11d %8d %8d %10d\n", i.ID, i.FailureDomain, state(s), s.Running,
+			s.Waiting["urgent"], s.Waiting["normal"], s.Waiting["background"])
+	}
+	b.WriteString("  URGENT, NORMAL and BACKGROUND are the requests that wait, by rank.\n")
+}
+
+func liveness(i rpcore.InstanceStatus) string {
+	switch {
+	case i.Leaving:
+		return "leaving"
+	case i.Live:
+		return "live"
+	}
+	return "not live"
+}
+
+func state(s *rpcore.Status) string {
 	switch {
 	case s.Draining:
-		return "The instance is stopping. It takes no new work."
+		return "stopping"
 	case s.Ready:
-		return "The instance is ready."
-	default:
-		return "The instance is not ready. It takes no work yet."
+		return "ready"
 	}
+	return "not ready"
 }
 
-func writeInstances(b *strings.Builder, instances []rpcore.InstanceStatus) {
-	fmt.Fprintf(b, "\nInstances: %d\n  %-20s %-16s %s\n", len(instances), "INSTANCE", "FAILURE DOMAIN", "STATE")
-	for _, i := range instances {
-		state := "not live"
-		if i.Live {
-			state = "live"
-		}
-		if i.Leaving {
-			state += ", leaving"
-		}
-		fmt.Fprintf(b, "  %-20s %-16s %s\n", i.ID, i.FailureDomain, state)
+func (r *statusReport) writeRequests(b *strings.Builder) {
+	b.WriteString("\nRequests\n")
+	fmt.Fprintf(b, "  in progress: %d\n", r.Running)
+	for _, rank := range rpdocument.Ranks {
+		fmt.Fprintf(b, "  waiting with rank %s: %d\n", rank, r.Waiting[rank.String()])
+	}
+	for _, code := range slices.Sorted(maps.Keys(r.Refusals)) {
+		fmt.Fprintf(b, "  refused with %s since the start of the instances: %d\n", code, r.Refusals[code])
+	}
+	if len(r.Refusals) == 0 {
+		b.WriteString("  refused since the start of the instances: 0\n")
 	}
 }
 
@@ -90,27 +111,39 @@
 	}
 }
 
-// writeModels lists the models that are loaded or waited for; most are idle.
+// writeModels lists the models that are loaded, waited for or kept warm; most
+// are idle.
 func writeModels(b *strings.Builder, models []rpcore.ModelStatus) {
 	idle := 0
-	fmt.Fprintf(b, "\nModels: %d\n  %-32s %15s %14s %8s\n", len(models), "MODEL", "REPLICAS LOADED", "DECIDED AT MOST", "WAITING")
+	fmt.Fprintf(b, "\nModels: %d\n  %-32s %15s %16s %15s %8s\n", len(models), "MODEL", "REPLICAS LOADED", "DECIDED AT LEAST", "DECIDED AT MOST", "WAITING")
 	for _, m := range models {
-		if m.Loaded == 0 && m.Waiting == 0 {
+		if m.Loaded == 0 && m.Waiting == 0 && m.WarmReplicas == 0 {
 			idle++
 			continue
 		}
-		fmt.Fprintf(b, "  %-32s %15d %15d %8d\n", m.Model, m.Loaded, m.MaxReplicas, m.Waiting)
+		fmt.Fprintf(b, "  %-32s %15d %16d %15d %8d\n", m.Model, m.Loaded, m.WarmReplicas, m.MaxReplicas, m.Waiting)
 	}
 	fmt.Fprintf(b, "  Models without a replica and without requests: %d.\n", idle)
 }
 
-func writeDocuments(b *strings.Builder, s *rpcore.Status) {
-	fmt.Fprintf(b, "\nDocuments: %d\n  %-24s %8s  %-20s  %s\n", len(s.Documents), "SERVICE", "VERSION", "IN FORCE SINCE", "ACCEPTED AT")
-	for i := range s.Documents {
-		d := &s.Documents[i]
-		fmt.Fprintf(b, "  %-24s %8d  %-20s  %s\n", d.Service, d.Version, formatTime(d.Since), formatTime(d.AcceptedAt))
+func (r *statusReport) writeSpend(b *strings.Builder) {
+	fmt.Fprintf(b, "\nSpend\n  %-24s %20s %15s\n", "SERVICE", "ACCELERATORS IN USE", "ALLOWED AT MOST")
+	for _, s := range r.Spend {
+		fmt.Fprintf(b, "  %-24s %20d %15d\n", s.Service, s.Accelerators, s.MaxAccelerators)
+	}
+}
+
+func (r *statusReport) writeDocuments(b *strings.Builder) {
+	fmt.Fprintf(b, "\nDocuments: %d\n  %-24s %8s  %-26s  %s\n", len(r.Documents), "SERVICE", "VERSION", "IN FORCE EVERYWHERE SINCE", "ACCEPTED AT")
+	for i := range r.Documents {
+		d := &r.Documents[i]
+		since := formatTime(d.Since)
+		if d.Behind > 0 {
+			since = fmt.Sprintf("not at %d of %d", d.Behind, len(r.Statuses))
+		}
+		fmt.Fprintf(b, "  %-24s %8d  %-26s  %s\n", d.Service, d.Version, since, formatTime(d.AcceptedAt))
 	}
-	for _, missing := range s.Missing {
-		fmt.Fprintf(b, "  Version %d of service %s is accepted and not yet in force here.\n", missing.Version, missing.Service)
+	for _, missing := range r.MissingDocuments {
+		fmt.Fprintf(b, "  Version %d of service %s is accepted and not yet in force everywhere.\n", missing.Version, missing.Service)
 	}
 }
--- a/internal/rpcommand/table.go
+++ b/internal/rpcommand/table.go
@@ -56,21 +56,24 @@
 		define(command{name: "document list", aliases: []string{"ls"}, help: "List the documents in force."}, documentList),
 		define(command{
 			name: "document status", aliases: []string{"where"}, help: "Say at which instances a document is in force, and since when.",
-			detail: "It names the live instances that gave no answer.",
+			detail: "It also asks the instances that the named ones know, and names those that gave no answer.",
 		}, documentStatus),
 		define(command{
 			name: "document history", aliases: []string{"log"}, help: "List the accepted versions of a document, and say what changed between two of them.",
 			detail: "It needs the credential of an editor. The table names the accepted version and 20 earlier ones.",
 		}, documentHistory),
 		define(command{name: "document example", help: "Print a document with comments."}, documentExample),
-		define(command{name: "status", help: "Print the state of an instance."}, status),
+		define(command{
+			name: "status", help: "Print the state of all instances, endpoints, models and documents.",
+			detail: "It asks the named instances and those that they know, and names those without an answer.",
+		}, status),
 		define(command{
 			name: "timeline", aliases: []string{"events"}, help: "Print what happened at several instances, in causal order.",
-			detail: "Gaps, and instances that gave no answer, are named. An instance keeps its newest entries only.",
+			detail: "It also asks the instances that the named ones know. Gaps, and instances that gave no answer, are named. An instance keeps its newest entries only.",
 		}, timeline),
 		define(command{
 			name: "explain", aliases: []string{"why"}, help: "Say what one request met at each step, and its verdict.",
-			detail: "Name all instances: the request is known to the one that took it.",
+			detail: "It also asks the instances that the named ones know: the request is known to the one that took it.",
 		}, explain),
 		define(command{name: "version", help: "Print the version of the program."}, version),
 		define(command{name: "docs commands", hidden: true, help: "Print docs/commands.md."}, docsCommands),
--- a/internal/rpcommand/timeline.go
+++ b/internal/rpcommand/timeline.go
@@ -15,11 +15,22 @@
 // OperatorsArgs name the instances to ask.
 type OperatorsArgs struct {
 	Operators []netip.AddrPort `arg:"--operator,separate,env:RATTANPADDLE_OPERATOR" placeholder:"ADDRESS" help:"operators' address of an instance; may be given more than once"`
+	Only      bool             `arg:"--only" help:"ask the named addresses only, not the instances that they know"`
+}
+
+// survey finds the instances. It fails where none answered.
+func (a *OperatorsArgs) survey(ctx context.Context) (*rpoperator.Survey, error) {
+	addresses, err := a.addresses()
+	if err != nil {
+		return nil, err
+	}
+	survey := rpoperator.FindInstances(ctx, addresses, a.Only)
+	return survey, survey.Err()
 }
 
 func (a *OperatorsArgs) addresses() ([]netip.AddrPort, error) {
 	if len(a.Operators) == 0 {
-		return nil, usageError("--operator is missing. Write the operators' address of each instance, such as 127.0.0.1:8081")
+		return nil, usageError("--operator is missing. Write the operators' address of an instance, such as 127.0.0.1:8081")
 	}
 	return a.Operators, nil
 }
@@ -71,15 +82,15 @@
 }
 
 func timeline(ctx context.Context, p *Program, args *timelineArgs) error {
-	addresses, err := args.addresses()
+	query, err := args.query(time.Now())
 	if err != nil {
 		return err
 	}
-	query, err := args.query(time.Now())
+	survey, err := args.survey(ctx)
 	if err != nil {
 		return err
 	}
-	view := rptimeview.Gather(ctx, addresses, query)
+	view := rptimeview.Gather(ctx, survey, query)
 	if err := view.Err(); err != nil {
 		return err
 	}
@@ -93,14 +104,14 @@
 }
 
 func explain(ctx context.Context, p *Program, args *explainArgs) error {
-	addresses, err := args.addresses()
-	if err != nil {
-		return err
-	}
 	if strings.TrimSpace(args.Request) == "" {
 		return usageError("the id of the request is empty")
 	}
-	view := rptimeview.Gather(ctx, addresses, rptimeline.Query{Request: args.Request})
+	survey, err := args.survey(ctx)
+	if err != nil {
+		return err
+	}
+	view := rptimeview.Gather(ctx, survey, rptimeline.Query{Request: args.Request})
 	if err := view.Err(); err != nil {
 		return err
 	}
@@ -109,10 +120,10 @@
 		// The loads that the request waited for have entries of their own, at
 		// the homes of the model and of its base model.
 		first := &view.Entries[0]
-		base = baseModel(ctx, addresses, first.Service, first.Model)
+		base = baseModel(ctx, survey, first.Service, first.Model)
 		for _, model := range []string{first.ModelName(), base} {
 			if model != "" {
-				loads := rptimeview.Gather(ctx, addresses, rptimeline.Query{Since: first.Clock, Model: model, Part: rptimeline.PartReplicas.String()})
+				loads := rptimeview.Gather(ctx, survey, rptimeline.Query{Since: first.Clock, Model: model, Part: rptimeline.PartReplicas.String()})
 				view = view.With(loads)
 			}
 		}
@@ -127,9 +138,9 @@
 // baseModel returns the full name of the base model of an adapter, as the first
 // instance that answers has it in force, or "" for a model. The time line does
 // not name it where the adapter was never ordered.
-func baseModel(ctx context.Context, addresses []netip.AddrPort, service, name string) string {
-	for _, address := range addresses {
-		client := rpoperator.Client{Address: address}
+func baseModel(ctx context.Context, survey *rpoperator.Survey, service, name string) string {
+	for i := range survey.Reached {
+		client := rpoperator.Client{Address: survey.Reached[i].Address}
 		answer, err := client.Document(ctx, service)
 		if err != nil {
 			continue
--- a/internal/rptimeview/doc.go
+++ b/internal/rptimeview/doc.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	view := rptimeview.Gather(ctx, addresses, query)
+//	view := rptimeview.Gather(ctx, rpoperator.FindInstances(ctx, addresses, false), query)
 //	err := view.Write(os.Stdout, rptimeview.FormatText)
 //	explanation := rptimeview.Explain(view, "r1")
 //
--- a/internal/rptimeview/gather.go
+++ b/internal/rptimeview/gather.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"net/netip"
 	"sync"
 	"time"
@@ -19,50 +17,34 @@
 // Source is what came from one operators' address.
 type Source struct {
 	Address netip.AddrPort
-	Page    rptimeline.Page
+	// Instance is set for an instance that gave no answer and that others
+	// know. It may have no address.
+	Instance rpcore.InstanceID
+	Page     rptimeline.Page
 	// Instances lists the instances that this one knows.
 	Instances []rpcore.InstanceStatus
 	Err       error
 }
 
-// Gather asks all addresses at once and merges what they answer.
-func Gather(ctx context.Context, addresses []netip.AddrPort, query rptimeline.Query) *View {
+// Gather asks all instances of a survey at once and merges what they answer.
+func Gather(ctx context.Context, survey *rpoperator.Survey, query rptimeline.Query) *View {
 	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
 	defer cancel()
-	sources := make([]Source, len(addresses))
+	sources := make([]Source, len(survey.Reached))
 	var group sync.WaitGroup
-	for i, address := range addresses {
-		group.Go(func() { sources[i] = ask(ctx, address, query) })
+	for i := range survey.Reached {
+		group.Go(func() { sources[i] = ask(ctx, &survey.Reached[i], query) })
 	}
 	group.Wait()
+	for _, missing := range survey.Missing {
+		sources = append(sources, Source{Address: missing.Address, Instance: missing.Instance, Err: missing.Err})
+	}
 	return Merge(sources, query)
 }
 
-func ask(ctx context.Context, address netip.AddrPort, query rptimeline.Query) Source {
-	source := Source{Address: address}
-	client := rpoperator.Client{Address: address}
+func ask(ctx context.Context, reached *rpoperator.Reached, query rptimeline.Query) Source {
+	source := Source{Address: reached.Address, Instance: reached.Status.Instance, Instances: reached.Status.Instances}
+	client := rpoperator.Client{Address: reached.Address}
 	source.Page, source.Err = client.Timeline(ctx, query)
-	if source.Err != nil {
-		return source
-	}
-	// The status only serves to name the instances that were not asked.
-	var status rpcore.Status
-	if raw, err := client.Status(ctx); err == nil && json.Unmarshal(raw, &status) == nil {
-		source.Instances = status.Instances
-	}
 	return source
 }
-
-// NoneReachedError says that no instance gave its time line.
-type NoneReachedError struct {
-	Addresses int
-	// First is the first failure.
-	First error
-}
-
-func (e *NoneReachedError) Error() string {
-	return fmt.Sprintf("None of %d addresses gave a time line: %v", e.Addresses, e.First)
-}
-
-// Unwrap returns the first failure.
-func (e *NoneReachedError) Unwrap() error { return e.First }
--- a/internal/rptimeview/merge.go
+++ b/internal/rptimeview/merge.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/rattanpaddle/rattanpaddle/internal/rpoperator"
 	"github.com/rattanpaddle/rattanpaddle/internal/rptimeline"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 )
@@ -61,16 +62,13 @@
 	if len(v.Heads) > 0 || v.err == nil {
 		return nil
 	}
-	return &NoneReachedError{Addresses: v.asked, First: v.err}
+	return &rpoperator.NoneReachedError{Addresses: v.asked, First: v.err}
 }
 
 func (v *View) add(source *Source, query rptimeline.Query, known map[rpcore.InstanceID]bool) {
 	if source.Err != nil {
 		v.err = cmp.Or(v.err, source.Err)
-		v.Remarks = append(v.Remarks, Remark{
-			Code: RemarkUnreachable, Address: source.Address.String(),
-			Text: "The instance at " + source.Address.String() + " gave no time line. Its entries are missing. " + source.Err.Error(),
-		})
+		v.addMissing(source)
 		return
 	}
 	head := source.Page.Head
@@ -87,6 +85,25 @@
 	}
 }
 
+// addMissing names a source without an answer. Without an address, the
+// instance was not asked.
+func (v *View) addMissing(source *Source) {
+	remark := Remark{Code: RemarkUnreachable, Instance: string(source.Instance)}
+	who := "The instance"
+	if source.Instance != "" {
+		who = string(source.Instance)
+	}
+	if source.Address.IsValid() {
+		remark.Address = source.Address.String()
+		who += " at " + remark.Address
+	} else {
+		remark.Code = RemarkNotAsked
+		who += " is live and"
+	}
+	remark.Text = who + " gave no time line. Its entries are missing. " + source.Err.Error()
+	v.Remarks = append(v.Remarks, remark)
+}
+
 func (v *View) addGaps(page *rptimeline.Page, query rptimeline.Query) {
 	head := &page.Head
 	gap := func(code string, clock rptimeline.Clock, text string) {
@@ -109,7 +126,10 @@
 
 func (v *View) addNotAsked(known map[rpcore.InstanceID]bool) {
 	for id := range known {
-		if !slices.ContainsFunc(v.Heads, func(h rptimeline.Head) bool { return h.Instance == string(id) }) {
+		named := slices.ContainsFunc(v.Remarks, func(r Remark) bool {
+			return r.Instance == string(id) && (r.Code == RemarkUnreachable || r.Code == RemarkNotAsked)
+		})
+		if !named && !slices.ContainsFunc(v.Heads, func(h rptimeline.Head) bool { return h.Instance == string(id) }) {
 			v.Remarks = append(v.Remarks, Remark{
 				Code: RemarkNotAsked, Instance: string(id),
 				Text: fmt.Sprintf("%s is live and gave no time line. Its entries are missing.", id),
