Give each kind of problem in settings and documents a stable code

The problems that document check and settings check report had a text only, so operators could not search for what to do about one.

Each problem has a code, at the end of its line and in the JSON, and the table of messages says what to do.

--- a/internal/rpmessage/message.go
+++ b/internal/rpmessage/message.go
@@ -21,6 +21,7 @@
 	AreaOperator Area = "operator"
 	AreaExit     Area = "exit"
 	AreaTimeline Area = "timeline"
+	AreaProblem  Area = "problem"
 	AreaLog      Area = "log"
 	AreaNote     Area = "note"
 )
@@ -39,7 +40,7 @@
 // All returns the table.
 func All() []Message {
 	var all []Message
-	for _, list := range [][]Message{callers, operators, exits, remarks, logs, notes} {
+	for _, list := range [][]Message{callers, operators, exits, remarks, problems, logs, notes} {
 		all = append(all, list...)
 	}
 	return all
@@ -79,6 +80,10 @@
 	return Message{Area: AreaExit, Code: code, Happened: happened, Do: do}
 }
 
+func problem(code, happened, do string) Message {
+	return Message{Area: AreaProblem, Code: code, Happened: happened, Do: do}
+}
+
 func remark(code, happened, do string) Message {
 	return Message{Area: AreaTimeline, Code: code, Happened: happened, Do: do}
 }
--- a/internal/rpmessage/message_test.go
+++ b/internal/rpmessage/message_test.go
@@ -57,7 +57,7 @@
 	return found
 }
 
-// Guards against a new code, remark, log line or note without a line in the
+// Guards against a new code, problem, remark, log line or note without a line in the
 // table.
 func TestSourceIsCovered(t *testing.T) {
 	g := NewWithT(t)
@@ -74,6 +74,12 @@
 		_, ok := rpmessage.Find(rpmessage.AreaTimeline, code)
 		g.Expect(ok).To(BeTrue(), code)
 	}
+	problems := withMatches(t, "../rptoml", regexp.MustCompile(`(?m)^\tCode\w+\s+= "(\w+)"`))
+	g.Expect(len(problems)).To(BeNumerically(">", 15))
+	for _, code := range problems {
+		_, ok := rpmessage.Find(rpmessage.AreaProblem, code)
+		g.Expect(ok).To(BeTrue(), code)
+	}
 	lines := withMatches(t, "..", regexp.MustCompile(`(?m)^[^/\n]*\.Msg\("([^"]+)"`))
 	notes := withMatches(t, "../../pkg/rpcore", regexp.MustCompile(`(?:Text: |[nN]ote\((?:"\w+", )?)"([^"]+)"`))
 	g.Expect(len(lines)).To(BeNumerically(">", 20))
--- a/internal/rpoperator/document.go
+++ b/internal/rpoperator/document.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
+	"github.com/rattanpaddle/rattanpaddle/internal/rptoml"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
 )
@@ -146,7 +147,8 @@
 	document, problems := rpdocument.Parse(body)
 	if document != nil && document.Service != sub.service {
 		problems = append(problems, rpdocument.Problem{
-			Key: "service", Wrong: fmt.Sprintf("The document is of service %s, but it was sent for service %s.", document.Service, sub.service),
+			Code: rptoml.CodeServiceMismatch,
+			Key:  "service", Wrong: fmt.Sprintf("The document is of service %s, but it was sent for service %s.", document.Service, sub.service),
 			Fix: "Send it to the path of its service.",
 		})
 	}
--- a/internal/rpsettings/check.go
+++ b/internal/rpsettings/check.go
@@ -32,7 +32,7 @@
 func (c checker) checkName(key, name, example string) {
 	rptoml.Require(c.report, key, example)
 	if c.report.Has(key) && !rpdocument.ValidName(name) {
-		c.report.Add(key, fmt.Sprintf("%q is not allowed as a name.", rptoml.Shorten(name)), fmt.Sprintf(
+		c.report.Add(key, rptoml.CodeNameInvalid, fmt.Sprintf("%q is not allowed as a name.", rptoml.Shorten(name)), fmt.Sprintf(
 			"Write 1 to %d characters: a-z, 0-9, dot, underscore or hyphen. The first is a-z or 0-9.", rpdocument.MaxNameLength))
 	}
 }
@@ -52,7 +52,7 @@
 			continue
 		}
 		if other, ok := seen[listen.address.String()]; ok {
-			c.report.Add(listen.key, fmt.Sprintf("%s has the same address.", other), "Write another port.")
+			c.report.Add(listen.key, rptoml.CodeDuplicate, fmt.Sprintf("%s has the same address.", other), "Write another port.")
 		}
 		seen[listen.address.String()] = listen.key
 	}
@@ -67,11 +67,11 @@
 		key, address = "listen.peers", c.settings.Listen.Peers
 	}
 	if address.IsValid() && address.Addr().IsUnspecified() {
-		c.report.Add(key, fmt.Sprintf("Other instances can't connect to %s.", address),
+		c.report.Add(key, rptoml.CodeAddressUnusable, fmt.Sprintf("Other instances can't connect to %s.", address),
 			"Write the IP address of this instance in advertise.peers.")
 	}
 	if operators := c.settings.Advertise.Operators; operators.IsValid() && operators.Addr().IsUnspecified() {
-		c.report.Add("advertise.operators", fmt.Sprintf("Operators can't connect to %s.", operators),
+		c.report.Add("advertise.operators", rptoml.CodeAddressUnusable, fmt.Sprintf("Operators can't connect to %s.", operators),
 			"Write the IP address of this instance in advertise.operators, or remove the key.")
 	}
 }
@@ -95,7 +95,7 @@
 	rptoml.Require(c.report, key, example)
 	invalid := func(r rune) bool { return r <= ' ' || r > '~' }
 	if c.report.Has(key) && (text == "" || len(text) > maxTextLength || strings.ContainsFunc(text, invalid)) {
-		c.report.Add(key, "The value is not allowed.", fmt.Sprintf("Write 1 to %d ASCII characters without spaces.", maxTextLength))
+		c.report.Add(key, rptoml.CodeValueInvalid, "The value is not allowed.", fmt.Sprintf("Write 1 to %d ASCII characters without spaces.", maxTextLength))
 	}
 }
 
@@ -104,16 +104,16 @@
 	fileKey := key + "_file"
 	switch hasKey, hasFile := c.report.Has(key), c.report.Has(fileKey); {
 	case hasKey && hasFile:
-		c.report.Add(fileKey, fmt.Sprintf("%s and %s are both set.", key, fileKey), "Remove one of the two.")
+		c.report.Add(fileKey, rptoml.CodeContradiction, fmt.Sprintf("%s and %s are both set.", key, fileKey), "Remove one of the two.")
 	case hasFile:
 		body, ok := c.readFile(fileKey, file)
 		if *secret = NewSecret(strings.TrimSpace(string(body))); ok && secret.Reveal() == "" {
-			c.report.Add(fileKey, "The file is empty.", "Write the key into the file.")
+			c.report.Add(fileKey, rptoml.CodeCredentialMissing, "The file is empty.", "Write the key into the file.")
 		}
 	case !hasKey:
 		rptoml.Require(c.report, fileKey, `"secret/key"`)
 	case secret.Reveal() == "":
-		c.report.Add(key, "The key is empty.", fmt.Sprintf("Write the key, or use %s.", fileKey))
+		c.report.Add(key, rptoml.CodeCredentialMissing, "The key is empty.", fmt.Sprintf("Write the key, or use %s.", fileKey))
 	}
 }
 
@@ -122,7 +122,7 @@
 	rptoml.Count(c.report, "operators.bootstrap_editors", len(editors), MaxBootstrapEditors)
 	for i, sum := range editors {
 		if !rpdocument.ValidSum(sum) {
-			c.report.Add(fmt.Sprintf("operators.bootstrap_editors[%d]", i), "The value is not a SHA-256 sum.",
+			c.report.Add(fmt.Sprintf("operators.bootstrap_editors[%d]", i), rptoml.CodeSumInvalid, "The value is not a SHA-256 sum.",
 				"Write the 64 characters 0-9 and a-f that sha256sum prints for the credential.")
 		}
 	}
@@ -168,7 +168,7 @@
 		if !c.report.Has(key) {
 			key = "drain.timeout"
 		}
-		c.report.Add(key, fmt.Sprintf("The grace %s is longer than the timeout %s.", drain.Grace, drain.Timeout),
+		c.report.Add(key, rptoml.CodeContradiction, fmt.Sprintf("The grace %s is longer than the timeout %s.", drain.Grace, drain.Timeout),
 			"Write a timeout that is longer than the grace.")
 	}
 }
--- a/internal/rpsettings/check_test.go
+++ b/internal/rpsettings/check_test.go
@@ -18,6 +18,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/rattanpaddle/rattanpaddle/internal/rpmessage"
 	"github.com/rattanpaddle/rattanpaddle/internal/rpsettings"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 )
@@ -137,6 +138,8 @@
 			problem := problems[0]
 			g.Expect(problem.Key).To(Equal(tc.key), "%v", problems)
 			g.Expect(problem.Wrong).To(ContainSubstring(tc.wrong))
+			_, ok := rpmessage.Find(rpmessage.AreaProblem, problem.Code)
+			g.Expect(ok).To(BeTrue(), "the table of messages lacks the code %q", problem.Code)
 			g.Expect(problem.Error()).To(HavePrefix(fmt.Sprintf("%s: line %d: ", file, problem.Line)))
 			if tc.now != "" && tc.wrong != "can't connect" && !strings.Contains(tc.wrong, "refuse") && tc.wrong != "both set" {
 				place := strings.Count(rpsettings.Example()[:strings.Index(rpsettings.Example(), tc.old)], "\n") + 1
--- a/internal/rpsettings/check_tls.go
+++ b/internal/rpsettings/check_tls.go
@@ -21,7 +21,7 @@
 	if haveCA {
 		files.Pool = x509.NewCertPool()
 		if !files.Pool.AppendCertsFromPEM(ca) {
-			c.report.Add("tls.ca", "The file has no certificate.", "Name a PEM file with the certificate of the authority.")
+			c.report.Add("tls.ca", rptoml.CodeCertificateWrong, "The file has no certificate.", "Name a PEM file with the certificate of the authority.")
 			haveCA = false
 		}
 	}
@@ -42,11 +42,11 @@
 	}
 	switch {
 	case strings.Contains(err.Error(), "does not match"):
-		c.report.Add("tls.key", "The key does not match the certificate.", "Name the key that belongs to tls.certificate.")
+		c.report.Add("tls.key", rptoml.CodePrivateKeyWrong, "The key does not match the certificate.", "Name the key that belongs to tls.certificate.")
 	case strings.Contains(err.Error(), "private key") || strings.Contains(err.Error(), "key input"):
-		c.report.Add("tls.key", "The file has no private key.", "Name a PEM file with the key of tls.certificate.")
+		c.report.Add("tls.key", rptoml.CodePrivateKeyWrong, "The file has no private key.", "Name a PEM file with the key of tls.certificate.")
 	default:
-		c.report.Add("tls.certificate", "The file has no certificate.", "Name a PEM file with the certificate of this instance.")
+		c.report.Add("tls.certificate", rptoml.CodeCertificateWrong, "The file has no certificate.", "Name a PEM file with the certificate of this instance.")
 	}
 	return false
 }
@@ -64,7 +64,7 @@
 		Roots: c.settings.TLS.Pool, Intermediates: intermediates, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
 	})
 	if err != nil {
-		c.report.Add("tls.certificate", fmt.Sprintf("Other instances would refuse the certificate: %s.", strings.TrimPrefix(err.Error(), "x509: ")),
+		c.report.Add("tls.certificate", rptoml.CodeCertificateWrong, fmt.Sprintf("Other instances would refuse the certificate: %s.", strings.TrimPrefix(err.Error(), "x509: ")),
 			"Name a certificate that is valid now and that tls.ca signed.")
 	}
 }
@@ -73,7 +73,7 @@
 func (c checker) readFile(key, name string) ([]byte, bool) {
 	if !c.report.Has(key) || name == "" {
 		if c.report.Has(key) {
-			c.report.Add(key, "The file name is empty.", readFix)
+			c.report.Add(key, rptoml.CodeFileUnreadable, "The file name is empty.", readFix)
 		}
 		return nil, false
 	}
@@ -82,7 +82,7 @@
 	}
 	body, err := readFile(name, MaxFileBytes)
 	if err != nil {
-		c.report.Add(key, readWrong(err), readFix)
+		c.report.Add(key, rptoml.CodeFileUnreadable, readWrong(err), readFix)
 		return nil, false
 	}
 	return body, true
--- a/internal/rpsettings/load.go
+++ b/internal/rpsettings/load.go
@@ -23,7 +23,7 @@
 func Load(file string) (*Settings, []Problem) {
 	body, err := readFile(file, MaxBodyBytes)
 	if err != nil {
-		return nil, []Problem{{File: file, Problem: rpdocument.Problem{Wrong: readWrong(err), Fix: readFix}}}
+		return nil, []Problem{{File: file, Problem: rpdocument.Problem{Code: rptoml.CodeFileUnreadable, Wrong: readWrong(err), Fix: readFix}}}
 	}
 	return Parse(file, body)
 }
--- a/internal/rptoml/check.go
+++ b/internal/rptoml/check.go
@@ -11,7 +11,7 @@
 	if r.Has(key) {
 		return
 	}
-	r.Add(key, "The key is missing.", fmt.Sprintf("Write, for example, %s = %s.", lastPart(key), example))
+	r.Add(key, CodeKeyMissing, "The key is missing.", fmt.Sprintf("Write, for example, %s = %s.", lastPart(key), example))
 }
 
 // Between reports a value that is out of range. A key that the file lacks has
@@ -24,7 +24,7 @@
 	if low == high {
 		fix = fmt.Sprintf("Write %s.", show(low))
 	}
-	r.Add(key, fmt.Sprintf("The value %s is out of range.", show(value)), fix)
+	r.Add(key, CodeOutOfRange, fmt.Sprintf("The value %s is out of range.", show(value)), fix)
 }
 
 // Count reports a list with too many entries.
@@ -32,7 +32,7 @@
 	if entries <= limit {
 		return
 	}
-	r.Add(key, fmt.Sprintf("The list has %d entries.", entries), fmt.Sprintf("Write at most %d entries.", limit))
+	r.Add(key, CodeTooManyEntries, fmt.Sprintf("The list has %d entries.", entries), fmt.Sprintf("Write at most %d entries.", limit))
 }
 
 func show[T any](value T) string {
--- a/internal/rptoml/decode.go
+++ b/internal/rptoml/decode.go
@@ -43,6 +43,7 @@
 		line, _ = decodeErr.Position()
 	}
 	r.problems = append(r.problems, Problem{
+		Code:  CodeTOMLInvalid,
 		Line:  line,
 		Wrong: fmt.Sprintf("The file is not valid TOML: %s.", Shorten(strings.TrimPrefix(err.Error(), "toml: "))),
 		Fix:   "Correct this line and check the file again.",
@@ -85,7 +86,7 @@
 	for _, name := range sortedKeys(table) {
 		field, ok := fields[name]
 		if !ok {
-			d.report.fail(joinKey(key, name), "The key is unknown here.", knownKeys(fields))
+			d.report.fail(joinKey(key, name), CodeKeyUnknown, "The key is unknown here.", knownKeys(fields))
 			continue
 		}
 		d.value(joinKey(key, name), table[name], field)
@@ -128,7 +129,7 @@
 		return
 	}
 	if dest.OverflowInt(n) {
-		d.report.fail(key, "The number is too large.", "Write a smaller number.")
+		d.report.fail(key, CodeOutOfRange, "The number is too large.", "Write a smaller number.")
 		return
 	}
 	dest.SetInt(n)
@@ -141,7 +142,7 @@
 		dest.SetFloat(float64(n))
 	case float64:
 		if math.IsNaN(n) || math.IsInf(n, 0) {
-			d.report.fail(key, "The value is not a finite number.", "Write a number such as 0.5.")
+			d.report.fail(key, CodeValueInvalid, "The value is not a finite number.", "Write a number such as 0.5.")
 			return
 		}
 		dest.SetFloat(n)
@@ -158,7 +159,7 @@
 	}
 	if err := dest.UnmarshalText([]byte(s)); err != nil {
 		wrong, fix := explain(err)
-		d.report.fail(key, wrong, fix)
+		d.report.fail(key, CodeValueInvalid, wrong, fix)
 	}
 }
 
@@ -186,7 +187,7 @@
 }
 
 func (d decoder) wrongType(key string, raw any, fix string) {
-	d.report.fail(key, fmt.Sprintf("The value is %s.", typeName(raw)), fix)
+	d.report.fail(key, CodeTypeWrong, fmt.Sprintf("The value is %s.", typeName(raw)), fix)
 }
 
 func typeName(raw any) string {
--- a/internal/rptoml/decode_test.go
+++ b/internal/rptoml/decode_test.go
@@ -47,7 +47,7 @@
 	problems := report.Problems()
 	g.Expect(problems).To(HaveLen(7))
 	g.Expect(problems[0]).To(Equal(rptoml.Problem{
-		Line: 1, Key: "count", Wrong: "The value is a string.", Fix: "Write a whole number, without quotes.",
+		Code: rptoml.CodeTypeWrong, Line: 1, Key: "count", Wrong: "The value is a string.", Fix: "Write a whole number, without quotes.",
 	}))
 	places := make([]string, len(problems))
 	for i, problem := range problems {
--- a/internal/rptoml/report.go
+++ b/internal/rptoml/report.go
@@ -13,6 +13,8 @@
 
 // Problem is one thing that is wrong with a file.
 type Problem struct {
+	// Code names the kind of problem. It is stable.
+	Code string
 	// Line counts from 1; it is 0 where the problem has no line.
 	Line int
 	// Key is the TOML key, such as models[2].memory.
@@ -60,7 +62,7 @@
 
 // Add reports a problem of a key, unless the key has one already or stands in
 // something that could not be decoded.
-func (r *Report) Add(key, wrong, fix string) {
+func (r *Report) Add(key, code, wrong, fix string) {
 	if r.unreadable || r.reported[key] || r.underFailed(key) {
 		return
 	}
@@ -69,7 +71,7 @@
 		r.dropped++
 		return
 	}
-	r.problems = append(r.problems, Problem{Line: r.Line(key), Key: key, Wrong: wrong, Fix: fix})
+	r.problems = append(r.problems, Problem{Code: code, Line: r.Line(key), Key: key, Wrong: wrong, Fix: fix})
 }
 
 // Sound reports whether none of the keys has a problem, so that a check which
@@ -89,6 +91,7 @@
 	slices.SortStableFunc(problems, func(a, b Problem) int { return cmp.Compare(a.Line, b.Line) })
 	if r.dropped > 0 {
 		problems = append(problems, Problem{
+			Code:  CodeTooManyProblems,
 			Wrong: fmt.Sprintf("The file has %d more problems.", r.dropped),
 			Fix:   "Correct the problems above and check the file again.",
 		})
@@ -96,8 +99,8 @@
 	return problems
 }
 
-func (r *Report) fail(key, wrong, fix string) {
-	r.Add(key, wrong, fix)
+func (r *Report) fail(key, code, wrong, fix string) {
+	r.Add(key, code, wrong, fix)
 	r.failed[key] = true
 }
 
--- a/pkg/rpcore/submission.go
+++ b/pkg/rpcore/submission.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/rattanpaddle/rattanpaddle/internal/rptoml"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
 )
 
@@ -25,6 +26,7 @@
 	document, problems := rpdocument.Parse(ev.Body)
 	if len(problems) == 0 && document.Service != ev.Service {
 		problems = append(problems, rpdocument.Problem{
+			Code:  rptoml.CodeServiceMismatch,
 			Key:   "service",
 			Wrong: "The document names the service " + document.Service + ".",
 			Fix:   "Write " + ev.Service + " or submit it for the other service.",
--- a/pkg/rpdocument/check.go
+++ b/pkg/rpdocument/check.go
@@ -18,7 +18,7 @@
 	c.checkName("team", c.doc.Team, `"counter"`)
 	rptoml.Require(c.report, "editors", `["<SHA-256 sum of a credential>"]`)
 	if c.report.Has("editors") && len(c.doc.Editors) == 0 {
-		c.report.Add("editors", "The list is empty, so nobody could change the document.",
+		c.report.Add("editors", rptoml.CodeListEmpty, "The list is empty, so nobody could change the document.",
 			"Write the SHA-256 sum of at least one credential.")
 	}
 }
@@ -29,7 +29,7 @@
 	if !c.report.Has(key) || ValidName(name) {
 		return
 	}
-	c.report.Add(key, fmt.Sprintf("%q is not allowed as a name.", rptoml.Shorten(name)), fmt.Sprintf(
+	c.report.Add(key, rptoml.CodeNameInvalid, fmt.Sprintf("%q is not allowed as a name.", rptoml.Shorten(name)), fmt.Sprintf(
 		"Write 1 to %d characters: a-z, 0-9, dot, underscore or hyphen. The first is a-z or 0-9.", MaxNameLength))
 }
 
@@ -48,7 +48,7 @@
 	for i, sum := range sums {
 		entry := fmt.Sprintf("%s[%d]", key, i)
 		if !ValidSum(sum) {
-			c.report.Add(entry, "The value is not a SHA-256 sum.",
+			c.report.Add(entry, rptoml.CodeSumInvalid, "The value is not a SHA-256 sum.",
 				"Write the 64 characters 0-9 and a-f that sha256sum prints for the credential.")
 			continue
 		}
@@ -66,7 +66,7 @@
 // to lines.
 func (c checker) checkUnique(key, label, what string, seen map[string]int, name string) {
 	if line, ok := seen[name]; ok {
-		c.report.Add(key, fmt.Sprintf("The %s %s is declared on line %d already.", what, rptoml.Shorten(label), line),
+		c.report.Add(key, rptoml.CodeDuplicate, fmt.Sprintf("The %s %s is declared on line %d already.", what, rptoml.Shorten(label), line),
 			"Remove one of the two.")
 		return
 	}
@@ -92,7 +92,7 @@
 	}
 	if sum > 1+floorTolerance && c.report.Sound("ranks.urgent.floor", "ranks.normal.floor", "ranks.background.floor") {
 		sum = math.Round(sum*1000) / 1000
-		c.report.Add("ranks", fmt.Sprintf("The floors sum up to %v.", sum),
+		c.report.Add("ranks", rptoml.CodeContradiction, fmt.Sprintf("The floors sum up to %v.", sum),
 			"Write floors of urgent, normal and background that sum up to at most 1.")
 	}
 }
@@ -104,7 +104,7 @@
 	rptoml.Between(c.report, key+".floor", policy.Floor, 0, 1)
 	rptoml.Between(c.report, key+".queue_limit", policy.QueueLimit, 1, MaxQueueLimit)
 	if policy.Target > policy.Deadline && c.report.Sound(key+".target", key+".deadline") {
-		c.report.Add(c.present(key+".target", key+".deadline"),
+		c.report.Add(c.present(key+".target", key+".deadline"), rptoml.CodeContradiction,
 			fmt.Sprintf("The target %s is longer than the deadline %s.", policy.Target, policy.Deadline),
 			"Write a target that is at most the deadline.")
 	}
--- a/pkg/rpdocument/check_model.go
+++ b/pkg/rpdocument/check_model.go
@@ -39,12 +39,12 @@
 	rptoml.Between(c.report, key+".max_replicas", model.MaxReplicas, 1, MaxReplicas)
 	rptoml.Between(c.report, key+".warm_replicas", model.WarmReplicas, 0, MaxReplicas)
 	if model.WarmReplicas > model.MaxReplicas && c.report.Sound(key+".max_replicas") {
-		c.report.Add(key+".warm_replicas",
+		c.report.Add(key+".warm_replicas", rptoml.CodeContradiction,
 			fmt.Sprintf("warm_replicas is %d, more than max_replicas, %d.", model.WarmReplicas, model.MaxReplicas),
 			"Write at most max_replicas.")
 	}
 	if spend := c.doc.Spend.Accelerators; model.Accelerators > spend && c.report.Sound("spend.accelerators") {
-		c.report.Add(key+".accelerators",
+		c.report.Add(key+".accelerators", rptoml.CodeContradiction,
 			fmt.Sprintf("One replica takes %d accelerators, more than spend.accelerators, %d.", model.Accelerators, spend),
 			"Write at most spend.accelerators, or raise that.")
 	}
@@ -55,7 +55,7 @@
 	if !c.report.Has(key) || (checkpoint != "" && len(checkpoint) <= MaxCheckpointLength && isPrintable(checkpoint)) {
 		return
 	}
-	c.report.Add(key, "The value is not allowed as a checkpoint.",
+	c.report.Add(key, rptoml.CodeValueInvalid, "The value is not allowed as a checkpoint.",
 		fmt.Sprintf("Write 1 to %d ASCII characters without spaces.", MaxCheckpointLength))
 }
 
@@ -73,7 +73,7 @@
 // checkRankGiven refuses an empty rank; a missing one has its default.
 func (c checker) checkRankGiven(key string, rank Rank) {
 	if rank == RankUnset {
-		c.report.Add(key, "The rank is empty.", UnknownRankError{}.Fix())
+		c.report.Add(key, rptoml.CodeValueInvalid, "The rank is empty.", UnknownRankError{}.Fix())
 	}
 }
 
@@ -94,7 +94,7 @@
 		c.checkMemory(key+".memory", adapter.Memory)
 		c.checkRankGiven(key+".rank", adapter.Rank)
 		if sound && !models[adapter.BaseModel] {
-			c.report.Add(key+".base_model", fmt.Sprintf("The document declares no model %q.", rptoml.Shorten(adapter.BaseModel)),
+			c.report.Add(key+".base_model", rptoml.CodeBaseModelUnknown, fmt.Sprintf("The document declares no model %q.", rptoml.Shorten(adapter.BaseModel)),
 				"Write the name of a model of this document, or declare the model.")
 		}
 	}
@@ -117,12 +117,12 @@
 func (c checker) checkMethods(key string, route *Route, seen map[string]int) {
 	rptoml.Require(c.report, key, `["GET", "POST"]`)
 	if c.report.Has(key) && len(route.Methods) == 0 {
-		c.report.Add(key, "The list is empty.", "Write at least one method.")
+		c.report.Add(key, rptoml.CodeListEmpty, "The list is empty.", "Write at least one method.")
 	}
 	for i, method := range route.Methods {
 		entry := fmt.Sprintf("%s[%d]", key, i)
 		if !slices.Contains(Methods, method) {
-			c.report.Add(entry, fmt.Sprintf("%q is not a method.", rptoml.Shorten(method)),
+			c.report.Add(entry, rptoml.CodeValueInvalid, fmt.Sprintf("%q is not a method.", rptoml.Shorten(method)),
 				fmt.Sprintf("Write one of: %s.", strings.Join(Methods, ", ")))
 			continue
 		}
@@ -136,7 +136,7 @@
 	if !c.report.Has(key) || validPath(path) {
 		return
 	}
-	c.report.Add(key, fmt.Sprintf("%q is not allowed as a path prefix.", rptoml.Shorten(path)), fmt.Sprintf(
+	c.report.Add(key, rptoml.CodeValueInvalid, fmt.Sprintf("%q is not allowed as a path prefix.", rptoml.Shorten(path)), fmt.Sprintf(
 		"Write a path that begins with /, without spaces, ?, # or %%, without empty parts, . and .., of at most %d bytes.", MaxPathLength))
 }
 
--- a/pkg/rpdocument/parse.go
+++ b/pkg/rpdocument/parse.go
@@ -12,6 +12,7 @@
 func Parse(body []byte) (*Document, []Problem) {
 	if len(body) > MaxBodyBytes {
 		return nil, []Problem{{
+			Code:  rptoml.CodeFileTooLarge,
 			Wrong: fmt.Sprintf("The document has %d bytes.", len(body)),
 			Fix:   fmt.Sprintf("Write at most %d bytes.", MaxBodyBytes),
 		}}
--- a/pkg/rpdocument/parse_test.go
+++ b/pkg/rpdocument/parse_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/rattanpaddle/rattanpaddle/internal/rpmessage"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
 )
 
@@ -83,6 +84,8 @@
 				rest, ok := strings.CutPrefix(tc.want, prefix)
 				found = found || (ok && strings.Contains(problem.Wrong, rest))
 				g.Expect(problem.Wrong).To(HaveSuffix("."))
+				_, ok = rpmessage.Find(rpmessage.AreaProblem, problem.Code)
+				g.Expect(ok).To(BeTrue(), "the table of messages lacks the code %q", problem.Code)
 				g.Expect(problem.Fix).To(HaveSuffix("."), "the fix is not a sentence: %s", problem.Fix)
 			}
 			g.Expect(found).To(BeTrue(), "%s is not in %v", tc.want, problems)
@@ -103,7 +106,7 @@
 	}
 	g.Expect(keys).To(ConsistOf("format", "service", "colour", "team", "editors", "spend.accelerators",
 		"models[0].name", "models[0].version", "models[0].checkpoint", "models[0].memory", "models[0].max_replicas"))
-	g.Expect(problems[0].Error()).To(Equal("line 1: format: The value 3 is out of range. Write 1."))
+	g.Expect(problems[0].Error()).To(Equal("line 1: format: The value 3 is out of range. Write 1. (out_of_range)"))
 }
 
 // Guards against a misleading second problem: a check that compares two keys
--- a/pkg/rpdocument/problem.go
+++ b/pkg/rpdocument/problem.go
@@ -4,6 +4,8 @@
 
 // Problem is one thing that is wrong with a document.
 type Problem struct {
+	// Code names the kind of problem. It is stable.
+	Code string `json:"code" cbor:"code"`
 	// Line counts from 1; it is 0 where the problem has no line.
 	Line int `json:"line" cbor:"line"`
 	// Key is the TOML key, such as models[2].memory.
@@ -23,5 +25,8 @@
 	if p.Line > 0 {
 		text = fmt.Sprintf("line %d: %s", p.Line, text)
 	}
+	if p.Code != "" {
+		text += " (" + p.Code + ")"
+	}
 	return text
 }
