--- a/internal/rpoperator/document.go
+++ b/internal/rpoperator/document.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
+	"github.com/rattanpaddle/rattanpaddle/internal/rptoml"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
 )
@@ -25,10 +26,7 @@
 	service := mux.Vars(r)["service"]
 	current, ok := s.inForce(service)
 	if !ok {
-		refuse(w, &Refusal{
-			Status: http.StatusNotFound, Code: CodeUnknownService,
-			Detail: fmt.Sprintf("This instance has no document of service %s.", quoteName(service)),
-		})
+		refuse(w, unknownService(service))
 		return
 	}
 	w.Header().Set("ETag", formatVersion(current.Row.Version))
@@ -73,10 +71,7 @@
 		return nil, &Refusal{Status: http.StatusNotFound, Code: CodeUnknownService, Detail: "The path has no valid name of a service."}
 	}
 	if sub.editor == "" {
-		return nil, &Refusal{
-			Status: http.StatusUnauthorized, Code: CodeCredentialMissing,
-			Detail: "The request has no credential. Send the header Authorization: Bearer CREDENTIAL.",
-		}
+		return nil, credentialMissing()
 	}
 	current, exists := s.inForce(sub.service)
 	if refusal := s.checkRight(sub.editor, current, exists); refusal != nil {
@@ -139,10 +134,7 @@
 	case version < inForce:
 		return conflict(sub, &current.Row)
 	case version > inForce:
-		return &Refusal{
-			Status: http.StatusServiceUnavailable, Code: CodeInstanceBehind, RetryAfter: retryAfterBehind,
-			Detail: fmt.Sprintf("This instance has version %d in force. Wait until it has version %d, or ask another instance.", inForce, version),
-		}
+		return behind(inForce, version)
 	}
 	return nil
 }
@@ -155,7 +147,8 @@
 	document, problems := rpdocument.Parse(body)
 	if document != nil && document.Service != sub.service {
 		problems = append(problems, rpdocument.Problem{
-			Key: "service", Wrong: fmt.Sprintf("The document is of service %s, but it was sent for service %s.", document.Service, sub.service),
+			Code: rptoml.CodeServiceMismatch,
+			Key:  "service", Wrong: fmt.Sprintf("The document is of service %s, but it was sent for service %s.", document.Service, sub.service),
 			Fix: "Send it to the path of its service.",
 		})
 	}
--- a/pkg/rpcore/sim_test.go
+++ b/pkg/rpcore/sim_test.go
@@ -59,6 +59,8 @@
 	list    simList
 	engines map[EndpointID]*simEngine
 	limits  Limits
+	// operators returns the operators' address of an instance.
+	operators func(*simNode) netip.AddrPort
 	// onStep sees every event of a State with its effects.
 	onStep []func(n *simNode, ev Event, effects []Effect)
 }
@@ -101,6 +103,7 @@
 func withSim(t fataler, seed uint64, n, d int) *sim {
 	start := time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
 	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 1)), start: start, now: start, engines: make(map[EndpointID]*simEngine)}
+	s.operators = func(*simNode) netip.AddrPort { return netip.AddrPort{} }
 	s.net = simNetwork{
 		minDelay: 500 * time.Microsecond, maxDelay: 20 * time.Millisecond, lost: make(map[[2]InstanceID]int),
 		cuts: make(map[[2]FailureDomain]bool), platformCut: make(map[FailureDomain]bool),
@@ -141,7 +144,7 @@
 		Incarnation: n.self.Incarnation, Address: n.address(),
 	})
 	n.reduce(func(at Stamp) Event {
-		return Start{Stamp: at, Self: n.self, Seed: n.sim.rng.Uint64(), Limits: n.sim.limits}
+		return Start{Stamp: at, Self: n.self, Operators: n.sim.operators(n), Seed: n.sim.rng.Uint64(), Limits: n.sim.limits}
 	})
 	n.post(time.Millisecond, n.pollList)
 }
--- a/pkg/rpcore/spend.go
+++ b/pkg/rpcore/spend.go
@@ -255,7 +255,8 @@
 // SpendStatus compares what a service uses with what its document allows.
 type SpendStatus struct {
 	Service string `json:"service"`
-	// Accelerators are those in use now.
+	// Accelerators counts those of all reserved and loaded replicas, as far as
+	// the reporting instance knows.
 	Accelerators    int `json:"accelerators"`
 	MaxAccelerators int `json:"max_accelerators"`
 	// HoursUsed are the accelerator hours of this day (UTC).
--- a/pkg/rpcore/status.go
+++ b/pkg/rpcore/status.go
@@ -1,26 +1,31 @@
 package rpcore
 
 import (
+	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
 // Status is the report of one instance on itself and on what it sees.
 type Status struct {
 	Identity
-	At        time.Time         `json:"at"`
-	Ready     bool              `json:"ready"`
-	Draining  bool              `json:"draining"`
-	Waiting   map[string]int    `json:"waiting_requests"`
-	Running   int               `json:"requests_in_progress"`
-	Instances []InstanceStatus  `json:"instances"`
-	Endpoints []EndpointStatus  `json:"endpoints"`
-	Models    []ModelStatus     `json:"models"`
-	Spend     []SpendStatus     `json:"spend"`
-	Documents []DocumentInForce `json:"documents"`
-	Missing   []DocumentVersion `json:"missing_documents"`
+	At       time.Time      `json:"at"`
+	Ready    bool           `json:"ready"`
+	Draining bool           `json:"draining"`
+	Waiting  map[string]int `json:"waiting_requests"`
+	Running  int            `json:"requests_in_progress"`
+	// Refusals counts the refusals since the instance started, by code.
+	Refusals  map[rpverdict.Code]uint64 `json:"refusals"`
+	Instances []InstanceStatus          `json:"instances"`
+	Endpoints []EndpointStatus          `json:"endpoints"`
+	Models    []ModelStatus             `json:"models"`
+	Spend     []SpendStatus             `json:"spend"`
+	Documents []DocumentInForce         `json:"documents"`
+	Missing   []DocumentVersion         `json:"missing_documents"`
 }
 
 // InstanceStatus is what the reporting instance knows of an instance.
@@ -29,6 +34,9 @@
 	FailureDomain FailureDomain `json:"failure_domain"`
 	Live          bool          `json:"live"`
 	Leaving       bool          `json:"leaving"`
+	// Operators is the address for operators. It is not set where the instance
+	// has not told it.
+	Operators netip.AddrPort `json:"operators,omitzero"`
 }
 
 // EndpointStatus is what the reporting instance knows of an endpoint.
@@ -48,10 +56,11 @@
 
 // ModelStatus compares what is loaded with what the document decided.
 type ModelStatus struct {
-	Model       ModelKey `json:"model"`
-	MaxReplicas int      `json:"max_replicas"`
-	Loaded      int      `json:"loaded_replicas"`
-	Waiting     int      `json:"waiting_requests"`
+	Model        ModelKey `json:"model"`
+	WarmReplicas int      `json:"warm_replicas"`
+	MaxReplicas  int      `json:"max_replicas"`
+	Loaded       int      `json:"loaded_replicas"`
+	Waiting      int      `json:"waiting_requests"`
 }
 
 // DocumentInForce is a document in force at the reporting instance.
@@ -98,6 +107,7 @@
 		Draining:  s.draining,
 		Waiting:   make(map[string]int, rpdocument.RankCount),
 		Running:   len(s.requests.byID),
+		Refusals:  maps.Clone(s.requests.refusals),
 		Instances: s.instanceStatus(),
 		Endpoints: s.endpointStatus(),
 		Models:    s.modelStatus(),
@@ -112,7 +122,7 @@
 }
 
 func (s *State) instanceStatus() []InstanceStatus {
-	status := []InstanceStatus{{ID: s.self.Instance, FailureDomain: s.self.FailureDomain, Live: true, Leaving: s.draining}}
+	status := []InstanceStatus{{ID: s.self.Instance, FailureDomain: s.self.FailureDomain, Live: true, Leaving: s.draining, Operators: s.operators}}
 	for _, id := range s.allPeers() {
 		p := s.members.peers[id]
 		status = append(status, InstanceStatus{
@@ -120,6 +130,7 @@
 			FailureDomain: p.FailureDomain,
 			Live:          slices.Contains(s.members.live, id),
 			Leaving:       p.leaving,
+			Operators:     p.operators,
 		})
 	}
 	return status
@@ -162,10 +173,11 @@
 			model := &s.document(service).Models[i]
 			key := ModelKey{Service: service, Name: model.Name}
 			status = append(status, ModelStatus{
-				Model:       key,
-				MaxReplicas: model.MaxReplicas,
-				Loaded:      len(s.serving(key)),
-				Waiting:     s.modelUse(key).Waiting,
+				Model:        key,
+				WarmReplicas: model.WarmReplicas,
+				MaxReplicas:  model.MaxReplicas,
+				Loaded:       len(s.serving(key)),
+				Waiting:      s.modelUse(key).Waiting,
 			})
 		}
 	}
--- a/pkg/rpcore/submission.go
+++ b/pkg/rpcore/submission.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/rattanpaddle/rattanpaddle/internal/rptoml"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
 )
 
@@ -25,6 +26,7 @@
 	document, problems := rpdocument.Parse(ev.Body)
 	if len(problems) == 0 && document.Service != ev.Service {
 		problems = append(problems, rpdocument.Problem{
+			Code:  rptoml.CodeServiceMismatch,
 			Key:   "service",
 			Wrong: "The document names the service " + document.Service + ".",
 			Fix:   "Write " + ev.Service + " or submit it for the other service.",
@@ -89,13 +91,15 @@
 		Submission: sub.Submission,
 	}
 	if sub.previous != nil {
-		row.History = slices.Concat([]AcceptedVersion{sub.previous.accepted()}, sub.previous.History)
+		row.History = slices.Concat([]AcceptedVersion{sub.previous.Accepted()}, sub.previous.History)
 		row.History = row.History[:min(len(row.History), DocumentHistoryLimit)]
 	}
 	return row
 }
 
-func (r *DocumentRow) accepted() AcceptedVersion {
+// Accepted returns the version that the row accepts, as it is kept in the
+// history of later rows.
+func (r *DocumentRow) Accepted() AcceptedVersion {
 	return AcceptedVersion{r.Version, r.Hash, r.Editor, r.AcceptedAt, r.Submission}
 }
 
