--- a/internal/rpfront/limits_test.go
+++ b/internal/rpfront/limits_test.go
@@ -78,8 +78,8 @@
 		b.Expect(problem.Verdict).To(Equal(rpverdict.NotRun), c.name)
 		b.Expect(problem.Detail).NotTo(BeEmpty(), c.name)
 		b.Expect(resp.StatusCode).To(Equal(rpverdict.Refuse(c.code, "").Status()), c.name)
+		b.Eventually(func() []rpcore.RequestRejected { return seenOf[rpcore.RequestRejected](b) }).Should(HaveLen(i+1), c.name)
 		rejected := seenOf[rpcore.RequestRejected](b)
-		b.Expect(rejected).To(HaveLen(i+1), c.name)
 		b.Expect(string(rejected[i].Request)).To(Equal(resp.Header.Get("X-Request-Id")), c.name)
 		b.Expect(rejected[i].Refusal.Code).To(Equal(c.code), c.name)
 		b.Expect(rejected[i].Refusal.Detail).To(Equal(problem.Detail), c.name)
@@ -109,7 +109,7 @@
 	b.Expect(b.readAll(resp)).To(ContainSubstring("too_many_streams"))
 	b.front.RefuseRequest(rpcore.RefuseRequest{Request: id, Refusal: rpverdict.Refuse(rpverdict.CodeNoEndpoint, "None.")})
 	<-done
-	b.Expect(seenOf[rpcore.RequestRejected](b)).To(HaveLen(1))
+	b.Eventually(func() []rpcore.RequestRejected { return seenOf[rpcore.RequestRejected](b) }).Should(HaveLen(1))
 }
 
 // Guards against fields that routing and admission miss, and against prefix
@@ -161,6 +161,9 @@
 // and against a body timeout that ends requests whose body has arrived.
 func TestBodyTimeout(t *testing.T) {
 	b := withBench(t, rpfront.Limits{BodyTimeout: 50 * time.Millisecond})
+	// The event loop reads decide with the first event, which a refusal is.
+	service := rpstandin.NewService(rpstandin.ServiceConfig{Delay: 150 * time.Millisecond})
+	b.decide = (&dispatcher{addresses: []netip.AddrPort{withService(t, service)}, plain: true}).decide
 	for header, code := range map[string]string{"X: y": "malformed_request", "Rattan-Rank: top": "invalid_header"} {
 		conn, err := net.Dial("tcp", addressOf(b.server).String())
 		b.Expect(err).NotTo(HaveOccurred())
@@ -172,8 +175,6 @@
 		b.Expect(b.readAll(resp)).To(ContainSubstring(code))
 	}
 
-	service := rpstandin.NewService(rpstandin.ServiceConfig{Delay: 150 * time.Millisecond})
-	b.decide = (&dispatcher{addresses: []netip.AddrPort{withService(t, service)}, plain: true}).decide
 	b.Expect(b.readAll(b.post("/services/till/echo", "whole"))).To(Equal("whole"))
 	b.Expect(seenOf[rpcore.RequestAbandoned](b)).To(BeEmpty())
 }
