Take the time of a recorded event without a copy of the event

Cause: a type switch that binds the event copies all of it, up to 250 bytes, only to read its time, and the time was turned into a clock for each entry.

Change: rpcore.TimeOf reads the time of any event, and the recorder keeps it as a physical clock. Every recorded event has its entries stamped with its own time, as before.

--- a/internal/rptimeline/clock.go
+++ b/internal/rptimeline/clock.go
@@ -75,11 +75,12 @@
 }
 
 // Tick returns a clock that is later than all earlier ones.
-func (l *LogicalClock) Tick(at time.Time) Clock {
-	physical := uint64(ClockAt(at))
+func (l *LogicalClock) Tick(at time.Time) Clock { return l.next(ClockAt(at)) }
+
+func (l *LogicalClock) next(physical Clock) Clock {
 	for {
 		last := l.last.Load()
-		next := max(last+1, physical)
+		next := max(last+1, uint64(physical))
 		if l.last.CompareAndSwap(last, next) {
 			return Clock(next)
 		}
--- a/internal/rptimeline/effect.go
+++ b/internal/rptimeline/effect.go
@@ -9,7 +9,7 @@
 	case rpcore.SendPeer:
 		r.sent(&effect)
 	case rpcore.RefuseRequest:
-		r.follow(&record{
+		r.add(&record{
 			kind: KindRequestRefused, request: string(effect.Request), code: string(effect.Refusal.Code),
 			verdict: verdictByte(effect.Refusal.Verdict), text: effect.Refusal.Detail,
 		})
@@ -26,33 +26,33 @@
 		endpoint: string(note.Endpoint), text: note.Text,
 	}
 	rec.part, _ = ParsePart(note.Part)
-	rec.clock = r.clock.Tick(r.at)
+	rec.clock = r.clock.next(r.at)
 	r.ring.add(&rec)
 }
 
 func (r *Recorder) rareEffect(effect rpcore.Effect) {
 	switch effect := effect.(type) {
 	case rpcore.CancelAttempt:
-		r.follow(&record{kind: KindAttemptCanceled, attempt: string(effect.Attempt)})
+		r.add(&record{kind: KindAttemptCanceled, attempt: string(effect.Attempt)})
 	case rpcore.ReplayOutcome:
-		r.follow(&record{kind: KindOutcomeReplayed, request: string(effect.Request)})
+		r.add(&record{kind: KindOutcomeReplayed, request: string(effect.Request)})
 	case rpcore.SendOrder:
-		r.follow(&record{
+		r.add(&record{
 			kind: KindOrderSent, order: string(effect.Order), service: effect.Model.Service, model: effect.Model.Name,
 			endpoint: string(effect.Endpoint), code: string(effect.Kind), count: effect.Fence,
 		})
 	case rpcore.WriteTable:
 		r.writeSent(&effect)
 	case rpcore.AnswerSubmission:
-		r.follow(&record{kind: KindSubmissionAnswered, code: string(effect.Result), count: effect.Version, text: "submission " + effect.Submission})
+		r.add(&record{kind: KindSubmissionAnswered, code: string(effect.Result), count: effect.Version, text: "submission " + effect.Submission})
 	case rpcore.ReportReady:
 		rec := record{kind: KindReadyChanged, code: CodeNotReady, text: effect.Reason}
 		if effect.Ready {
 			rec.code = CodeReady
 		}
-		r.follow(&rec)
+		r.add(&rec)
 	case rpcore.ReportDrained:
-		r.follow(&record{kind: KindDrained})
+		r.add(&record{kind: KindDrained})
 	}
 }
 
@@ -70,5 +70,5 @@
 			rec.endpoint = key.Name
 		}
 	}
-	r.follow(&rec)
+	r.add(&rec)
 }
--- a/internal/rptimeline/event.go
+++ b/internal/rptimeline/event.go
@@ -20,13 +20,13 @@
 func (r *Recorder) event(ev rpcore.Event) {
 	switch ev := ev.(type) {
 	case rpcore.RequestAbandoned:
-		r.add(ev.At, &record{kind: KindRequestAbandoned, request: string(ev.Request)})
+		r.add(&record{kind: KindRequestAbandoned, request: string(ev.Request)})
 	case rpcore.PeerReceived:
 		r.received(&ev)
 	case rpcore.Start:
 		r.start(ev)
 	case rpcore.OrderAnswered:
-		r.add(ev.At, &record{kind: KindOrderAnswered, order: string(ev.Order), endpoint: string(ev.Endpoint), code: string(ev.Result), text: ev.Detail})
+		r.add(&record{kind: KindOrderAnswered, order: string(ev.Order), endpoint: string(ev.Endpoint), code: string(ev.Result), text: ev.Detail})
 	case rpcore.EngineReported:
 		r.enginePolled(false, ev.Report.Endpoint, &record{kind: KindEngineReachable, endpoint: string(ev.Report.Endpoint)})
 	case rpcore.EngineUnreachable:
@@ -36,21 +36,21 @@
 		}
 		r.enginePolled(true, ev.Endpoint, &rec)
 	case rpcore.ListUnavailable:
-		r.add(ev.At, &record{kind: KindListUnavailable})
+		r.add(&record{kind: KindListUnavailable})
 	case rpcore.TableReadDone:
 		if ev.Unavailable {
-			r.add(ev.At, &record{kind: KindTableReadFailed})
+			r.add(&record{kind: KindTableReadFailed})
 		}
 	case rpcore.TableWriteDone:
-		r.add(ev.At, &record{kind: KindTableWriteDone, code: string(ev.Outcome)})
+		r.add(&record{kind: KindTableWriteDone, code: string(ev.Outcome)})
 	case rpcore.DocumentLoaded:
 		r.documentLoaded(ev)
 	case rpcore.DocumentSubmitted:
-		r.add(ev.At, &record{kind: KindDocumentSubmitted, service: ev.Service, count: ev.EditedVersion + 1, text: "submission " + ev.Submission})
+		r.add(&record{kind: KindDocumentSubmitted, service: ev.Service, count: ev.EditedVersion + 1, text: "submission " + ev.Submission})
 	case rpcore.PeerLost:
-		r.add(ev.At, &record{kind: KindPeerLost, peer: string(ev.Peer)})
+		r.add(&record{kind: KindPeerLost, peer: string(ev.Peer)})
 	case rpcore.DrainRequested:
-		r.add(ev.At, &record{kind: KindDrainRequested})
+		r.add(&record{kind: KindDrainRequested})
 	}
 }
 
@@ -62,7 +62,7 @@
 		return
 	}
 	r.unreachable[id] = failed
-	r.follow(rec)
+	r.add(rec)
 }
 
 func (r *Recorder) documentLoaded(ev rpcore.DocumentLoaded) {
@@ -70,5 +70,5 @@
 	if ev.Unavailable {
 		rec.code = CodeUnavailable
 	}
-	r.add(ev.At, &rec)
+	r.add(&rec)
 }
--- a/internal/rptimeline/message.go
+++ b/internal/rptimeline/message.go
@@ -7,14 +7,14 @@
 func (r *Recorder) received(ev *rpcore.PeerReceived) {
 	rec := record{kind: KindMessageReceived, peer: string(ev.From)}
 	if fillMessage(&rec, &ev.Message) {
-		r.add(ev.At, &rec)
+		r.add(&rec)
 	}
 }
 
 func (r *Recorder) sent(effect *rpcore.SendPeer) {
 	rec := record{kind: KindMessageSent, peer: string(effect.To)}
 	if fillMessage(&rec, &effect.Message) {
-		r.follow(&rec)
+		r.add(&rec)
 	}
 }
 
--- a/internal/rptimeline/pending.go
+++ b/internal/rptimeline/pending.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 )
@@ -34,19 +33,13 @@
 // recordEvent keeps the events of requests for later. All other events are
 // encoded at once, since they may refer to what the reducer changes later.
 func (r *Recorder) recordEvent(ev rpcore.Event) {
-	switch event := ev.(type) {
-	case rpcore.RequestArrived:
-		r.at = event.At
-	case rpcore.AttemptFirstToken:
-		r.at = event.At
-	case rpcore.AttemptEnded:
-		r.at = event.At
+	r.at = ClockAt(rpcore.TimeOf(ev))
+	switch ev.(type) {
+	case rpcore.RequestArrived, rpcore.AttemptFirstToken, rpcore.AttemptEnded:
+		r.postpone(ev)
 	default:
-		r.at = unrecordedAt(ev, r.at)
 		r.locked(func() { r.event(ev) })
-		return
 	}
-	r.postpone(ev)
 }
 
 // locked runs a function that adds records, after what was kept.
@@ -57,30 +50,6 @@
 	add()
 }
 
-// unrecordedAt returns the time of an event that need not have an entry. Its
-// effects are stamped with it.
-func unrecordedAt(ev rpcore.Event, before time.Time) time.Time {
-	switch ev := ev.(type) {
-	case rpcore.Tick:
-		return ev.At
-	case rpcore.MembersListed:
-		return ev.At
-	case rpcore.EngineReported:
-		return ev.At
-	case rpcore.EngineUnreachable:
-		return ev.At
-	case rpcore.CacheEventsReceived:
-		return ev.At
-	case rpcore.TableReadDone:
-		return ev.At
-	case rpcore.DocumentStored:
-		return ev.At
-	case rpcore.PeerReceived:
-		return ev.At
-	}
-	return before
-}
-
 func (r *Recorder) recordEffect(effect rpcore.Effect) {
 	switch effect.(type) {
 	case rpcore.StartAttempt:
@@ -96,7 +65,7 @@
 	if p.kept == pendingLimit {
 		r.locked(func() {})
 	}
-	p.items[p.kept], p.clocks[p.kept] = item, ClockAt(r.at)
+	p.items[p.kept], p.clocks[p.kept] = item, r.at
 	p.kept++
 }
 
--- a/internal/rptimeline/recorder.go
+++ b/internal/rptimeline/recorder.go
@@ -20,9 +20,9 @@
 	rejected atomic.Uint64
 
 	pending pending
-	// at is the time of the event whose effects are recorded. Only the event
+	// at is the physical clock of the event that is recorded. Only the event
 	// loop uses it.
-	at time.Time
+	at Clock
 
 	mu      sync.Mutex
 	ring    *ring
@@ -60,16 +60,12 @@
 
 // add stamps a record. The time is that of the event, which saves a reading
 // of the system's clock.
-func (r *Recorder) add(at time.Time, rec *record) {
-	r.at = at
-	rec.clock = r.clock.Tick(at)
+func (r *Recorder) add(rec *record) {
+	rec.clock = r.clock.next(r.at)
 	rec.part = kinds[rec.kind].Part
 	r.ring.add(rec)
 }
 
-// follow stamps a record of an effect, which has the time of its event.
-func (r *Recorder) follow(rec *record) { r.add(r.at, rec) }
-
 func (r *Recorder) allocate() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -85,6 +81,6 @@
 func (r *Recorder) start(ev rpcore.Start) {
 	r.unreachable = make(map[rpcore.EndpointID]bool)
 	rec := record{kind: KindInstanceStarted, code: string(ev.Self.Incarnation), text: "failure domain " + string(ev.Self.FailureDomain)}
-	r.add(ev.At, &rec)
+	r.add(&rec)
 	r.self, r.started = ev.Self, rec.clock
 }
--- a/pkg/rpcore/event.go
+++ b/pkg/rpcore/event.go
@@ -23,6 +23,9 @@
 
 func (s Stamp) event() Stamp { return s }
 
+// TimeOf returns the time of an event without a copy of the event.
+func TimeOf(ev Event) time.Time { return ev.event().At }
+
 // Start is the first event of a State.
 type Start struct {
 	Stamp
