Check that recorded answers and refusals don't cross

Cause: TestCrossedAnswers could not be made to fail: an attempt that is given to another request still carries out the request of its handler.

Change: TestCrossedCommands has six requests wait and ends them in reverse order with recorded answers and a refusal. Those are the commands that carry content of a request, so a wrong handler would pass it to another caller.

Conclusion: kept beside TestCrossedAnswers.

--- a/internal/rpfront/front_test.go
+++ b/internal/rpfront/front_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -202,6 +203,52 @@
 	b.Expect([]string{<-answers, <-answers}).To(ConsistOf("one=one", "two=two"))
 }
 
+// Guards against a recorded answer or a refusal that reaches another caller
+// when several requests wait.
+func TestCrossedCommands(t *testing.T) {
+	b := withBench(t, rpfront.Limits{})
+	var held []rpcore.Effect
+	b.decide = func(ev rpcore.Event) []rpcore.Effect {
+		arrived, ok := ev.(rpcore.RequestArrived)
+		if !ok {
+			return nil
+		}
+		id, path := arrived.Request.ID, arrived.Request.Path
+		held = append(held, rpcore.ReplayOutcome{Request: id, Outcome: rpcore.Outcome{Status: 200, Body: []byte(path)}})
+		if path == "/refused" {
+			held[len(held)-1] = rpcore.RefuseRequest{Request: id, Refusal: rpverdict.Refuse(rpverdict.CodeQueueFull, "For "+path+".")}
+		}
+		if len(held) < 6 {
+			return nil
+		}
+		slices.Reverse(held)
+		return held
+	}
+	// A request whose answer went to another one must not keep the server open.
+	client := &http.Client{Timeout: 10 * time.Second}
+	answers := make(chan string, 6)
+	var want []string
+	for _, path := range []string{"/a", "/b", "/c", "/d", "/e", "/refused"} {
+		want = append(want, path)
+		go func() {
+			resp, err := client.Post(b.server.URL+"/services/till"+path, "text/plain", nil)
+			if err != nil {
+				answers <- path + "=" + err.Error()
+				return
+			}
+			answers <- path + "=" + b.readAll(resp)
+		}()
+	}
+	for range want {
+		path, body, _ := strings.Cut(<-answers, "=")
+		if path == "/refused" {
+			b.Expect(body).To(ContainSubstring("For /refused."))
+			continue
+		}
+		b.Expect(body).To(Equal(path))
+	}
+}
+
 // Guards against a planned stop that cuts off a stream in progress, and
 // against a front that still takes connections.
 func TestPlannedShutdown(t *testing.T) {
