--- a/internal/rpmeasure/day.go
+++ b/internal/rpmeasure/day.go
@@ -13,17 +13,14 @@
 // rate that falls with the popularity of the model and follows the hour; a
 // session is a geometric number of requests with exponential gaps.
 const (
-	// A whole day takes minutes for each run, so the measure covers the hours
-	// from 6 to 12.
-	dayLength          = 6 * time.Hour
-	dayBegin           = 6
+	dayLength          = 24 * time.Hour
 	sessionsOfFirst    = 150.0
 	popularityExponent = 0.8
 	requestsInSession  = 10.0
 	gapInSession       = 8 * time.Second
-	// dayInstances keeps the run short; every decision on idle replicas is that
-	// of one home.
-	dayInstances = 1
+	// dayInstances is one for each failure domain. It keeps the run to minutes;
+	// every decision on idle replicas is that of one home.
+	dayInstances = 3
 )
 
 // hourShare is the rate of sessions by hour relative to the mean.
@@ -76,7 +73,7 @@
 		if at >= dayLength {
 			return
 		}
-		if trace.Float64()*hourShare(12) > hourShare(dayBegin+int(at.Hours())) {
+		if trace.Float64()*hourShare(12) > hourShare(int(at.Hours())) {
 			continue
 		}
 		rank := []rpdocument.Rank{rpdocument.RankUrgent, rpdocument.RankNormal, rpdocument.RankBackground}[[]int{0, 1, 1, 1, 2}[trace.IntN(5)]]
