--- a/internal/rpmessage/logs.go
+++ b/internal/rpmessage/logs.go
@@ -39,6 +39,7 @@
 	note("note_endpoint_refused", "endpoint refused a connection", "An endpoint refused a connection and gets no new work until it reports.", "Check the endpoint."),
 	note("note_endpoint_reports", "endpoint reports again", "An endpoint reports again and gets work.", nothing),
 	note("note_endpoint_gone", "endpoint ", "An endpoint is gone from the instance list.", nothing),
+	note("note_endpoint_silent", "cancels an attempt at an engine that does not report", "An engine has not reported for 5 seconds. Its request goes on at another engine.", "Look at whether the engine's process is frozen or can't be reached."),
 	note("note_endpoint_ejected", "ejected an endpoint after failures", "An endpoint failed several times and gets no work for some time.", "Look at the log of the endpoint."),
 	note("note_request_id_in_use", "ignored a request whose id is in use", "A request has the id of another one in progress.", "Report the line as a fault of the program."),
 	note("note_claim_given_up", "gave up writing the state of a claim", "The state of a request that may run only once could not be written.", "Check the table service."),
@@ -51,6 +52,7 @@
 	note("note_slot_freed", "freed a slot", "A replica is unloaded and its memory is free.", nothing),
 	note("note_evicted", "evicts an idle replica", "An idle replica is unloaded, for memory or for the spend of the service.", "If it happens often, add engines or raise the spend."),
 	note("note_idle_unloaded", "unloads an idle replica", "A replica without requests is unloaded.", nothing),
+	note("note_hours_used_up", "accelerator hours of the day are used up", "A service has used its accelerator hours of this day, so none of its models is loaded before the next day (UTC).", "If it happens often, raise spend.accelerator_hours_per_day in the document."),
 	note("note_taken_over", "takes over a replica", "The instance takes over a replica of an instance that is gone.", nothing),
 	note("note_version_replaced", "replaces version", "A replica of an old version is replaced.", nothing),
 }
--- a/pkg/rpcore/ahead.go
+++ b/pkg/rpcore/ahead.go
@@ -1,59 +1,112 @@
 package rpcore
 
-import "github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+import (
+	"slices"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
 
 const (
-	// aheadQueue is the number of urgent requests that may wait at an instance
-	// for dispatch ahead of capacity. With more, urgent work itself exceeds the
-	// capacity; ahead of capacity it would then keep the other ranks from their
-	// floors, since engines run it first.
-	aheadQueue = 4
 	// aheadFactor bounds the requests at an engine, in its concurrency, up to
-	// which urgent ones are sent ahead.
+	// which they are sent ahead of capacity. What waits at an engine keeps it
+	// busy while reports lag, but can't move to another one.
 	aheadFactor = 2
+	// aheadFactorFew is the bound while at most aheadFew urgent requests wait
+	// at the instance. Urgent work is then below the capacity, and what waits at
+	// an engine is work of other ranks that does not delay it. Below a factor of
+	// 3, urgent requests missed their target in trials. Beyond aheadFew, urgent
+	// work may exceed the capacity. With a factor of 3 or more, so much work of
+	// other ranks then waited behind it at the engines that rank background fell
+	// below its floor.
+	aheadFactorFew = 4
+	aheadFew       = 4
 )
 
-// dispatchAhead sends urgent requests to engines that run as many requests as
-// they can. The engine starts them before all others that wait there. Without
-// it, an urgent request waits for the end of one of the few requests that this
-// instance has at the engine, while those of other instances end first.
+// dispatchAhead sends requests to engines that run as many requests as they
+// can, while urgent ones wait. The engine starts the urgent ones before all
+// others that wait there. Without it, an urgent request waits for the end of
+// one of the few requests that this instance has at the engine, while those of
+// other instances end first. Ranks take turns as in any dispatch: a rank whose
+// floor is due is sent ahead too, or urgent work beyond the capacity would
+// keep it out.
 func (s *State) dispatchAhead(l *lane) {
 	queue := rpdocument.RankUrgent.Index()
 	if l.plain() || s.policy.FirstInFirstOut {
 		return
 	}
-	for len(l.queues[queue]) > 0 && l.service.waiting[queue] <= aheadQueue {
+	for len(l.queues[queue]) > 0 {
 		r := l.queues[queue].first(s.now, s.runTime(l), nil)
 		if r == nil {
 			return
 		}
-		e := s.aheadEndpoint(r)
+		e := s.routeAhead(r)
 		if e == nil {
 			return
 		}
-		heads := s.headsOf(l.service, s.lanesAt(e), nil)
-		l.service.charge(&heads, queue)
-		s.takeFromQueue(r)
-		s.startAttempt(r, e)
+		lanes := slices.DeleteFunc(s.lanesWith(e, l), func(other *lane) bool { return other.service != l.service })
+		if !s.dispatchOne(lanes, (*State).routeAhead) {
+			return
+		}
 	}
 }
 
-// aheadEndpoint returns the least loaded endpoint that a request may be sent
-// ahead to, or nil.
-func (s *State) aheadEndpoint(r *request) *endpoint {
-	candidates, _ := s.routeCandidates(r)
-	if len(candidates) == 0 {
-		candidates = s.requests.routeBuffer.near
+// routeAhead chooses the endpoint that a request is sent ahead to, or returns
+// nil. Only urgent work delays urgent work at an engine, and no report tells
+// how much of it waits there, so the endpoint with the fewest own urgent
+// attempts without a first token is chosen.
+func (s *State) routeAhead(r *request) *endpoint {
+	s.routeCandidates(r)
+	bound := s.aheadBound(r.lane.service)
+	buffer := &s.requests.routeBuffer
+	buffer.free = buffer.free[:0]
+	for _, e := range buffer.near {
+		s.addOpenAhead(e, bound)
 	}
+	for _, e := range buffer.far {
+		s.addOpenAhead(e, bound)
+	}
+	return s.leastUnanswered(buffer.free)
+}
+
+// leastUnanswered chooses at random between equal endpoints, since instances
+// that all took the first would send their work to one engine.
+func (s *State) leastUnanswered(free []*endpoint) *endpoint {
 	var best *endpoint
-	for _, e := range candidates {
-		s.refresh(e)
-		// Where only this instance uses an engine, each place that becomes free
-		// is seen at once.
-		open := !e.leaving && !e.health.load.busyUntil.After(s.now) && e.health.load.others > 0
-		if open && s.loadOf(e) < aheadFactor*s.limits.EngineConcurrency && (best == nil || s.loadOf(e) < s.loadOf(best)) {
+	ties := 0
+	for _, e := range free {
+		switch {
+		case best == nil || e.health.load.unanswered < best.health.load.unanswered:
 			best = e
+			ties = 1
+		case e.health.load.unanswered == best.health.load.unanswered:
+			ties++
+			if s.rng.IntN(ties) == 0 {
+				best = e
+			}
+		default:
 		}
 	}
 	return best
 }
+
+// aheadBound returns the number of requests at an engine from which none of a
+// service is sent ahead.
+func (s *State) aheadBound(service *serviceState) int {
+	if service.waiting[rpdocument.RankUrgent.Index()] <= aheadFew {
+		return aheadFactorFew * s.limits.EngineConcurrency
+	}
+	return aheadFactor * s.limits.EngineConcurrency
+}
+
+func (s *State) addOpenAhead(e *endpoint, bound int) {
+	s.refresh(e)
+	load := &e.health.load
+	// Where only this instance uses an engine, each place that becomes free
+	// is seen at once. Without reports nothing bounds what others send.
+	if e.leaving || load.busyUntil.After(s.now) || load.others == 0 || s.now.Sub(e.reportedAt) > reportLifetime {
+		return
+	}
+	if s.loadOf(e) < bound {
+		s.requests.routeBuffer.free = append(s.requests.routeBuffer.free, e)
+	}
+}
--- a/pkg/rpcore/replicarow.go
+++ b/pkg/rpcore/replicarow.go
@@ -84,6 +84,9 @@
 	if known == nil {
 		known = &knownRow{Row: Row{Key: row.Key}}
 		s.replicas.rows[row.Key] = known
+		if e := s.members.endpoints[EndpointID(row.Key.Name)]; e != nil && row.Key == engineRowKey(e.id) {
+			e.row = known
+		}
 	}
 	if row.Version < known.Version {
 		return
@@ -93,6 +96,9 @@
 			delete(s.replicas.seen, slot.Nonce)
 		}
 	}
+	if row.Key.Kind == RowModel && (len(slotsOf(&known.Row)) == 0) != (len(slotsOf(&row)) == 0) {
+		s.maintainedChanged(ModelKey{Service: row.Key.Service, Name: row.Key.Name})
+	}
 	known.Row = row
 	known.readAt = s.now
 	for _, slot := range slotsOf(&row) {
@@ -134,16 +140,17 @@
 		if !edit(&slots[j]) {
 			slots = slices.Delete(slots, j, j+1)
 		}
-		writes = append(writes, slotsWrite(row, slots, mark, bump))
+		writes = append(writes, s.slotsWrite(row, slots, mark, bump))
 	}
 	return writes
 }
 
 // slotsWrite returns the write that gives a row other slots.
-func slotsWrite(row *Row, slots []Slot, mark Nonce, bump bool) RowWrite {
+func (s *State) slotsWrite(row *Row, slots []Slot, mark Nonce, bump bool) RowWrite {
 	w := RowWrite{Key: row.Key, ExpectVersion: row.Version, Nonce: mark}
 	if row.Key.Kind == RowModel {
 		w.Model = &ModelRow{Slots: slots}
+		s.keepFreed(row.Model, w.Model)
 		return w
 	}
 	w.Engine = &EngineRow{Slots: slots}
--- a/pkg/rpcore/routing.go
+++ b/pkg/rpcore/routing.go
@@ -18,7 +18,8 @@
 	free []*endpoint
 }
 
-// endpointLoad estimates what other instances run at an endpoint.
+// endpointLoad estimates what other instances run at an endpoint, and counts
+// the urgent attempts of this instance that wait there.
 type endpointLoad struct {
 	// life is the incarnation that all own figures of the endpoint are about.
 	life Incarnation
@@ -27,6 +28,8 @@
 	sequence uint64
 	others   int
 	peak     int
+	// unanswered counts the own urgent attempts without a first token.
+	unanswered int
 	// busyUntil is the time until which the endpoint said that it takes no
 	// more work.
 	busyUntil time.Time
@@ -142,8 +145,9 @@
 	all := s.endpointsOf(r.lane)
 	ejected := s.ejectedOf(all)
 	others := s.hasOther(all, &ejected, r)
+	heard := s.hasHeard(all, &ejected)
 	for _, e := range all {
-		if ejected.contains(e) || (others && e.id == r.failedAt) || !r.canResumeAt(e) {
+		if ejected.contains(e) || (heard && s.unheard(e)) || (others && e.id == r.failedAt) || !r.canResumeAt(e) {
 			continue
 		}
 		if e.FailureDomain == s.self.FailureDomain || s.policy.RandomRouting {
