Split the test world of the replicas into the engines and the rest

Change: the engines, their loads and the checks on them are in replica_engine_test.go. No code changed.

--- a/pkg/rpcore/replica_world_test.go
+++ b/pkg/rpcore/replica_world_test.go
@@ -62,27 +62,6 @@
 	inbox    []Event
 }
 
-type fakeEngine struct {
-	member   Member
-	loads    map[ModelKey]*fakeLoad
-	highest  uint64
-	sequence uint64
-	cached   []CachedCheckpoint
-	loadTime time.Duration
-	running  int
-	reject   bool
-}
-
-// fakeLoad is a model that an engine loads or has loaded.
-type fakeLoad struct {
-	engine *fakeEngine
-	node   *fakeNode
-	order  SendOrder
-	nonce  Nonce
-	loaded bool
-	muted  bool
-}
-
 var worldStart = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
 
 func newWorld(doc *rpdocument.Document) *world {
@@ -93,18 +72,6 @@
 	}
 }
 
-func (w *world) addEngine(id EndpointID, domain FailureDomain, memory rpdocument.Bytes, enforces bool) *fakeEngine {
-	e := &fakeEngine{
-		member: Member{
-			ID: string(id), Kind: MemberEngine, Service: "svc", FailureDomain: domain, Incarnation: Incarnation(id) + "/1",
-			Address: netip.MustParseAddrPort("127.0.0.1:9000"), EnforcesFencing: enforces, Memory: memory, Accelerators: 1,
-		},
-		loads: make(map[ModelKey]*fakeLoad), loadTime: time.Second,
-	}
-	w.engines[id] = e
-	return e
-}
-
 func (w *world) addNode(id InstanceID, incarnation int, policy Policy) *fakeNode {
 	n := &fakeNode{
 		identity: Identity{Instance: id, Incarnation: Incarnation(fmt.Sprint(incarnation)), FailureDomain: "fd1"},
@@ -151,22 +118,6 @@
 	}
 }
 
-func (e *fakeEngine) report(now time.Time) EngineReport {
-	e.sequence++
-	r := EngineReport{
-		Endpoint: EndpointID(e.member.ID), Incarnation: e.member.Incarnation, Sequence: e.sequence, TakenAt: now,
-		Memory: e.member.Memory, HighestFence: e.highest, Cached: e.cached, Running: e.running,
-	}
-	for _, key := range sortedModels(e.loads) {
-		if load := e.loads[key]; load.loaded {
-			r.Loaded = append(r.Loaded, LoadedModel{
-				Key: key, Version: load.order.Version, BaseModel: load.order.BaseModel, Memory: load.order.Memory,
-			})
-		}
-	}
-	return r
-}
-
 // deliver hands an event to a node, or keeps it while the node is paused.
 func (w *world) deliver(n *fakeNode, ev Event) {
 	switch {
@@ -288,13 +239,6 @@
 	w.faults = append(w.faults, fmt.Sprintf(format, args...))
 }
 
-// loadOrders returns the load orders that were sent for a model.
-func (w *world) loadOrders(key ModelKey) []SendOrder {
-	return slices.DeleteFunc(slices.Clone(w.orders), func(o SendOrder) bool {
-		return o.Model != key || o.Kind != OrderLoadModel && o.Kind != OrderLoadAdapter
-	})
-}
-
 // take removes an item from pending.
 func (w *world) take(i int) *item {
 	next := w.pending[i]
@@ -372,59 +316,6 @@
 	return done
 }
 
-func (w *world) orderArrives(next *item) {
-	order := *next.order
-	result, load := w.engines[order.Endpoint].take(order)
-	if load != nil {
-		load.node, load.muted = next.node, next.muted
-		load.nonce = w.slotOf[fenceKey(order.Endpoint, order.Fence)]
-		w.pending = append(w.pending, &item{at: w.now.Add(load.engine.loadTime), node: next.node, finish: load})
-		return
-	}
-	if !next.muted {
-		w.answer(next.node, OrderAnswered{Order: order.Order, Endpoint: order.Endpoint, Result: result})
-	}
-}
-
-// take decides on an order as an engine does. An unload ends a load under way,
-// so done means that the model is neither loaded nor being loaded.
-func (e *fakeEngine) take(order SendOrder) (OrderResult, *fakeLoad) {
-	if e.member.EnforcesFencing && (order.Fence < e.highest || order.Incarnation != e.member.Incarnation) {
-		return OrderFenced, nil
-	}
-	e.highest = max(e.highest, order.Fence)
-	if order.Kind == OrderUnloadModel || order.Kind == OrderUnloadAdapter {
-		delete(e.loads, order.Model)
-		for key, load := range e.loads {
-			if load.order.BaseModel == order.Model.Name {
-				delete(e.loads, key)
-			}
-		}
-		return OrderDone, nil
-	}
-	base := e.loads[ModelKey{Service: order.Model.Service, Name: order.BaseModel}]
-	if e.reject || order.BaseModel != "" && (base == nil || !base.loaded) {
-		return OrderRejected, nil
-	}
-	if e.loads[order.Model] != nil {
-		return OrderDone, nil
-	}
-	load := &fakeLoad{engine: e, order: order}
-	e.loads[order.Model] = load
-	return "", load
-}
-
-func (w *world) finishLoad(load *fakeLoad) {
-	result := OrderRejected
-	if load.engine.loads[load.order.Model] == load {
-		load.loaded = true
-		result = OrderDone
-	}
-	if !load.muted {
-		w.answer(load.node, OrderAnswered{Order: load.order.Order, Endpoint: load.order.Endpoint, Result: result})
-	}
-}
-
 // run lets everything happen in order, without faults, for a time.
 func (w *world) run(d time.Duration) {
 	const interval = 500 * time.Millisecond
@@ -486,68 +377,3 @@
 		}
 	}
 }
-
-// check looks for a violation of the two bounds on the engines themselves, and
-// for a model without a slot in the table, which is what makes a later
-// violation possible.
-func (w *world) check() {
-	replicas := make(map[ModelKey]int)
-	bound := make(map[ModelKey]int)
-	for _, id := range sortedKeys(w.engines) {
-		e := w.engines[id]
-		var used rpdocument.Bytes
-		for key, load := range e.loads {
-			used += load.order.Memory
-			w.checkReserved(id, key, load)
-			if load.order.BaseModel == "" {
-				replicas[key]++
-				bound[key] = max(bound[key], w.bound[load.nonce])
-			}
-		}
-		if used > e.member.Memory {
-			w.fault("%s holds %s of %s", id, used, e.member.Memory)
-		}
-	}
-	for _, key := range sortedModels(replicas) {
-		if replicas[key] > bound[key] {
-			w.fault("%s has %d replicas, at most %d are allowed", key, replicas[key], bound[key])
-		}
-	}
-}
-
-func (w *world) checkReserved(id EndpointID, key ModelKey, load *fakeLoad) {
-	rows := []RowKey{engineRowKey(id)}
-	if load.order.BaseModel == "" {
-		rows = append(rows, modelRowKey(key))
-	}
-	for _, rowKey := range rows {
-		row := w.table[rowKey]
-		if !slices.ContainsFunc(slotsOf(&row), func(s Slot) bool { return s.Engine == id && s.Model == key }) {
-			w.fault("%s has %s without a slot in row %s", id, key, rowKey.Kind)
-		}
-	}
-}
-
-// loaded counts the engines that have a model.
-func (w *world) loaded(key ModelKey) int {
-	n := 0
-	for _, e := range w.engines {
-		if load := e.loads[key]; load != nil && load.loaded {
-			n++
-		}
-	}
-	return n
-}
-
-// slots formats the slots in the table.
-func (w *world) slots() string {
-	text := ""
-	for _, id := range sortedKeys(w.engines) {
-		row := w.table[engineRowKey(id)]
-		text += fmt.Sprintf("\n%s %s:", id, w.engines[id].member.Incarnation)
-		for _, slot := range slotsOf(&row) {
-			text += fmt.Sprintf("\n  %+v", slot)
-		}
-	}
-	return text
-}
