--- a/internal/rpcommand/status.go
+++ b/internal/rpcommand/status.go
@@ -96,6 +96,9 @@
 	for i := range endpoints {
 		e := &endpoints[i]
 		state := "in use"
+		if e.Silent {
+			state = "silent"
+		}
 		if e.Leaving {
 			state = "leaving"
 		}
--- a/internal/rpcommand/status_test.go
+++ b/internal/rpcommand/status_test.go
@@ -88,6 +88,14 @@
 	g.Expect(mergeStatus(survey).text()).To(Equal(wantStatus))
 }
 
+// Guards against a frozen engine that the report shows like one that works.
+func TestStatusOfSilentEngine(t *testing.T) {
+	status := withStatus("entry-1a", "d1", 8)
+	status.Endpoints[0].Silent = true
+	r := mergeStatus(&rpoperator.Survey{Reached: []rpoperator.Reached{{Status: status}}})
+	NewWithT(t).Expect(r.text()).To(MatchRegexp(`engine-1 .* silent\n`))
+}
+
 // Guards against requests that are counted once for several instances, or
 // endpoints and spend that are counted several times.
 func TestStatusOfSeveral(t *testing.T) {
--- a/pkg/rpcore/routing.go
+++ b/pkg/rpcore/routing.go
@@ -147,7 +147,7 @@
 	others := s.hasOther(all, &ejected, r)
 	heard := s.hasHeard(all, &ejected)
 	for _, e := range all {
-		if ejected.contains(e) || (heard && s.unheard(e)) || (others && e.id == r.failedAt) || !r.canResumeAt(e) {
+		if ejected.contains(e) || (heard && e.silent(s.now)) || (others && e.id == r.failedAt) || !r.canResumeAt(e) {
 			continue
 		}
 		if e.FailureDomain == s.self.FailureDomain || s.policy.RandomRouting {
--- a/pkg/rpcore/silent.go
+++ b/pkg/rpcore/silent.go
@@ -12,19 +12,19 @@
 	abandonLimit = 32
 )
 
-// unheard reports whether an engine has stopped to report: its process is
+// silent reports whether an engine has stopped to report: its process is
 // frozen, or no instance can reach it. Its connections stay open in both cases,
 // so an attempt there would wait until the deadline of its request. Plain
 // services don't report and are never silent.
-func (s *State) unheard(e *endpoint) bool {
-	return e.Kind == MemberEngine && !e.reportedAt.IsZero() && s.now.Sub(e.reportedAt) > reportLifetime
+func (e *endpoint) silent(now time.Time) bool {
+	return e.Kind == MemberEngine && !e.reportedAt.IsZero() && now.Sub(e.reportedAt) > reportLifetime
 }
 
 // hasHeard reports whether one of the endpoints that takes work is not silent.
 // Where all are silent, it is rather this instance that hears nothing.
 func (s *State) hasHeard(all []*endpoint, ejected *ejectedSet) bool {
 	for _, e := range all {
-		if !e.leaving && !ejected.contains(e) && !s.unheard(e) {
+		if !e.leaving && !ejected.contains(e) && !e.silent(s.now) {
 			return true
 		}
 	}
@@ -54,11 +54,11 @@
 		return false
 	}
 	e := s.endpointOf(a)
-	if e == nil || !s.unheard(e) {
+	if e == nil || !e.silent(s.now) {
 		return false
 	}
 	for _, other := range s.endpointsOf(r.lane) {
-		if other != e && !other.leaving && !s.unheard(other) && !other.health.ejected(s.now) && r.canResumeWith(a, other) {
+		if other != e && !other.leaving && !other.silent(s.now) && !other.health.ejected(s.now) && r.canResumeWith(a, other) {
 			return true
 		}
 	}
--- a/pkg/rpcore/silent_test.go
+++ b/pkg/rpcore/silent_test.go
@@ -34,6 +34,7 @@
 	r.send(AttemptFirstToken{Stamp: r.stamp(), Attempt: start.Attempt, Request: start.Request})
 	g.Expect(summary(r.advanceHearing(4, other))).To(BeEmpty(), "the engine may only be late")
 	g.Expect(summary(r.advanceHearing(6, other))).To(Equal([]string{"cancel"}))
+	g.Expect(r.s.Status().Endpoints).To(HaveExactElements(HaveField("Silent", true), HaveField("Silent", false)))
 	g.Expect(summary(r.ask("r2", "m"))).To(Equal([]string{"start r2@e2"}))
 	effects := r.send(AttemptEnded{
 		Stamp: r.stamp(), Attempt: start.Attempt, Request: start.Request, Reason: AttemptCanceled,
--- a/pkg/rpcore/status.go
+++ b/pkg/rpcore/status.go
@@ -50,6 +50,9 @@
 	Memory        rpdocument.Bytes `json:"memory"`
 	MemoryLoaded  rpdocument.Bytes `json:"memory_loaded"`
 	Loaded        []ModelKey       `json:"loaded"`
+	// Silent says that an engine has stopped to report. It gets no new work
+	// while another one can take it.
+	Silent bool `json:"silent"`
 	// ReportAge is the age of the last report; it is negative without one.
 	ReportAge time.Duration `json:"report_age_ns"`
 }
@@ -151,6 +154,7 @@
 		Service:       e.Service,
 		FailureDomain: e.FailureDomain,
 		Leaving:       e.leaving,
+		Silent:        e.silent(now),
 		InFlight:      e.inFlight,
 		Memory:        max(e.Memory, e.report.Memory),
 		ReportAge:     -1,
