--- a/internal/rppeer/frame_test.go
+++ b/internal/rppeer/frame_test.go
@@ -13,7 +13,6 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
-	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
 )
 
 // Guards against messages that arrive changed, with times cut to seconds.
@@ -97,7 +96,7 @@
 // that it accepts and that can't be sent on.
 func FuzzDecodeFrame(f *testing.F) {
 	heartbeat := &rpcore.Heartbeat{
-		Identity: rpcore.Identity{Instance: "i1"}, Waiting: [rpdocument.RankCount]int{1, 2, 3},
+		Identity: rpcore.Identity{Instance: "i1"}, HasDocuments: true,
 		LeavingEndpoints: []rpcore.LeavingNotice{{Endpoint: "e1"}},
 	}
 	for _, message := range []rpcore.PeerMessage{
--- a/pkg/rpcore/heartbeat.go
+++ b/pkg/rpcore/heartbeat.go
@@ -85,7 +85,6 @@
 		HasDocuments:     s.hasDocuments(),
 		LeavingEndpoints: s.leavingNotices(),
 		GoneInstances:    s.goneInstances(),
-		Waiting:          s.waitingByRank(),
 	}
 }
 
@@ -143,7 +142,6 @@
 	silent, leaving := s.silent(p), p.leaving
 	p.heardAt = s.now
 	p.digest = heartbeat.Digest
-	p.waiting = heartbeat.Waiting
 	p.leaving = heartbeat.Leaving || p.Leaving
 	if silent || p.leaving != leaving {
 		s.liveChanged(s.updateLive())
--- a/pkg/rpcore/peer.go
+++ b/pkg/rpcore/peer.go
@@ -50,8 +50,6 @@
 	LeavingEndpoints []LeavingNotice `cbor:"leaving_endpoints,omitempty"`
 	// GoneInstances lists lifetimes that the list proved gone to the sender.
 	GoneInstances []Identity `cbor:"gone_instances,omitempty"`
-	// Waiting counts the requests in the sender's queues by rank.
-	Waiting [rpdocument.RankCount]int `cbor:"waiting"`
 	// Operators is the sender's address for operators. It is sent in the first
 	// heartbeats and then every operatorsInterval; older versions do not send
 	// it.
--- a/pkg/rpcore/peer_set.go
+++ b/pkg/rpcore/peer_set.go
@@ -29,7 +29,6 @@
 	sentAt   time.Time
 	leaving  bool
 	digest   uint64
-	waiting  [3]int
 	// operators is the peer's address for operators, invalid where it is not
 	// known. toldAt is when the peer was last told of this instance's own.
 	operators netip.AddrPort
