Check that the time line tells the whole story of racing operators

Cause: no test gathered the time line over the run of two racing operators with a failure domain cut from the platform, and the HTML page had not been looked at in a browser.

Change: TestRacingOperators gathers the time line of the six instances and counts the accepted submissions, the conflicts and the versions in force at each one.

Found: a time line through one instance only, within the first second after the start, names the others as not asked, since their operators' addresses come with the first heartbeats. It says so; the test names all addresses.

--- a/internal/rpsystem/accept_test.go
+++ b/internal/rpsystem/accept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -12,8 +13,8 @@
 )
 
 // Guards against two winners of one version, an untruthful answer to an
-// operator, and a version that does not reach a failure domain without the
-// platform.
+// operator, a version that does not reach a failure domain without the platform,
+// and a time line that leaves out a part of that.
 func TestRacingOperators(t *testing.T) {
 	c := withCluster(t, clusterConfig{Models: []model{{Name: "idle", MaxReplicas: 1}}})
 	g := NewWithT(t)
@@ -37,10 +38,39 @@
 		}
 		g.Expect(c.waitInForce(version + 1)).To(Equal(bodies[winner]))
 	}
+	c.checkStory(5)
 	c.setPlatformGates(3, gateOpen)
 	c.waitUntilWhole()
 }
 
+// checkStory checks that the time line of all instances tells of each
+// submission, its outcome and its way to all instances.
+func (c *cluster) checkStory(rounds int) {
+	c.t.Helper()
+	g := NewWithT(c.t)
+	args := []string{"timeline", "--part", "documents"}
+	for _, i := range c.instances {
+		args = append(args, "--operator", i.operatorsAt.String())
+	}
+	p := withProcess(c.t, "timeline", args...)
+	g.Expect(p.exitCode()).To(BeZero())
+	story := string(p.text())
+	// The first version was accepted before the rounds. A submission that comes
+	// after the winner is in force is refused before it is recorded.
+	g.Expect(strings.Count(story, "code=accepted")).To(Equal(rounds+1), story)
+	submitted := strings.Count(story, "An operator submitted a document.")
+	g.Expect(strings.Count(story, "code=conflict")).To(Equal(submitted-rounds-1), story)
+	for _, i := range c.instances {
+		inForce := 0
+		for line := range strings.Lines(story) {
+			if strings.Contains(line, i.id) && strings.Contains(line, "in force") {
+				inForce++
+			}
+		}
+		g.Expect(inForce).To(Equal(rounds+1), "%s\n%s", i.id, story)
+	}
+}
+
 // withAccept starts document accept.
 func (c *cluster) withAccept(i *instance, body string, edited uint64) *process {
 	c.t.Helper()
