Use one piece of code for slots, reports and hours that several places checked

- hasSlot serves the choice of engines and the three places that adopt replicas; unrecorded had one caller, which only added up memory.
- reportExpired serves load, sending ahead and silent engines.
- hoursEnd serves the four places that ask whether the accelerator hours end what is not an adapter.
- InstanceStatus.Merge serves the survey and the status report.
- The look at silent engines sorted all attempts each second; it sorts those that it cancels.
- The names of services are sorted already, so the spend is not sorted again.

--- a/internal/rpcommand/statusmerge.go
+++ b/internal/rpcommand/statusmerge.go
@@ -59,7 +59,7 @@
 		s := &survey.Reached[i].Status
 		r.addCounts(s)
 		for _, e := range s.Instances {
-			mergeInto(instances, string(e.ID), e, mergeInstance)
+			mergeInto(instances, string(e.ID), e, rpcore.InstanceStatus.Merge)
 		}
 		for _, e := range s.Endpoints {
 			mergeInto(endpoints, string(e.ID), e, mergeEndpoint)
@@ -106,14 +106,6 @@
 	}
 }
 
-func mergeInstance(a, b rpcore.InstanceStatus) rpcore.InstanceStatus {
-	a.Live, a.Leaving = a.Live || b.Live, a.Leaving || b.Leaving
-	if !a.Operators.IsValid() {
-		a.Operators = b.Operators
-	}
-	return a
-}
-
 // mergeEndpoint takes the freshest report. Each instance counts its own
 // requests.
 func mergeEndpoint(a, b rpcore.EndpointStatus) rpcore.EndpointStatus {
--- a/internal/rpoperator/survey.go
+++ b/internal/rpoperator/survey.go
@@ -166,12 +166,7 @@
 	}
 	f.survey.Reached = append(f.survey.Reached, Reached{Address: address, Status: status})
 	for _, instance := range status.Instances {
-		have := f.known[instance.ID]
-		instance.Live = instance.Live || have.Live
-		if !instance.Operators.IsValid() {
-			instance.Operators = have.Operators
-		}
-		f.known[instance.ID] = instance
+		f.known[instance.ID] = instance.Merge(f.known[instance.ID])
 	}
 }
 
--- a/pkg/rpcore/adopt.go
+++ b/pkg/rpcore/adopt.go
@@ -12,23 +12,14 @@
 // unload.
 const adoptAfter = lostAfter
 
-// unrecorded returns what an engine has loaded and has no slot for, ordered by
-// key. Somebody else than this system loaded it, such as an operator by hand or
+// unrecordedMemory returns the memory of what an engine has loaded without a
+// slot. Somebody else than this system loaded it, such as an operator by hand or
 // the engine itself when it started.
-func unrecorded(e *endpoint, slots []Slot) []LoadedModel {
-	var found []LoadedModel
-	for _, key := range sortedModels(e.loaded) {
-		if !slices.ContainsFunc(slots, func(slot Slot) bool { return slot.Model == key }) {
-			found = append(found, e.loaded[key].LoadedModel)
-		}
-	}
-	return found
-}
-
-// unrecordedMemory returns the memory that an engine uses beyond its slots.
 func unrecordedMemory(e *endpoint, slots []Slot) (total rpdocument.Bytes) {
-	for _, loaded := range unrecorded(e, slots) {
-		total += loaded.Memory
+	for key, entry := range e.loaded {
+		if !hasSlot(slots, key) {
+			total += entry.Memory
+		}
 	}
 	return total
 }
@@ -51,7 +42,7 @@
 	for _, key := range sortedModels(e.loaded) {
 		entry := e.loaded[key]
 		switch {
-		case slices.ContainsFunc(slots, func(slot Slot) bool { return slot.Model == key }):
+		case hasSlot(slots, key):
 			entry.unrecordedSince = time.Time{}
 		case entry.unrecordedSince.IsZero():
 			entry.unrecordedSince = s.now
@@ -90,7 +81,7 @@
 		return nil
 	}
 	recorded := slotsOf(findRow(rows, engineRowKey(slot.Engine)))
-	if slices.ContainsFunc(recorded, func(other Slot) bool { return other.Model == slot.Model }) {
+	if hasSlot(recorded, slot.Model) {
 		return nil
 	}
 	_, writes := s.addSlot(slot, rows, s.newNonce())
--- a/pkg/rpcore/ahead.go
+++ b/pkg/rpcore/ahead.go
@@ -103,7 +103,7 @@
 	load := &e.health.load
 	// Where only this instance uses an engine, each place that becomes free
 	// is seen at once. Without reports nothing bounds what others send.
-	if e.leaving || load.busyUntil.After(s.now) || load.others == 0 || s.now.Sub(e.reportedAt) > reportLifetime {
+	if e.leaving || load.busyUntil.After(s.now) || load.others == 0 || e.reportExpired(s.now) {
 		return
 	}
 	if s.loadOf(e) < bound {
--- a/pkg/rpcore/evaluate.go
+++ b/pkg/rpcore/evaluate.go
@@ -27,7 +27,7 @@
 		}
 		return
 	}
-	if !spec.adapter() && s.hoursUsedUp(m.key.Service) {
+	if s.hoursEnd(spec) {
 		return
 	}
 	replicas, pending := s.prospects(spec)
--- a/pkg/rpcore/idle.go
+++ b/pkg/rpcore/idle.go
@@ -144,7 +144,7 @@
 func (s *State) unloadIdle(key ModelKey) {
 	spec, ok := s.replicaSpec(key)
 	served := s.serving(key)
-	if !spec.adapter() && s.hoursUsedUp(key.Service) {
+	if s.hoursEnd(spec) {
 		spec.warm = 0
 	}
 	if !ok || len(served) <= spec.warm {
@@ -163,7 +163,7 @@
 	if s.inUse(e, spec.key) || idle < recentUse || s.adapterInUse(e, spec) {
 		return false
 	}
-	if !spec.adapter() && s.hoursUsedUp(spec.key.Service) {
+	if s.hoursEnd(spec) {
 		return true
 	}
 	if s.policy.FixedKeepAlive > 0 {
--- a/pkg/rpcore/order.go
+++ b/pkg/rpcore/order.go
@@ -91,7 +91,7 @@
 	e := s.endpointByID(load.slot.Engine)
 	if e == nil || e.Incarnation != load.slot.EngineIncarnation || e.leaving ||
 		s.draining || !s.selfListed() || !s.specCurrent(load.spec) ||
-		!load.spec.adapter() && s.hoursUsedUp(load.spec.key.Service) {
+		s.hoursEnd(load.spec) {
 		s.withdrawLoad(load)
 		return
 	}
--- a/pkg/rpcore/placement.go
+++ b/pkg/rpcore/placement.go
@@ -80,7 +80,7 @@
 		return 0, false
 	}
 	slots, known := s.knownSlots(engineRowKey(e.id))
-	if slices.ContainsFunc(slots, func(slot Slot) bool { return slot.Model == spec.key }) {
+	if hasSlot(slots, spec.key) {
 		return 0, false
 	}
 	cost := s.placementTime(spec.key, checkpointPlace(e, spec.checkpoint)).Seconds()
--- a/pkg/rpcore/replicarow.go
+++ b/pkg/rpcore/replicarow.go
@@ -58,6 +58,11 @@
 	return slices.IndexFunc(slots, func(slot Slot) bool { return slot.Nonce == nonce })
 }
 
+// hasSlot reports whether one of the slots is of a model or adapter.
+func hasSlot(slots []Slot, key ModelKey) bool {
+	return slices.ContainsFunc(slots, func(slot Slot) bool { return slot.Model == key })
+}
+
 func findSlot(rows []Row, nonce Nonce) (Slot, bool) {
 	for i := range rows {
 		slots := slotsOf(&rows[i])
--- a/pkg/rpcore/routing.go
+++ b/pkg/rpcore/routing.go
@@ -60,9 +60,13 @@
 	}
 }
 
+// reportExpired reports whether the newest report is too old to say anything
+// about load.
+func (e *endpoint) reportExpired(now time.Time) bool { return now.Sub(e.reportedAt) > reportLifetime }
+
 // loadOf returns the requests at an endpoint, as far as they are known.
 func (s *State) loadOf(e *endpoint) int {
-	if s.now.Sub(e.reportedAt) > reportLifetime {
+	if e.reportExpired(s.now) {
 		return e.inFlight
 	}
 	return e.inFlight + e.health.load.others
--- a/pkg/rpcore/silent.go
+++ b/pkg/rpcore/silent.go
@@ -1,6 +1,9 @@
 package rpcore
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// silentPatience is the least time that an attempt has at an engine that
@@ -17,7 +20,7 @@
 // so an attempt there would wait until the deadline of its request. Plain
 // services don't report and are never silent.
 func (e *endpoint) silent(now time.Time) bool {
-	return e.Kind == MemberEngine && !e.reportedAt.IsZero() && now.Sub(e.reportedAt) > reportLifetime
+	return e.Kind == MemberEngine && !e.reportedAt.IsZero() && e.reportExpired(now)
 }
 
 // hasHeard reports whether one of the endpoints that takes work is not silent.
@@ -35,13 +38,15 @@
 // can go on elsewhere. AttemptEnded then repeats the request, or resumes its
 // stream after the tokens that were relayed.
 func (s *State) abandonSilent() {
-	left := abandonLimit
-	for _, id := range sortedKeys(s.requests.attempts) {
-		a := s.requests.attempts[id]
-		if left == 0 || !s.shouldAbandon(a) {
-			continue
+	var due []AttemptID
+	for id, a := range s.requests.attempts {
+		if s.shouldAbandon(a) {
+			due = append(due, id)
 		}
-		left--
+	}
+	slices.Sort(due)
+	for _, id := range due[:min(len(due), abandonLimit)] {
+		a := s.requests.attempts[id]
 		a.abandoned = true
 		s.emit(Note{Part: "requests", Text: "cancels an attempt at an engine that does not report", Endpoint: a.endpoint})
 		s.cancelAttempt(a.request)
--- a/pkg/rpcore/spend.go
+++ b/pkg/rpcore/spend.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -230,6 +229,12 @@
 	return bounded && s.knownSpend(service).usedAt(s.now).Hours() >= hours
 }
 
+// hoursEnd reports whether the accelerator hours of this day end all replicas
+// that are not in use. Adapters use none of their own.
+func (s *State) hoursEnd(spec replicaSpec) bool {
+	return !spec.adapter() && s.hoursUsedUp(spec.key.Service)
+}
+
 // hoursLack reports whether no replica of a model, or of the base model of an
 // adapter, may be loaded on this day.
 func (s *State) hoursLack(spec replicaSpec) bool {
@@ -283,6 +288,5 @@
 		}
 		status = append(status, entry)
 	}
-	slices.SortFunc(status, func(a, b SpendStatus) int { return strings.Compare(a.Service, b.Service) })
 	return status
 }
--- a/pkg/rpcore/status.go
+++ b/pkg/rpcore/status.go
@@ -39,6 +39,15 @@
 	Operators netip.AddrPort `json:"operators,omitzero"`
 }
 
+// Merge returns what two instances know of the same one together.
+func (s InstanceStatus) Merge(other InstanceStatus) InstanceStatus {
+	s.Live, s.Leaving = s.Live || other.Live, s.Leaving || other.Leaving
+	if !s.Operators.IsValid() {
+		s.Operators = other.Operators
+	}
+	return s
+}
+
 // EndpointStatus is what the reporting instance knows of an endpoint.
 type EndpointStatus struct {
 	ID            EndpointID       `json:"id"`
