Weigh silent engines for each request, as routing weighs the others

Where only the silent engine has the version that a stream began with, its resumed attempt was cancelled though nothing else could go on with it, and its request was then kept from the only engine that could. This is the one case whose behaviour changes; docs/design.md already says that an engine counts as an alternative only where it takes the request.

Change: mayGoTo is the one check, used for the engine where a request failed, for silent engines and for cancelling attempts there. Cancelling now also treats ejected engines as routing does, which uses some of them even so.

Result: TestSilentEngineWithOnlyVersion fails on the code before and with the check taken out of either place.

--- a/pkg/rpcore/routing.go
+++ b/pkg/rpcore/routing.go
@@ -149,7 +149,7 @@
 	all := s.endpointsOf(r.lane)
 	ejected := s.ejectedOf(all)
 	others := s.hasOther(all, &ejected, r)
-	heard := s.hasHeard(all, &ejected)
+	heard := s.hasHeard(all, &ejected, r)
 	for _, e := range all {
 		if ejected.contains(e) || (heard && e.silent(s.now)) || (others && e.id == r.failedAt) || !r.canResumeAt(e) {
 			continue
@@ -173,13 +173,19 @@
 		return false
 	}
 	for _, e := range all {
-		if e.id != r.failedAt && !e.leaving && !ejected.contains(e) && r.canResumeAt(e) {
+		if e.id != r.failedAt && r.mayGoTo(e, ejected) {
 			return true
 		}
 	}
 	return false
 }
 
+// mayGoTo reports whether a request can be sent to an endpoint, apart from its
+// capacity.
+func (r *request) mayGoTo(e *endpoint, ejected *ejectedSet) bool {
+	return !e.leaving && !ejected.contains(e) && r.canResumeAt(e)
+}
+
 // canResumeAt reports whether an endpoint has the version of the model that
 // the first part of an answer came from. Another version could go on with
 // another text.
--- a/pkg/rpcore/silent.go
+++ b/pkg/rpcore/silent.go
@@ -23,11 +23,11 @@
 	return e.Kind == MemberEngine && !e.reportedAt.IsZero() && e.reportExpired(now)
 }
 
-// hasHeard reports whether one of the endpoints that takes work is not silent.
-// Where all are silent, it is rather this instance that hears nothing.
-func (s *State) hasHeard(all []*endpoint, ejected *ejectedSet) bool {
+// hasHeard reports whether one of the endpoints that can take a request is not
+// silent. Where all are silent, it is rather this instance that hears nothing.
+func (s *State) hasHeard(all []*endpoint, ejected *ejectedSet, r *request) bool {
 	for _, e := range all {
-		if !e.leaving && !ejected.contains(e) && !e.silent(s.now) {
+		if !e.silent(s.now) && r.mayGoTo(e, ejected) {
 			return true
 		}
 	}
@@ -62,16 +62,14 @@
 	if e == nil || !e.silent(s.now) {
 		return false
 	}
-	for _, other := range s.endpointsOf(r.lane) {
-		if other != e && !other.leaving && !other.silent(s.now) && !other.health.ejected(s.now) && r.canResumeWith(a, other) {
+	all := s.endpointsOf(r.lane)
+	ejected := s.ejectedOf(all)
+	for _, other := range all {
+		// Tokens that were relayed since the attempt began are not known here.
+		sameAnswer := !a.answering || other.loaded[r.key].Version == a.version
+		if !other.silent(s.now) && sameAnswer && r.mayGoTo(other, &ejected) {
 			return true
 		}
 	}
 	return false
 }
-
-// canResumeWith reports whether an endpoint can go on with the answer of an
-// attempt that is under way.
-func (r *request) canResumeWith(a *attempt, e *endpoint) bool {
-	return !a.answering || e.loaded[r.key].Version == a.version
-}
--- a/pkg/rpcore/silent_test.go
+++ b/pkg/rpcore/silent_test.go
@@ -47,6 +47,28 @@
 	g.Expect(summary(r.ask("r3", "m"))).To(Equal([]string{"start r3@e1"}), "the engine reports again")
 }
 
+// Guards against a resumed stream that leaves the only engine with its version
+// of the model, or does not get back to it, because that engine is silent.
+func TestSilentEngineWithOnlyVersion(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig("a", Limits{}, Policy{})
+	frozen := r.engine("e1", "m")
+	other := r.engine("e2")
+	r.advanceHearing(1, frozen, other)
+	start := started(r.ask("r1", "m"))
+	key := ModelKey{Service: "kodovac", Name: "m"}
+	other.loaded[key] = loadedEntry{LoadedModel: LoadedModel{Key: key, Version: "2"}}
+	r.send(AttemptEnded{
+		Stamp: r.stamp(), Attempt: start.Attempt, Request: start.Request, Reason: AttemptBroken,
+		Verdict: rpverdict.MayHaveRun, TokensRelayed: 5,
+	})
+	effects := r.advanceHearing(12, other)
+	g.Expect(started(effects).Endpoint).To(Equal(frozen.id))
+	g.Expect(summary(effects)).To(Equal([]string{"start r1@e1"}), "no other engine can go on")
+	r.end(started(effects), AttemptBroken, rpverdict.MayHaveRun)
+	g.Expect(summary(r.advanceHearing(4, other))).To(Equal([]string{"start r1@e1"}))
+}
+
 // Guards against an instance that hears of no engine, and for that takes work
 // away from engines that run it.
 func TestAllEnginesSilent(t *testing.T) {
