--- a/cmd/rattanpaddle/main.go
+++ b/cmd/rattanpaddle/main.go
@@ -17,6 +17,7 @@
 	program := &rpcommand.Program{Stdout: os.Stdout, Stderr: os.Stderr}
 	program.Load = program.RunLoad
 	program.Serve = program.RunServe
+	program.Gateway = program.RunGateway
 	program.Demo = program.RunDemo
 	program.Standin = program.RunStandin
 	os.Exit(program.Run(ctx, os.Args[1:]))
--- /dev/null
+++ b/internal/rpcommand/gateway.go
@@ -0,0 +1,51 @@
+package rpcommand
+
+import (
+	"context"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpgateway"
+	"github.com/rattanpaddle/rattanpaddle/internal/rplog"
+	"github.com/rattanpaddle/rattanpaddle/internal/rpmetric"
+)
+
+// GatewayArgs are the arguments of gateway.
+type GatewayArgs struct {
+	LogArgs
+	File string `arg:"positional,required" placeholder:"SETTINGS" help:"the settings file of the gateway"`
+	// Settings holds the checked file. Its levels include those of --log.
+	Settings *rpgateway.Settings `arg:"-"`
+}
+
+func gateway(ctx context.Context, p *Program, args *GatewayArgs) error {
+	settings, problems := rpgateway.LoadSettings(args.File)
+	if len(problems) > 0 {
+		return p.settingsProblems(args.File, "text", problems)
+	}
+	if p.Gateway == nil {
+		return errNotBuilt
+	}
+	settings.Log.Levels.Levels = settings.Log.Levels.Override(args.Levels)
+	args.Settings = settings
+	return p.Gateway(ctx, *args)
+}
+
+func gatewayCheck(_ context.Context, p *Program, args *settingsCheckArgs) error {
+	_, problems := rpgateway.LoadSettings(args.File)
+	if len(problems) > 0 {
+		return p.settingsProblems(args.File, args.Output, problems)
+	}
+	return p.report(args.Output, checkReport{File: args.File, Problems: []any{}}, args.File+" has no problems.\n")
+}
+
+// RunGateway runs an instance on the users' platform until the context ends and
+// then stops it as planned. It is the function for Gateway in the program
+// itself.
+func (p *Program) RunGateway(ctx context.Context, args GatewayArgs) error {
+	metrics := rpmetric.New()
+	log, closeLog := rplog.NewBounded(p.Stdout, rplog.Format(args.Settings.Log.Format), args.Settings.Log.Levels.Levels, metrics.LogDropped)
+	err := rpgateway.Instance{File: args.File, Settings: args.Settings, Log: log, Metrics: metrics}.Run(ctx)
+	if closeErr := closeLog(); err == nil {
+		err = closeErr
+	}
+	return err
+}
--- a/internal/rpcommand/program.go
+++ b/internal/rpcommand/program.go
@@ -25,6 +25,9 @@
 	// Serve runs an instance until the context ends and then stops it as
 	// planned.
 	Serve func(ctx context.Context, args ServeArgs) error
+	// Gateway runs an instance on the users' platform until the context ends
+	// and then stops it as planned.
+	Gateway func(ctx context.Context, args GatewayArgs) error
 	// Demo runs the embedded default until the context ends.
 	Demo func(ctx context.Context, args DemoArgs) error
 	// Load runs the load generator. The report goes to Stdout.
--- a/internal/rpcommand/table.go
+++ b/internal/rpcommand/table.go
@@ -35,6 +35,11 @@
 			name: "serve", aliases: []string{"run"}, help: "Run one entry instance.",
 			detail: "The signals SIGTERM and SIGINT start a planned stop: requests in progress are finished.",
 		}, serve),
+		define(command{name: "gateway check", aliases: []string{"validate"}, help: "Check a settings file of the gateway and report every problem."}, gatewayCheck),
+		define(command{
+			name: "gateway", help: "Run one entry instance on the users' platform.",
+			detail: "Routes and the list of endpoints come from the platform's store. SIGTERM starts a planned stop, SIGHUP reads the settings again. The log goes to standard output.",
+		}, gateway),
 		define(command{
 			name: "demo", help: "Run the whole system with stand-ins in one process.",
 			detail: "Nothing else is needed. Use it to try the system.",
--- /dev/null
+++ b/internal/rpendpoint/dialer_linux.go
@@ -0,0 +1,36 @@
+package rpendpoint
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// probeInterval is the time between keep-alive probes, and that without traffic
+// before the first one.
+const probeInterval = time.Second
+
+// NewDialer returns a dialer whose connections end when the other side stays
+// silent for longer than the limits allow. A zero limit stands for its default.
+func NewDialer(l Limits) *net.Dialer {
+	l = l.withDefaults()
+	return &net.Dialer{
+		Timeout: l.DialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeInterval, Interval: probeInterval,
+			Count: max(1, int(l.SilenceTimeout/probeInterval)),
+		},
+		Control: func(_, _ string, conn syscall.RawConn) error {
+			var optionErr error
+			err := conn.Control(func(fd uintptr) {
+				optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(l.SilenceTimeout.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return optionErr
+		},
+	}
+}
--- a/internal/rpendpoint/exchange.go
+++ b/internal/rpendpoint/exchange.go
@@ -77,7 +77,7 @@
 }
 
 func newTransport(l Limits, keepAlive bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: l.DialTimeout}
+	dialer := NewDialer(l)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
--- /dev/null
+++ b/internal/rpendpoint/forward.go
@@ -0,0 +1,312 @@
+package rpendpoint
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// Forward is one attempt to pass a caller's request on as it came.
+type Forward struct {
+	Command rpfleet.StartAttempt
+	Method  string
+	// Target is the request target as the caller sent it.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Forwarder passes requests on to endpoints and relays their answers. Requests
+// that may run only once get a connection of their own, because an endpoint may
+// close a kept one just as a request is written to it.
+type Forwarder struct {
+	Limits Limits
+	// Prepare sets the headers of an attempt, with the time until its deadline.
+	Prepare func(h http.Header, cmd rpfleet.StartAttempt, left time.Duration)
+	// Head reads the head of an answer.
+	Head func(*http.Response) rpfleet.AnswerHead
+
+	once           sync.Once
+	limits         Limits
+	shared, single *http.Transport
+}
+
+func (f *Forwarder) init() {
+	f.once.Do(func() {
+		f.limits = f.Limits.withDefaults()
+		f.shared = newTransport(f.limits, true)
+		f.single = newTransport(f.limits, false)
+	})
+}
+
+// Close closes unused connections.
+func (f *Forwarder) Close() {
+	f.init()
+	f.shared.CloseIdleConnections()
+	f.single.CloseIdleConnections()
+}
+
+// Causes of the end of an attempt from this side.
+var (
+	errSilent     = errors.New("the endpoint gave no sign in time")
+	errBadAnswer  = errors.New("the answer is not one of the endpoint to this request")
+	errCutStream  = errors.New("the stream ended in the middle of an event")
+	errEncodedAsk = errors.New("the answer has a content encoding that was not asked for")
+)
+
+// Send sends a request once, on a connection of its own, and returns its
+// answer. After an error the verdict says whether a byte of it may have left.
+// done must be called after the answer was read.
+func (f *Forwarder) Send(req *http.Request) (resp *http.Response, done func(), verdict rpverdict.Verdict, err error) {
+	f.init()
+	x := &exchange{}
+	resp, err = f.single.RoundTrip(x.trace(req))
+	if err != nil {
+		verdict = x.verdict()
+		x.cancel(nil)
+		return nil, nil, verdict, err
+	}
+	return resp, func() {
+		_ = resp.Body.Close()
+		x.cancel(nil)
+	}, rpverdict.MayHaveRun, nil
+}
+
+// Run runs an attempt to its end. callerGone says that the answer could not be
+// passed on.
+func (f *Forwarder) Run(ctx context.Context, a Forward, relay Relay) (ended rpfleet.AttemptEnded, callerGone bool) {
+	f.init()
+	ctx, cancelDeadline := context.WithDeadlineCause(ctx, a.Command.Deadline, errDeadlinePassed)
+	defer cancelDeadline()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	run := &forwarding{Forwarder: f, attempt: a, relay: relay, cancel: cancel}
+	run.ended = rpfleet.AttemptEnded{Request: a.Command.Request, Attempt: a.Command.Attempt}
+	run.watch(a.Command.FirstTimeout)
+	defer run.watch(0)
+	run.run(ctx)
+	return run.ended, run.gone
+}
+
+// forwarding is one attempt under way.
+type forwarding struct {
+	*Forwarder
+	attempt Forward
+	relay   Relay
+	cancel  context.CancelCauseFunc
+	timer   *time.Timer
+	ended   rpfleet.AttemptEnded
+	gone    bool
+}
+
+// watch ends the attempt unless the endpoint gives a sign within d; 0 ends the
+// watch.
+func (r *forwarding) watch(d time.Duration) {
+	if r.timer != nil {
+		r.timer.Stop()
+		r.timer = nil
+	}
+	if d > 0 {
+		r.timer = time.AfterFunc(d, func() { r.cancel(errSilent) })
+	}
+}
+
+func (r *forwarding) end(reason rpcore.AttemptReason, verdict rpverdict.Verdict, detail string) {
+	r.ended.Reason, r.ended.Verdict, r.ended.Detail = reason, verdict, detail
+}
+
+// fail ends the attempt with the failure of an exchange or of a body.
+func (r *forwarding) fail(ctx context.Context, reason rpcore.AttemptReason, verdict rpverdict.Verdict, err error) {
+	if ctx.Err() != nil {
+		reason = rpcore.AttemptCanceled
+		cause := context.Cause(ctx)
+		if errors.Is(cause, errDeadlinePassed) || errors.Is(cause, errSilent) {
+			reason = rpcore.AttemptTimedOut
+		}
+		err = cause
+	}
+	r.end(reason, verdict, err.Error())
+}
+
+func (r *forwarding) run(ctx context.Context) {
+	req := r.request(ctx)
+	x := &exchange{}
+	transport := r.shared
+	if !r.attempt.Command.Repeatable {
+		transport = r.single
+	}
+	resp, err := transport.RoundTrip(x.trace(req))
+	defer func() { x.cancel(nil) }()
+	if err != nil {
+		reason := rpcore.AttemptBroken
+		if !x.connected() && !isLocalFailure(err) {
+			reason = rpcore.AttemptRefusedConnection
+		}
+		r.fail(ctx, reason, x.verdict(), err)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	r.answer(ctx, resp)
+}
+
+func (r *forwarding) request(ctx context.Context) *http.Request {
+	a := &r.attempt
+	header := forwardedHeader(a.Header)
+	r.Prepare(header, a.Command, time.Until(a.Command.Deadline))
+	if header.Get("User-Agent") == "" {
+		// An absent header would be replaced by that of net/http.
+		header["User-Agent"] = nil
+	}
+	req := &http.Request{
+		Method:        a.Method,
+		URL:           &url.URL{Scheme: "http", Host: a.Command.Address.String(), Opaque: a.Target},
+		Host:          a.Host,
+		Header:        header,
+		ContentLength: int64(len(a.Body)),
+	}
+	if len(a.Body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(a.Body))
+	}
+	return req.WithContext(ctx)
+}
+
+// answer maps the head of an answer and relays the rest.
+func (r *forwarding) answer(ctx context.Context, resp *http.Response) {
+	head := r.Head(resp)
+	detail := fmt.Sprintf("the endpoint answered with status %d", resp.StatusCode)
+	if head.Request != "" && head.Request != r.attempt.Command.Request {
+		r.end(rpcore.AttemptBroken, rpverdict.MayHaveRun, errBadAnswer.Error())
+		return
+	}
+	if head.NotRun {
+		r.notRun(head, resp.StatusCode, detail)
+		return
+	}
+	success := resp.StatusCode >= 200 && resp.StatusCode < 300
+	switch {
+	case !head.Signed && success:
+		r.end(rpcore.AttemptBroken, rpverdict.MayHaveRun, errBadAnswer.Error())
+	case !head.Signed:
+		r.end(rpcore.AttemptFailed, rpverdict.MayHaveRun, detail)
+	case resp.Header.Get("Content-Encoding") != "":
+		r.end(rpcore.AttemptBroken, rpverdict.MayHaveRun, errEncodedAsk.Error())
+	case resp.StatusCode >= 500 && r.attempt.Command.FirstTimeout > 0:
+		r.end(rpcore.AttemptFailed, rpverdict.MayHaveRun, detail)
+	case success && r.attempt.Command.Kind == rpfleet.KindStream:
+		r.ended.Version = head.Version
+		r.stream(ctx, resp)
+	default:
+		r.whole(ctx, resp)
+	}
+}
+
+// notRun maps an answer which says that the endpoint did not run the request.
+func (r *forwarding) notRun(head rpfleet.AnswerHead, status int, detail string) {
+	reason := rpcore.AttemptBusy
+	if head.Misdirected {
+		reason = rpcore.AttemptNotLoaded
+		if head.Endpoint != "" && head.Endpoint != r.attempt.Command.Endpoint {
+			reason = rpcore.AttemptLeaving
+		}
+	} else if status == http.StatusBadRequest {
+		reason = rpcore.AttemptFailed
+	}
+	r.end(reason, rpverdict.NotRun, detail)
+}
+
+// whole reads the whole answer before the caller gets its first byte, so that a
+// broken one can be repeated.
+func (r *forwarding) whole(ctx context.Context, resp *http.Response) {
+	body, err := readWhole(resp, r.limits.ServiceAnswerBytes)
+	if err != nil {
+		r.fail(ctx, rpcore.AttemptBroken, rpverdict.MayHaveRun, err)
+		return
+	}
+	if r.ended.LastEvent != "" || r.attempt.Command.ResumeAfter != "" && r.attempt.Command.Version != "" {
+		r.end(rpcore.AttemptFailed, rpverdict.MayHaveRun, fmt.Sprintf("the endpoint did not resume the stream: status %d", resp.StatusCode))
+		return
+	}
+	r.watch(0)
+	err = r.relay.Begin(resp.StatusCode, forwardedHeader(resp.Header))
+	if err == nil && len(body) > 0 {
+		err = r.relay.Write(body)
+	}
+	r.ended.AnswerStarted = true
+	r.finish(err)
+}
+
+// finish ends an attempt whose answer is complete.
+func (r *forwarding) finish(relayErr error) {
+	if relayErr != nil {
+		r.gone = true
+		r.end(rpcore.AttemptCanceled, rpverdict.MayHaveRun, relayErr.Error())
+		return
+	}
+	r.end(rpcore.AttemptComplete, rpverdict.Ran, "")
+}
+
+// stream relays whole events as they arrive.
+func (r *forwarding) stream(ctx context.Context, resp *http.Response) {
+	events := newRawEvents(resp.Body, r.limits.LineBytes)
+	started := false
+	for {
+		part, lastID, err := events.next()
+		if len(part) > 0 {
+			r.watch(r.attempt.Command.EventTimeout)
+			if relayErr := r.relayEvents(resp, part, lastID, &started); relayErr != nil {
+				r.finish(relayErr)
+				return
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			r.endOfStream(resp, &started)
+			return
+		}
+		if err != nil {
+			r.fail(ctx, rpcore.AttemptBroken, rpverdict.MayHaveRun, err)
+			return
+		}
+	}
+}
+
+func (r *forwarding) relayEvents(resp *http.Response, part []byte, lastID string, started *bool) error {
+	if !*started {
+		if err := r.relay.Begin(resp.StatusCode, forwardedHeader(resp.Header)); err != nil {
+			return err
+		}
+	}
+	if err := r.relay.Write(part); err != nil {
+		return err
+	}
+	r.ended.AnswerStarted = true
+	if lastID != "" {
+		r.ended.LastEvent = lastID
+	}
+	if !*started {
+		*started = true
+		r.relay.First()
+	}
+	return nil
+}
+
+// endOfStream ends a stream that the endpoint ended whole.
+func (r *forwarding) endOfStream(resp *http.Response, started *bool) {
+	if *started {
+		r.finish(nil)
+		return
+	}
+	err := r.relay.Begin(resp.StatusCode, forwardedHeader(resp.Header))
+	r.ended.AnswerStarted = true
+	r.finish(err)
+}
--- a/internal/rpendpoint/limits.go
+++ b/internal/rpendpoint/limits.go
@@ -18,6 +18,10 @@
 	// timeouts that are usual for servers, so that a connection is rarely
 	// closed by the endpoint just as a request is written to it.
 	IdleTimeout time.Duration
+	// SilenceTimeout is how long a connection may leave what was sent, or a
+	// keep-alive probe, without an acknowledgement. It ends connections whose
+	// other side is gone without a sign.
+	SilenceTimeout time.Duration
 	// IdleConnections bounds the unused connections of one endpoint.
 	IdleConnections int
 	// LineBytes bounds one line of a stream, and one event.
@@ -36,6 +40,7 @@
 	DefaultCancelTimeout      = 2 * time.Second
 	DefaultPollTimeout        = 2 * time.Second
 	DefaultIdleTimeout        = 30 * time.Second
+	DefaultSilenceTimeout     = 2500 * time.Millisecond
 	DefaultIdleConnections    = 64
 	DefaultLineBytes          = 1 << 20
 	DefaultAnswerBytes        = 32 << 20
@@ -55,6 +60,7 @@
 	l.CancelTimeout = cmp.Or(l.CancelTimeout, DefaultCancelTimeout)
 	l.PollTimeout = cmp.Or(l.PollTimeout, DefaultPollTimeout)
 	l.IdleTimeout = cmp.Or(l.IdleTimeout, DefaultIdleTimeout)
+	l.SilenceTimeout = cmp.Or(l.SilenceTimeout, DefaultSilenceTimeout)
 	l.IdleConnections = cmp.Or(l.IdleConnections, DefaultIdleConnections)
 	l.LineBytes = cmp.Or(l.LineBytes, DefaultLineBytes)
 	l.AnswerBytes = cmp.Or(l.AnswerBytes, DefaultAnswerBytes)
--- /dev/null
+++ b/internal/rpendpoint/rawevents.go
@@ -0,0 +1,84 @@
+package rpendpoint
+
+import (
+	"bytes"
+	"io"
+)
+
+// rawEvents splits a stream of server-sent events into runs of whole events
+// and keeps their bytes as they came.
+type rawEvents struct {
+	r     io.Reader
+	limit int
+	buf   []byte
+	// ready is the length of what next returned last.
+	ready int
+}
+
+const rawEventsBuffer = 4 << 10
+
+func newRawEvents(r io.Reader, limit int) *rawEvents {
+	return &rawEvents{r: r, limit: limit, buf: make([]byte, 0, rawEventsBuffer)}
+}
+
+// next returns the whole events that have arrived, at least one, and the id of
+// the last one that has an id. The bytes are valid until the next call. At the
+// end of a stream that does not end with a whole event the error is
+// errCutStream.
+func (e *rawEvents) next() (events []byte, lastID string, err error) {
+	e.buf = append(e.buf[:0], e.buf[e.ready:]...)
+	e.ready = 0
+	for {
+		if end := lastEventEnd(e.buf); end > 0 {
+			e.ready = end
+			return e.buf[:end], lastEventID(e.buf[:end]), nil
+		}
+		if len(e.buf) >= e.limit {
+			return nil, "", errEventTooLarge
+		}
+		if err := e.fill(); err != nil {
+			return nil, "", err
+		}
+	}
+}
+
+// fill reads what has arrived. Bytes that come with an error are kept for the
+// next call.
+func (e *rawEvents) fill() error {
+	if len(e.buf) == cap(e.buf) {
+		e.buf = append(e.buf, 0)[:len(e.buf)]
+	}
+	n, err := e.r.Read(e.buf[len(e.buf):cap(e.buf)])
+	e.buf = e.buf[:len(e.buf)+n]
+	if n > 0 {
+		return nil
+	}
+	if err == io.EOF && len(bytes.TrimSpace(e.buf)) > 0 {
+		return errCutStream
+	}
+	return err
+}
+
+// lastEventEnd returns the end of the last whole event, or 0.
+func lastEventEnd(buf []byte) int {
+	end := 0
+	for _, mark := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
+		if i := bytes.LastIndex(buf, mark); i >= 0 {
+			end = max(end, i+len(mark))
+		}
+	}
+	return end
+}
+
+var idField = []byte("id:")
+
+// lastEventID returns the id of the last event that has one, or "".
+func lastEventID(events []byte) string {
+	id := ""
+	for line := range bytes.Lines(events) {
+		if rest, ok := bytes.CutPrefix(line, idField); ok {
+			id = string(bytes.TrimSpace(rest))
+		}
+	}
+	return id
+}
--- a/internal/rpfront/answer.go
+++ b/internal/rpfront/answer.go
@@ -59,14 +59,14 @@
 // refuse ends the request without an answer. A plain answer that has begun is
 // cut off, because a clean end would make it look whole.
 func (a *answer) refuse(refusal rpverdict.Refusal) {
-	body := encodeProblem(a.id, refusal)
+	body := EncodeProblem(a.id, refusal)
 	if a.begun {
 		if !a.events || a.write(errorEvent(body)) != nil {
 			panic(http.ErrAbortHandler)
 		}
 		return
 	}
-	header := http.Header{"Content-Type": {problemType}}
+	header := http.Header{"Content-Type": {ProblemType}}
 	if value := retryAfter(refusal.RetryAfter); value != "" {
 		header.Set("Retry-After", value)
 	}
--- a/internal/rpfront/problem.go
+++ b/internal/rpfront/problem.go
@@ -10,7 +10,8 @@
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
-const problemType = "application/problem+json"
+// ProblemType is the content type of a refusal.
+const ProblemType = "application/problem+json"
 
 // problem is the body of a refusal (RFC 9457).
 type problem struct {
@@ -32,7 +33,8 @@
 	Code    rpverdict.Code `json:"code"`
 }
 
-func encodeProblem(id rpcore.RequestID, refusal rpverdict.Refusal) []byte {
+// EncodeProblem returns the body of a refusal of the request with the given id.
+func EncodeProblem(id rpcore.RequestID, refusal rpverdict.Refusal) []byte {
 	// Every field has a type that JSON can hold, but for a verdict that does
 	// not exist, which is reported as the careful one.
 	if refusal.Verdict < rpverdict.NotRun || refusal.Verdict > rpverdict.Ran {
--- /dev/null
+++ b/internal/rpgateway/follow.go
@@ -0,0 +1,133 @@
+package rpgateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	rpwire "github.com/rattanpaddle/rattanpaddle/platform"
+)
+
+const (
+	// followRetry and maxFollowRetry are the first and the longest pause after
+	// a call that failed.
+	followRetry    = 100 * time.Millisecond
+	maxFollowRetry = 500 * time.Millisecond
+	// outageAfter is the time without an answer from which the store counts as
+	// lost. Single calls fail on a sound store too.
+	outageAfter = time.Second
+	// listTimeout bounds a reading of a whole table, changesMargin the answer
+	// to a call that waits for changes, beyond the wait.
+	listTimeout   = 2 * time.Second
+	changesMargin = 1500 * time.Millisecond
+)
+
+// follower keeps up with a table of the store.
+type follower struct {
+	store *rpwire.Store
+	table rpwire.Table
+	// wait is how long a call waits for changes.
+	wait time.Duration
+	// interval returns the least time between two calls, which bounds the calls
+	// for a table that changes all the time.
+	interval func() time.Duration
+	// apply takes in rows; complete says that they are the whole table.
+	apply func(rows []rpwire.Row, complete bool)
+	// lost is called once for each outage.
+	lost func()
+	log  zerolog.Logger
+
+	revision uint64
+	known    bool
+	failedAt time.Time
+	reported bool
+}
+
+// run follows the table until the context ends.
+func (f *follower) run(ctx context.Context) {
+	pause := followRetry
+	for ctx.Err() == nil {
+		begin := time.Now()
+		err := f.step(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, rpwire.ErrHistoryLost):
+			f.log.Warn().Str("table", string(f.table)).Uint64("revision", f.revision).
+				Msg("the store has lost its history; the table is read in full")
+			f.known = false
+			sleep(ctx, followRetry)
+		case err != nil:
+			f.failed(err)
+			sleep(ctx, pause)
+			pause = min(2*pause, maxFollowRetry)
+		default:
+			f.succeeded()
+			pause = followRetry
+			if f.interval != nil {
+				sleep(ctx, f.interval()-time.Since(begin))
+			}
+		}
+	}
+}
+
+// step makes one call and hands on what it brought.
+func (f *follower) step(ctx context.Context) error {
+	if !f.known {
+		ctx, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		rows, revision, err := f.store.List(ctx, f.table)
+		if err != nil {
+			return err
+		}
+		f.known = true
+		f.revision = revision
+		f.apply(rows, true)
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.wait+changesMargin)
+	defer cancel()
+	rows, revision, err := f.store.Changes(ctx, f.table, f.revision, f.wait)
+	if err != nil {
+		return err
+	}
+	f.revision = max(f.revision, revision)
+	f.apply(rows, false)
+	return nil
+}
+
+func (f *follower) failed(err error) {
+	if f.failedAt.IsZero() {
+		f.failedAt = time.Now()
+		f.log.Warn().Str("table", string(f.table)).Err(err).Uint64("revision", f.revision).Msg("a call to the store failed")
+	}
+	if !f.reported && time.Since(f.failedAt) >= outageAfter {
+		f.reported = true
+		f.log.Error().Str("table", string(f.table)).Err(err).Dur("failing_for_ms", time.Since(f.failedAt)).Msg("the store is lost")
+		if f.lost != nil {
+			f.lost()
+		}
+	}
+}
+
+func (f *follower) succeeded() {
+	if f.reported {
+		f.log.Info().Str("table", string(f.table)).Dur("lost_for_ms", time.Since(f.failedAt)).Msg("the store is back")
+	}
+	f.failedAt = time.Time{}
+	f.reported = false
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/rpgateway/lease.go
@@ -0,0 +1,111 @@
+package rpgateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
+	rpwire "github.com/rattanpaddle/rattanpaddle/platform"
+)
+
+// leaseTimeout bounds a call about the lease. A renewal that takes longer does
+// not help its holder.
+const leaseTimeout = 900 * time.Millisecond
+
+// keyLease is the key of the row of the planner's lease.
+const keyLease = "planner"
+
+// leaseBody is the row of the lease.
+type leaseBody struct {
+	Holder   rpcore.InstanceID `json:"holder"`
+	Address  netip.AddrPort    `json:"address"`
+	Epoch    uint64            `json:"epoch"`
+	Renewals uint64            `json:"renewals"`
+}
+
+func encodeLease(row rpfleet.LeaseRow) ([]byte, error) {
+	return json.Marshal(leaseBody{Holder: row.Holder, Address: row.Address, Epoch: row.Epoch, Renewals: row.Renewals})
+}
+
+func decodeLease(row rpwire.Row) (rpfleet.LeaseRow, error) {
+	lease := rpfleet.LeaseRow{Revision: row.Revision}
+	if row.Revision == 0 {
+		return lease, nil
+	}
+	var body leaseBody
+	if err := json.Unmarshal(row.Value, &body); err != nil {
+		return lease, err
+	}
+	lease.Holder, lease.Address, lease.Epoch, lease.Renewals = body.Holder, body.Address, body.Epoch, body.Renewals
+	return lease, nil
+}
+
+// leases carries out the calls about the planner's lease.
+type leases struct {
+	loop  *loop
+	store *rpwire.Store
+	log   zerolog.Logger
+}
+
+func (l *leases) read() {
+	event := rpfleet.LeaseRead{AskedAt: l.loop.clock.Now()}
+	ctx, cancel := context.WithTimeout(context.Background(), leaseTimeout)
+	defer cancel()
+	row, err := l.store.Read(ctx, rpwire.TableOwn, keyLease)
+	if err == nil {
+		event.Row, err = decodeLease(row)
+	}
+	if err != nil {
+		l.log.Warn().Err(err).Msg("the planner's lease can't be read")
+		event.Failed = true
+	}
+	event.Stamp = l.loop.stamp()
+	l.loop.apply(event)
+}
+
+func (l *leases) write(cmd rpfleet.WriteLease) {
+	event := rpfleet.LeaseWritten{AskedAt: l.loop.clock.Now(), Outcome: rpcore.WriteApplied, Row: cmd.Row}
+	value, err := encodeLease(cmd.Row)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), leaseTimeout)
+		defer cancel()
+		row := rpwire.Row{Table: rpwire.TableOwn, Key: keyLease, Value: value}
+		event.Row.Revision, err = l.store.Write(ctx, row, cmd.Expected)
+	}
+	if err != nil {
+		l.failed(&event, err)
+	}
+	event.Stamp = l.loop.stamp()
+	l.loop.apply(event)
+}
+
+func (l *leases) failed(event *rpfleet.LeaseWritten, err error) {
+	var conflict rpwire.ConflictError
+	var status rpwire.StatusError
+	switch {
+	case errors.As(err, &conflict):
+		event.Outcome = rpcore.WriteConflict
+		event.Row = rpfleet.LeaseRow{}
+		for _, row := range conflict.Rows {
+			if row.Key != keyLease {
+				continue
+			}
+			if event.Row, err = decodeLease(row); err != nil {
+				l.log.Error().Err(err).Msg("the row of the planner's lease can't be read")
+			}
+		}
+	case errors.As(err, &status) && (status.Status == http.StatusServiceUnavailable || status.Status == http.StatusTooManyRequests):
+		event.Outcome = rpcore.WriteUnavailable
+	default:
+		event.Outcome = rpcore.WriteUnknown
+	}
+	l.log.Warn().Err(err).Str("outcome", string(event.Outcome)).Uint64("epoch", event.Row.Epoch).
+		Msg("the planner's lease was not written")
+}
--- /dev/null
+++ b/internal/rpgateway/loop.go
@@ -0,0 +1,67 @@
+package rpgateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
+)
+
+// loop applies events to the state, one at a time, and carries out their
+// effects before the next one. Edges must neither block nor apply an event in
+// the same goroutine.
+type loop struct {
+	clock *clock
+	// Edge carries out an effect other than SetAlarm.
+	Edge func(rpfleet.Effect)
+
+	mu     sync.Mutex
+	state  rpfleet.State
+	timer  *time.Timer
+	closed bool
+}
+
+func (l *loop) stamp() rpfleet.Stamp { return rpfleet.Stamp{At: l.clock.Now()} }
+
+// apply applies an event.
+func (l *loop) apply(ev rpfleet.Event) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return
+	}
+	for _, effect := range l.state.Reduce(ev) {
+		if alarm, ok := effect.(rpfleet.SetAlarm); ok {
+			l.setAlarm(alarm.At)
+			continue
+		}
+		l.Edge(effect)
+	}
+}
+
+func (l *loop) setAlarm(at time.Time) {
+	wait := max(0, at.Sub(l.clock.Now()))
+	if l.timer == nil {
+		l.timer = time.AfterFunc(wait, l.tick)
+		return
+	}
+	l.timer.Reset(wait)
+}
+
+func (l *loop) tick() { l.apply(rpfleet.Tick{Stamp: l.stamp()}) }
+
+// leading reports whether this instance gives the orders to the engines.
+func (l *loop) leading() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Leading()
+}
+
+func (l *loop) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+}
--- /dev/null
+++ b/internal/rpgateway/observe.go
@@ -0,0 +1,73 @@
+package rpgateway
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rplog"
+	"github.com/rattanpaddle/rattanpaddle/internal/rpmetric"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
+)
+
+const (
+	codeOK            = rpmetric.CodeOK
+	rpmetricAbandoned = rpmetric.CodeAbandoned
+)
+
+// observer turns what happens into metrics and log lines.
+type observer struct {
+	metrics *rpmetric.Metrics
+	loggers map[string]zerolog.Logger
+}
+
+func newObserver(log rplog.Log, metrics *rpmetric.Metrics) *observer {
+	o := &observer{metrics: metrics, loggers: map[string]zerolog.Logger{}}
+	for _, part := range rplog.Parts {
+		o.loggers[part.Name] = log.Part(part.Name)
+	}
+	return o
+}
+
+func (o *observer) requestEnded(took time.Duration, code string) { o.metrics.RoutedEnded(code, took) }
+
+func (o *observer) firstEvent(rank int, took time.Duration) { o.metrics.RoutedFirstEvent(rank, took) }
+
+func (o *observer) attemptEnded(reason rpcore.AttemptReason) { o.metrics.AttemptEnded(reason) }
+
+func (o *observer) orderEnded(kind rpfleet.OrderKind, outcome rpfleet.OrderOutcome) {
+	o.metrics.OrderEnded(string(kind), string(outcome))
+}
+
+// note writes a note of the reducer to the log of its part. Durations are in
+// milliseconds, and their names say so.
+func (o *observer) note(note rpfleet.Note) {
+	logger, ok := o.loggers[note.Part]
+	if !ok {
+		return
+	}
+	entry := logger.Info()
+	if note.Request != "" {
+		entry = entry.Str("request_id", string(note.Request))
+	}
+	for _, field := range note.Fields {
+		entry = addField(entry, field)
+	}
+	entry.Msg(note.Text)
+}
+
+func addField(entry *zerolog.Event, field rpfleet.Field) *zerolog.Event {
+	switch value := field.Value.(type) {
+	case string:
+		if value == "" {
+			return entry
+		}
+		return entry.Str(field.Name, value)
+	case time.Duration:
+		return entry.Int64(field.Name+"_ms", value.Milliseconds())
+	case float64:
+		return entry.Float64(field.Name, float64(int64(value*1000))/1000)
+	}
+	return entry.Interface(field.Name, field.Value)
+}
--- /dev/null
+++ b/internal/rpgateway/peers.go
@@ -0,0 +1,127 @@
+package rpgateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
+)
+
+const (
+	// demandTimeout bounds a demand. The planner answers at once, so one that
+	// takes longer is cut off or stopped.
+	demandTimeout = 700 * time.Millisecond
+	// demandBytes bounds a demand and its answer.
+	demandBytes = 4 << 20
+	pathDemand  = "/peer/v1/demand"
+)
+
+// peers is the interface between instances: demands go to the planner.
+type peers struct {
+	loop   *loop
+	client *http.Client
+	log    zerolog.Logger
+
+	mu      sync.Mutex
+	nextID  uint64
+	answers map[uint64]chan rpfleet.Placement
+}
+
+func (p *peers) handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(pathDemand, p.serveDemand).Methods(http.MethodPost)
+	return r
+}
+
+func (p *peers) serveDemand(w http.ResponseWriter, r *http.Request) {
+	event := rpfleet.DemandReceived{}
+	if err := json.NewDecoder(io.LimitReader(r.Body, demandBytes)).Decode(&event.Demand); err != nil {
+		p.log.Warn().Err(err).Str("peer", r.RemoteAddr).Msg("a demand can't be read")
+		http.Error(w, "the demand can't be read", http.StatusBadRequest)
+		return
+	}
+	call, answered := p.open()
+	event.Call = call
+	event.Stamp = p.loop.stamp()
+	p.loop.apply(event)
+	select {
+	case placement := <-answered:
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(placement); err != nil {
+			p.log.Debug().Err(err).Msg("an answer to a demand was not delivered")
+		}
+	default:
+		// The loop is closed.
+		http.Error(w, "this instance stops", http.StatusServiceUnavailable)
+	}
+}
+
+// open registers a call whose answer the loop delivers while it applies the
+// event.
+func (p *peers) open() (uint64, chan rpfleet.Placement) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.answers == nil {
+		p.answers = map[uint64]chan rpfleet.Placement{}
+	}
+	p.nextID++
+	answered := make(chan rpfleet.Placement, 1)
+	p.answers[p.nextID] = answered
+	return p.nextID, answered
+}
+
+func (p *peers) answer(cmd rpfleet.AnswerDemand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if answered := p.answers[cmd.Call]; answered != nil {
+		answered <- cmd.Placement
+		delete(p.answers, cmd.Call)
+	}
+}
+
+// send sends a demand to the planner.
+func (p *peers) send(cmd rpfleet.SendDemand) {
+	event := rpfleet.PlacementReceived{AskedAt: p.loop.clock.Now()}
+	placement, err := p.ask(cmd.Address, cmd.Demand)
+	if err != nil {
+		p.log.Debug().Err(err).Str("planner", cmd.Address.String()).Msg("the planner did not answer a demand")
+		event.Failed = true
+	}
+	event.Placement = placement
+	event.Stamp = p.loop.stamp()
+	p.loop.apply(event)
+}
+
+func (p *peers) ask(address netip.AddrPort, demand rpfleet.Demand) (rpfleet.Placement, error) {
+	var placement rpfleet.Placement
+	body, err := json.Marshal(demand)
+	if err != nil {
+		return placement, trace.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), demandTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+pathDemand, bytes.NewReader(body))
+	if err != nil {
+		return placement, trace.Wrap(err)
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return placement, trace.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return placement, fmt.Errorf("the planner answered with status %d", resp.StatusCode)
+	}
+	return placement, trace.Wrap(json.NewDecoder(io.LimitReader(resp.Body, demandBytes)).Decode(&placement))
+}
--- /dev/null
+++ b/internal/rpgateway/settings.go
@@ -0,0 +1,145 @@
+package rpgateway
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rplog"
+	"github.com/rattanpaddle/rattanpaddle/internal/rpsettings"
+	"github.com/rattanpaddle/rattanpaddle/internal/rptoml"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
+)
+
+// Settings are the settings of one instance on the platform.
+type Settings struct {
+	Instance rpsettings.Instance `toml:"instance"`
+	Listen   Listen              `toml:"listen"`
+	Store    StoreSettings       `toml:"store"`
+	Retries  Retries             `toml:"retries"`
+	Planner  Planner             `toml:"planner"`
+	Drain    Drain               `toml:"drain"`
+	Log      rpsettings.Log      `toml:"log"`
+}
+
+// Listen holds the addresses that the instance listens on.
+type Listen struct {
+	Callers   rpsettings.Address `toml:"callers"`
+	Readiness rpsettings.Address `toml:"readiness"`
+	Peers     rpsettings.Address `toml:"peers"`
+	Metrics   rpsettings.Address `toml:"metrics"`
+}
+
+// StoreSettings says where the platform's store is.
+type StoreSettings struct {
+	Address rpsettings.Address `toml:"address"`
+}
+
+// Retries bounds the attempts beyond the first of each request, over all
+// instances.
+type Retries struct {
+	Ratio  float64             `toml:"ratio"`
+	Slack  float64             `toml:"slack"`
+	Window rpsettings.Duration `toml:"window"`
+}
+
+// Planner bounds the orders to engines.
+type Planner struct {
+	// HolderGap is the least time between orders of two instances to one
+	// engine.
+	HolderGap rpsettings.Duration `toml:"holder_gap"`
+	// WeightLoads is the number of loads from the weight store at once.
+	WeightLoads int `toml:"weight_loads"`
+}
+
+// Drain bounds a planned stop.
+type Drain struct {
+	// BalancerDelay is the time in which the balancer notices that the
+	// instance is not ready.
+	BalancerDelay rpsettings.Duration `toml:"balancer_delay"`
+	// Timeout bounds the whole stop.
+	Timeout rpsettings.Duration `toml:"timeout"`
+}
+
+// Bounds of the settings.
+const (
+	maxRatio       = 10
+	maxSlack       = 100000
+	maxTime        = rpsettings.Duration(10 * time.Minute)
+	maxWeightLoads = 1000
+)
+
+// LoadSettings reads and checks a settings file and returns the settings, or
+// every problem.
+func LoadSettings(file string) (*Settings, []rpsettings.Problem) {
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return nil, []rpsettings.Problem{{File: file, Problem: rpdocument.Problem{
+			Code: rptoml.CodeFileUnreadable, Wrong: fmt.Sprintf("The file can't be read: %s.", err),
+			Fix: "Name a file that exists and that this process may read.",
+		}}}
+	}
+	return ParseSettings(file, body)
+}
+
+// ParseSettings checks the text of a settings file; file is its name.
+func ParseSettings(file string, body []byte) (*Settings, []rpsettings.Problem) {
+	settings := &Settings{}
+	settings.Log.Format = rpsettings.LogFormat(rplog.FormatJSON)
+	report := rptoml.Decode(body, settings)
+	if !report.Unreadable() {
+		settings.check(report)
+	}
+	found := report.Problems()
+	if len(found) == 0 {
+		return settings, nil
+	}
+	problems := make([]rpsettings.Problem, len(found))
+	for i := range found {
+		problems[i] = rpsettings.Problem{File: file, Problem: rpdocument.Problem(found[i])}
+	}
+	return nil, problems
+}
+
+func (s *Settings) check(r *rptoml.Report) {
+	for _, key := range []struct{ name, example string }{
+		{"instance.name", `"front-1"`},
+		{"instance.failure_domain", `"west-a"`},
+		{"listen.callers", `"10.0.0.5:8080"`},
+		{"listen.readiness", `"10.0.0.5:8081"`},
+		{"listen.peers", `"10.0.0.5:8082"`},
+		{"store.address", `"10.0.0.9:8000"`},
+	} {
+		rptoml.Require(r, key.name, key.example)
+	}
+	rptoml.Between(r, "retries.ratio", s.Retries.Ratio, 0, maxRatio)
+	rptoml.Between(r, "retries.slack", s.Retries.Slack, 0, maxSlack)
+	rptoml.Between(r, "retries.window", s.Retries.Window, 0, maxTime)
+	rptoml.Between(r, "planner.holder_gap", s.Planner.HolderGap, 0, maxTime)
+	rptoml.Between(r, "planner.weight_loads", s.Planner.WeightLoads, 1, maxWeightLoads)
+	rptoml.Between(r, "drain.balancer_delay", s.Drain.BalancerDelay, 0, maxTime)
+	rptoml.Between(r, "drain.timeout", s.Drain.Timeout, 0, maxTime)
+	if s.Drain.Timeout > 0 && s.Drain.BalancerDelay >= s.Drain.Timeout {
+		r.Add("drain.balancer_delay", rptoml.CodeContradiction, "The delay is not shorter than drain.timeout.", "Write a shorter delay.")
+	}
+}
+
+// policy returns the part of the settings that decisions need.
+func (s *Settings) policy() rpfleet.Policy {
+	return rpfleet.Policy{
+		RetryRatio:  s.Retries.Ratio,
+		RetrySlack:  s.Retries.Slack,
+		RetryWindow: time.Duration(s.Retries.Window),
+		HolderGap:   time.Duration(s.Planner.HolderGap),
+		WeightLoads: s.Planner.WeightLoads,
+	}
+}
+
+func (s *Settings) identity() rpcore.Identity {
+	return rpcore.Identity{
+		Instance:      rpcore.InstanceID(s.Instance.Name),
+		FailureDomain: rpcore.FailureDomain(s.Instance.FailureDomain),
+	}
+}
--- a/internal/rpmetric/metric.go
+++ b/internal/rpmetric/metric.go
@@ -15,6 +15,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -177,3 +178,22 @@
 
 // DocumentsInForce sets the number of documents in force.
 func (m *Metrics) DocumentsInForce(n int) { m.set(nameDocuments, float64(n)) }
+
+// RoutedEnded counts a request on a route of a platform and the time that it
+// took. The code is CodeOK, CodeAbandoned or that of the refusal.
+func (m *Metrics) RoutedEnded(code string, d time.Duration) {
+	m.add(nameRouted, 1, code)
+	m.observe(nameRoutedSeconds, d, code)
+}
+
+// RoutedFirstEvent records the time from arrival to the first event of a
+// stream.
+func (m *Metrics) RoutedFirstEvent(rank int, d time.Duration) {
+	m.observe(nameRoutedFirst, d, strconv.Itoa(rank))
+}
+
+// OrderEnded counts an order to an engine of a platform.
+func (m *Metrics) OrderEnded(kind, outcome string) { m.add(nameOrders, 1, kind, outcome) }
+
+// LogDropped counts lines of the log that were dropped.
+func (m *Metrics) LogDropped(lines int) { m.add(nameLogDropped, float64(lines)) }
--- a/internal/rpmetric/table.go
+++ b/internal/rpmetric/table.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
@@ -55,6 +56,11 @@
 	nameReducerSeconds = "rattanpaddle_reducer_seconds_total"
 	nameSubmissions    = "rattanpaddle_document_submissions_total"
 	nameDocuments      = "rattanpaddle_documents_in_force"
+	nameRouted         = "rattanpaddle_routed_requests_total"
+	nameRoutedSeconds  = "rattanpaddle_routed_request_seconds"
+	nameRoutedFirst    = "rattanpaddle_routed_first_event_seconds"
+	nameOrders         = "rattanpaddle_engine_orders_total"
+	nameLogDropped     = "rattanpaddle_log_lines_dropped_total"
 )
 
 // Bucket bounds in seconds. The target of 0.56 s to the first token is a
@@ -82,6 +88,11 @@
 	{name: nameReducerEvents, kind: kindCounter, unit: "events", help: "Events that the reducer took in."},
 	{name: nameReducerSeconds, kind: kindCounter, unit: "seconds", help: "Time spent in the reducer."},
 	{name: nameSubmissions, kind: kindCounter, unit: "submissions", help: "Documents submitted at this instance, by result.", labels: []label{{"result", submissionNames()}}},
+	{name: nameRouted, kind: kindCounter, unit: "requests", help: "Requests on the routes of a platform that ended, by code. The code is ok, abandoned or that of the refusal.", labels: []label{{"code", codeNames()}}},
+	{name: nameRoutedSeconds, kind: kindHistogram, unit: "seconds", help: "Time from the arrival of such a request to its end, by code.", labels: []label{{"code", codeNames()}}, buckets: firstTokenBuckets},
+	{name: nameRoutedFirst, kind: kindHistogram, unit: "seconds", help: "Time from the arrival of such a request to the first event of its stream, by rank (0 is the most urgent).", labels: []label{{"rank", []string{"0", "1", "2", "3"}}}, buckets: firstTokenBuckets},
+	{name: nameOrders, kind: kindCounter, unit: "orders", help: "Orders to the engines of a platform, by kind and outcome.", labels: []label{{"kind", names(rpfleet.OrderLoad, rpfleet.OrderUnload)}, {"outcome", names(rpfleet.OrderAccepted, rpfleet.OrderHolds, rpfleet.OrderConflict, rpfleet.OrderRejected, rpfleet.OrderNotSent, rpfleet.OrderUnknown)}}},
+	{name: nameLogDropped, kind: kindCounter, unit: "lines", help: "Lines of the log that were dropped because standard output was not read fast enough."},
 	{name: nameDocuments, kind: kindGauge, unit: "documents", help: "Documents in force at this instance."},
 }
 
--- /dev/null
+++ b/pkg/rpfleet/config.go
@@ -0,0 +1,164 @@
+package rpfleet
+
+import (
+	"math"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// RouteKind says how often a request may run.
+type RouteKind string
+
+// The kinds of routes.
+const (
+	// KindIdempotent requests may run more than once.
+	KindIdempotent RouteKind = "idempotent"
+	// KindNonIdempotent requests run at most once.
+	KindNonIdempotent RouteKind = "non_idempotent"
+	// KindStream requests are answered with a stream of events. They run at
+	// most once unless the route is resumable.
+	KindStream RouteKind = "stream"
+)
+
+// WeightedService is a target of a route with its share of the requests.
+type WeightedService struct {
+	Service string
+	Weight  float64
+}
+
+// Route says which requests go to which service, and what their callers
+// expect.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   RouteKind
+	// Resumable streams may go on at another endpoint after the last event
+	// that the caller has.
+	Resumable bool
+	// Rank is 0 for the most urgent work.
+	Rank int
+	// Timeout bounds the time until the answer is complete.
+	Timeout time.Duration
+	// Target is the time to the answer, or to the first event of a stream,
+	// that the operator aims at.
+	Target time.Duration
+	// EventGap is the longest pause between two events of a stream that the
+	// operator aims at.
+	EventGap time.Duration
+	// MaxEndpoints bounds the endpoints that may run one request.
+	MaxEndpoints int
+	Services     []WeightedService
+}
+
+// Repeatable reports whether a request of the route may run again after an
+// attempt whose outcome is not known.
+func (r *Route) Repeatable() bool {
+	return r.Kind == KindIdempotent || r.Kind == KindStream && r.Resumable
+}
+
+// service chooses the service of a request by the weights of the route. The
+// choice is a function of the id, so that it does not change between attempts.
+func (r *Route) service(id rpcore.RequestID) string {
+	total := 0.0
+	for _, target := range r.Services {
+		total += target.Weight
+	}
+	point := float64(xxhash.Sum64String(string(id))) / math.MaxUint64 * total
+	for _, target := range r.Services {
+		if point < target.Weight {
+			return target.Service
+		}
+		point -= target.Weight
+	}
+	if len(r.Services) == 0 {
+		return ""
+	}
+	return r.Services[len(r.Services)-1].Service
+}
+
+// ModelSpec describes a model that a service offers.
+type ModelSpec struct {
+	Memory        rpdocument.Bytes
+	AdapterMemory rpdocument.Bytes
+	Adapters      int
+	// LoadTimes are the times of a load by the place of the checkpoint.
+	LoadTimes map[rpcore.CheckpointPlace]time.Duration
+}
+
+// EngineSpec describes the engines of a service.
+type EngineSpec struct {
+	// Slots is the number of requests in one batch.
+	Slots int
+	// Memory is the accelerator memory for weights of models and adapters.
+	Memory       rpdocument.Bytes
+	AdapterSlots int
+	// CacheTokens is the number of tokens that the KV cache holds.
+	CacheTokens int
+	// WeightLoadsPerSecond bounds the loads from the weight store over all
+	// engines.
+	WeightLoadsPerSecond float64
+	Models               map[string]ModelSpec
+}
+
+// Service is a set of endpoints that serve the same requests. Engine is nil
+// for a plain service.
+type Service struct {
+	Name   string
+	Engine *EngineSpec
+}
+
+// CallerLimits bounds what a caller may send.
+type CallerLimits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version of the operators' configuration. It is not changed
+// after it was handed to a State.
+type Config struct {
+	Version  uint64
+	Routes   []Route
+	Services map[string]*Service
+	Limits   CallerLimits
+
+	byHost map[string][]*Route
+}
+
+// Index prepares the lookup of routes. It is called once, before the first
+// lookup.
+func (c *Config) Index() {
+	c.byHost = make(map[string][]*Route, len(c.Routes))
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		host := strings.ToLower(route.Host)
+		c.byHost[host] = append(c.byHost[host], route)
+	}
+}
+
+// Route returns the route with the longest prefix of the path, or nil.
+func (c *Config) Route(host, path string) *Route {
+	var best *Route
+	for _, route := range c.byHost[strings.ToLower(hostName(host))] {
+		if strings.HasPrefix(path, route.Prefix) && (best == nil || len(route.Prefix) > len(best.Prefix)) {
+			best = route
+		}
+	}
+	return best
+}
+
+// hostName removes the port of a Host header.
+func hostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		return host[:i]
+	}
+	return host
+}
--- /dev/null
+++ b/pkg/rpfleet/demand.go
@@ -0,0 +1,373 @@
+package rpfleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+// Demand is what an instance tells the planner. Times are durations, since the
+// clocks of instances differ.
+type Demand struct {
+	Instance rpcore.InstanceID   `json:"instance"`
+	Rates    []ModelRate         `json:"rates"`
+	Needs    []Need              `json:"needs"`
+	InFlight []EndpointLoad      `json:"in_flight"`
+	Avoid    []rpcore.EndpointID `json:"avoid"`
+}
+
+// ModelRate is the rate at which requests for a model arrive.
+type ModelRate struct {
+	Service string `json:"service"`
+	Model   string `json:"model"`
+	// Fast and Slow are requests a second over a short and a long time.
+	Fast float64 `json:"fast"`
+	Slow float64 `json:"slow"`
+}
+
+// Need says that requests wait for a model or an adapter of it.
+type Need struct {
+	Service string `json:"service"`
+	Model   string `json:"model"`
+	Adapter string `json:"adapter,omitempty"`
+	Waiting int    `json:"waiting"`
+	// Rank is that of the most urgent request.
+	Rank int `json:"rank"`
+}
+
+// EndpointLoad is the number of attempts at an endpoint, by model.
+type EndpointLoad struct {
+	Endpoint rpcore.EndpointID `json:"endpoint"`
+	Model    string            `json:"model,omitempty"`
+	Count    int               `json:"count"`
+}
+
+// Placement is the planner's answer to a demand.
+type Placement struct {
+	// Leading is false where the asked instance is not the planner.
+	Leading   bool `json:"leading"`
+	Instances int  `json:"instances"`
+	// Engines holds what was ordered lately and may not be in the list yet.
+	Engines []EngineContent `json:"engines"`
+	// Others holds the attempts of all other instances.
+	Others []EndpointLoad `json:"others"`
+	// Expected says when the needed models will be loaded.
+	Expected []ExpectedModel `json:"expected"`
+}
+
+// EngineContent is what an engine holds after a number of orders.
+type EngineContent struct {
+	Endpoint    rpcore.EndpointID  `json:"endpoint"`
+	Incarnation rpcore.Incarnation `json:"incarnation"`
+	Sequence    uint64             `json:"sequence"`
+	Models      []PlacedModel      `json:"models"`
+	// Dropped names what was unloaded lately.
+	Dropped []string `json:"dropped"`
+}
+
+// PlacedModel is a model that an engine holds or is loading.
+type PlacedModel struct {
+	Name    string        `json:"name"`
+	Version string        `json:"version"`
+	ReadyIn time.Duration `json:"ready_in"`
+	// Adapters holds the time until each adapter is ready.
+	Adapters map[string]time.Duration `json:"adapters"`
+}
+
+// ExpectedModel says when a model will be loaded somewhere.
+type ExpectedModel struct {
+	Service string        `json:"service"`
+	Model   string        `json:"model"`
+	ReadyIn time.Duration `json:"ready_in"`
+}
+
+const (
+	// demandInterval is the time between two demands. The planner's view of
+	// the load is as old as that.
+	demandInterval = 500 * time.Millisecond
+	// demandSpacing is the least time between two demands where new needs
+	// come up.
+	demandSpacing = 20 * time.Millisecond
+	// needInterval is the time between two demands while requests wait.
+	needInterval = 150 * time.Millisecond
+	// demandMemory is how long the demand of an instance counts that sends no
+	// more.
+	demandMemory = 3 * time.Second
+	// fastWindow and slowWindow are the time constants of the arrival rates.
+	// The fast one finds models whose demand begins, the slow one keeps the
+	// replicas of those that are asked for now and then.
+	fastWindow = 3 * time.Second
+	slowWindow = 20 * time.Second
+	// forgottenRate is the rate, a second, below which a model is not reported.
+	forgottenRate = 0.005
+)
+
+type modelID struct {
+	service string
+	model   string
+}
+
+func (a modelID) compare(b modelID) int {
+	if c := strings.Compare(a.service, b.service); c != 0 {
+		return c
+	}
+	return strings.Compare(a.model, b.model)
+}
+
+type arrivals struct {
+	fast decayingRate
+	slow decayingRate
+}
+
+// demandState is this instance's demand and what the planner told it.
+type demandState struct {
+	arrivals map[modelID]*arrivals
+	// asking says that a call is under way, again that another one is due.
+	asking bool
+	again  bool
+	sentAt time.Time
+	// expected holds when models will be loaded.
+	expected    map[modelID]time.Time
+	placementAt time.Time
+	instances   int
+}
+
+func (s *State) startDemand() {
+	s.demand.arrivals = map[modelID]*arrivals{}
+	s.demand.expected = map[modelID]time.Time{}
+	s.after(demandInterval, (*State).demandTick)
+}
+
+func (s *State) countArrival(r *request) {
+	if r.engine == nil {
+		return
+	}
+	id := modelID{r.service, r.Model}
+	a := s.demand.arrivals[id]
+	if a == nil {
+		a = &arrivals{fast: decayingRate{window: fastWindow}, slow: decayingRate{window: slowWindow}}
+		s.demand.arrivals[id] = a
+	}
+	a.fast.add(s.now, 1)
+	a.slow.add(s.now, 1)
+}
+
+// expectedReplica returns when the model of a request will be loaded, where the
+// planner has said so.
+func (s *State) expectedReplica(r *request) (time.Time, bool) {
+	at, ok := s.demand.expected[modelID{r.service, r.Model}]
+	return at, ok
+}
+
+// need tells the planner that a request waits.
+func (s *State) need(*request) {
+	if s.demand.asking {
+		s.demand.again = true
+		return
+	}
+	due := s.demand.sentAt.Add(demandSpacing)
+	if !s.now.Before(due) {
+		s.sendDemand()
+		return
+	}
+	if !s.demand.again {
+		s.demand.again = true
+		s.at(due, (*State).demandAgain)
+	}
+}
+
+func (s *State) demandAgain() {
+	if s.demand.again && !s.demand.asking {
+		s.sendDemand()
+	}
+}
+
+// demandTick repeats the demand, more often while requests wait.
+func (s *State) demandTick() {
+	interval := demandInterval
+	if s.hasNeeds() {
+		interval = needInterval
+	}
+	s.after(interval, (*State).demandTick)
+	if !s.demand.asking && s.now.Sub(s.demand.sentAt) >= interval-demandSpacing {
+		s.sendDemand()
+	}
+}
+
+func (s *State) hasNeeds() bool {
+	for _, queue := range s.waiting {
+		for _, r := range queue {
+			if r.engine != nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// sendDemand tells the planner what is asked for here. The planner takes its
+// own demand in at once.
+func (s *State) sendDemand() {
+	s.demand.again = false
+	s.demand.sentAt = s.now
+	if s.leading() {
+		s.takeDemand(s.currentDemand())
+		s.runPlan()
+		s.adoptExpected(s.expectedModels())
+		s.demand.instances = len(s.plan.demands)
+		s.demand.placementAt = s.now
+		s.adoptOthers(s.othersOf(s.self.Instance))
+		return
+	}
+	if !s.lease.row.Address.IsValid() || s.lease.row.Holder == "" {
+		return
+	}
+	s.demand.asking = true
+	s.emit(SendDemand{Address: s.lease.row.Address, Demand: s.currentDemand()})
+}
+
+func (s *State) currentDemand() Demand {
+	d := Demand{Instance: s.self.Instance}
+	for _, id := range s.arrivingModels() {
+		a := s.demand.arrivals[id]
+		rate := ModelRate{Service: id.service, Model: id.model, Fast: a.fast.perSecond(s.now), Slow: a.slow.perSecond(s.now)}
+		if rate.Fast < forgottenRate && rate.Slow < forgottenRate {
+			delete(s.demand.arrivals, id)
+			continue
+		}
+		d.Rates = append(d.Rates, rate)
+	}
+	d.Needs = s.currentNeeds()
+	for _, e := range s.sortedEndpoints() {
+		d.addEndpoint(e, s.now)
+	}
+	return d
+}
+
+func (d *Demand) addEndpoint(e *endpoint, now time.Time) {
+	if e.health.ejected(now) {
+		d.Avoid = append(d.Avoid, e.ID)
+	}
+	withModel := 0
+	for _, model := range sortedKeys(e.inFlightModels) {
+		d.InFlight = append(d.InFlight, EndpointLoad{Endpoint: e.ID, Model: model, Count: e.inFlightModels[model]})
+		withModel += e.inFlightModels[model]
+	}
+	if rest := e.inFlight - withModel; rest > 0 {
+		d.InFlight = append(d.InFlight, EndpointLoad{Endpoint: e.ID, Count: rest})
+	}
+}
+
+func (s *State) arrivingModels() []modelID {
+	ids := make([]modelID, 0, len(s.demand.arrivals))
+	for id := range s.demand.arrivals {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, modelID.compare)
+	return ids
+}
+
+func (s *State) currentNeeds() []Need {
+	var needs []Need
+	for _, service := range sortedKeys(s.waiting) {
+		for _, r := range s.waiting[service] {
+			if r.engine != nil {
+				needs = addNeed(needs, r)
+			}
+		}
+	}
+	return needs
+}
+
+func addNeed(needs []Need, r *request) []Need {
+	for i := range needs {
+		n := &needs[i]
+		if n.Service == r.service && n.Model == r.Model && n.Adapter == r.Adapter {
+			n.Waiting++
+			n.Rank = min(n.Rank, r.route.Rank)
+			return needs
+		}
+	}
+	return append(needs, Need{Service: r.service, Model: r.Model, Adapter: r.Adapter, Waiting: 1, Rank: r.route.Rank})
+}
+
+// placementReceived takes in the planner's answer.
+func (s *State) placementReceived(ev PlacementReceived) {
+	s.demand.asking = false
+	if ev.Failed || !ev.Placement.Leading {
+		s.holderSilent(ev.Failed)
+		return
+	}
+	s.holderAlive()
+	p := &ev.Placement
+	s.demand.instances = p.Instances
+	s.demand.placementAt = ev.AskedAt
+	for i := range p.Engines {
+		s.adoptPlacement(&p.Engines[i], ev.AskedAt)
+	}
+	s.adoptOthers(p.Others)
+	s.adoptExpected(p.Expected)
+	s.dispatchAll()
+	if s.demand.again {
+		s.demand.again = false
+		s.need(nil)
+	}
+}
+
+// adoptPlacement takes in what the planner ordered at an engine.
+func (s *State) adoptPlacement(content *EngineContent, asOf time.Time) {
+	e := s.endpoints[content.Endpoint]
+	if e == nil || e.Incarnation != content.Incarnation {
+		return
+	}
+	g := &e.engine
+	g.sequence = content.Sequence
+	for _, name := range content.Dropped {
+		g.dropped[name] = s.now
+	}
+	held := map[string]*replica{}
+	for i := range content.Models {
+		placed := &content.Models[i]
+		r := g.models[placed.Name]
+		if r == nil {
+			r = &replica{loadedAt: s.now}
+		}
+		r.version = placed.Version
+		r.readyAt = asOf.Add(placed.ReadyIn)
+		r.adapters = map[string]time.Time{}
+		for name, readyIn := range placed.Adapters {
+			r.adapters[name] = asOf.Add(readyIn)
+			s.wakeAt(r.adapters[name])
+		}
+		s.wakeAt(r.readyAt)
+		held[placed.Name] = r
+	}
+	g.models = held
+}
+
+// wakeAt looks at the waiting requests when a load should be done.
+func (s *State) wakeAt(at time.Time) {
+	if at.After(s.now) {
+		s.at(at, (*State).dispatchAll)
+	}
+}
+
+func (s *State) adoptOthers(others []EndpointLoad) {
+	for _, e := range s.endpoints {
+		e.others = 0
+	}
+	for _, load := range others {
+		if e := s.endpoints[load.Endpoint]; e != nil {
+			e.others += load.Count
+		}
+	}
+}
+
+func (s *State) adoptExpected(expected []ExpectedModel) {
+	clear(s.demand.expected)
+	for _, model := range expected {
+		s.demand.expected[modelID{model.Service, model.Model}] = s.now.Add(model.ReadyIn)
+	}
+}
--- /dev/null
+++ b/pkg/rpfleet/lease.go
@@ -0,0 +1,257 @@
+package rpfleet
+
+import (
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+const (
+	// leaseHold is how long the lease lasts from the start of the call that
+	// acquired or renewed it.
+	leaseHold = 1500 * time.Millisecond
+	// leaseRenewal is the time between two renewals: two may fail.
+	leaseRenewal = 500 * time.Millisecond
+	// leaseExpiry is how long the row must stay the same before another
+	// instance takes the lease. It is longer than leaseHold by a margin for the
+	// drift of clocks.
+	leaseExpiry = 1900 * time.Millisecond
+	// leaseReadInterval is the time between two readings of the row while its
+	// holder does not answer.
+	leaseReadInterval = 400 * time.Millisecond
+	// leaseRetry is the pause after a call to the store that failed.
+	leaseRetry = 200 * time.Millisecond
+	// holderMargin is added to Policy.HolderGap for orders on their way.
+	holderMargin = 150 * time.Millisecond
+)
+
+// leaseState is this instance's view of the lease of the planner.
+type leaseState struct {
+	row LeaseRow
+	// seenAt is when the row was first read with its present revision. It is
+	// zero where the holder has shown since that it lives.
+	seenAt time.Time
+	// held says that this instance holds the lease until validUntil.
+	held       bool
+	validUntil time.Time
+	// ordersFrom is when orders of the holder before can't be near any more.
+	ordersFrom time.Time
+	reading    bool
+	writing    bool
+	// readDue says that an alarm will read the row.
+	readDue bool
+	// silent says that the holder did not answer for its lease.
+	silent bool
+}
+
+func (s *State) startLease() { s.readLease() }
+
+// leading reports whether this instance is the planner.
+func (s *State) leading() bool { return s.lease.held && s.now.Before(s.lease.validUntil) }
+
+// Leading reports whether this instance gave orders at the last event.
+func (s *State) Leading() bool { return s.leading() }
+
+func (s *State) readLease() {
+	l := &s.lease
+	if l.reading || l.writing || s.draining || s.leading() {
+		return
+	}
+	l.reading = true
+	s.emit(ReadLease{})
+}
+
+// readLeaseLater reads the row after d and a random part of it, which keeps
+// instances from asking at the same time.
+func (s *State) readLeaseLater(d time.Duration) {
+	if s.lease.readDue {
+		return
+	}
+	s.lease.readDue = true
+	s.after(d+time.Duration(s.rng.Int64N(int64(d))), func(s *State) {
+		s.lease.readDue = false
+		s.readLease()
+	})
+}
+
+func (s *State) leaseRead(ev LeaseRead) {
+	s.lease.reading = false
+	if ev.Failed {
+		s.readLeaseLater(leaseReadInterval)
+		return
+	}
+	s.considerRow(ev.Row)
+}
+
+// considerRow takes the lease where nobody can hold it any more, or learns who
+// holds it.
+func (s *State) considerRow(row LeaseRow) {
+	l := &s.lease
+	changed := row.Revision != l.row.Revision || l.seenAt.IsZero()
+	holderBefore := l.row.Holder
+	l.row = row
+	if changed {
+		l.seenAt = s.now
+	}
+	switch {
+	case s.draining:
+		return
+	case row.Holder == "" || row.Holder == s.self.Instance:
+		s.acquire()
+	case !changed && s.now.Sub(l.seenAt) >= leaseExpiry:
+		s.note("replicas", "the planner's lease has expired", Field{"holder", string(row.Holder)},
+			Field{"epoch", row.Epoch}, Field{"unchanged_for", s.now.Sub(l.seenAt)})
+		s.acquire()
+	default:
+		if row.Holder != holderBefore {
+			s.note("replicas", "another instance plans", Field{"holder", string(row.Holder)}, Field{"epoch", row.Epoch})
+		}
+		if changed && !s.demand.asking {
+			s.sendDemand()
+		}
+		if l.silent {
+			s.readLeaseLater(leaseReadInterval)
+		}
+	}
+}
+
+func (s *State) acquire() {
+	l := &s.lease
+	if l.writing {
+		return
+	}
+	l.writing = true
+	row := LeaseRow{Holder: s.self.Instance, Address: s.peerAddress, Epoch: l.row.Epoch + 1, Renewals: 1}
+	s.emit(WriteLease{Expected: l.row.Revision, Row: row})
+}
+
+func (s *State) renewLease() {
+	l := &s.lease
+	if !l.held || l.writing {
+		return
+	}
+	if !s.leading() {
+		s.loseLease("it was not renewed in time")
+		return
+	}
+	l.writing = true
+	row := l.row
+	row.Renewals++
+	s.emit(WriteLease{Expected: l.row.Revision, Row: row})
+}
+
+func (s *State) leaseWritten(ev LeaseWritten) {
+	l := &s.lease
+	l.writing = false
+	switch ev.Outcome {
+	case rpcore.WriteApplied:
+		s.leaseApplied(ev)
+	case rpcore.WriteConflict:
+		s.leaseConflict(ev)
+	default:
+		s.leaseUnanswered()
+	}
+}
+
+func (s *State) leaseApplied(ev LeaseWritten) {
+	l := &s.lease
+	before := l.row
+	l.row = ev.Row
+	if ev.Row.Holder != s.self.Instance {
+		// The lease was given up.
+		l.held = false
+		return
+	}
+	if !l.held {
+		l.held = true
+		l.silent = false
+		l.ordersFrom = s.firstOrder(before)
+		s.note("replicas", "this instance plans", Field{"epoch", ev.Row.Epoch}, Field{"holder_before", string(before.Holder)},
+			Field{"orders_in", max(0, l.ordersFrom.Sub(s.now))})
+		s.planBegins()
+	}
+	l.validUntil = ev.AskedAt.Add(leaseHold)
+	if s.draining {
+		s.releaseLease()
+		return
+	}
+	s.at(ev.AskedAt.Add(leaseRenewal), (*State).renewLease)
+}
+
+// firstOrder returns when no order of the holder before can be near any more.
+// An earlier process of this instance is the same holder.
+func (s *State) firstOrder(before LeaseRow) time.Time {
+	switch {
+	case before.Revision == 0 || before.Holder == s.self.Instance:
+		return s.now
+	case before.Holder == "":
+		return s.now.Add(s.policy.HolderGap + holderMargin)
+	}
+	return s.lease.seenAt.Add(leaseHold + s.policy.HolderGap + holderMargin)
+}
+
+func (s *State) leaseConflict(ev LeaseWritten) {
+	l := &s.lease
+	mine := ev.Row.Holder == s.self.Instance && ev.Row.Epoch == l.row.Epoch
+	if l.held && mine {
+		// The answer to an earlier renewal was lost.
+		l.row = ev.Row
+		s.after(leaseRetry, (*State).renewLease)
+		return
+	}
+	if l.held {
+		s.loseLease("another instance took it")
+	}
+	s.considerRow(ev.Row)
+}
+
+func (s *State) leaseUnanswered() {
+	if s.lease.held {
+		s.after(leaseRetry, (*State).renewLease)
+		return
+	}
+	s.readLeaseLater(leaseReadInterval)
+}
+
+func (s *State) loseLease(why string) {
+	s.lease.held = false
+	s.lease.seenAt = time.Time{}
+	s.note("replicas", "this instance plans no more", Field{"epoch", s.lease.row.Epoch}, Field{"reason", why})
+	s.planEnds()
+	s.readLeaseLater(leaseRetry)
+}
+
+// releaseLease gives the lease up on a planned stop, so that another instance
+// need not wait for its end.
+func (s *State) releaseLease() {
+	l := &s.lease
+	if !l.held || l.writing {
+		return
+	}
+	l.held = false
+	l.writing = true
+	s.planEnds()
+	s.note("replicas", "this instance gives up planning", Field{"epoch", l.row.Epoch})
+	s.emit(WriteLease{Expected: l.row.Revision, Row: LeaseRow{Epoch: l.row.Epoch, Renewals: l.row.Renewals + 1}})
+}
+
+// holderAlive takes in that the holder answered and still holds the lease.
+func (s *State) holderAlive() {
+	if s.lease.silent {
+		s.note("replicas", "the planner answers again", Field{"holder", string(s.lease.row.Holder)})
+	}
+	s.lease.silent = false
+	s.lease.seenAt = time.Time{}
+}
+
+// holderSilent takes in that the holder did not answer or does not hold the
+// lease any more.
+func (s *State) holderSilent(noAnswer bool) {
+	l := &s.lease
+	if !l.silent {
+		s.note("replicas", "the planner does not answer for its lease", Field{"holder", string(l.row.Holder)},
+			Field{"no_answer", noAnswer})
+	}
+	l.silent = true
+	s.readLeaseLater(leaseRetry)
+}
--- /dev/null
+++ b/pkg/rpfleet/order.go
@@ -0,0 +1,337 @@
+package rpfleet
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+const (
+	// conflictPause is the time after which an engine that was busy with
+	// another order is asked again.
+	conflictPause = 100 * time.Millisecond
+	// unknownPause is the time after which an engine is asked what became of
+	// an order without an answer.
+	unknownPause = 300 * time.Millisecond
+	// reportPause is the time between two questions to one engine.
+	reportPause = 300 * time.Millisecond
+	// reportLag is the age that a report may have.
+	reportLag = 500 * time.Millisecond
+	// assumedAdapterLoad is the time in which an adapter is loaded: twice what
+	// the users' deployments state, for the time on the way.
+	assumedAdapterLoad = 25 * time.Millisecond
+	// loadMargin covers the time between the end of a load and the first
+	// request that the engine takes.
+	loadMargin = 20 * time.Millisecond
+)
+
+func rpBytes(n int) rpdocument.Bytes { return rpdocument.Bytes(n) }
+
+// order is an order in flight.
+type order struct {
+	id      rpcore.OrderID
+	engine  *endpoint
+	kind    OrderKind
+	model   string
+	adapter string
+	load    time.Duration
+	place   rpcore.CheckpointPlace
+	sentAt  time.Time
+}
+
+// carryOut sends the first order of a load: the load itself, or the unload
+// that makes room for it.
+func (p *servicePlan) carryOut(w wanted, choice loadChoice) {
+	s := p.state
+	e := choice.engine
+	e.engine.plannedLoad = w.model.id.model
+	if choice.wait > 0 || !s.mayOrder(e) {
+		e.engine.plannedLoad = ""
+		return
+	}
+	o := &order{engine: e, kind: OrderLoad, model: w.model.id.model, load: choice.load, place: choice.place}
+	if choice.victim != "" {
+		o.kind, o.model = OrderUnload, choice.victim
+	}
+	s.note("replicas", "orders a change of an engine", Field{"order", string(o.kind)}, Field{"endpoint", string(e.ID)},
+		Field{"model", o.model}, Field{"for_model", w.model.id.model}, Field{"place", string(choice.place)},
+		Field{"waiting", w.model.waiting}, Field{"rate", w.model.rate}, Field{"replicas", len(w.model.holders)},
+		Field{"preload", w.preload}, Field{"cost", choice.cost}, Field{"entry_age", s.now.Sub(e.seenAt)},
+		Field{"sequence", e.engine.sequence})
+	s.sendOrder(o)
+	if o.kind == OrderLoad {
+		e.engine.plannedLoad = ""
+		if o.place == rpcore.PlaceRemote {
+			s.plan.weightLoads = append(s.plan.weightLoads, s.now.Add(o.load))
+		}
+	}
+}
+
+// mayOrder reports whether an engine can get an order from this instance now.
+func (s *State) mayOrder(e *endpoint) bool {
+	g := &e.engine
+	return s.leading() && !s.draining && !s.now.Before(s.lease.ordersFrom) && g.order == nil && !g.uncertain &&
+		!s.now.Before(g.retryAt)
+}
+
+func (s *State) sendOrder(o *order) {
+	g := &o.engine.engine
+	o.id = rpcore.OrderID(fmt.Sprintf("%s-%d-%d", s.self.Instance, s.lease.row.Epoch, s.next()))
+	o.sentAt = s.now
+	g.order = o
+	s.plan.orders[o.id] = o
+	s.emit(SendOrder{
+		Order:    o.id,
+		Endpoint: o.engine.ID,
+		Address:  o.engine.Address,
+		Kind:     o.kind,
+		Model:    o.model,
+		Adapter:  o.adapter,
+		Sequence: g.sequence,
+		Fence:    s.lease.row.Epoch,
+		NotAfter: s.lease.validUntil,
+	})
+}
+
+func (s *State) orderAnswered(ev OrderAnswered) {
+	o := s.plan.orders[ev.Order]
+	if o == nil {
+		return
+	}
+	delete(s.plan.orders, ev.Order)
+	g := &o.engine.engine
+	g.order = nil
+	s.note("replicas", "an engine answered an order", Field{"order", string(o.kind)}, Field{"endpoint", string(o.engine.ID)},
+		Field{"model", o.model}, Field{"adapter", o.adapter}, Field{"outcome", string(ev.Outcome)},
+		Field{"took", s.now.Sub(o.sentAt)}, Field{"sequence", g.sequence}, Field{"detail", ev.Detail})
+	switch ev.Outcome {
+	case OrderAccepted:
+		s.orderAccepted(o)
+	case OrderHolds:
+		s.orderHolds(o)
+	case OrderConflict:
+		g.conflicts++
+		g.retryAt = s.now.Add(conflictPause)
+		s.askReport(o.engine)
+	case OrderNotSent:
+		g.retryAt = s.now.Add(conflictPause)
+	case OrderUnknown:
+		g.uncertain = true
+		s.after(unknownPause, func(s *State) { s.askReport(o.engine) })
+	case OrderRejected:
+		g.retryAt = s.now.Add(unknownPause)
+		s.askReport(o.engine)
+	}
+	if ev.Outcome != OrderAccepted && ev.Outcome != OrderHolds && o.kind == OrderLoad && o.adapter == "" && o.place == rpcore.PlaceRemote && ev.Outcome != OrderUnknown {
+		s.freeWeightLoad(o)
+	}
+	s.planSoon()
+}
+
+// freeWeightLoad takes back the place of a load that did not begin.
+func (s *State) freeWeightLoad(o *order) {
+	end := o.sentAt.Add(o.load)
+	if at := slices.Index(s.plan.weightLoads, end); at >= 0 {
+		s.plan.weightLoads = slices.Delete(s.plan.weightLoads, at, at+1)
+	}
+}
+
+func (s *State) orderAccepted(o *order) {
+	g := &o.engine.engine
+	g.sequence++
+	g.conflicts = 0
+	g.orderedAt = s.now
+	switch {
+	case o.kind == OrderLoad && o.adapter != "":
+		if r := g.models[o.model]; r != nil {
+			r.adapters[o.adapter] = s.now.Add(o.load)
+			s.wakeAt(s.now.Add(o.load))
+		}
+	case o.kind == OrderLoad:
+		readyAt := s.now.Add(o.load + loadMargin)
+		g.models[o.model] = &replica{adapters: map[string]time.Time{}, readyAt: readyAt, loadedAt: readyAt}
+		g.busyUntil = readyAt
+		s.wakeAt(readyAt)
+	default:
+		g.drop(o.model, o.adapter, s.now)
+	}
+}
+
+// orderHolds takes in an order that was done at once or that held already. An
+// engine counts an unload that was done at once.
+func (s *State) orderHolds(o *order) {
+	if o.kind == OrderUnload {
+		s.orderAccepted(o)
+		return
+	}
+	o.load = 0
+	sequence := o.engine.engine.sequence
+	s.orderAccepted(o)
+	o.engine.engine.sequence = sequence
+}
+
+// askReport asks an engine what it holds, where the answer to an order leaves
+// that open.
+func (s *State) askReport(e *endpoint) {
+	if s.endpoints[e.ID] != e || !s.leading() || s.now.Before(e.engine.reportAt) {
+		return
+	}
+	e.engine.reportAt = s.now.Add(reportPause)
+	s.emit(ReadReport{Endpoint: e.ID, Address: e.Address})
+}
+
+func (s *State) engineReported(ev EngineReported) {
+	e := s.endpoints[ev.Endpoint]
+	if e == nil {
+		return
+	}
+	g := &e.engine
+	if ev.Failed {
+		s.endpointFailed(e, false, "its report could not be read")
+		if g.uncertain {
+			s.after(unknownPause, func(s *State) { s.askReport(e) })
+		}
+		return
+	}
+	if ev.Report.Incarnation != "" && ev.Report.Incarnation != e.Incarnation {
+		s.endpointGone(e, "another incarnation reports at its address")
+		return
+	}
+	before := g.sequence
+	if ev.Report.Sequence < before && s.now.Sub(g.orderedAt) < reportLag {
+		// The report is older than the last order.
+		s.after(reportLag, func(s *State) { s.askReport(e) })
+		return
+	}
+	g.sequence = ev.Report.Sequence
+	g.uncertain = false
+	if len(ev.Report.Cached) > 0 {
+		e.Cached = ev.Report.Cached
+	}
+	s.adoptContent(e, ev.Report.Models)
+	if ev.Report.Busy {
+		g.busyUntil = maxTime(g.busyUntil, s.now.Add(conflictPause))
+	}
+	s.note("replicas", "an engine reported", Field{"endpoint", string(e.ID)}, Field{"sequence", ev.Report.Sequence},
+		Field{"sequence_before", before}, Field{"busy", ev.Report.Busy}, Field{"models", len(ev.Report.Models)},
+		Field{"queued", ev.Report.Queued}, Field{"active", ev.Report.Active})
+	s.planSoon()
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// adapters orders the adapters that requests wait for.
+func (p *servicePlan) adapters() {
+	for _, name := range sortedKeys(p.state.plan.demands) {
+		for _, need := range p.state.plan.demands[name].Needs {
+			if need.Service == p.service && need.Adapter != "" {
+				p.adapter(need)
+			}
+		}
+	}
+}
+
+// adapter orders an adapter at the engine that requests for it prefer.
+func (p *servicePlan) adapter(need Need) {
+	s := p.state
+	m := p.models[need.Model]
+	if m == nil {
+		return
+	}
+	var best *endpoint
+	bestCost := 0.0
+	for _, e := range m.holders {
+		r := e.engine.models[need.Model]
+		if _, ok := r.adapters[need.Adapter]; ok && !s.now.After(r.adapters[need.Adapter].Add(contentLag)) {
+			return
+		}
+		if r.readyAt.After(s.now) || e.engine.busyUntil.After(s.now) || !s.mayOrder(e) {
+			continue
+		}
+		cost := float64(p.adaptersAt(e)) + float64(rendezvous(need.Adapter, string(e.ID))%8)
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best != nil {
+		p.orderAdapter(best, need)
+	}
+}
+
+func (p *servicePlan) adaptersAt(e *endpoint) int {
+	n := 0
+	for _, r := range e.engine.models {
+		n += len(r.adapters)
+	}
+	return n
+}
+
+// orderAdapter loads an adapter, or first unloads the one that was used
+// longest ago where all places are taken.
+func (p *servicePlan) orderAdapter(e *endpoint, need Need) {
+	s := p.state
+	o := &order{engine: e, kind: OrderLoad, model: need.Model, adapter: need.Adapter, load: assumedAdapterLoad}
+	spec := p.spec.Models[need.Model]
+	if p.adaptersAt(e) >= p.spec.AdapterSlots || p.freeMemory(e) < spec.AdapterMemory {
+		model, adapter := p.oldestAdapter(e, need)
+		if adapter == "" {
+			return
+		}
+		o.kind, o.model, o.adapter = OrderUnload, model, adapter
+	}
+	s.note("replicas", "orders an adapter", Field{"order", string(o.kind)}, Field{"endpoint", string(e.ID)},
+		Field{"model", o.model}, Field{"adapter", o.adapter}, Field{"for_adapter", need.Adapter},
+		Field{"waiting", need.Waiting}, Field{"adapters", p.adaptersAt(e)}, Field{"sequence", e.engine.sequence})
+	s.sendOrder(o)
+}
+
+func (p *servicePlan) freeMemory(e *endpoint) rpdocument.Bytes {
+	used := rpdocument.Bytes(0)
+	for name, r := range e.engine.models {
+		spec := p.spec.Models[name]
+		used += spec.Memory + spec.AdapterMemory*rpBytes(len(r.adapters))
+	}
+	if used >= p.spec.Memory {
+		return 0
+	}
+	return p.spec.Memory - used
+}
+
+// oldestAdapter returns the adapter at an engine that was loaded first. Its
+// engine unloads one that requests use only after they have ended.
+func (p *servicePlan) oldestAdapter(e *endpoint, need Need) (model, adapter string) {
+	var oldest time.Time
+	for _, name := range sortedKeys(e.engine.models) {
+		r := e.engine.models[name]
+		for _, candidate := range sortedKeys(r.adapters) {
+			if p.needed(name, candidate) || name == need.Model && candidate == need.Adapter {
+				continue
+			}
+			if at := r.adapters[candidate]; adapter == "" || at.Before(oldest) {
+				model, adapter, oldest = name, candidate, at
+			}
+		}
+	}
+	return model, adapter
+}
+
+// needed reports whether requests wait for an adapter.
+func (p *servicePlan) needed(model, adapter string) bool {
+	for _, d := range p.state.plan.demands {
+		for _, need := range d.Needs {
+			if need.Service == p.service && need.Model == model && cmp.Or(need.Adapter, "") == adapter {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/rpfleet/plan.go
@@ -0,0 +1,579 @@
+package rpfleet
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+const (
+	// planInterval is the time between two plans without news.
+	planInterval = 250 * time.Millisecond
+	// planPause collects news that arrive together into one plan.
+	planPause = 5 * time.Millisecond
+	// replicaRate is the rate, a second, of requests that one replica takes
+	// while its engine still answers within the usual targets. Prefill of the
+	// users' usual prompts takes about 20 ms, so this is a fifth of an engine.
+	replicaRate = 8.0
+	// spareRate keeps a surplus replica while the others would get more than
+	// this part of replicaRate.
+	spareRate = 0.5
+	// initialRate is the rate assumed for each replica of a model that was
+	// placed on several engines before any request arrived. It decays with
+	// initialMemory once requests arrive.
+	initialRate   = 2.0
+	initialMemory = 5 * time.Second
+	// leastResidence keeps a new replica long enough to serve those that
+	// waited for it.
+	leastResidence = 1500 * time.Millisecond
+	// recentUse is the time for which a replica that was used counts as in
+	// use.
+	recentUse = 2 * time.Second
+	// evictionWeight converts the value of an evicted replica, in requests a
+	// second, into seconds of load time.
+	evictionWeight = 6.0
+	// runningCost is the cost, in seconds, of evicting a replica that runs
+	// requests: the engine waits for them.
+	runningCost = 0.7
+	// spreadCost is the cost, in seconds, of a further replica in a failure
+	// domain that has one.
+	spreadCost = 0.5
+	// assumedLoad is the load time of a model whose configuration gives none.
+	assumedLoad = 6 * time.Second
+	// preloadReserve is the number of loads from the weight store that are
+	// kept free for models that requests wait for.
+	preloadReserve = 1
+)
+
+// receivedDemand is the last demand of an instance.
+type receivedDemand struct {
+	Demand
+	at time.Time
+}
+
+// planState is what the planner knows beyond the engines themselves.
+type planState struct {
+	demands map[rpcore.InstanceID]*receivedDemand
+	// weightLoads holds the ends of the loads from the weight store.
+	weightLoads []time.Time
+	// orders holds the orders in flight.
+	orders   map[rpcore.OrderID]*order
+	due      bool
+	expected map[modelID]time.Time
+	// firstArrival is when the first request for a model was heard of.
+	firstArrival time.Time
+	// initial holds the replicas of each model when planning began.
+	initial map[modelID]int
+}
+
+func (s *State) startPlan() {
+	s.plan.demands = map[rpcore.InstanceID]*receivedDemand{}
+	s.plan.orders = map[rpcore.OrderID]*order{}
+	s.plan.expected = map[modelID]time.Time{}
+	s.after(planInterval, (*State).planTick)
+}
+
+func (s *State) planBegins() {
+	s.plan.initial = nil
+	s.planSoon()
+	if !s.demand.asking {
+		s.sendDemand()
+	}
+}
+
+// planEnds forgets what only the holder of the lease may act on.
+func (s *State) planEnds() {
+	clear(s.plan.demands)
+	clear(s.plan.orders)
+	clear(s.plan.expected)
+	s.plan.weightLoads = nil
+	for _, e := range s.endpoints {
+		e.engine.order = nil
+		e.engine.plannedLoad = ""
+	}
+}
+
+func (s *State) planTick() {
+	s.after(planInterval, (*State).planTick)
+	s.runPlan()
+}
+
+// planSoon makes a plan after the news that arrive together.
+func (s *State) planSoon() {
+	if s.plan.due || !s.leading() {
+		return
+	}
+	s.plan.due = true
+	s.after(planPause, func(s *State) {
+		s.plan.due = false
+		s.runPlan()
+	})
+}
+
+// demandReceived answers another instance's demand.
+func (s *State) demandReceived(ev DemandReceived) {
+	if !s.leading() {
+		s.emit(AnswerDemand{Call: ev.Call})
+		return
+	}
+	s.takeDemand(ev.Demand)
+	s.runPlan()
+	s.emit(AnswerDemand{Call: ev.Call, Placement: Placement{
+		Leading:   true,
+		Instances: len(s.plan.demands),
+		Engines:   s.recentContents(),
+		Others:    s.othersOf(ev.Demand.Instance),
+		Expected:  s.expectedModels(),
+	}})
+}
+
+func (s *State) takeDemand(d Demand) {
+	s.plan.demands[d.Instance] = &receivedDemand{Demand: d, at: s.now}
+	if len(d.Rates) > 0 && s.plan.firstArrival.IsZero() {
+		s.plan.firstArrival = s.now
+	}
+}
+
+// othersOf sums up the attempts of all instances but one.
+func (s *State) othersOf(self rpcore.InstanceID) []EndpointLoad {
+	counts := map[rpcore.EndpointID]int{}
+	for _, name := range sortedKeys(s.plan.demands) {
+		if name == self {
+			continue
+		}
+		for _, load := range s.plan.demands[name].InFlight {
+			counts[load.Endpoint] += load.Count
+		}
+	}
+	var loads []EndpointLoad
+	for _, id := range sortedKeys(counts) {
+		loads = append(loads, EndpointLoad{Endpoint: id, Count: counts[id]})
+	}
+	return loads
+}
+
+// recentContents returns the engines whose last order may not be in the list
+// yet.
+func (s *State) recentContents() []EngineContent {
+	var contents []EngineContent
+	for _, e := range s.sortedEndpoints() {
+		if len(e.engine.models) == 0 || s.now.Sub(e.engine.orderedAt) > contentLag+time.Second {
+			continue
+		}
+		content := EngineContent{Endpoint: e.ID, Incarnation: e.Incarnation, Sequence: e.engine.sequence}
+		for _, name := range sortedKeys(e.engine.models) {
+			content.Models = append(content.Models, s.placedModel(name, e.engine.models[name]))
+		}
+		for _, name := range sortedKeys(e.engine.dropped) {
+			if s.now.Sub(e.engine.dropped[name]) < contentLag {
+				content.Dropped = append(content.Dropped, name)
+			}
+		}
+		contents = append(contents, content)
+	}
+	return contents
+}
+
+func (s *State) placedModel(name string, r *replica) PlacedModel {
+	placed := PlacedModel{
+		Name: name, Version: r.version, ReadyIn: max(0, r.readyAt.Sub(s.now)),
+		Adapters: map[string]time.Duration{},
+	}
+	for adapter, readyAt := range r.adapters {
+		placed.Adapters[adapter] = max(0, readyAt.Sub(s.now))
+	}
+	return placed
+}
+
+func (s *State) expectedModels() []ExpectedModel {
+	var expected []ExpectedModel
+	ids := make([]modelID, 0, len(s.plan.expected))
+	for id := range s.plan.expected {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, modelID.compare)
+	for _, id := range ids {
+		expected = append(expected, ExpectedModel{id.service, id.model, max(0, s.plan.expected[id].Sub(s.now))})
+	}
+	return expected
+}
+
+// modelDemand is the demand of all instances for one model.
+type modelDemand struct {
+	id      modelID
+	spec    ModelSpec
+	rate    float64
+	waiting int
+	rank    int
+	// holders are the engines that hold or load the model.
+	holders []*endpoint
+}
+
+// desired returns the number of replicas that the demand asks for.
+func (d *modelDemand) desired(engines int) int {
+	if d.rate == 0 && d.waiting == 0 {
+		return 0
+	}
+	return min(max(1, int(math.Ceil(d.rate/replicaRate))), engines)
+}
+
+// servicePlan is one plan for the engines of a service.
+type servicePlan struct {
+	state   *State
+	service string
+	spec    *EngineSpec
+	engines []*endpoint
+	models  map[string]*modelDemand
+}
+
+// runPlan gives the orders that the demand asks for.
+func (s *State) runPlan() {
+	if !s.leading() || s.config == nil || !s.listed {
+		return
+	}
+	s.forgetOld()
+	clear(s.plan.expected)
+	for _, name := range sortedKeys(s.config.Services) {
+		service := s.config.Services[name]
+		if service.Engine == nil {
+			continue
+		}
+		p := s.newServicePlan(service)
+		p.adapters()
+		p.loads()
+	}
+}
+
+func (s *State) forgetOld() {
+	for name, d := range s.plan.demands {
+		if s.now.Sub(d.at) > demandMemory {
+			delete(s.plan.demands, name)
+		}
+	}
+	s.plan.weightLoads = slices.DeleteFunc(s.plan.weightLoads, func(end time.Time) bool { return !end.After(s.now) })
+}
+
+func (s *State) newServicePlan(service *Service) *servicePlan {
+	p := &servicePlan{state: s, service: service.Name, spec: service.Engine, models: map[string]*modelDemand{}}
+	avoided := s.avoided()
+	for _, e := range s.endpointsOf(service.Name) {
+		if !e.Leaving && !e.health.ejected(s.now) && avoided[e.ID]*2 <= len(s.plan.demands) {
+			p.engines = append(p.engines, e)
+		}
+	}
+	for name, spec := range service.Engine.Models {
+		p.models[name] = &modelDemand{id: modelID{service.Name, name}, spec: spec, rank: math.MaxInt}
+	}
+	p.countHolders()
+	p.countDemand()
+	return p
+}
+
+// avoided counts the instances that give an endpoint no work.
+func (s *State) avoided() map[rpcore.EndpointID]int {
+	counts := map[rpcore.EndpointID]int{}
+	for _, d := range s.plan.demands {
+		for _, id := range d.Avoid {
+			counts[id]++
+		}
+	}
+	return counts
+}
+
+func (p *servicePlan) countHolders() {
+	for _, e := range p.engines {
+		for name := range e.engine.models {
+			if m := p.models[name]; m != nil {
+				m.holders = append(m.holders, e)
+			}
+		}
+	}
+	for _, m := range p.models {
+		slices.SortFunc(m.holders, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	if s := p.state; s.plan.initial == nil {
+		s.plan.initial = map[modelID]int{}
+		for _, m := range p.models {
+			s.plan.initial[m.id] = len(m.holders)
+		}
+	}
+}
+
+func (p *servicePlan) countDemand() {
+	s := p.state
+	for _, name := range sortedKeys(s.plan.demands) {
+		d := s.plan.demands[name]
+		for _, rate := range d.Rates {
+			if m := p.models[rate.Model]; m != nil && rate.Service == p.service {
+				m.rate += max(rate.Fast, rate.Slow)
+			}
+		}
+		for _, need := range d.Needs {
+			if m := p.models[need.Model]; m != nil && need.Service == p.service {
+				m.waiting += need.Waiting
+				m.rank = min(m.rank, need.Rank)
+			}
+		}
+	}
+	p.addInitial()
+}
+
+// addInitial assumes demand for the models that the platform placed on several
+// engines, until requests show what is asked for.
+func (p *servicePlan) addInitial() {
+	s := p.state
+	weight := 1.0
+	if !s.plan.firstArrival.IsZero() {
+		weight = math.Exp(-float64(s.now.Sub(s.plan.firstArrival)) / float64(initialMemory))
+	}
+	for _, m := range p.models {
+		if n := s.plan.initial[m.id]; n > 1 {
+			m.rate = max(m.rate, weight*initialRate*float64(n))
+		}
+	}
+}
+
+// wanted is a replica to load, in the order of urgency.
+type wanted struct {
+	model *modelDemand
+	// waiting says that requests wait that no replica can take.
+	waiting bool
+	// preload says that nothing asks for the model yet.
+	preload bool
+}
+
+func (p *servicePlan) wanted() []wanted {
+	var list []wanted
+	for _, name := range sortedKeys(p.models) {
+		m := p.models[name]
+		switch have := len(m.holders); {
+		case have == 0 && m.waiting > 0:
+			list = append(list, wanted{model: m, waiting: true})
+		case have > 0 && have < m.desired(len(p.engines)):
+			list = append(list, wanted{model: m})
+		case have == 0 && !p.atHand(m):
+			list = append(list, wanted{model: m, preload: true})
+		}
+	}
+	slices.SortStableFunc(list, compareWanted)
+	return list
+}
+
+func compareWanted(a, b wanted) int {
+	return cmp.Or(
+		compareBool(a.preload, b.preload),
+		cmp.Compare(a.urgency(), b.urgency()),
+		cmp.Compare(b.model.waiting, a.model.waiting),
+		cmp.Compare(b.model.rate, a.model.rate),
+	)
+}
+
+// urgency is the rank of the waiting requests. A model whose replicas are
+// overloaded counts as one that urgent requests wait for.
+func (w wanted) urgency() int {
+	if !w.waiting && !w.preload {
+		return 0
+	}
+	return w.model.rank
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// atHand reports whether an engine can load a model without the weight store.
+func (p *servicePlan) atHand(m *modelDemand) bool {
+	for _, e := range p.engines {
+		if place := e.Cached[m.id.model]; place == rpcore.PlaceMemory || place == rpcore.PlaceDisk {
+			return true
+		}
+	}
+	return false
+}
+
+// loads orders the loads that are wanted, one at each engine at most.
+func (p *servicePlan) loads() {
+	s := p.state
+	ahead := 0
+	for _, m := range p.models {
+		s.expectHolders(m)
+	}
+	for _, w := range p.wanted() {
+		best := p.cheapest(w)
+		if best.engine == nil {
+			if w.waiting {
+				ahead++
+				s.plan.expected[w.model.id] = s.now.Add(p.queuedLoad(ahead))
+			}
+			continue
+		}
+		if w.waiting {
+			s.plan.expected[w.model.id] = s.now.Add(best.wait + best.load)
+		}
+		p.carryOut(w, best)
+	}
+}
+
+// expectHolders says when a model that is being loaded is ready.
+func (s *State) expectHolders(m *modelDemand) {
+	for _, e := range m.holders {
+		r := e.engine.models[m.id.model]
+		if known, ok := s.plan.expected[m.id]; !ok || r.readyAt.Before(known) {
+			s.plan.expected[m.id] = r.readyAt
+		}
+	}
+}
+
+// queuedLoad estimates the end of a load that waits for the weight store.
+func (p *servicePlan) queuedLoad(ahead int) time.Duration {
+	return assumedLoad * time.Duration(1+(ahead+p.state.policy.WeightLoads-1)/p.state.policy.WeightLoads)
+}
+
+// loadChoice is a way to load a model.
+type loadChoice struct {
+	engine *endpoint
+	victim string
+	place  rpcore.CheckpointPlace
+	// wait is the time until the engine takes the order.
+	wait time.Duration
+	load time.Duration
+	cost float64
+}
+
+// cheapest returns the best engine for a load. Its engine is nil where no load
+// can begin.
+func (p *servicePlan) cheapest(w wanted) loadChoice {
+	var best loadChoice
+	for _, e := range p.engines {
+		choice, ok := p.choice(w, e)
+		if ok && (best.engine == nil || choice.cost < best.cost) {
+			best = choice
+		}
+	}
+	return best
+}
+
+func (p *servicePlan) choice(w wanted, e *endpoint) (loadChoice, bool) {
+	s := p.state
+	m := w.model
+	if e.engine.models[m.id.model] != nil || e.engine.plannedLoad != "" && e.engine.plannedLoad != m.id.model {
+		return loadChoice{}, false
+	}
+	choice := loadChoice{engine: e, place: cmp.Or(e.Cached[m.id.model], rpcore.PlaceRemote)}
+	remote := choice.place == rpcore.PlaceRemote
+	if remote && !p.storeFree(w.preload) {
+		return loadChoice{}, false
+	}
+	choice.load = cmp.Or(m.spec.LoadTimes[choice.place], assumedLoad)
+	choice.wait = max(0, e.engine.busyUntil.Sub(s.now), e.engine.retryAt.Sub(s.now))
+	victim, value, ok := p.victim(w, e)
+	if !ok {
+		return loadChoice{}, false
+	}
+	choice.victim = victim
+	choice.cost = (choice.wait + choice.load).Seconds() + value
+	for _, holder := range m.holders {
+		if holder.FailureDomain == e.FailureDomain {
+			choice.cost += spreadCost
+		}
+	}
+	if remote {
+		// Checkpoints that are spread out can be loaded at the same time.
+		choice.cost += float64(len(e.Cached)) / 100
+	}
+	return choice, true
+}
+
+// storeFree reports whether one more load from the weight store runs at full
+// speed.
+func (p *servicePlan) storeFree(preload bool) bool {
+	limit := p.state.policy.WeightLoads
+	if preload {
+		limit -= preloadReserve
+	}
+	return len(p.state.plan.weightLoads) < limit
+}
+
+// victim returns the model to unload at an engine so that another one fits, or
+// "" where there is room. It returns false where none may be unloaded.
+func (p *servicePlan) victim(w wanted, e *endpoint) (string, float64, bool) {
+	need := w.model.spec.Memory
+	free := p.spec.Memory
+	for name, r := range e.engine.models {
+		spec := p.spec.Models[name]
+		used := spec.Memory + spec.AdapterMemory*rpBytes(len(r.adapters))
+		if used >= free {
+			free = 0
+			continue
+		}
+		free -= used
+	}
+	// Adapters that are loaded before the order is carried out take room too.
+	if free >= need {
+		return "", 0, true
+	}
+	best, bestValue := "", 0.0
+	for _, name := range sortedKeys(e.engine.models) {
+		spec := p.spec.Models[name]
+		if free+spec.Memory < need {
+			continue
+		}
+		value, ok := p.evictionValue(w, e, name)
+		if ok && (best == "" || value < bestValue) {
+			best, bestValue = name, value
+		}
+	}
+	return best, bestValue, best != ""
+}
+
+// evictionValue returns the cost, in seconds, of unloading a replica. It
+// returns false where the replica must stay.
+func (p *servicePlan) evictionValue(w wanted, e *endpoint, name string) (float64, bool) {
+	s := p.state
+	r := e.engine.models[name]
+	m := p.models[name]
+	if m == nil {
+		return 0, true
+	}
+	have := len(m.holders)
+	switch {
+	case r.readyAt.After(s.now) || s.now.Sub(r.loadedAt) < leastResidence && m.waiting > 0:
+		return 0, false
+	case have <= 1 && m.waiting > 0:
+		return 0, false
+	case w.preload && (have > 1 || m.rate > replicaRate/2):
+		return 0, false
+	}
+	value := 0.0
+	if left := float64(have - 1); left == 0 || m.rate/left > spareRate*replicaRate {
+		value = evictionWeight * m.rate / float64(have)
+	}
+	if s.running(e, name) {
+		value += runningCost
+	}
+	if s.now.Sub(r.usedAt) < recentUse {
+		value += runningCost / 2
+	}
+	return value, true
+}
+
+// running reports whether an instance has a request for a model at an engine.
+func (s *State) running(e *endpoint, model string) bool {
+	for _, d := range s.plan.demands {
+		for _, load := range d.InFlight {
+			if load.Endpoint == e.ID && load.Model == model {
+				return true
+			}
+		}
+	}
+	return false
+}
