--- a/pkg/rpfleet/endpoint.go
+++ b/pkg/rpfleet/endpoint.go
@@ -16,6 +16,12 @@
 	Adapters []string
 }
 
+// IncomingAdapter is an adapter that an engine is loading.
+type IncomingAdapter struct {
+	Model string
+	Name  string
+}
+
 // Endpoint is an entry of the platform's list.
 type Endpoint struct {
 	ID            rpcore.EndpointID
@@ -42,6 +48,8 @@
 	// Sequence counts the orders that the engine has accepted.
 	Sequence uint64
 	Models   []HeldModel
+	// Incoming are the adapters on their way to the engine.
+	Incoming []IncomingAdapter
 	Cached   map[string]rpcore.CheckpointPlace
 	Queued   int
 	Active   int
@@ -76,7 +84,13 @@
 	usedAt   time.Time
 }
 
-// engineState is what is believed of the content of an engine.
+// adapterSet holds the adapters of a model that an engine has or is loading.
+type adapterSet map[string]bool
+
+// engineState is what is believed of the content of an engine. Requests go by
+// models, which follows the list of endpoints and may be wrong for a moment.
+// Orders go by content, which must not be: it comes from the engine's own
+// report and the orders that it accepted since.
 type engineState struct {
 	// sequence is the number of orders that the engine has accepted as far as
 	// is known.
@@ -85,19 +99,22 @@
 	// dropped holds when models and adapters were unloaded, by their names as
 	// in droppedName.
 	dropped map[string]time.Time
+	// verified says that content is what the engine holds after it accepted
+	// sequence orders. Only the planner verifies.
+	verified bool
+	content  map[string]adapterSet
 	// order is the order in progress; only the planner has one.
 	order *order
 	// busyUntil is when the last accepted order should be done.
 	busyUntil time.Time
 	// orderedAt is the time of the last accepted order, reportAt the earliest
 	// one of the next question.
-	orderedAt time.Time
-	reportAt  time.Time
+	orderedAt  time.Time
+	unloadedAt time.Time
+	reportAt   time.Time
 	// retryAt is the earliest time of the next order after a conflict.
 	retryAt   time.Time
 	conflicts int
-	// uncertain says that an order without an answer may still be accepted.
-	uncertain bool
 	// plannedLoad is the model that room is being made for.
 	plannedLoad string
 }
--- a/pkg/rpfleet/order.go
+++ b/pkg/rpfleet/order.go
@@ -1,7 +1,6 @@
 package rpfleet
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -14,6 +13,12 @@
 	// conflictPause is the time after which an engine that was busy with
 	// another order is asked again.
 	conflictPause = 100 * time.Millisecond
+	// unloadPatience is how long an engine may be busy with an unload before it
+	// is asked, after maxConflicts conflicts at the most.
+	unloadPatience = 2 * time.Second
+	maxConflicts   = 8
+	// unloadPause is the time that most unloads take.
+	unloadPause = 30 * time.Millisecond
 	// unknownPause is the time after which an engine is asked what became of
 	// an order without an answer.
 	unknownPause = 300 * time.Millisecond
@@ -29,8 +34,6 @@
 	loadMargin = 20 * time.Millisecond
 )
 
-func rpBytes(n int) rpdocument.Bytes { return rpdocument.Bytes(n) }
-
 // order is an order in flight.
 type order struct {
 	id      rpcore.OrderID
@@ -74,7 +77,7 @@
 // mayOrder reports whether an engine can get an order from this instance now.
 func (s *State) mayOrder(e *endpoint) bool {
 	g := &e.engine
-	return s.leading() && !s.draining && !s.now.Before(s.lease.ordersFrom) && g.order == nil && !g.uncertain &&
+	return s.leading() && !s.draining && !s.now.Before(s.lease.ordersFrom) && g.order == nil && g.verified &&
 		!s.now.Before(g.retryAt)
 }
 
@@ -114,26 +117,40 @@
 	case OrderHolds:
 		s.orderHolds(o)
 	case OrderConflict:
-		g.conflicts++
-		g.retryAt = s.now.Add(conflictPause)
-		s.askReport(o.engine)
+		s.orderConflict(o)
 	case OrderNotSent:
 		g.retryAt = s.now.Add(conflictPause)
-	case OrderUnknown:
-		g.uncertain = true
+	case OrderUnknown, OrderRejected:
+		// The order may be carried out later, or the engine is not what it was
+		// thought to be.
+		g.verified = false
 		s.after(unknownPause, func(s *State) { s.askReport(o.engine) })
-	case OrderRejected:
-		g.retryAt = s.now.Add(unknownPause)
-		s.askReport(o.engine)
 	}
-	if ev.Outcome != OrderAccepted && ev.Outcome != OrderHolds && o.kind == OrderLoad && o.adapter == "" && o.place == rpcore.PlaceRemote && ev.Outcome != OrderUnknown {
+	if ev.Outcome == OrderConflict || ev.Outcome == OrderNotSent || ev.Outcome == OrderRejected {
 		s.freeWeightLoad(o)
 	}
 	s.planSoon()
 }
 
+// orderConflict takes in that an engine is busy with another order or has
+// accepted another number of them. Behind an unload the first is normal: the
+// engine waits for the requests that run.
+func (s *State) orderConflict(o *order) {
+	g := &o.engine.engine
+	g.conflicts++
+	g.retryAt = s.now.Add(conflictPause)
+	if s.now.Sub(g.unloadedAt) < unloadPatience && g.conflicts < maxConflicts {
+		return
+	}
+	g.verified = false
+	s.askReport(o.engine)
+}
+
 // freeWeightLoad takes back the place of a load that did not begin.
 func (s *State) freeWeightLoad(o *order) {
+	if o.kind != OrderLoad || o.adapter != "" || o.place != rpcore.PlaceRemote {
+		return
+	}
 	end := o.sentAt.Add(o.load)
 	if at := slices.Index(s.plan.weightLoads, end); at >= 0 {
 		s.plan.weightLoads = slices.Delete(s.plan.weightLoads, at, at+1)
@@ -147,17 +164,27 @@
 	g.orderedAt = s.now
 	switch {
 	case o.kind == OrderLoad && o.adapter != "":
+		if adapters := g.content[o.model]; adapters != nil {
+			adapters[o.adapter] = true
+		}
 		if r := g.models[o.model]; r != nil {
 			r.adapters[o.adapter] = s.now.Add(o.load)
 			s.wakeAt(s.now.Add(o.load))
 		}
 	case o.kind == OrderLoad:
 		readyAt := s.now.Add(o.load + loadMargin)
+		g.content[o.model] = adapterSet{}
 		g.models[o.model] = &replica{adapters: map[string]time.Time{}, readyAt: readyAt, loadedAt: readyAt}
 		g.busyUntil = readyAt
 		s.wakeAt(readyAt)
-	default:
+	case o.adapter != "":
+		delete(g.content[o.model], o.adapter)
 		g.drop(o.model, o.adapter, s.now)
+	default:
+		delete(g.content, o.model)
+		g.drop(o.model, "", s.now)
+		g.unloadedAt = s.now
+		g.retryAt = s.now.Add(unloadPause)
 	}
 }
 
@@ -177,7 +204,7 @@
 // askReport asks an engine what it holds, where the answer to an order leaves
 // that open.
 func (s *State) askReport(e *endpoint) {
-	if s.endpoints[e.ID] != e || !s.leading() || s.now.Before(e.engine.reportAt) {
+	if s.endpoints[e.ID] != e || e.engine.verified || !s.leading() || s.now.Before(e.engine.reportAt) {
 		return
 	}
 	e.engine.reportAt = s.now.Add(reportPause)
@@ -192,9 +219,7 @@
 	g := &e.engine
 	if ev.Failed {
 		s.endpointFailed(e, false, "its report could not be read")
-		if g.uncertain {
-			s.after(unknownPause, func(s *State) { s.askReport(e) })
-		}
+		s.after(unknownPause, func(s *State) { s.askReport(e) })
 		return
 	}
 	if ev.Report.Incarnation != "" && ev.Report.Incarnation != e.Incarnation {
@@ -202,26 +227,52 @@
 		return
 	}
 	before := g.sequence
-	if ev.Report.Sequence < before && s.now.Sub(g.orderedAt) < reportLag {
-		// The report is older than the last order.
-		s.after(reportLag, func(s *State) { s.askReport(e) })
+	stale := ev.Report.Sequence < before && s.now.Sub(g.orderedAt) < reportLag
+	if g.order != nil || g.verified || stale {
+		// The report may be older than the last order.
+		if !g.verified {
+			s.after(reportLag, func(s *State) { s.askReport(e) })
+		}
 		return
 	}
-	g.sequence = ev.Report.Sequence
-	g.uncertain = false
+	s.verifyContent(e, &ev.Report)
 	if len(ev.Report.Cached) > 0 {
 		e.Cached = ev.Report.Cached
 	}
 	s.adoptContent(e, ev.Report.Models)
-	if ev.Report.Busy {
-		g.busyUntil = maxTime(g.busyUntil, s.now.Add(conflictPause))
-	}
 	s.note("replicas", "an engine reported", Field{"endpoint", string(e.ID)}, Field{"sequence", ev.Report.Sequence},
 		Field{"sequence_before", before}, Field{"busy", ev.Report.Busy}, Field{"models", len(ev.Report.Models)},
 		Field{"queued", ev.Report.Queued}, Field{"active", ev.Report.Active})
 	s.planSoon()
 }
 
+// verifyContent takes in what an engine holds according to itself. While it is
+// busy, what it is loading is not known.
+func (s *State) verifyContent(e *endpoint, report *EngineReport) {
+	g := &e.engine
+	g.sequence = report.Sequence
+	g.conflicts = 0
+	if report.Busy {
+		g.busyUntil = maxTime(g.busyUntil, s.now.Add(reportPause))
+		s.after(reportPause, func(s *State) { s.askReport(e) })
+		return
+	}
+	g.verified = true
+	g.content = make(map[string]adapterSet, len(report.Models))
+	for _, model := range report.Models {
+		adapters := adapterSet{}
+		for _, name := range model.Adapters {
+			adapters[name] = true
+		}
+		g.content[model.Name] = adapters
+	}
+	for _, adapter := range report.Incoming {
+		if adapters := g.content[adapter.Model]; adapters != nil {
+			adapters[adapter.Name] = true
+		}
+	}
+}
+
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -269,8 +320,8 @@
 
 func (p *servicePlan) adaptersAt(e *endpoint) int {
 	n := 0
-	for _, r := range e.engine.models {
-		n += len(r.adapters)
+	for _, adapters := range e.engine.content {
+		n += len(adapters)
 	}
 	return n
 }
@@ -294,29 +345,35 @@
 	s.sendOrder(o)
 }
 
+// freeMemory returns the memory of an engine that its models and adapters leave.
+// A model that the configuration no longer has counts as all of it.
 func (p *servicePlan) freeMemory(e *endpoint) rpdocument.Bytes {
-	used := rpdocument.Bytes(0)
-	for name, r := range e.engine.models {
-		spec := p.spec.Models[name]
-		used += spec.Memory + spec.AdapterMemory*rpBytes(len(r.adapters))
-	}
-	if used >= p.spec.Memory {
-		return 0
+	free := p.spec.Memory
+	for name, adapters := range e.engine.content {
+		spec, known := p.spec.Models[name]
+		used := spec.Memory + spec.AdapterMemory*rpdocument.Bytes(len(adapters))
+		if !known || used >= free {
+			return 0
+		}
+		free -= used
 	}
-	return p.spec.Memory - used
+	return free
 }
 
 // oldestAdapter returns the adapter at an engine that was loaded first. Its
 // engine unloads one that requests use only after they have ended.
 func (p *servicePlan) oldestAdapter(e *endpoint, need Need) (model, adapter string) {
 	var oldest time.Time
-	for _, name := range sortedKeys(e.engine.models) {
-		r := e.engine.models[name]
-		for _, candidate := range sortedKeys(r.adapters) {
+	for _, name := range sortedKeys(e.engine.content) {
+		for _, candidate := range sortedKeys(e.engine.content[name]) {
 			if p.needed(name, candidate) || name == need.Model && candidate == need.Adapter {
 				continue
 			}
-			if at := r.adapters[candidate]; adapter == "" || at.Before(oldest) {
+			var at time.Time
+			if r := e.engine.models[name]; r != nil {
+				at = r.adapters[candidate]
+			}
+			if adapter == "" || at.Before(oldest) {
 				model, adapter, oldest = name, candidate, at
 			}
 		}
@@ -328,7 +385,7 @@
 func (p *servicePlan) needed(model, adapter string) bool {
 	for _, d := range p.state.plan.demands {
 		for _, need := range d.Needs {
-			if need.Service == p.service && need.Model == model && cmp.Or(need.Adapter, "") == adapter {
+			if need.Service == p.service && need.Model == model && need.Adapter == adapter {
 				return true
 			}
 		}
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -92,6 +92,7 @@
 	s.plan.weightLoads = nil
 	for _, e := range s.endpoints {
 		e.engine.order = nil
+		e.engine.verified = false
 		e.engine.plannedLoad = ""
 	}
 }
@@ -465,7 +466,11 @@
 func (p *servicePlan) choice(w wanted, e *endpoint) (loadChoice, bool) {
 	s := p.state
 	m := w.model
-	if e.engine.models[m.id.model] != nil || e.engine.plannedLoad != "" && e.engine.plannedLoad != m.id.model {
+	if !e.engine.verified {
+		s.askReport(e)
+		return loadChoice{}, false
+	}
+	if e.engine.models[m.id.model] != nil || e.engine.content[m.id.model] != nil || e.engine.plannedLoad != "" && e.engine.plannedLoad != m.id.model {
 		return loadChoice{}, false
 	}
 	choice := loadChoice{engine: e, place: cmp.Or(e.Cached[m.id.model], rpcore.PlaceRemote)}
@@ -507,24 +512,13 @@
 // "" where there is room. It returns false where none may be unloaded.
 func (p *servicePlan) victim(w wanted, e *endpoint) (string, float64, bool) {
 	need := w.model.spec.Memory
-	free := p.spec.Memory
-	for name, r := range e.engine.models {
-		spec := p.spec.Models[name]
-		used := spec.Memory + spec.AdapterMemory*rpBytes(len(r.adapters))
-		if used >= free {
-			free = 0
-			continue
-		}
-		free -= used
-	}
-	// Adapters that are loaded before the order is carried out take room too.
+	free := p.freeMemory(e)
 	if free >= need {
 		return "", 0, true
 	}
 	best, bestValue := "", 0.0
-	for _, name := range sortedKeys(e.engine.models) {
-		spec := p.spec.Models[name]
-		if free+spec.Memory < need {
+	for _, name := range sortedKeys(e.engine.content) {
+		if free+p.spec.Models[name].Memory < need {
 			continue
 		}
 		value, ok := p.evictionValue(w, e, name)
@@ -541,7 +535,7 @@
 	s := p.state
 	r := e.engine.models[name]
 	m := p.models[name]
-	if m == nil {
+	if m == nil || r == nil {
 		return 0, true
 	}
 	have := len(m.holders)
