--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -1,6 +1,7 @@
 package rpfleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -132,11 +133,41 @@
 	expected    map[modelID]time.Time
 	placementAt time.Time
 	instances   int
+	// promised holds the models whose requests were told to come back, until
+	// then.
+	promised map[modelID]promise
 }
 
+// promise is what callers were told about a model that is not loaded.
+type promise struct {
+	rank  int
+	until time.Time
+}
+
+// promiseModel keeps up the demand for a model whose request is refused with a
+// time to come back.
+func (s *State) promiseModel(r *request, retryAfter time.Duration) {
+	if r.engine == nil || retryAfter <= 0 {
+		return
+	}
+	id := modelID{r.service, r.Model}
+	made, ok := s.demand.promised[id]
+	if !ok {
+		made.rank = r.route.Rank
+	}
+	made.rank = min(made.rank, r.route.Rank)
+	made.until = maxTime(made.until, s.now.Add(min(retryAfter, maxPromise)))
+	s.demand.promised[id] = made
+}
+
+// maxPromise bounds how long a refused request counts as one that waits.
+// Callers come back within a third of the time that they have left.
+const maxPromise = 5 * time.Second
+
 func (s *State) startDemand() {
 	s.demand.arrivals = map[modelID]*arrivals{}
 	s.demand.expected = map[modelID]time.Time{}
+	s.demand.promised = map[modelID]promise{}
 	s.after(demandInterval, (*State).demandTick)
 }
 
@@ -197,6 +228,9 @@
 }
 
 func (s *State) hasNeeds() bool {
+	if len(s.demand.promised) > 0 {
+		return true
+	}
 	for _, queue := range s.waiting {
 		for _, r := range queue {
 			if r.engine != nil {
@@ -219,9 +253,10 @@
 		s.demand.instances = len(s.plan.demands)
 		s.demand.placementAt = s.now
 		s.adoptOthers(s.othersOf(s.self.Instance))
+		s.dispatchAll()
 		return
 	}
-	if !s.lease.row.Address.IsValid() || s.lease.row.Holder == "" {
+	if holder := s.lease.row.Holder; holder == "" || holder == s.self.Instance || !s.lease.row.Address.IsValid() {
 		return
 	}
 	s.demand.asking = true
@@ -230,7 +265,7 @@
 
 func (s *State) currentDemand() Demand {
 	d := Demand{Instance: s.self.Instance}
-	for _, id := range s.arrivingModels() {
+	for _, id := range sortedModels(s.demand.arrivals) {
 		a := s.demand.arrivals[id]
 		rate := ModelRate{Service: id.service, Model: id.model, Fast: a.fast.perSecond(s.now), Slow: a.slow.perSecond(s.now)}
 		if rate.Fast < forgottenRate && rate.Slow < forgottenRate {
@@ -260,13 +295,9 @@
 	}
 }
 
-func (s *State) arrivingModels() []modelID {
-	ids := make([]modelID, 0, len(s.demand.arrivals))
-	for id := range s.demand.arrivals {
-		ids = append(ids, id)
-	}
-	slices.SortFunc(ids, modelID.compare)
-	return ids
+// sortedModels returns the keys of a map in their order.
+func sortedModels[V any](m map[modelID]V) []modelID {
+	return slices.SortedFunc(maps.Keys(m), modelID.compare)
 }
 
 func (s *State) currentNeeds() []Need {
@@ -274,23 +305,32 @@
 	for _, service := range sortedKeys(s.waiting) {
 		for _, r := range s.waiting[service] {
 			if r.engine != nil {
-				needs = addNeed(needs, r)
+				needs = addNeed(needs, Need{Service: r.service, Model: r.Model, Adapter: r.Adapter, Waiting: 1, Rank: r.route.Rank})
 			}
 		}
 	}
+	for _, id := range sortedModels(s.demand.promised) {
+		made := s.demand.promised[id]
+		if s.now.After(made.until) {
+			delete(s.demand.promised, id)
+			continue
+		}
+		needs = addNeed(needs, Need{Service: id.service, Model: id.model, Waiting: 1, Rank: made.rank})
+	}
 	return needs
 }
 
-func addNeed(needs []Need, r *request) []Need {
+// addNeed adds a need to those for the same model and adapter.
+func addNeed(needs []Need, added Need) []Need {
 	for i := range needs {
 		n := &needs[i]
-		if n.Service == r.service && n.Model == r.Model && n.Adapter == r.Adapter {
-			n.Waiting++
-			n.Rank = min(n.Rank, r.route.Rank)
+		if n.Service == added.Service && n.Model == added.Model && n.Adapter == added.Adapter {
+			n.Waiting += added.Waiting
+			n.Rank = min(n.Rank, added.Rank)
 			return needs
 		}
 	}
-	return append(needs, Need{Service: r.service, Model: r.Model, Adapter: r.Adapter, Waiting: 1, Rank: r.route.Rank})
+	return append(needs, added)
 }
 
 // placementReceived takes in the planner's answer.
--- a/pkg/rpfleet/lease.go
+++ b/pkg/rpfleet/lease.go
@@ -162,6 +162,7 @@
 		l.held = false
 		return
 	}
+	l.validUntil = ev.AskedAt.Add(leaseHold)
 	if !l.held {
 		l.held = true
 		l.silent = false
@@ -170,7 +171,6 @@
 			Field{"orders_in", max(0, l.ordersFrom.Sub(s.now))})
 		s.planBegins()
 	}
-	l.validUntil = ev.AskedAt.Add(leaseHold)
 	if s.draining {
 		s.releaseLease()
 		return
--- a/pkg/rpfleet/order.go
+++ b/pkg/rpfleet/order.go
@@ -13,6 +13,8 @@
 	// conflictPause is the time after which an engine that was busy with
 	// another order is asked again.
 	conflictPause = 100 * time.Millisecond
+	// orderAnswerTime is the time in which an engine usually answers an order.
+	orderAnswerTime = 10 * time.Millisecond
 	// unloadPatience is how long an engine may be busy with an unload before it
 	// is asked, after maxConflicts conflicts at the most.
 	unloadPatience = 2 * time.Second
@@ -81,6 +83,32 @@
 		!s.now.Before(g.retryAt)
 }
 
+// wait returns the time until an engine can take another order.
+func (g *engineState) wait(now time.Time) time.Duration {
+	wait := max(0, g.busyUntil.Sub(now), g.retryAt.Sub(now))
+	if g.order != nil {
+		wait = max(wait, orderAnswerTime)
+		if g.order.kind == OrderLoad {
+			wait += g.order.load
+		}
+	}
+	return wait
+}
+
+// loading returns the model that an order in flight loads, or "".
+func (g *engineState) loading() string {
+	if g.order == nil || g.order.kind != OrderLoad || g.order.adapter != "" {
+		return ""
+	}
+	return g.order.model
+}
+
+// retryOrder keeps an engine from orders for a time and plans again after it.
+func (s *State) retryOrder(g *engineState, d time.Duration) {
+	g.retryAt = s.now.Add(d)
+	s.at(g.retryAt, (*State).planSoon)
+}
+
 func (s *State) sendOrder(o *order) {
 	g := &o.engine.engine
 	o.id = rpcore.OrderID(fmt.Sprintf("%s-%d-%d", s.self.Instance, s.lease.row.Epoch, s.next()))
@@ -119,7 +147,7 @@
 	case OrderConflict:
 		s.orderConflict(o)
 	case OrderNotSent:
-		g.retryAt = s.now.Add(conflictPause)
+		s.retryOrder(g, conflictPause)
 	case OrderUnknown, OrderRejected:
 		// The order may be carried out later, or the engine is not what it was
 		// thought to be.
@@ -138,7 +166,7 @@
 func (s *State) orderConflict(o *order) {
 	g := &o.engine.engine
 	g.conflicts++
-	g.retryAt = s.now.Add(conflictPause)
+	s.retryOrder(g, conflictPause)
 	if s.now.Sub(g.unloadedAt) < unloadPatience && g.conflicts < maxConflicts {
 		return
 	}
@@ -177,6 +205,7 @@
 		g.models[o.model] = &replica{adapters: map[string]time.Time{}, readyAt: readyAt, loadedAt: readyAt}
 		g.busyUntil = readyAt
 		s.wakeAt(readyAt)
+		s.at(readyAt, (*State).planSoon)
 	case o.adapter != "":
 		delete(g.content[o.model], o.adapter)
 		g.drop(o.model, o.adapter, s.now)
@@ -184,7 +213,7 @@
 		delete(g.content, o.model)
 		g.drop(o.model, "", s.now)
 		g.unloadedAt = s.now
-		g.retryAt = s.now.Add(unloadPause)
+		s.retryOrder(g, unloadPause)
 	}
 }
 
@@ -302,6 +331,9 @@
 	bestCost := 0.0
 	for _, e := range m.holders {
 		r := e.engine.models[need.Model]
+		if r == nil {
+			continue
+		}
 		if _, ok := r.adapters[need.Adapter]; ok && !s.now.After(r.adapters[need.Adapter].Add(contentLag)) {
 			return
 		}
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -78,6 +78,11 @@
 
 func (s *State) planBegins() {
 	s.plan.initial = nil
+	for _, e := range s.sortedEndpoints() {
+		if e.Cached != nil && (len(e.engine.models) > 0 || len(e.Cached) > 0) {
+			s.askReport(e)
+		}
+	}
 	s.planSoon()
 	if !s.demand.asking {
 		s.sendDemand()
@@ -191,12 +196,7 @@
 
 func (s *State) expectedModels() []ExpectedModel {
 	var expected []ExpectedModel
-	ids := make([]modelID, 0, len(s.plan.expected))
-	for id := range s.plan.expected {
-		ids = append(ids, id)
-	}
-	slices.SortFunc(ids, modelID.compare)
-	for _, id := range ids {
+	for _, id := range sortedModels(s.plan.expected) {
 		expected = append(expected, ExpectedModel{id.service, id.model, max(0, s.plan.expected[id].Sub(s.now))})
 	}
 	return expected
@@ -291,6 +291,9 @@
 				m.holders = append(m.holders, e)
 			}
 		}
+		if m := p.models[e.engine.loading()]; m != nil && e.engine.models[m.id.model] == nil {
+			m.holders = append(m.holders, e)
+		}
 	}
 	for _, m := range p.models {
 		slices.SortFunc(m.holders, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
@@ -411,7 +414,7 @@
 	for _, w := range p.wanted() {
 		best := p.cheapest(w)
 		if best.engine == nil {
-			if w.waiting {
+			if w.waiting && p.allVerified() {
 				ahead++
 				s.plan.expected[w.model.id] = s.now.Add(p.queuedLoad(ahead))
 			}
@@ -424,12 +427,21 @@
 	}
 }
 
+// allVerified reports whether all engines have said what they hold. Before, it
+// is not known how long a load takes.
+func (p *servicePlan) allVerified() bool {
+	return !slices.ContainsFunc(p.engines, func(e *endpoint) bool { return !e.engine.verified })
+}
+
 // expectHolders says when a model that is being loaded is ready.
 func (s *State) expectHolders(m *modelDemand) {
 	for _, e := range m.holders {
-		r := e.engine.models[m.id.model]
-		if known, ok := s.plan.expected[m.id]; !ok || r.readyAt.Before(known) {
-			s.plan.expected[m.id] = r.readyAt
+		readyAt := s.now.Add(e.engine.wait(s.now))
+		if r := e.engine.models[m.id.model]; r != nil {
+			readyAt = r.readyAt
+		}
+		if known, ok := s.plan.expected[m.id]; !ok || readyAt.Before(known) {
+			s.plan.expected[m.id] = readyAt
 		}
 	}
 }
@@ -479,7 +491,7 @@
 		return loadChoice{}, false
 	}
 	choice.load = cmp.Or(m.spec.LoadTimes[choice.place], assumedLoad)
-	choice.wait = max(0, e.engine.busyUntil.Sub(s.now), e.engine.retryAt.Sub(s.now))
+	choice.wait = e.engine.wait(s.now)
 	victim, value, ok := p.victim(w, e)
 	if !ok {
 		return loadChoice{}, false
--- /dev/null
+++ b/pkg/rpfleet/plan_test.go
@@ -0,0 +1,206 @@
+package rpfleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
+)
+
+// withCheckpoints puts the checkpoints of all models on the disk of an engine,
+// so that the planner preloads none.
+func withCheckpoints(e rpfleet.Endpoint) rpfleet.Endpoint {
+	for i := range 8 {
+		e.Cached["m"+string(rune('0'+i))] = rpcore.PlaceDisk
+	}
+	return e
+}
+
+// Guards against a load that does not fit, ordered because an old entry of the
+// list no longer showed a model that the engine still had.
+func TestStaleEntryDoesNotFreeMemory(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
+	r.configure(engine)
+	r.lead(engine)
+	stale := testEndpoint("e1", testService, homeDomain, "m0")
+	r.advance(10 * time.Second)
+	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Entries: []rpfleet.Endpoint{stale}})
+	r.lead(engine)
+	r.forget()
+	r.arrive("a", "/later/1", "m4")
+	r.advance(50 * time.Millisecond)
+	orders := effectsOf[rpfleet.SendOrder](r)
+	g.Expect(orders).NotTo(BeEmpty())
+	g.Expect(orders[0].Kind).To(Equal(rpfleet.OrderUnload))
+}
+
+// Guards against orders that name another number of accepted orders than the
+// engine has, so that one without an answer can't be carried out behind them.
+func TestOrdersFollowTheSequence(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
+	r.configure(engine)
+	r.lead()
+	r.report(engine, 5)
+	r.forget()
+	r.arrive("a", "/later/1", "m4")
+	r.advance(20 * time.Millisecond)
+	unload := effectsOf[rpfleet.SendOrder](r)[0]
+	g.Expect(unload.Sequence).To(Equal(uint64(5)))
+	r.answer(unload, rpfleet.OrderAccepted)
+	r.advance(100 * time.Millisecond)
+	orders := effectsOf[rpfleet.SendOrder](r)
+	g.Expect(orders).To(HaveLen(2))
+	g.Expect(orders[1].Kind).To(Equal(rpfleet.OrderLoad))
+	g.Expect(orders[1].Sequence).To(Equal(uint64(6)))
+	// An order without an answer: nothing is ordered before the engine said
+	// what it holds.
+	r.answer(orders[1], rpfleet.OrderUnknown)
+	r.forget()
+	r.renew(400 * time.Millisecond)
+	g.Expect(effectsOf[rpfleet.SendOrder](r)).To(BeEmpty())
+	g.Expect(effectsOf[rpfleet.ReadReport](r)).NotTo(BeEmpty())
+	engine.Models = engine.Models[1:]
+	r.report(engine, 6)
+	r.renew(100 * time.Millisecond)
+	orders = effectsOf[rpfleet.SendOrder](r)
+	g.Expect(orders).To(HaveLen(1))
+	g.Expect(orders[0].Sequence).To(Equal(uint64(6)))
+}
+
+// Guards against orders of two holders of the lease to one engine within the
+// time that engines need to tell them apart.
+func TestTakeoverWaitsForTheHolderBefore(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
+	r.configure(engine)
+	row := rpfleet.LeaseRow{Revision: 7, Holder: "front-2", Epoch: 3, Renewals: 9}
+	r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row})
+	begin := r.now
+	r.apply(rpfleet.PlacementReceived{Stamp: r.stamp(), AskedAt: r.now, Failed: true})
+	for len(effectsOf[rpfleet.WriteLease](r)) == 0 && r.now.Sub(begin) < time.Minute {
+		r.advance(100 * time.Millisecond)
+		r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row})
+	}
+	// The lease lasts 1.5 s from the last renewal, which was before the first
+	// reading.
+	g.Expect(r.now.Sub(begin)).To(BeNumerically(">", 1500*time.Millisecond))
+	write := effectsOf[rpfleet.WriteLease](r)[0]
+	g.Expect(write.Expected).To(Equal(uint64(7)))
+	g.Expect(write.Row.Epoch).To(Equal(uint64(4)))
+	taken := write.Row
+	taken.Revision = 8
+	r.apply(rpfleet.LeaseWritten{Stamp: r.stamp(), AskedAt: r.now, Outcome: rpcore.WriteApplied, Row: taken})
+	r.report(engine, 0)
+	r.arrive("a", "/later/1", "m4")
+	for len(effectsOf[rpfleet.SendOrder](r)) == 0 && r.now.Sub(begin) < time.Minute {
+		r.renew(100 * time.Millisecond)
+	}
+	g.Expect(r.now.Sub(begin)).To(BeNumerically(">=", 1500*time.Millisecond+rpfleet.DefaultHolderGap))
+	g.Expect(r.now.Sub(begin)).To(BeNumerically("<", 6*time.Second))
+}
+
+// Guards against orders from an instance whose lease ran out while the store
+// did not answer or the instance was paused.
+func TestNoOrderAfterTheLease(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
+	r.configure(engine)
+	r.lead(engine)
+	r.forget()
+	r.now = r.now.Add(1600 * time.Millisecond)
+	r.arrive("a", "/later/1", "m4")
+	g.Expect(effectsOf[rpfleet.SendOrder](r)).To(BeEmpty())
+	r.advance(200 * time.Millisecond)
+	g.Expect(effectsOf[rpfleet.SendOrder](r)).To(BeEmpty())
+}
+
+// Guards against more loads from the weight store at once than run at full
+// speed.
+func TestBoundsWeightLoads(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	var engines []rpfleet.Endpoint
+	for _, id := range []string{"e1", "e2", "e3", "e4", "e5", "e6"} {
+		engines = append(engines, testEndpoint(id, testService, homeDomain))
+	}
+	r.configure(engines...)
+	r.lead(engines...)
+	for i, model := range []string{"m0", "m1", "m2", "m3", "m4", "m5"} {
+		r.arrive("r"+string(rune('0'+i)), "/later/1", model)
+	}
+	r.renew(time.Second)
+	orders := effectsOf[rpfleet.SendOrder](r)
+	g.Expect(orders).To(HaveLen(rpfleet.DefaultWeightLoads))
+	// An order without an answer yet must not be given again elsewhere.
+	models := map[string]bool{}
+	for _, order := range orders {
+		models[order.Model] = true
+	}
+	g.Expect(models).To(HaveLen(rpfleet.DefaultWeightLoads))
+}
+
+// Guards against a Retry-After that nothing stands behind: the model that was
+// refused is loaded although no request waits for it any more.
+func TestRefusedModelIsLoaded(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
+	delete(engine.Cached, "m4")
+	r.configure(engine)
+	r.lead()
+	r.arrive("a", "/suggest/1", "m4")
+	r.advance(50 * time.Millisecond)
+	r.apply(rpfleet.EngineReported{Stamp: r.stamp(), Endpoint: "e1", Report: rpfleet.EngineReport{
+		Incarnation: "1", Busy: true, Models: engine.Models,
+	}})
+	r.report(engine, 1)
+	r.renew(700 * time.Millisecond)
+	orders := effectsOf[rpfleet.SendOrder](r)
+	g.Expect(orders).To(HaveLen(1))
+	g.Expect(effectsOf[rpfleet.RefuseRequest](r)).To(HaveLen(1))
+	r.answer(orders[0], rpfleet.OrderAccepted)
+	r.renew(200 * time.Millisecond)
+	orders = effectsOf[rpfleet.SendOrder](r)
+	g.Expect(orders).To(HaveLen(2))
+	g.Expect(orders[1].Kind).To(Equal(rpfleet.OrderLoad))
+	g.Expect(orders[1].Model).To(Equal("m4"))
+}
+
+// Guards against more adapters at an engine than it has places for.
+func TestAdapterPlaces(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0"))
+	r.configure(engine)
+	r.lead(engine)
+	r.forget()
+	for i, adapter := range []string{"a1", "a2", "a3"} {
+		r.apply(rpfleet.RequestArrived{Stamp: r.stamp(), Request: rpfleet.Request{
+			ID: rpcore.RequestID(rune('0' + i)), Host: "shop.example", Path: "/suggest/1", Model: "m0", Adapter: adapter,
+		}})
+		r.renew(100 * time.Millisecond)
+		var order rpfleet.SendOrder
+		for _, sent := range effectsOf[rpfleet.SendOrder](r) {
+			if sent.Adapter != "" {
+				order = sent
+			}
+		}
+		if i < 2 {
+			g.Expect(order.Kind).To(Equal(rpfleet.OrderLoad))
+			g.Expect(order.Adapter).To(Equal(adapter))
+		} else {
+			g.Expect(order.Kind).To(Equal(rpfleet.OrderUnload))
+			g.Expect(order.Adapter).To(Equal("a1"))
+		}
+		r.answer(order, rpfleet.OrderAccepted)
+	}
+}
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -278,6 +278,9 @@
 		Field{"adapter", r.Adapter}, Field{"waited", s.now.Sub(r.arrivedAt)}, Field{"attempts", r.sends},
 		Field{"last_failure", r.lastFailure}, Field{"retry_after", refused.RetryAfter},
 		Field{"config_version", s.configVersion()}, Field{"placement_age", s.now.Sub(s.demand.placementAt)})
+	if refused.Verdict == rpverdict.NotRun {
+		s.promiseModel(r, refused.RetryAfter)
+	}
 	s.end(r)
 	s.emit(RefuseRequest{Request: r.ID, Refusal: *refused})
 }
--- /dev/null
+++ b/pkg/rpfleet/request_test.go
@@ -0,0 +1,255 @@
+package rpfleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+func plainEndpoints() []rpfleet.Endpoint {
+	return []rpfleet.Endpoint{
+		testEndpoint("s1", testPlain, homeDomain),
+		testEndpoint("s2", testPlain, "zone-b"),
+	}
+}
+
+// Guards against a request that is served before the instance knows its
+// routes, and against a 404 from an instance that knows none.
+func TestRefusesWithoutConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	r.arrive("a", "/stock/1", "")
+	refused := effectsOf[rpfleet.RefuseRequest](r)
+	g.Expect(refused).To(HaveLen(1))
+	g.Expect(refused[0].Refusal.Status()).To(Equal(503))
+	g.Expect(refused[0].Refusal.RetryAfter).To(BeNumerically(">", 0))
+	g.Expect(effectsOf[rpfleet.ReportReady](r)[0].Ready).To(BeFalse())
+	r.configure(plainEndpoints()...)
+	ready := effectsOf[rpfleet.ReportReady](r)
+	g.Expect(ready[len(ready)-1].Ready).To(BeTrue())
+}
+
+// Guards against the shorter of two matching prefixes, and against a host that
+// is compared with its port or case.
+func TestLongestPrefix(t *testing.T) {
+	g := NewWithT(t)
+	config := testConfig(1)
+	config.Routes = append(config.Routes, rpfleet.Route{Name: "deep", Host: "shop.example", Prefix: "/stock/deep/"})
+	config.Index()
+	g.Expect(config.Route("Shop.Example:8080", "/stock/deep/x").Name).To(Equal("deep"))
+	g.Expect(config.Route("shop.example", "/stock/deeper").Name).To(Equal("stock"))
+	g.Expect(config.Route("shop.example", "/stock")).To(BeNil())
+	g.Expect(config.Route("other.example", "/stock/x")).To(BeNil())
+}
+
+// Guards against an older configuration that returns from a lagging reading.
+func TestConfigurationNeverReverts(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	r.configure(plainEndpoints()...)
+	newer := testConfig(5)
+	newer.Routes = newer.Routes[:3]
+	newer.Index()
+	r.apply(rpfleet.ConfigRead{Stamp: r.stamp(), Config: newer})
+	r.apply(rpfleet.ConfigRead{Stamp: r.stamp(), Config: testConfig(4)})
+	r.arrive("a", "/stock/1", "")
+	refused := effectsOf[rpfleet.RefuseRequest](r)
+	g.Expect(refused).To(HaveLen(1))
+	g.Expect(refused[0].Refusal.Code).To(Equal(rpverdict.CodeUnknownRoute))
+}
+
+// Guards against a second run of a request that may run only once, and against
+// a refusal that calls it not run.
+func TestNonIdempotentRunsOnce(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	r.configure(plainEndpoints()...)
+	r.arrive("a", "/place/1", "")
+	first := r.lastAttempt("a")
+	g.Expect(first.Repeatable).To(BeFalse())
+	g.Expect(first.FirstTimeout).To(BeZero())
+	r.endAttempt(first, rpcore.AttemptBroken, rpverdict.MayHaveRun)
+	refused := effectsOf[rpfleet.RefuseRequest](r)
+	g.Expect(refused).To(HaveLen(1))
+	g.Expect(refused[0].Refusal.Status()).To(Equal(502))
+	g.Expect(refused[0].Refusal.Verdict).To(Equal(rpverdict.MayHaveRun))
+	g.Expect(effectsOf[rpfleet.StartAttempt](r)).To(HaveLen(1))
+}
+
+// Guards against giving up on a request that provably did not run.
+func TestNotRunGoesElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	r.configure(plainEndpoints()...)
+	r.arrive("a", "/place/1", "")
+	first := r.lastAttempt("a")
+	r.endAttempt(first, rpcore.AttemptRefusedConnection, rpverdict.NotRun)
+	second := r.lastAttempt("a")
+	g.Expect(second.Endpoint).NotTo(Equal(first.Endpoint))
+	r.endAttempt(second, rpcore.AttemptComplete, rpverdict.Ran)
+	g.Expect(effectsOf[rpfleet.RefuseRequest](r)).To(BeEmpty())
+}
+
+// Guards against retries that go on without a bound while a service fails.
+func TestRetryBudget(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	endpoints := plainEndpoints()
+	r.configure(endpoints...)
+	const requests = 200
+	for i := range requests {
+		id := "r" + string(rune('a'+i%26)) + time.Duration(i).String()
+		r.arrive(id, "/stock/1", "")
+		attempt := r.lastAttempt(id)
+		r.endAttempt(attempt, rpcore.AttemptFailed, rpverdict.MayHaveRun)
+		attempts := effectsOf[rpfleet.StartAttempt](r)
+		if last := attempts[len(attempts)-1]; last.Request == attempt.Request && last.Attempt != attempt.Attempt {
+			r.endAttempt(last, rpcore.AttemptFailed, rpverdict.MayHaveRun)
+		}
+	}
+	retries := len(effectsOf[rpfleet.StartAttempt](r)) - requests
+	// An instance that knows no others takes a small part of the slack.
+	g.Expect(retries).To(BeNumerically("<=", rpfleet.DefaultRetryRatio*requests+rpfleet.DefaultRetrySlack/2))
+	g.Expect(retries).To(BeNumerically(">", 0))
+}
+
+// Guards against a resumed stream that starts from its beginning or that goes
+// on with other weights.
+func TestStreamResumesElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	r.configure(testEndpoint("e1", testService, homeDomain, "m0"), testEndpoint("e2", testService, homeDomain, "m0"))
+	r.arrive("a", "/suggest/1", "m0")
+	first := r.lastAttempt("a")
+	g.Expect(first.FirstTimeout).To(BeNumerically(">", 0))
+	r.apply(rpfleet.AttemptStarted{Stamp: r.stamp(), Request: "a", Attempt: first.Attempt})
+	r.apply(rpfleet.AttemptEnded{
+		Stamp: r.stamp(), Request: "a", Attempt: first.Attempt, Reason: rpcore.AttemptBroken,
+		Verdict: rpverdict.MayHaveRun, AnswerStarted: true, LastEvent: "7", Version: "3",
+	})
+	second := r.lastAttempt("a")
+	g.Expect(second.Endpoint).NotTo(Equal(first.Endpoint))
+	g.Expect(second.ResumeAfter).To(Equal("7"))
+	g.Expect(second.Version).To(Equal("3"))
+}
+
+// Guards against a second run of a stream that may not be resumed.
+func TestStreamWithoutResumeRunsOnce(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	r.configure(testEndpoint("e1", testService, homeDomain, "m0"), testEndpoint("e2", testService, homeDomain, "m0"))
+	r.arrive("a", "/later/1", "m0")
+	first := r.lastAttempt("a")
+	r.endAttempt(first, rpcore.AttemptBroken, rpverdict.MayHaveRun)
+	g.Expect(effectsOf[rpfleet.StartAttempt](r)).To(HaveLen(1))
+	g.Expect(effectsOf[rpfleet.RefuseRequest](r)[0].Refusal.Status()).To(Equal(502))
+}
+
+// Guards against work for an endpoint that is leaving.
+func TestLeavingGetsNoWork(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	endpoints := plainEndpoints()
+	r.configure(endpoints...)
+	endpoints[0].Leaving = true
+	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Entries: endpoints[:1]})
+	// A late entry of before must not bring it back.
+	endpoints[0].Leaving = false
+	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Entries: endpoints[:1]})
+	for _, id := range []string{"a", "b", "c", "d"} {
+		r.arrive(id, "/stock/1", "")
+		g.Expect(r.lastAttempt(id).Endpoint).To(Equal(endpoints[1].ID))
+	}
+}
+
+// Guards against dropping live endpoints whose entries are missing for a moment
+// after an outage of the store, and against keeping those that stay missing.
+func TestMissingAfterOutage(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	endpoints := plainEndpoints()
+	r.configure(endpoints...)
+	r.apply(rpfleet.StoreLost{Stamp: r.stamp()})
+	r.advance(5 * time.Second)
+	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Complete: true})
+	r.arrive("a", "/stock/1", "")
+	g.Expect(effectsOf[rpfleet.StartAttempt](r)).To(HaveLen(1))
+	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Entries: endpoints[1:]})
+	r.advance(rpfleet.DefaultEntryGrace)
+	for _, id := range []string{"b", "c", "d"} {
+		r.arrive(id, "/stock/1", "")
+		g.Expect(r.lastAttempt(id).Endpoint).To(Equal(endpoints[1].ID))
+	}
+	// Without an outage a missing entry means that the endpoint is gone.
+	r.advance(time.Minute)
+	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Removed: []rpcore.EndpointID{endpoints[1].ID}})
+	r.forget()
+	r.arrive("e", "/stock/1", "")
+	refused := effectsOf[rpfleet.RefuseRequest](r)
+	g.Expect(refused).To(HaveLen(1))
+	g.Expect(refused[0].Refusal.Code).To(Equal(rpverdict.CodeNoEndpoint))
+}
+
+// Guards against a request that is held although it is known that its model
+// can't be loaded in time.
+func TestRefusesAtOnceWhatComesTooLate(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	r.configure(testEndpoint("e1", testService, homeDomain, "m0"))
+	r.arrive("a", "/suggest/1", "m3")
+	g.Expect(effectsOf[rpfleet.RefuseRequest](r)).To(BeEmpty())
+	r.apply(rpfleet.PlacementReceived{Stamp: r.stamp(), AskedAt: r.now, Placement: rpfleet.Placement{
+		Leading: true, Instances: 3, Expected: []rpfleet.ExpectedModel{{Service: testService, Model: "m3", ReadyIn: 6 * time.Second}},
+	}})
+	refused := effectsOf[rpfleet.RefuseRequest](r)
+	g.Expect(refused).To(HaveLen(1))
+	g.Expect(refused[0].Refusal.Status()).To(Equal(503))
+	g.Expect(refused[0].Refusal.RetryAfter).To(BeNumerically("~", 6*time.Second, 100*time.Millisecond))
+}
+
+// Guards against urgent work that waits behind work that is not.
+func TestUrgentFirst(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	r.configure(testEndpoint("e1", testService, homeDomain, "m0"))
+	for i := range 6 {
+		r.arrive("fill"+string(rune('0'+i)), "/suggest/1", "m0")
+	}
+	r.arrive("later", "/later/1", "m0")
+	r.arrive("urgent", "/suggest/1", "m0")
+	r.forget()
+	r.endAttempt(rpfleet.StartAttempt{Request: "fill0", Attempt: "fill0#1"}, rpcore.AttemptComplete, rpverdict.Ran)
+	started := effectsOf[rpfleet.StartAttempt](r)
+	g.Expect(started).To(HaveLen(1))
+	g.Expect(started[0].Request).To(Equal(rpcore.RequestID("urgent")))
+}
+
+// Guards against work for an endpoint that fails while others are sound.
+func TestFailingEndpointIsEjected(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	endpoints := plainEndpoints()
+	r.configure(endpoints...)
+	for i, id := range []string{"a", "b", "c"} {
+		r.arrive(id, "/place/1", "")
+		attempt := r.lastAttempt(id)
+		if attempt.Endpoint == endpoints[0].ID {
+			r.endAttempt(attempt, rpcore.AttemptBroken, rpverdict.MayHaveRun)
+			continue
+		}
+		r.endAttempt(attempt, rpcore.AttemptComplete, rpverdict.Ran)
+		g.Expect(i).To(BeNumerically(">", 0))
+	}
+	r.forget()
+	for _, id := range []string{"d", "e", "f", "g"} {
+		r.arrive(id, "/place/1", "")
+	}
+	for _, attempt := range effectsOf[rpfleet.StartAttempt](r) {
+		g.Expect(attempt.Endpoint).To(Equal(endpoints[1].ID))
+	}
+}
--- /dev/null
+++ b/pkg/rpfleet/rig_test.go
@@ -0,0 +1,205 @@
+package rpfleet_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// rig drives one State and keeps the effects that it returned. Tests look at
+// them by kind with effectsOf.
+type rig struct {
+	t       *testing.T
+	state   rpfleet.State
+	now     time.Time
+	effects []rpfleet.Effect
+	alarm   time.Time
+	// seen is the number of effects that a test has looked at.
+	seen int
+}
+
+const (
+	testService = "assistant"
+	testPlain   = "orders"
+	homeDomain  = rpcore.FailureDomain("zone-a")
+	testGB      = rpdocument.Bytes(1e9)
+)
+
+func withRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{t: t, now: time.Unix(1_800_000_000, 0)}
+	r.apply(rpfleet.Start{
+		Stamp:       r.stamp(),
+		Self:        rpcore.Identity{Instance: "front-1", FailureDomain: homeDomain},
+		PeerAddress: netip.MustParseAddrPort("10.0.0.1:7000"),
+		Seed:        1,
+	})
+	return r
+}
+
+func (r *rig) stamp() rpfleet.Stamp { return rpfleet.Stamp{At: r.now} }
+
+func (r *rig) apply(ev rpfleet.Event) {
+	for _, effect := range r.state.Reduce(ev) {
+		if alarm, ok := effect.(rpfleet.SetAlarm); ok {
+			r.alarm = alarm.At
+			continue
+		}
+		if testing.Verbose() {
+			r.t.Logf("%s %T %+v", r.now.Format("05.000"), effect, effect)
+		}
+		r.effects = append(r.effects, effect)
+	}
+}
+
+// advance lets time pass and fires the alarms that are due.
+func (r *rig) advance(d time.Duration) {
+	end := r.now.Add(d)
+	for !r.alarm.IsZero() && !r.alarm.After(end) {
+		r.now = r.alarm
+		r.alarm = time.Time{}
+		r.apply(rpfleet.Tick{Stamp: r.stamp()})
+	}
+	r.now = end
+}
+
+// effectsOf returns the effects of a kind since the last call of forget.
+func effectsOf[E rpfleet.Effect](r *rig) []E {
+	var found []E
+	for _, effect := range r.effects[r.seen:] {
+		if e, ok := effect.(E); ok {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+func (r *rig) forget() { r.seen = len(r.effects) }
+
+// testConfig has a resumable stream, a stream that runs once, and the two kinds
+// of plain routes.
+func testConfig(version uint64) *rpfleet.Config {
+	models := map[string]rpfleet.ModelSpec{}
+	for i := range 8 {
+		models[fmt.Sprintf("m%d", i)] = rpfleet.ModelSpec{
+			Memory: 70 * testGB, AdapterMemory: testGB, Adapters: 4,
+			LoadTimes: map[rpcore.CheckpointPlace]time.Duration{
+				rpcore.PlaceMemory: 800 * time.Millisecond,
+				rpcore.PlaceDisk:   time.Second,
+				rpcore.PlaceRemote: 6 * time.Second,
+			},
+		}
+	}
+	route := func(name, prefix string, kind rpfleet.RouteKind, rank, endpoints int, service string) rpfleet.Route {
+		return rpfleet.Route{
+			Name: name, Host: "shop.example", Prefix: prefix, Kind: kind, Rank: rank, MaxEndpoints: endpoints,
+			Timeout: 8 * time.Second, Target: 500 * time.Millisecond, EventGap: 600 * time.Millisecond,
+			Services: []rpfleet.WeightedService{{Service: service, Weight: 1}},
+		}
+	}
+	config := &rpfleet.Config{
+		Version: version,
+		Services: map[string]*rpfleet.Service{
+			testService: {Name: testService, Engine: &rpfleet.EngineSpec{Slots: 4, Memory: 230 * testGB, AdapterSlots: 2, Models: models}},
+			testPlain:   {Name: testPlain},
+		},
+		Routes: []rpfleet.Route{
+			route("suggest", "/suggest/", rpfleet.KindStream, 0, 2, testService),
+			route("later", "/later/", rpfleet.KindStream, 2, 1, testService),
+			route("place", "/place/", rpfleet.KindNonIdempotent, 1, 1, testPlain),
+			route("stock", "/stock/", rpfleet.KindIdempotent, 1, 2, testPlain),
+		},
+	}
+	config.Routes[0].Resumable = true
+	config.Routes[1].Target = 6 * time.Second
+	config.Routes[1].Timeout = 15 * time.Second
+	config.Index()
+	return config
+}
+
+func testEndpoint(id, service string, domain rpcore.FailureDomain, models ...string) rpfleet.Endpoint {
+	e := rpfleet.Endpoint{
+		ID: rpcore.EndpointID(id), Service: service, FailureDomain: domain, Incarnation: "1", Slots: 4,
+		Address: netip.MustParseAddrPort("10.0.1.1:9000"), Cached: map[string]rpcore.CheckpointPlace{},
+	}
+	for _, model := range models {
+		e.Models = append(e.Models, rpfleet.HeldModel{Name: model, Version: "1"})
+		e.Cached[model] = rpcore.PlaceDisk
+	}
+	return e
+}
+
+// configure puts a configuration and a list of endpoints in force.
+func (r *rig) configure(endpoints ...rpfleet.Endpoint) {
+	r.apply(rpfleet.ConfigRead{Stamp: r.stamp(), Config: testConfig(1)})
+	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Complete: true, Entries: endpoints})
+}
+
+func (r *rig) arrive(id, path, model string) {
+	request := rpfleet.Request{
+		ID: rpcore.RequestID(id), Host: "shop.example", Path: path, Model: model, Deadline: r.now.Add(8 * time.Second),
+	}
+	r.apply(rpfleet.RequestArrived{Stamp: r.stamp(), Request: request})
+}
+
+// lastAttempt returns the newest attempt of a request.
+func (r *rig) lastAttempt(id string) rpfleet.StartAttempt {
+	r.t.Helper()
+	attempts := effectsOf[rpfleet.StartAttempt](r)
+	for i := len(attempts) - 1; i >= 0; i-- {
+		if attempts[i].Request == rpcore.RequestID(id) {
+			return attempts[i]
+		}
+	}
+	r.t.Fatalf("no attempt of request %s", id)
+	return rpfleet.StartAttempt{}
+}
+
+func (r *rig) endAttempt(a rpfleet.StartAttempt, reason rpcore.AttemptReason, verdict rpverdict.Verdict) {
+	r.apply(rpfleet.AttemptEnded{Stamp: r.stamp(), Request: a.Request, Attempt: a.Attempt, Reason: reason, Verdict: verdict})
+}
+
+// lead makes this instance the planner and verifies what the engines hold.
+func (r *rig) lead(endpoints ...rpfleet.Endpoint) {
+	r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now})
+	writes := effectsOf[rpfleet.WriteLease](r)
+	row := writes[len(writes)-1].Row
+	row.Revision = 10
+	r.apply(rpfleet.LeaseWritten{Stamp: r.stamp(), AskedAt: r.now, Outcome: rpcore.WriteApplied, Row: row})
+	r.advance(10 * time.Millisecond)
+	for _, e := range endpoints {
+		r.report(e, 0)
+	}
+}
+
+func (r *rig) report(e rpfleet.Endpoint, sequence uint64) {
+	r.apply(rpfleet.EngineReported{Stamp: r.stamp(), Endpoint: e.ID, Report: rpfleet.EngineReport{
+		Incarnation: e.Incarnation, Sequence: sequence, Models: e.Models, Cached: e.Cached,
+	}})
+}
+
+// renew keeps the lease while time passes.
+func (r *rig) renew(d time.Duration) {
+	const step = 100 * time.Millisecond
+	for ; d > 0; d -= step {
+		before := len(r.effects)
+		r.advance(min(step, d))
+		for _, effect := range r.effects[before:] {
+			if write, ok := effect.(rpfleet.WriteLease); ok {
+				row := write.Row
+				row.Revision = write.Expected + 1
+				r.apply(rpfleet.LeaseWritten{Stamp: r.stamp(), AskedAt: r.now, Outcome: rpcore.WriteApplied, Row: row})
+			}
+		}
+	}
+}
+
+func (r *rig) answer(order rpfleet.SendOrder, outcome rpfleet.OrderOutcome) {
+	r.apply(rpfleet.OrderAnswered{Stamp: r.stamp(), Order: order.Order, Outcome: outcome})
+}
