--- a/internal/rpgateway/peers.go
+++ b/internal/rpgateway/peers.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/gorilla/mux"
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
@@ -25,6 +25,7 @@
 	// demandBytes bounds a demand and its answer.
 	demandBytes = 4 << 20
 	pathDemand  = "/peer/v1/demand"
+	typeCBOR    = "application/cbor"
 )
 
 // peers is the interface between instances: demands go to the planner.
@@ -46,7 +47,7 @@
 
 func (p *peers) serveDemand(w http.ResponseWriter, r *http.Request) {
 	event := rpfleet.DemandReceived{}
-	if err := json.NewDecoder(io.LimitReader(r.Body, demandBytes)).Decode(&event.Demand); err != nil {
+	if err := cbor.NewDecoder(io.LimitReader(r.Body, demandBytes)).Decode(&event.Demand); err != nil {
 		p.log.Warn().Err(err).Str("peer", r.RemoteAddr).Msg("a demand can't be read")
 		http.Error(w, "the demand can't be read", http.StatusBadRequest)
 		return
@@ -57,8 +58,8 @@
 	p.loop.apply(event)
 	select {
 	case placement := <-answered:
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(placement); err != nil {
+		w.Header().Set("Content-Type", typeCBOR)
+		if err := cbor.NewEncoder(w).Encode(placement); err != nil {
 			p.log.Debug().Err(err).Msg("an answer to a demand was not delivered")
 		}
 	default:
@@ -105,7 +106,7 @@
 
 func (p *peers) ask(address netip.AddrPort, demand rpfleet.Demand) (rpfleet.Placement, error) {
 	var placement rpfleet.Placement
-	body, err := json.Marshal(demand)
+	body, err := cbor.Marshal(demand)
 	if err != nil {
 		return placement, trace.Wrap(err)
 	}
@@ -115,6 +116,7 @@
 	if err != nil {
 		return placement, trace.Wrap(err)
 	}
+	req.Header.Set("Content-Type", typeCBOR)
 	resp, err := p.client.Do(req)
 	if err != nil {
 		return placement, trace.Wrap(err)
@@ -123,5 +125,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return placement, fmt.Errorf("the planner answered with status %d", resp.StatusCode)
 	}
-	return placement, trace.Wrap(json.NewDecoder(io.LimitReader(resp.Body, demandBytes)).Decode(&placement))
+	return placement, trace.Wrap(cbor.NewDecoder(io.LimitReader(resp.Body, demandBytes)).Decode(&placement))
 }
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -10,78 +10,110 @@
 )
 
 // Demand is what an instance tells the planner. Times are durations, since the
-// clocks of instances differ.
+// clocks of instances differ. The messages are arrays on the wire, without the
+// names of their fields: bytes between failure domains are dear.
 type Demand struct {
-	Instance rpcore.InstanceID   `json:"instance"`
-	Rates    []ModelRate         `json:"rates"`
-	Needs    []Need              `json:"needs"`
-	InFlight []EndpointLoad      `json:"in_flight"`
-	Avoid    []rpcore.EndpointID `json:"avoid"`
-}
-
-// ModelRate is the rate at which requests for a model arrive.
+	_ struct{} `cbor:",toarray"`
+
+	Instance rpcore.InstanceID
+	// Full says that Rates, InFlight and Avoid are set. Demands in between only
+	// tell new needs.
+	Full bool
+	// Epoch and Seen are those of the last placement that arrived, so that the
+	// answer holds only what has changed since.
+	Epoch    uint64
+	Seen     uint64
+	Rates    []ModelRate
+	Needs    []Need
+	InFlight []EndpointLoad
+	Avoid    []rpcore.EndpointID
+}
+
+// ModelRate is the rate at which requests for a model arrive, in requests in
+// 1000 seconds over a short and a long time.
 type ModelRate struct {
-	Service string `json:"service"`
-	Model   string `json:"model"`
-	// Fast and Slow are requests a second over a short and a long time.
-	Fast float64 `json:"fast"`
-	Slow float64 `json:"slow"`
+	_ struct{} `cbor:",toarray"`
+
+	Service string
+	Model   string
+	Fast    int
+	Slow    int
 }
 
+// rateUnit converts a rate a second into the unit of ModelRate.
+const rateUnit = 1000
+
 // Need says that requests wait for a model or an adapter of it.
 type Need struct {
-	Service string `json:"service"`
-	Model   string `json:"model"`
-	Adapter string `json:"adapter,omitempty"`
-	Waiting int    `json:"waiting"`
+	_ struct{} `cbor:",toarray"`
+
+	Service string
+	Model   string
+	Adapter string
+	Waiting int
 	// Rank is that of the most urgent request.
-	Rank int `json:"rank"`
+	Rank int
 }
 
 // EndpointLoad is the number of attempts at an endpoint, by model.
 type EndpointLoad struct {
-	Endpoint rpcore.EndpointID `json:"endpoint"`
-	Model    string            `json:"model,omitempty"`
-	Count    int               `json:"count"`
+	_ struct{} `cbor:",toarray"`
+
+	Endpoint rpcore.EndpointID
+	Model    string
+	Count    int
 }
 
 // Placement is the planner's answer to a demand.
 type Placement struct {
+	_ struct{} `cbor:",toarray"`
+
 	// Leading is false where the asked instance is not the planner.
-	Leading   bool `json:"leading"`
-	Instances int  `json:"instances"`
+	Leading bool
+	// Epoch is that of the planner's lease, and Change counts what it changed.
+	Epoch     uint64
+	Change    uint64
+	Instances int
 	// Engines holds what was ordered lately and may not be in the list yet.
-	Engines []EngineContent `json:"engines"`
-	// Others holds the attempts of all other instances.
-	Others []EndpointLoad `json:"others"`
-	// Expected says when the needed models will be loaded.
-	Expected []ExpectedModel `json:"expected"`
+	Engines []EngineContent
+	// Others holds the attempts of all other instances. It is set in the answer
+	// to a full demand, as HasOthers says.
+	HasOthers bool
+	Others    []EndpointLoad
+	// Expected says when the models that the demand needs will be loaded.
+	Expected []ExpectedModel
 }
 
 // EngineContent is what an engine holds after a number of orders.
 type EngineContent struct {
-	Endpoint    rpcore.EndpointID  `json:"endpoint"`
-	Incarnation rpcore.Incarnation `json:"incarnation"`
-	Sequence    uint64             `json:"sequence"`
-	Models      []PlacedModel      `json:"models"`
+	_ struct{} `cbor:",toarray"`
+
+	Endpoint    rpcore.EndpointID
+	Incarnation rpcore.Incarnation
+	Sequence    uint64
+	Models      []PlacedModel
 	// Dropped names what was unloaded lately.
-	Dropped []string `json:"dropped"`
+	Dropped []string
 }
 
 // PlacedModel is a model that an engine holds or is loading.
 type PlacedModel struct {
-	Name    string        `json:"name"`
-	Version string        `json:"version"`
-	ReadyIn time.Duration `json:"ready_in"`
+	_ struct{} `cbor:",toarray"`
+
+	Name    string
+	Version string
+	ReadyIn time.Duration
 	// Adapters holds the time until each adapter is ready.
-	Adapters map[string]time.Duration `json:"adapters"`
+	Adapters map[string]time.Duration
 }
 
 // ExpectedModel says when a model will be loaded somewhere.
 type ExpectedModel struct {
-	Service string        `json:"service"`
-	Model   string        `json:"model"`
-	ReadyIn time.Duration `json:"ready_in"`
+	_ struct{} `cbor:",toarray"`
+
+	Service string
+	Model   string
+	ReadyIn time.Duration
 }
 
 const (
@@ -101,8 +133,9 @@
 	// replicas of those that are asked for now and then.
 	fastWindow = 3 * time.Second
 	slowWindow = 20 * time.Second
-	// forgottenRate is the rate, a second, below which a model is not reported.
-	forgottenRate = 0.005
+	// forgottenRate is the rate, in requests in 1000 seconds, below which a
+	// model is not reported.
+	forgottenRate = 5
 )
 
 type modelID struct {
@@ -129,6 +162,11 @@
 	asking bool
 	again  bool
 	sentAt time.Time
+	// fullAt is when the last full demand was sent.
+	fullAt time.Time
+	// epoch and seen are those of the last placement.
+	epoch uint64
+	seen  uint64
 	// expected holds when models will be loaded.
 	expected    map[modelID]time.Time
 	placementAt time.Time
@@ -247,9 +285,10 @@
 	s.demand.again = false
 	s.demand.sentAt = s.now
 	if s.leading() {
-		s.takeDemand(s.currentDemand())
-		s.runPlan()
-		s.adoptExpected(s.expectedModels())
+		demand := s.currentDemand()
+		s.takeDemand(demand)
+		s.planNow()
+		s.adoptExpected(s.expectedModels(demand.Needs))
 		s.demand.instances = len(s.plan.demands)
 		s.demand.placementAt = s.now
 		s.adoptOthers(s.othersOf(s.self.Instance))
@@ -264,17 +303,24 @@
 }
 
 func (s *State) currentDemand() Demand {
-	d := Demand{Instance: s.self.Instance}
+	d := Demand{Instance: s.self.Instance, Epoch: s.demand.epoch, Seen: s.demand.seen, Needs: s.currentNeeds()}
+	if s.now.Sub(s.demand.fullAt) < demandInterval-demandSpacing {
+		return d
+	}
+	s.demand.fullAt = s.now
+	d.Full = true
 	for _, id := range sortedModels(s.demand.arrivals) {
 		a := s.demand.arrivals[id]
-		rate := ModelRate{Service: id.service, Model: id.model, Fast: a.fast.perSecond(s.now), Slow: a.slow.perSecond(s.now)}
-		if rate.Fast < forgottenRate && rate.Slow < forgottenRate {
+		rate := ModelRate{
+			Service: id.service, Model: id.model,
+			Fast: int(rateUnit * a.fast.perSecond(s.now)), Slow: int(rateUnit * a.slow.perSecond(s.now)),
+		}
+		if max(rate.Fast, rate.Slow) < forgottenRate {
 			delete(s.demand.arrivals, id)
 			continue
 		}
 		d.Rates = append(d.Rates, rate)
 	}
-	d.Needs = s.currentNeeds()
 	for _, e := range s.sortedEndpoints() {
 		d.addEndpoint(e, s.now)
 	}
@@ -344,10 +390,13 @@
 	p := &ev.Placement
 	s.demand.instances = p.Instances
 	s.demand.placementAt = ev.AskedAt
+	s.demand.epoch, s.demand.seen = p.Epoch, p.Change
 	for i := range p.Engines {
 		s.adoptPlacement(&p.Engines[i], ev.AskedAt)
 	}
-	s.adoptOthers(p.Others)
+	if p.HasOthers {
+		s.adoptOthers(p.Others)
+	}
 	s.adoptExpected(p.Expected)
 	s.dispatchAll()
 	if s.demand.again {
--- a/pkg/rpfleet/endpoint.go
+++ b/pkg/rpfleet/endpoint.go
@@ -109,7 +109,9 @@
 	busyUntil time.Time
 	// orderedAt is the time of the last accepted order, reportAt the earliest
 	// one of the next question.
-	orderedAt  time.Time
+	orderedAt time.Time
+	// change is the number of the planner's last change of the engine.
+	change     uint64
 	unloadedAt time.Time
 	reportAt   time.Time
 	// retryAt is the earliest time of the next order after a conflict.
--- a/pkg/rpfleet/order.go
+++ b/pkg/rpfleet/order.go
@@ -190,6 +190,8 @@
 	g.sequence++
 	g.conflicts = 0
 	g.orderedAt = s.now
+	s.plan.change++
+	g.change = s.plan.change
 	switch {
 	case o.kind == OrderLoad && o.adapter != "":
 		if adapters := g.content[o.model]; adapters != nil {
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -7,13 +7,16 @@
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
 )
 
 const (
 	// planInterval is the time between two plans without news.
 	planInterval = 250 * time.Millisecond
-	// planPause collects news that arrive together into one plan.
-	planPause = 5 * time.Millisecond
+	// planPause collects news that arrive together into one plan, and
+	// planSpacing bounds the plans that demands cause.
+	planPause   = 5 * time.Millisecond
+	planSpacing = 15 * time.Millisecond
 	// replicaRate is the rate, a second, of requests that one replica takes
 	// while its engine still answers within the usual targets. Prefill of the
 	// users' usual prompts takes about 20 ms, so this is a fifth of an engine.
@@ -60,8 +63,11 @@
 	// weightLoads holds the ends of the loads from the weight store.
 	weightLoads []time.Time
 	// orders holds the orders in flight.
-	orders   map[rpcore.OrderID]*order
-	due      bool
+	orders map[rpcore.OrderID]*order
+	due    bool
+	at     time.Time
+	// change counts the changes of engines that were ordered.
+	change   uint64
 	expected map[modelID]time.Time
 	// firstArrival is when the first request for a model was heard of.
 	firstArrival time.Time
@@ -113,7 +119,7 @@
 		return
 	}
 	s.plan.due = true
-	s.after(planPause, func(s *State) {
+	s.at(maxTime(s.now.Add(planPause), s.plan.at.Add(planSpacing)), func(s *State) {
 		s.plan.due = false
 		s.runPlan()
 	})
@@ -126,17 +132,32 @@
 		return
 	}
 	s.takeDemand(ev.Demand)
-	s.runPlan()
-	s.emit(AnswerDemand{Call: ev.Call, Placement: Placement{
+	s.planNow()
+	d := &ev.Demand
+	if d.Epoch != s.lease.row.Epoch {
+		d.Seen = 0
+	}
+	placement := Placement{
 		Leading:   true,
+		Epoch:     s.lease.row.Epoch,
+		Change:    s.plan.change,
 		Instances: len(s.plan.demands),
-		Engines:   s.recentContents(),
-		Others:    s.othersOf(ev.Demand.Instance),
-		Expected:  s.expectedModels(),
-	}})
+		Engines:   s.recentContents(d.Seen),
+		Expected:  s.expectedModels(d.Needs),
+	}
+	if d.Full {
+		placement.HasOthers = true
+		placement.Others = s.othersOf(d.Instance)
+	}
+	s.emit(AnswerDemand{Call: ev.Call, Placement: placement})
 }
 
+// takeDemand takes in a demand. One that is not full leaves the rest as it was.
 func (s *State) takeDemand(d Demand) {
+	known := s.plan.demands[d.Instance]
+	if known != nil && !d.Full {
+		d.Rates, d.InFlight, d.Avoid = known.Rates, known.InFlight, known.Avoid
+	}
 	s.plan.demands[d.Instance] = &receivedDemand{Demand: d, at: s.now}
 	if len(d.Rates) > 0 && s.plan.firstArrival.IsZero() {
 		s.plan.firstArrival = s.now
@@ -162,11 +183,11 @@
 }
 
 // recentContents returns the engines whose last order may not be in the list
-// yet.
-func (s *State) recentContents() []EngineContent {
+// yet and that have changed since a change that the asking instance has seen.
+func (s *State) recentContents(seen uint64) []EngineContent {
 	var contents []EngineContent
 	for _, e := range s.sortedEndpoints() {
-		if len(e.engine.models) == 0 || s.now.Sub(e.engine.orderedAt) > contentLag+time.Second {
+		if e.engine.change <= seen || s.now.Sub(e.engine.orderedAt) > contentLag+time.Second {
 			continue
 		}
 		content := EngineContent{Endpoint: e.ID, Incarnation: e.Incarnation, Sequence: e.engine.sequence}
@@ -194,10 +215,14 @@
 	return placed
 }
 
-func (s *State) expectedModels() []ExpectedModel {
+// expectedModels says when the needed models will be loaded, as far as is
+// known.
+func (s *State) expectedModels(needs []Need) []ExpectedModel {
 	var expected []ExpectedModel
-	for _, id := range sortedModels(s.plan.expected) {
-		expected = append(expected, ExpectedModel{id.service, id.model, max(0, s.plan.expected[id].Sub(s.now))})
+	for _, need := range needs {
+		if at, ok := s.plan.expected[modelID{need.Service, need.Model}]; ok {
+			expected = append(expected, ExpectedModel{Service: need.Service, Model: need.Model, ReadyIn: max(0, at.Sub(s.now))})
+		}
 	}
 	return expected
 }
@@ -228,6 +253,19 @@
 	spec    *EngineSpec
 	engines []*endpoint
 	models  map[string]*modelDemand
+	// running holds the models with requests in progress.
+	running     map[runningModel]bool
+	enginePlans map[rpcore.EndpointID]*enginePlan
+}
+
+// planNow makes a plan unless the last one is so recent that the demands of
+// several instances are better taken together.
+func (s *State) planNow() {
+	if s.now.Sub(s.plan.at) >= planSpacing {
+		s.runPlan()
+		return
+	}
+	s.planSoon()
 }
 
 // runPlan gives the orders that the demand asks for.
@@ -235,6 +273,7 @@
 	if !s.leading() || s.config == nil || !s.listed {
 		return
 	}
+	s.plan.at = s.now
 	s.forgetOld()
 	clear(s.plan.expected)
 	for _, name := range sortedKeys(s.config.Services) {
@@ -258,7 +297,10 @@
 }
 
 func (s *State) newServicePlan(service *Service) *servicePlan {
-	p := &servicePlan{state: s, service: service.Name, spec: service.Engine, models: map[string]*modelDemand{}}
+	p := &servicePlan{
+		state: s, service: service.Name, spec: service.Engine, models: make(map[string]*modelDemand, len(service.Engine.Models)),
+		running: s.runningModels(), enginePlans: map[rpcore.EndpointID]*enginePlan{},
+	}
 	avoided := s.avoided()
 	for _, e := range s.endpointsOf(service.Name) {
 		if !e.Leaving && !e.health.ejected(s.now) && avoided[e.ID]*2 <= len(s.plan.demands) {
@@ -312,7 +354,7 @@
 		d := s.plan.demands[name]
 		for _, rate := range d.Rates {
 			if m := p.models[rate.Model]; m != nil && rate.Service == p.service {
-				m.rate += max(rate.Fast, rate.Slow)
+				m.rate += float64(max(rate.Fast, rate.Slow)) / rateUnit
 			}
 		}
 		for _, need := range d.Needs {
@@ -520,66 +562,104 @@
 	return len(p.state.plan.weightLoads) < limit
 }
 
+// enginePlan is what a plan needs of an engine, worked out once for all loads.
+type enginePlan struct {
+	free      rpdocument.Bytes
+	evictable []evictable
+}
+
+// evictable is a model that an engine may unload, with the cost of that in
+// seconds.
+type evictable struct {
+	name   string
+	memory rpdocument.Bytes
+	cost   float64
+	// shared says that other engines hold the model, or that it is asked for
+	// often.
+	shared bool
+}
+
+func (p *servicePlan) enginePlan(e *endpoint) *enginePlan {
+	if known := p.enginePlans[e.ID]; known != nil {
+		return known
+	}
+	plan := &enginePlan{free: p.freeMemory(e)}
+	for _, name := range sortedKeys(e.engine.content) {
+		if candidate, ok := p.evictable(e, name); ok {
+			plan.evictable = append(plan.evictable, candidate)
+		}
+	}
+	p.enginePlans[e.ID] = plan
+	return plan
+}
+
 // victim returns the model to unload at an engine so that another one fits, or
-// "" where there is room. It returns false where none may be unloaded.
+// "" where there is room. It returns false where none may be unloaded. A
+// preload pushes out no model that is shared.
 func (p *servicePlan) victim(w wanted, e *endpoint) (string, float64, bool) {
 	need := w.model.spec.Memory
-	free := p.freeMemory(e)
-	if free >= need {
+	plan := p.enginePlan(e)
+	if plan.free >= need {
 		return "", 0, true
 	}
-	best, bestValue := "", 0.0
-	for _, name := range sortedKeys(e.engine.content) {
-		if free+p.spec.Models[name].Memory < need {
+	var best *evictable
+	for i := range plan.evictable {
+		candidate := &plan.evictable[i]
+		if plan.free+candidate.memory < need || w.preload && candidate.shared {
 			continue
 		}
-		value, ok := p.evictionValue(w, e, name)
-		if ok && (best == "" || value < bestValue) {
-			best, bestValue = name, value
+		if best == nil || candidate.cost < best.cost {
+			best = candidate
 		}
 	}
-	return best, bestValue, best != ""
+	if best == nil {
+		return "", 0, false
+	}
+	return best.name, best.cost, true
 }
 
-// evictionValue returns the cost, in seconds, of unloading a replica. It
-// returns false where the replica must stay.
-func (p *servicePlan) evictionValue(w wanted, e *endpoint, name string) (float64, bool) {
+// evictable returns the cost of unloading a model at an engine. It returns false
+// where the model must stay.
+func (p *servicePlan) evictable(e *endpoint, name string) (evictable, bool) {
 	s := p.state
+	candidate := evictable{name: name, memory: p.spec.Models[name].Memory}
 	r := e.engine.models[name]
 	m := p.models[name]
 	if m == nil || r == nil {
-		return 0, true
+		return candidate, true
 	}
 	have := len(m.holders)
 	switch {
 	case r.readyAt.After(s.now) || s.now.Sub(r.loadedAt) < leastResidence && m.waiting > 0:
-		return 0, false
+		return candidate, false
 	case have <= 1 && m.waiting > 0:
-		return 0, false
-	case w.preload && (have > 1 || m.rate > replicaRate/2):
-		return 0, false
+		return candidate, false
 	}
-	value := 0.0
+	candidate.shared = have > 1 || m.rate > replicaRate/2
 	if left := float64(have - 1); left == 0 || m.rate/left > spareRate*replicaRate {
-		value = evictionWeight * m.rate / float64(have)
+		candidate.cost = evictionWeight * m.rate / float64(have)
 	}
-	if s.running(e, name) {
-		value += runningCost
+	if p.running[runningModel{e.ID, name}] {
+		candidate.cost += runningCost
 	}
 	if s.now.Sub(r.usedAt) < recentUse {
-		value += runningCost / 2
+		candidate.cost += runningCost / 2
 	}
-	return value, true
+	return candidate, true
 }
 
-// running reports whether an instance has a request for a model at an engine.
-func (s *State) running(e *endpoint, model string) bool {
+// runningModel is a model with requests in progress at an engine.
+type runningModel struct {
+	endpoint rpcore.EndpointID
+	model    string
+}
+
+func (s *State) runningModels() map[runningModel]bool {
+	running := map[runningModel]bool{}
 	for _, d := range s.plan.demands {
 		for _, load := range d.InFlight {
-			if load.Endpoint == e.ID && load.Model == model {
-				return true
-			}
+			running[runningModel{load.Endpoint, load.Model}] = true
 		}
 	}
-	return false
+	return running
 }
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -206,7 +206,7 @@
 			continue
 		}
 		usable++
-		if r.engine == nil || e.serves(r.Model, s.now) && !e.health.ejected(s.now) {
+		if r.engine == nil || e.serves(r.Model, s.now) && e.hasAdapter(r.Model, r.Adapter, s.now) && !e.health.ejected(s.now) {
 			full++
 		}
 	}
