--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -21,6 +21,10 @@
 	// while its engine still answers within the usual targets. Prefill of the
 	// users' usual prompts takes about 20 ms, so this is a fifth of an engine.
 	replicaRate = 8.0
+	// replicaLoad is the number of requests in progress that one replica takes.
+	// Requests that take longer than usual, at slow engines or in large batches,
+	// thus ask for more replicas at the same rate.
+	replicaLoad = 5.0
 	// spareRate keeps a surplus replica while the others would get more than
 	// this part of replicaRate.
 	spareRate = 0.5
@@ -232,6 +236,7 @@
 	id      modelID
 	spec    ModelSpec
 	rate    float64
+	running int
 	waiting int
 	rank    int
 	// holders are the engines that hold or load the model.
@@ -243,7 +248,9 @@
 	if d.rate == 0 && d.waiting == 0 {
 		return 0
 	}
-	return min(max(1, int(math.Ceil(d.rate/replicaRate))), engines)
+	byRate := math.Ceil(d.rate / replicaRate)
+	byLoad := math.Ceil(float64(d.running) / replicaLoad)
+	return min(max(1, int(max(byRate, byLoad))), engines)
 }
 
 // servicePlan is one plan for the engines of a service.
@@ -357,6 +364,11 @@
 				m.rate += float64(max(rate.Fast, rate.Slow)) / rateUnit
 			}
 		}
+		for _, load := range d.InFlight {
+			if m := p.models[load.Model]; m != nil {
+				m.running += load.Count
+			}
+		}
 		for _, need := range d.Needs {
 			if m := p.models[need.Model]; m != nil && need.Service == p.service {
 				m.waiting += need.Waiting
