--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -468,7 +468,7 @@
 	for _, w := range p.wanted() {
 		best := p.cheapest(w)
 		if best.engine == nil {
-			if w.waiting && p.allVerified() {
+			if w.waiting && p.allVerified() && !p.atHand(w.model) {
 				ahead++
 				s.plan.expected[w.model.id] = s.now.Add(p.queuedLoad(ahead))
 			}
--- a/pkg/rpfleet/plan_test.go
+++ b/pkg/rpfleet/plan_test.go
@@ -175,6 +175,23 @@
 	g.Expect(orders[1].Model).To(Equal("m4"))
 }
 
+// Guards against a request that is refused with the time of a load from the
+// weight store although an engine that is busy has the checkpoint on its disk.
+func TestBusyEngineIsNoColdStart(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
+	r.configure(engine)
+	r.lead(engine)
+	for _, model := range []string{"m0", "m1", "m2"} {
+		r.arrive("keep-"+model, "/suggest/1", model)
+	}
+	r.arrive("a", "/later/1", "m3")
+	r.arrive("b", "/suggest/1", "m4")
+	r.renew(300 * time.Millisecond)
+	g.Expect(effectsOf[rpfleet.RefuseRequest](r)).To(BeEmpty())
+}
+
 // Guards against more adapters at an engine than it has places for.
 func TestAdapterPlaces(t *testing.T) {
 	g := NewWithT(t)
