--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -260,9 +260,15 @@
 func (r *forwarding) stream(ctx context.Context, resp *http.Response) {
 	events := newRawEvents(resp.Body, r.limits.LineBytes)
 	started := false
+	last := time.Now()
 	for {
 		part, lastID, err := events.next()
 		if len(part) > 0 {
+			now := time.Now()
+			if started {
+				r.ended.LongestPause = max(r.ended.LongestPause, now.Sub(last))
+			}
+			last = now
 			r.watch(r.attempt.Command.EventTimeout)
 			if relayErr := r.relayEvents(resp, part, lastID, &started); relayErr != nil {
 				r.finish(relayErr)
--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -117,6 +117,9 @@
 	if r == nil || r.attempt != ev.Attempt || r.phase != phaseRunning {
 		return
 	}
+	if !r.started {
+		r.startedAt = s.now
+	}
 	r.started = true
 	s.observeLatency(r)
 }
@@ -147,9 +150,14 @@
 	if ev.Verdict != rpverdict.NotRun {
 		r.runs++
 	}
+	firstEvent := time.Duration(0)
+	if !r.startedAt.IsZero() {
+		firstEvent = r.startedAt.Sub(r.arrivedAt)
+	}
 	s.noteRequest(r, "an attempt ended", Field{"attempt", r.sends}, Field{"endpoint", string(e.ID)},
 		Field{"reason", string(ev.Reason)}, Field{"verdict", ev.Verdict.String()}, Field{"took", s.now.Sub(r.sentAt)},
-		Field{"since_arrival", s.now.Sub(r.arrivedAt)}, Field{"last_event", r.lastEvent}, Field{"detail", ev.Detail})
+		Field{"since_arrival", s.now.Sub(r.arrivedAt)}, Field{"first_event", firstEvent},
+		Field{"longest_pause", ev.LongestPause}, Field{"last_event", r.lastEvent}, Field{"route", r.route.Name}, Field{"detail", ev.Detail})
 	if ev.Reason == rpcore.AttemptComplete {
 		e.health.succeeded()
 		s.stats(r.service).observe(false)
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -120,6 +120,8 @@
 	AnswerStarted bool
 	// LastEvent is the id of the last event that reached the caller.
 	LastEvent string
+	// LongestPause is the longest time between two events of the stream.
+	LongestPause time.Duration
 	// Version is the version of the weights that made the answer, or "".
 	Version string
 	// Detail is for the log.
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -25,6 +25,10 @@
 	// Requests that take longer than usual, at slow engines or in large batches,
 	// thus ask for more replicas at the same rate.
 	replicaLoad = 5.0
+	// relief is the part of the load of a model's engines that an engine may
+	// have to get a further replica. Otherwise the replica would move the load
+	// to engines that have as much, and push out a model for it.
+	relief = 0.5
 	// spareRate keeps a surplus replica while the others would get more than
 	// this part of replicaRate.
 	spareRate = 0.5
@@ -261,7 +265,9 @@
 	engines []*endpoint
 	models  map[string]*modelDemand
 	// running holds the models with requests in progress.
-	running     map[runningModel]bool
+	running map[runningModel]bool
+	// load counts the requests in progress at the engines.
+	load        map[rpcore.EndpointID]int
 	enginePlans map[rpcore.EndpointID]*enginePlan
 }
 
@@ -306,8 +312,9 @@
 func (s *State) newServicePlan(service *Service) *servicePlan {
 	p := &servicePlan{
 		state: s, service: service.Name, spec: service.Engine, models: make(map[string]*modelDemand, len(service.Engine.Models)),
-		running: s.runningModels(), enginePlans: map[rpcore.EndpointID]*enginePlan{},
+		enginePlans: map[rpcore.EndpointID]*enginePlan{},
 	}
+	p.running, p.load = s.requestsInProgress()
 	avoided := s.avoided()
 	for _, e := range s.endpointsOf(service.Name) {
 		if !e.Leaving && !e.health.ejected(s.now) && avoided[e.ID]*2 <= len(s.plan.demands) {
@@ -536,6 +543,9 @@
 		s.askReport(e)
 		return loadChoice{}, false
 	}
+	if !w.waiting && !w.preload && float64(p.load[e.ID]) > relief*p.holderLoad(m) {
+		return loadChoice{}, false
+	}
 	if e.engine.models[m.id.model] != nil || e.engine.content[m.id.model] != nil || e.engine.plannedLoad != "" && e.engine.plannedLoad != m.id.model {
 		return loadChoice{}, false
 	}
@@ -564,6 +574,16 @@
 	return choice, true
 }
 
+// holderLoad returns the mean number of requests in progress at the engines that
+// hold a model.
+func (p *servicePlan) holderLoad(m *modelDemand) float64 {
+	sum := 0
+	for _, e := range m.holders {
+		sum += p.load[e.ID]
+	}
+	return float64(sum) / float64(max(1, len(m.holders)))
+}
+
 // storeFree reports whether one more load from the weight store runs at full
 // speed.
 func (p *servicePlan) storeFree(preload bool) bool {
@@ -666,12 +686,16 @@
 	model    string
 }
 
-func (s *State) runningModels() map[runningModel]bool {
+// requestsInProgress returns which models run where, and how many requests each
+// endpoint has.
+func (s *State) requestsInProgress() (map[runningModel]bool, map[rpcore.EndpointID]int) {
 	running := map[runningModel]bool{}
+	load := map[rpcore.EndpointID]int{}
 	for _, d := range s.plan.demands {
-		for _, load := range d.InFlight {
-			running[runningModel{load.Endpoint, load.Model}] = true
+		for _, at := range d.InFlight {
+			running[runningModel{at.Endpoint, at.Model}] = true
+			load[at.Endpoint] += at.Count
 		}
 	}
-	return running
+	return running, load
 }
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -39,6 +39,7 @@
 	endpoint  *endpoint
 	sentAt    time.Time
 	started   bool
+	startedAt time.Time
 	lastEvent string
 	version   string
 	// notBefore is the end of the pause after a refusal by an endpoint.
