Count prompts that are being read as load of their engine

Quick streams were late by pauses of 830 ms and by stalls at the start: prompts of 9,000 tokens and more are read between their tokens.

--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -16,7 +16,7 @@
 	leastStall = 120 * time.Millisecond
 	// stallByTarget is the part of the route's target that an attempt may use
 	// before another one is made.
-	stallByTarget = 0.5
+	stallByTarget = 0.75
 	// plainStallByTarget is that of routes without streams, whose answers come
 	// after the whole work.
 	plainStallByTarget = 0.8
@@ -43,6 +43,8 @@
 	r.sentAt = s.now
 	r.attempt = rpcore.AttemptID(fmt.Sprintf("%s#%d", r.ID, r.sends))
 	e.inFlight++
+	r.prefill = r.prefillTokens()
+	e.prefill += r.prefill
 	if r.engine != nil {
 		e.inFlightModels[r.Model]++
 		if held := e.engine.models[r.Model]; held != nil {
@@ -102,6 +104,7 @@
 func (s *State) release(r *request) {
 	e := r.endpoint
 	e.inFlight--
+	s.prefilled(r)
 	if r.engine != nil {
 		e.inFlightModels[r.Model]--
 		if e.inFlightModels[r.Model] <= 0 {
@@ -112,6 +115,12 @@
 	s.stats(r.service).departures.add(s.now, 1)
 }
 
+// prefilled takes in that the prompt of a running request is read.
+func (s *State) prefilled(r *request) {
+	r.endpoint.prefill -= r.prefill
+	r.prefill = 0
+}
+
 func (s *State) attemptStarted(ev AttemptStarted) {
 	r := s.requests[ev.Request]
 	if r == nil || r.attempt != ev.Attempt || r.phase != phaseRunning {
@@ -121,6 +130,7 @@
 		r.startedAt = s.now
 	}
 	r.started = true
+	s.prefilled(r)
 	s.observeLatency(r)
 }
 
--- a/pkg/rpfleet/endpoint.go
+++ b/pkg/rpfleet/endpoint.go
@@ -66,6 +66,8 @@
 	// as the planner told them.
 	inFlight int
 	others   int
+	// prefill counts the prompt tokens of own attempts without a first event.
+	prefill int
 	// inFlightModels counts own attempts by model.
 	inFlightModels map[string]int
 
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -33,9 +33,11 @@
 	// tried holds the endpoints that must not get the request again.
 	tried map[rpcore.EndpointID]bool
 	// runs counts the endpoints that may have run it, sends the attempts.
-	runs      int
-	sends     int
-	attempt   rpcore.AttemptID
+	runs    int
+	sends   int
+	attempt rpcore.AttemptID
+	// prefill is what the attempt adds to the prefill of its endpoint.
+	prefill   int
 	endpoint  *endpoint
 	sentAt    time.Time
 	started   bool
--- a/pkg/rpfleet/request_test.go
+++ b/pkg/rpfleet/request_test.go
@@ -253,3 +253,24 @@
 		g.Expect(attempt.Endpoint).To(Equal(endpoints[1].ID))
 	}
 }
+
+// Guards against short requests that wait behind a long prompt while another
+// engine is free: the longest pause of all streams of an engine is the time in
+// which it reads a prompt.
+func TestKeepsAwayFromLongPrompts(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	r.configure(testEndpoint("e1", testService, homeDomain, "m0"), testEndpoint("e2", testService, homeDomain, "m0"))
+	r.apply(rpfleet.RequestArrived{Stamp: r.stamp(), Request: rpfleet.Request{
+		ID: "long", Host: "shop.example", Path: "/suggest/1", Model: "m0", PromptTokens: 9000,
+	}})
+	long := r.lastAttempt("long")
+	for _, id := range []string{"a", "b", "c"} {
+		r.arrive(id, "/suggest/1", "m0")
+		g.Expect(r.lastAttempt(id).Endpoint).NotTo(Equal(long.Endpoint))
+	}
+	// Once the prompt is read, the engine counts as any other.
+	r.apply(rpfleet.AttemptStarted{Stamp: r.stamp(), Request: "long", Attempt: long.Attempt})
+	r.arrive("d", "/suggest/1", "m0")
+	g.Expect(r.lastAttempt("d").Endpoint).To(Equal(long.Endpoint))
+}
--- a/pkg/rpfleet/routing.go
+++ b/pkg/rpfleet/routing.go
@@ -12,12 +12,12 @@
 	remoteCost = 2.0
 	// warmingCost is that of an endpoint that has just started.
 	warmingCost = 4.0
-	// prefixTokens is the number of shared tokens whose prefill costs about as
-	// much as one request in progress.
-	prefixTokens = 500
+	// prefillUnit is the number of prompt tokens whose prefill costs the requests
+	// of an engine about as much as one more request in progress.
+	prefillUnit = 500
 	// maxPrefixGain bounds the advantage of the engine that is likely to have
 	// the prefix in its cache.
-	maxPrefixGain = 6.0
+	maxPrefixGain = 10.0
 	// queueFactor bounds the requests at a plain endpoint in its slots: it
 	// runs one set and queues the rest.
 	queueFactor = 3
@@ -98,10 +98,24 @@
 	if e.Warming > s.now.Sub(e.seenAt) {
 		cost += warmingCost
 	}
+	cost += float64(e.prefill) / prefillUnit
 	cost += e.health.failureRate * float64(max(1, e.Slots))
 	return cost + s.rng.Float64()/2
 }
 
+// prefillTokens returns the tokens of the prompt that an engine has to read
+// before the first event.
+func (r *request) prefillTokens() int {
+	if r.engine == nil {
+		return 0
+	}
+	tokens := 0
+	for _, part := range r.Prompt {
+		tokens += part.Tokens
+	}
+	return max(tokens, r.PromptTokens)
+}
+
 // prefixKey names the parts of a prompt that a request shares with others. The
 // last part belongs to the request alone.
 func (r *request) prefixKey() (string, int) {
@@ -141,7 +155,7 @@
 		return 0
 	}
 	_, tokens := r.prefixKey()
-	return min(1+float64(tokens)/prefixTokens, maxPrefixGain)
+	return min(1+float64(tokens)/prefillUnit, maxPrefixGain)
 }
 
 // rendezvous weighs a candidate for a key (highest random weight).
