Bound the planner's lease by the clock of the store

Takeover took 6 s after a planner was cut off: every candidate had to see the row unchanged for 1.9 s first. The row now tells the end of the lease by the store's steady clock, and a holder that fails to renew while others reach the store gives up and says so.

--- a/internal/rpgateway/lease.go
+++ b/internal/rpgateway/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"net/http"
 	"net/netip"
 	"time"
@@ -28,10 +29,17 @@
 	Address  netip.AddrPort    `json:"address"`
 	Epoch    uint64            `json:"epoch"`
 	Renewals uint64            `json:"renewals"`
+	// ValidUntilMs is the end of the lease by the clock of the store.
+	ValidUntilMs int64 `json:"valid_until_ms"`
 }
 
 func encodeLease(row rpfleet.LeaseRow) ([]byte, error) {
-	return json.Marshal(leaseBody{Holder: row.Holder, Address: row.Address, Epoch: row.Epoch, Renewals: row.Renewals})
+	return json.Marshal(leaseBody{
+		Holder: row.Holder, Address: row.Address, Epoch: row.Epoch, Renewals: row.Renewals,
+		// Rounded up: the holder must not be thought to have stopped before it
+		// has.
+		ValidUntilMs: int64(math.Ceil(float64(row.ValidUntil) / float64(time.Millisecond))),
+	})
 }
 
 func decodeLease(row rpwire.Row) (rpfleet.LeaseRow, error) {
@@ -44,6 +52,7 @@
 		return lease, err
 	}
 	lease.Holder, lease.Address, lease.Epoch, lease.Renewals = body.Holder, body.Address, body.Epoch, body.Renewals
+	lease.ValidUntil = rpfleet.StoreTime(time.Duration(body.ValidUntilMs) * time.Millisecond)
 	return lease, nil
 }
 
@@ -58,7 +67,8 @@
 	event := rpfleet.LeaseRead{AskedAt: l.loop.clock.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), leaseTimeout)
 	defer cancel()
-	row, err := l.store.Read(ctx, rpwire.TableOwn, keyLease)
+	row, storeNow, err := l.store.Read(ctx, rpwire.TableOwn, keyLease)
+	event.StoreNow = rpfleet.StoreTime(storeNow)
 	if err == nil {
 		event.Row, err = decodeLease(row)
 	}
@@ -77,7 +87,9 @@
 		ctx, cancel := context.WithTimeout(context.Background(), leaseTimeout)
 		defer cancel()
 		row := rpwire.Row{Table: rpwire.TableOwn, Key: keyLease, Value: value}
-		event.Row.Revision, err = l.store.Write(ctx, row, cmd.Expected)
+		var storeNow time.Duration
+		event.Row.Revision, storeNow, err = l.store.Write(ctx, row, cmd.Expected)
+		event.StoreNow = rpfleet.StoreTime(storeNow)
 	}
 	if err != nil {
 		l.failed(&event, err)
@@ -93,6 +105,7 @@
 	case errors.As(err, &conflict):
 		event.Outcome = rpcore.WriteConflict
 		event.Row = rpfleet.LeaseRow{}
+		event.StoreNow = rpfleet.StoreTime(conflict.Now)
 		for _, row := range conflict.Rows {
 			if row.Key != keyLease {
 				continue
--- a/internal/rpgateway/peers.go
+++ b/internal/rpgateway/peers.go
@@ -21,7 +21,7 @@
 const (
 	// demandTimeout bounds a demand. The planner answers at once, so one that
 	// takes longer is cut off or stopped.
-	demandTimeout = 700 * time.Millisecond
+	demandTimeout = 450 * time.Millisecond
 	// demandBytes bounds a demand and its answer.
 	demandBytes = 4 << 20
 	pathDemand  = "/peer/v1/demand"
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -16,6 +16,8 @@
 	_ struct{} `cbor:",toarray"`
 
 	Instance rpcore.InstanceID
+	// StoreWorks says that the instance has read the store lately.
+	StoreWorks bool
 	// Full says that Rates, InFlight and Avoid are set. Demands in between only
 	// tell new needs.
 	Full bool
@@ -70,6 +72,9 @@
 
 	// Leading is false where the asked instance is not the planner.
 	Leading bool
+	// GaveUp is the epoch of a lease that the asked instance held and will use
+	// no more, or 0.
+	GaveUp uint64
 	// Epoch is that of the planner's lease, and Change counts what it changed.
 	Epoch     uint64
 	Change    uint64
@@ -125,6 +130,8 @@
 	demandSpacing = 20 * time.Millisecond
 	// needInterval is the time between two demands while requests wait.
 	needInterval = 150 * time.Millisecond
+	// storeMemory is how long a reading of the store shows that it works.
+	storeMemory = 1500 * time.Millisecond
 	// demandMemory is how long the demand of an instance counts that sends no
 	// more.
 	demandMemory = 3 * time.Second
@@ -303,7 +310,10 @@
 }
 
 func (s *State) currentDemand() Demand {
-	d := Demand{Instance: s.self.Instance, Epoch: s.demand.epoch, Seen: s.demand.seen, Needs: s.currentNeeds()}
+	d := Demand{
+		Instance: s.self.Instance, Epoch: s.demand.epoch, Seen: s.demand.seen, Needs: s.currentNeeds(),
+		StoreWorks: s.now.Sub(s.listReadAt) < storeMemory,
+	}
 	if s.now.Sub(s.demand.fullAt) < demandInterval-demandSpacing {
 		return d
 	}
@@ -383,7 +393,7 @@
 func (s *State) placementReceived(ev PlacementReceived) {
 	s.demand.asking = false
 	if ev.Failed || !ev.Placement.Leading {
-		s.holderSilent(ev.Failed)
+		s.holderSilent(ev.Failed, ev.Placement.GaveUp)
 		return
 	}
 	s.holderAlive()
--- a/pkg/rpfleet/endpoint.go
+++ b/pkg/rpfleet/endpoint.go
@@ -131,6 +131,7 @@
 		s.storeBackAt = s.now
 	}
 	s.listed = true
+	s.listReadAt = s.now
 	for i := range ev.Entries {
 		s.endpointSeen(ev.Entries[i])
 	}
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -139,14 +139,23 @@
 	Epoch uint64
 	// Renewals changes with each renewal.
 	Renewals uint64
+	// ValidUntil is the end of the lease by the clock of the store. The holder
+	// gives no order after it.
+	ValidUntil StoreTime
 }
 
+// StoreTime is a time by the steady clock of the store, which all instances can
+// compare.
+type StoreTime time.Duration
+
 // LeaseRead answers ReadLease. AskedAt is the time at which the call began.
 type LeaseRead struct {
 	Stamp
 	AskedAt time.Time
 	Failed  bool
 	Row     LeaseRow
+	// StoreNow is the clock of the store when it answered.
+	StoreNow StoreTime
 }
 
 // LeaseWritten answers WriteLease. AskedAt is the time at which the call
@@ -157,6 +166,8 @@
 	Outcome rpcore.WriteOutcome
 	// Row is the row in force after WriteApplied and WriteConflict.
 	Row LeaseRow
+	// StoreNow is the clock of the store when it answered, or 0.
+	StoreNow StoreTime
 }
 
 // OrderOutcome says what an engine answered to an order.
--- a/pkg/rpfleet/lease.go
+++ b/pkg/rpfleet/lease.go
@@ -9,13 +9,17 @@
 const (
 	// leaseHold is how long the lease lasts from the start of the call that
 	// acquired or renewed it.
-	leaseHold = 1500 * time.Millisecond
+	leaseHold = 1400 * time.Millisecond
 	// leaseRenewal is the time between two renewals: two may fail.
-	leaseRenewal = 500 * time.Millisecond
-	// leaseExpiry is how long the row must stay the same before another
-	// instance takes the lease. It is longer than leaseHold by a margin for the
-	// drift of clocks.
+	leaseRenewal = 400 * time.Millisecond
+	// leaseMargin is added to the end of a lease for the drift of clocks.
+	leaseMargin = 50 * time.Millisecond
+	// leaseExpiry is how long a row without a time must stay the same before
+	// another instance takes the lease.
 	leaseExpiry = 1900 * time.Millisecond
+	// cutOffRenewals is the number of renewals in a row that fail before a
+	// holder gives up because others reach the store.
+	cutOffRenewals = 2
 	// leaseReadInterval is the time between two readings of the row while its
 	// holder does not answer.
 	leaseReadInterval = 400 * time.Millisecond
@@ -38,10 +42,38 @@
 	ordersFrom time.Time
 	reading    bool
 	writing    bool
+	// writtenAt is when the write in flight was decided on.
+	writtenAt time.Time
 	// readDue says that an alarm will read the row.
 	readDue bool
 	// silent says that the holder did not answer for its lease.
 	silent bool
+	// storeNow is the clock of the store as it answered a call that began at
+	// storeAsked, so the store's clock was at most that then.
+	storeNow   StoreTime
+	storeAsked time.Time
+	// failures counts the renewals in a row that failed.
+	failures int
+	// gaveUp is the epoch of the last lease that this instance has stopped to
+	// use, and peerGaveUp that of which the holder has said so.
+	gaveUp     uint64
+	peerGaveUp uint64
+}
+
+// observeStore takes in the clock of the store from the answer to a call.
+func (s *State) observeStore(now StoreTime, askedAt time.Time) {
+	if now > 0 {
+		s.lease.storeNow, s.lease.storeAsked = now, askedAt
+	}
+}
+
+// storeTime returns the latest time that the clock of the store can show at a
+// local time, or 0 where it is not known.
+func (s *State) storeTime(at time.Time) StoreTime {
+	if s.lease.storeNow == 0 {
+		return 0
+	}
+	return s.lease.storeNow + StoreTime(at.Sub(s.lease.storeAsked))
 }
 
 func (s *State) startLease() { s.readLease() }
@@ -80,12 +112,13 @@
 		s.readLeaseLater(leaseReadInterval)
 		return
 	}
-	s.considerRow(ev.Row)
+	s.observeStore(ev.StoreNow, ev.AskedAt)
+	s.considerRow(ev.Row, ev.StoreNow)
 }
 
 // considerRow takes the lease where nobody can hold it any more, or learns who
 // holds it.
-func (s *State) considerRow(row LeaseRow) {
+func (s *State) considerRow(row LeaseRow, storeNow StoreTime) {
 	l := &s.lease
 	changed := row.Revision != l.row.Revision || l.seenAt.IsZero()
 	holderBefore := l.row.Holder
@@ -93,15 +126,16 @@
 	if changed {
 		l.seenAt = s.now
 	}
+	left := s.leaseLeft(storeNow)
 	switch {
 	case s.draining:
 		return
 	case row.Holder == "" || row.Holder == s.self.Instance:
-		s.acquire()
-	case !changed && s.now.Sub(l.seenAt) >= leaseExpiry:
-		s.note("replicas", "the planner's lease has expired", Field{"holder", string(row.Holder)},
-			Field{"epoch", row.Epoch}, Field{"unchanged_for", s.now.Sub(l.seenAt)})
-		s.acquire()
+		s.acquire(storeNow)
+	case l.peerGaveUp == row.Epoch || left <= 0:
+		s.note("replicas", "the planner's lease has ended", Field{"holder", string(row.Holder)}, Field{"epoch", row.Epoch},
+			Field{"given_up", l.peerGaveUp == row.Epoch}, Field{"unchanged_for", s.now.Sub(l.seenAt)})
+		s.acquire(storeNow)
 	default:
 		if row.Holder != holderBefore {
 			s.note("replicas", "another instance plans", Field{"holder", string(row.Holder)}, Field{"epoch", row.Epoch})
@@ -110,18 +144,32 @@
 			s.sendDemand()
 		}
 		if l.silent {
-			s.readLeaseLater(leaseReadInterval)
+			s.readLeaseLater(min(left, leaseReadInterval))
 		}
 	}
 }
 
-func (s *State) acquire() {
+// leaseLeft returns how long the holder of the row may still use its lease.
+func (s *State) leaseLeft(storeNow StoreTime) time.Duration {
+	l := &s.lease
+	if l.row.ValidUntil > 0 && storeNow > 0 {
+		return time.Duration(l.row.ValidUntil-storeNow) + leaseMargin
+	}
+	return leaseExpiry - s.now.Sub(l.seenAt)
+}
+
+func (s *State) acquire(storeNow StoreTime) {
 	l := &s.lease
 	if l.writing {
 		return
 	}
 	l.writing = true
-	row := LeaseRow{Holder: s.self.Instance, Address: s.peerAddress, Epoch: l.row.Epoch + 1, Renewals: 1}
+	l.writtenAt = s.now
+	l.ordersFrom = s.firstOrder(l.row, storeNow)
+	row := LeaseRow{
+		Holder: s.self.Instance, Address: s.peerAddress, Epoch: l.row.Epoch + 1, Renewals: 1,
+		ValidUntil: s.storeTime(s.now) + StoreTime(leaseHold),
+	}
 	s.emit(WriteLease{Expected: l.row.Revision, Row: row})
 }
 
@@ -135,14 +183,17 @@
 		return
 	}
 	l.writing = true
+	l.writtenAt = s.now
 	row := l.row
 	row.Renewals++
+	row.ValidUntil = s.storeTime(s.now) + StoreTime(leaseHold)
 	s.emit(WriteLease{Expected: l.row.Revision, Row: row})
 }
 
 func (s *State) leaseWritten(ev LeaseWritten) {
 	l := &s.lease
 	l.writing = false
+	s.observeStore(ev.StoreNow, ev.AskedAt)
 	switch ev.Outcome {
 	case rpcore.WriteApplied:
 		s.leaseApplied(ev)
@@ -157,16 +208,16 @@
 	l := &s.lease
 	before := l.row
 	l.row = ev.Row
-	if ev.Row.Holder != s.self.Instance {
-		// The lease was given up.
+	l.failures = 0
+	if ev.Row.Holder != s.self.Instance || ev.Row.Epoch == l.gaveUp {
+		// The lease was given up, perhaps while its renewal was under way.
 		l.held = false
 		return
 	}
-	l.validUntil = ev.AskedAt.Add(leaseHold)
+	l.validUntil = l.writtenAt.Add(leaseHold)
 	if !l.held {
 		l.held = true
 		l.silent = false
-		l.ordersFrom = s.firstOrder(before)
 		s.note("replicas", "this instance plans", Field{"epoch", ev.Row.Epoch}, Field{"holder_before", string(before.Holder)},
 			Field{"orders_in", max(0, l.ordersFrom.Sub(s.now))})
 		s.planBegins()
@@ -175,19 +226,24 @@
 		s.releaseLease()
 		return
 	}
-	s.at(ev.AskedAt.Add(leaseRenewal), (*State).renewLease)
+	s.at(l.writtenAt.Add(leaseRenewal), (*State).renewLease)
 }
 
 // firstOrder returns when no order of the holder before can be near any more.
 // An earlier process of this instance is the same holder.
-func (s *State) firstOrder(before LeaseRow) time.Time {
+func (s *State) firstOrder(before LeaseRow, storeNow StoreTime) time.Time {
+	gap := s.policy.HolderGap + holderMargin
 	switch {
 	case before.Revision == 0 || before.Holder == s.self.Instance:
 		return s.now
+	case s.lease.peerGaveUp == before.Epoch && before.Holder != "":
+		return s.now.Add(gap)
+	case before.ValidUntil > 0 && storeNow > 0:
+		return s.now.Add(time.Duration(before.ValidUntil-storeNow) + gap)
 	case before.Holder == "":
-		return s.now.Add(s.policy.HolderGap + holderMargin)
+		return s.now.Add(gap)
 	}
-	return s.lease.seenAt.Add(leaseHold + s.policy.HolderGap + holderMargin)
+	return s.lease.seenAt.Add(leaseHold + gap)
 }
 
 func (s *State) leaseConflict(ev LeaseWritten) {
@@ -202,19 +258,37 @@
 	if l.held {
 		s.loseLease("another instance took it")
 	}
-	s.considerRow(ev.Row)
+	s.considerRow(ev.Row, ev.StoreNow)
 }
 
 func (s *State) leaseUnanswered() {
 	if s.lease.held {
+		s.lease.failures++
+		s.giveUpIfCutOff()
 		s.after(leaseRetry, (*State).renewLease)
 		return
 	}
 	s.readLeaseLater(leaseReadInterval)
 }
 
+// giveUpIfCutOff ends the lease of a holder that can't renew it while another
+// instance reaches the store: that one can take it at once.
+func (s *State) giveUpIfCutOff() {
+	if !s.leading() || s.lease.failures < cutOffRenewals {
+		return
+	}
+	for name, d := range s.plan.demands {
+		if name != s.self.Instance && d.StoreWorks && s.now.Sub(d.at) < storeMemory {
+			s.loseLease("it can't be renewed while others reach the store")
+			return
+		}
+	}
+}
+
 func (s *State) loseLease(why string) {
 	s.lease.held = false
+	s.lease.gaveUp = s.lease.row.Epoch
+	s.lease.failures = 0
 	s.lease.seenAt = time.Time{}
 	s.note("replicas", "this instance plans no more", Field{"epoch", s.lease.row.Epoch}, Field{"reason", why})
 	s.planEnds()
@@ -229,10 +303,13 @@
 		return
 	}
 	l.held = false
+	l.gaveUp = l.row.Epoch
 	l.writing = true
 	s.planEnds()
 	s.note("replicas", "this instance gives up planning", Field{"epoch", l.row.Epoch})
-	s.emit(WriteLease{Expected: l.row.Revision, Row: LeaseRow{Epoch: l.row.Epoch, Renewals: l.row.Renewals + 1}})
+	s.emit(WriteLease{Expected: l.row.Revision, Row: LeaseRow{
+		Epoch: l.row.Epoch, Renewals: l.row.Renewals + 1, ValidUntil: s.storeTime(s.now),
+	}})
 }
 
 // holderAlive takes in that the holder answered and still holds the lease.
@@ -246,12 +323,17 @@
 
 // holderSilent takes in that the holder did not answer or does not hold the
 // lease any more.
-func (s *State) holderSilent(noAnswer bool) {
+func (s *State) holderSilent(noAnswer bool, gaveUp uint64) {
 	l := &s.lease
+	l.peerGaveUp = gaveUp
 	if !l.silent {
 		s.note("replicas", "the planner does not answer for its lease", Field{"holder", string(l.row.Holder)},
 			Field{"no_answer", noAnswer})
 	}
 	l.silent = true
+	if gaveUp != 0 && gaveUp == l.row.Epoch {
+		s.readLease()
+		return
+	}
 	s.readLeaseLater(leaseRetry)
 }
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -135,11 +135,14 @@
 
 // demandReceived answers another instance's demand.
 func (s *State) demandReceived(ev DemandReceived) {
+	if s.leading() {
+		s.takeDemand(ev.Demand)
+		s.giveUpIfCutOff()
+	}
 	if !s.leading() {
-		s.emit(AnswerDemand{Call: ev.Call})
+		s.emit(AnswerDemand{Call: ev.Call, Placement: Placement{GaveUp: s.lease.gaveUp}})
 		return
 	}
-	s.takeDemand(ev.Demand)
 	s.planNow()
 	d := &ev.Demand
 	if d.Epoch != s.lease.row.Epoch {
--- a/pkg/rpfleet/plan_test.go
+++ b/pkg/rpfleet/plan_test.go
@@ -107,6 +107,87 @@
 	g.Expect(r.now.Sub(begin)).To(BeNumerically("<", 6*time.Second))
 }
 
+// Guards against a takeover before the lease has ended by the clock of the
+// store, and against one that waits much longer.
+func TestTakeoverByTheClockOfTheStore(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2")
+	r.configure(engine)
+	const storeStart = rpfleet.StoreTime(time.Hour)
+	begin := r.now
+	storeNow := func() rpfleet.StoreTime { return storeStart + rpfleet.StoreTime(r.now.Sub(begin)) }
+	row := rpfleet.LeaseRow{Revision: 7, Holder: "front-2", Epoch: 3, ValidUntil: storeStart + rpfleet.StoreTime(time.Second)}
+	r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row, StoreNow: storeNow()})
+	r.apply(rpfleet.PlacementReceived{Stamp: r.stamp(), AskedAt: r.now, Failed: true})
+	for len(effectsOf[rpfleet.WriteLease](r)) == 0 && r.now.Sub(begin) < time.Minute {
+		r.advance(50 * time.Millisecond)
+		for range effectsOf[rpfleet.ReadLease](r) {
+			r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row, StoreNow: storeNow()})
+		}
+		r.seen = min(r.seen, len(r.effects))
+	}
+	g.Expect(r.now.Sub(begin)).To(BeNumerically(">", time.Second))
+	g.Expect(r.now.Sub(begin)).To(BeNumerically("<", 2*time.Second))
+	taken := effectsOf[rpfleet.WriteLease](r)[0].Row
+	g.Expect(taken.ValidUntil).To(BeNumerically(">", storeNow()))
+	taken.Revision = 8
+	r.apply(rpfleet.LeaseWritten{Stamp: r.stamp(), AskedAt: r.now, Outcome: rpcore.WriteApplied, Row: taken, StoreNow: storeNow()})
+	r.report(engine, 0)
+	r.arrive("a", "/later/1", "m4")
+	for len(effectsOf[rpfleet.SendOrder](r)) == 0 && r.now.Sub(begin) < time.Minute {
+		r.renew(100 * time.Millisecond)
+	}
+	// The holder before may have ordered until the end of its lease.
+	g.Expect(r.now.Sub(begin)).To(BeNumerically(">=", time.Second+rpfleet.DefaultHolderGap))
+	g.Expect(r.now.Sub(begin)).To(BeNumerically("<", 5*time.Second))
+}
+
+// Guards against a planner that holds on to its lease while the store turns only
+// itself away, and against one that orders after it has given up.
+func TestGivesUpWhereOthersReachTheStore(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2")
+	r.configure(engine)
+	r.lead(engine)
+	demand := rpfleet.Demand{Instance: "front-2", Full: true, StoreWorks: true}
+	var late rpfleet.LeaseRow
+	for range 2 {
+		r.advance(400 * time.Millisecond)
+		writes := effectsOf[rpfleet.WriteLease](r)
+		late = writes[len(writes)-1].Row
+		r.apply(rpfleet.DemandReceived{Stamp: r.stamp(), Call: 1, Demand: demand})
+		r.apply(rpfleet.LeaseWritten{Stamp: r.stamp(), AskedAt: r.now, Outcome: rpcore.WriteUnavailable, Row: late})
+	}
+	r.forget()
+	r.apply(rpfleet.DemandReceived{Stamp: r.stamp(), Call: 2, Demand: demand})
+	answers := effectsOf[rpfleet.AnswerDemand](r)
+	g.Expect(answers).To(HaveLen(1))
+	g.Expect(answers[0].Placement.Leading).To(BeFalse())
+	g.Expect(answers[0].Placement.GaveUp).To(Equal(late.Epoch))
+	// The answer to an earlier renewal must not bring the lease back.
+	late.Revision = 20
+	r.apply(rpfleet.LeaseWritten{Stamp: r.stamp(), AskedAt: r.now, Outcome: rpcore.WriteApplied, Row: late})
+	r.arrive("a", "/later/1", "m4")
+	r.advance(300 * time.Millisecond)
+	g.Expect(effectsOf[rpfleet.SendOrder](r)).To(BeEmpty())
+}
+
+// Guards against an instance that waits for the end of a lease that its holder
+// has given up.
+func TestTakesWhatWasGivenUp(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	r.configure(testEndpoint("e1", testService, homeDomain, "m0"))
+	row := rpfleet.LeaseRow{Revision: 7, Holder: "front-2", Epoch: 3, ValidUntil: rpfleet.StoreTime(time.Hour)}
+	r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row, StoreNow: 1})
+	g.Expect(effectsOf[rpfleet.WriteLease](r)).To(BeEmpty())
+	r.apply(rpfleet.PlacementReceived{Stamp: r.stamp(), AskedAt: r.now, Placement: rpfleet.Placement{GaveUp: 3}})
+	r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row, StoreNow: 2})
+	g.Expect(effectsOf[rpfleet.WriteLease](r)).To(HaveLen(1))
+}
+
 // Guards against orders from an instance whose lease ran out while the store
 // did not answer or the instance was paused.
 func TestNoOrderAfterTheLease(t *testing.T) {
--- a/pkg/rpfleet/rig_test.go
+++ b/pkg/rpfleet/rig_test.go
@@ -20,6 +20,8 @@
 	now     time.Time
 	effects []rpfleet.Effect
 	alarm   time.Time
+	// lease is the row of the lease as this instance wrote it last.
+	lease rpfleet.LeaseRow
 	// seen is the number of effects that a test has looked at.
 	seen int
 }
@@ -167,10 +169,11 @@
 
 // lead makes this instance the planner and verifies what the engines hold.
 func (r *rig) lead(endpoints ...rpfleet.Endpoint) {
-	r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now})
+	r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: r.lease})
 	writes := effectsOf[rpfleet.WriteLease](r)
 	row := writes[len(writes)-1].Row
-	row.Revision = 10
+	row.Revision = r.lease.Revision + 10
+	r.lease = row
 	r.apply(rpfleet.LeaseWritten{Stamp: r.stamp(), AskedAt: r.now, Outcome: rpcore.WriteApplied, Row: row})
 	r.advance(10 * time.Millisecond)
 	for _, e := range endpoints {
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -70,6 +70,7 @@
 	endpoints   map[rpcore.EndpointID]*endpoint
 	byService   map[string][]*endpoint
 	listed      bool
+	listReadAt  time.Time
 	storeLostAt time.Time
 	storeBackAt time.Time
 
