Let the planner tell the changes of the list of endpoints

Instances now read the list themselves every 4 s while the planner tells them its changes, and wait up to 8 s for changes of the configuration.

--- a/internal/rpgateway/follow.go
+++ b/internal/rpgateway/follow.go
@@ -67,12 +67,27 @@
 			f.succeeded()
 			pause = followRetry
 			if f.interval != nil {
-				sleep(ctx, f.interval()-time.Since(begin))
+				f.pause(ctx, begin)
 			}
 		}
 	}
 }
 
+// intervalCheck is the time between two looks at an interval that may have
+// become shorter.
+const intervalCheck = 100 * time.Millisecond
+
+// pause waits until the interval since begin has passed.
+func (f *follower) pause(ctx context.Context, begin time.Time) {
+	for ctx.Err() == nil {
+		left := f.interval() - time.Since(begin)
+		if left <= 0 {
+			return
+		}
+		sleep(ctx, min(left, intervalCheck))
+	}
+}
+
 // step makes one call and hands on what it brought.
 func (f *follower) step(ctx context.Context) error {
 	if !f.known {
--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -36,12 +36,14 @@
 	// The store is asked for changes of the configuration with calls that wait,
 	// and for the list of endpoints at intervals, since that changes all the
 	// time. An endpoint that leaves must get no new work after two seconds.
-	configWait        = 2500 * time.Millisecond
+	configWait        = 8 * time.Second
 	endpointsWait     = time.Second
 	endpointsInterval = 600 * time.Millisecond
 	// plannerInterval is that of the planner, which sees by it that loads have
 	// ended.
 	plannerInterval = 300 * time.Millisecond
+	// toldInterval is that of an instance which the planner tells the changes.
+	toldInterval = 4 * time.Second
 	// settingsCheck is the time between two looks at the settings file.
 	settingsCheck = 2 * time.Second
 )
@@ -276,13 +278,8 @@
 	log := p.instance.Log.Part("members")
 	return &follower{
 		store: p.store, table: rpwire.TableEndpoints, wait: endpointsWait, log: log,
-		interval: func() time.Duration {
-			if p.loop.leading() {
-				return plannerInterval
-			}
-			return endpointsInterval
-		},
-		lost: func() { p.loop.apply(rpfleet.StoreLost{Stamp: p.loop.stamp()}) },
+		interval: p.loop.listInterval,
+		lost:     func() { p.loop.apply(rpfleet.StoreLost{Stamp: p.loop.stamp()}) },
 		apply: func(rows []rpwire.Row, complete bool) {
 			event := rpfleet.EndpointsRead{Complete: complete}
 			for _, row := range rows {
--- a/internal/rpgateway/loop.go
+++ b/internal/rpgateway/loop.go
@@ -50,11 +50,17 @@
 
 func (l *loop) tick() { l.apply(rpfleet.Tick{Stamp: l.stamp()}) }
 
-// leading reports whether this instance gives the orders to the engines.
-func (l *loop) leading() bool {
+// listInterval returns the time between two readings of the list of endpoints.
+func (l *loop) listInterval() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.state.Leading()
+	switch {
+	case l.state.Leading():
+		return plannerInterval
+	case l.state.ListTold():
+		return toldInterval
+	}
+	return endpointsInterval
 }
 
 func (l *loop) close() {
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -25,6 +25,7 @@
 	// answer holds only what has changed since.
 	Epoch    uint64
 	Seen     uint64
+	ListSeen uint64
 	Rates    []ModelRate
 	Needs    []Need
 	InFlight []EndpointLoad
@@ -87,6 +88,10 @@
 	Others    []EndpointLoad
 	// Expected says when the models that the demand needs will be loaded.
 	Expected []ExpectedModel
+	// List tells the changes of the list of endpoints.
+	List ListNews
+	// CheckStore asks the instance to try whether it reaches the store.
+	CheckStore bool
 }
 
 // EngineContent is what an engine holds after a number of orders.
@@ -169,9 +174,12 @@
 	sentAt time.Time
 	// fullAt is when the last full demand was sent.
 	fullAt time.Time
-	// epoch and seen are those of the last placement.
-	epoch uint64
-	seen  uint64
+	// epoch, seen and listSeen are those of the last placement.
+	epoch    uint64
+	seen     uint64
+	listSeen uint64
+	// storeReadAt is when the store last answered a call about the lease.
+	storeReadAt time.Time
 	// expected holds when models will be loaded.
 	expected    map[modelID]time.Time
 	placementAt time.Time
@@ -309,8 +317,8 @@
 
 func (s *State) currentDemand() Demand {
 	d := Demand{
-		Instance: s.self.Instance, Epoch: s.demand.epoch, Seen: s.demand.seen, Needs: s.currentNeeds(),
-		StoreAge: s.now.Sub(s.listReadAt),
+		Instance: s.self.Instance, Epoch: s.demand.epoch, Seen: s.demand.seen, ListSeen: s.demand.listSeen, Needs: s.currentNeeds(),
+		StoreAge: s.now.Sub(maxTime(s.listReadAt, s.demand.storeReadAt)),
 	}
 	if s.now.Sub(s.demand.fullAt) < demandInterval-demandSpacing {
 		return d
@@ -398,7 +406,11 @@
 	p := &ev.Placement
 	s.demand.instances = p.Instances
 	s.demand.placementAt = ev.AskedAt
-	s.demand.epoch, s.demand.seen = p.Epoch, p.Change
+	s.demand.epoch, s.demand.seen, s.demand.listSeen = p.Epoch, p.Change, p.List.Change
+	s.adoptList(&p.List, ev.AskedAt)
+	if p.CheckStore {
+		s.readLease()
+	}
 	for i := range p.Engines {
 		s.adoptPlacement(&p.Engines[i], ev.AskedAt)
 	}
--- a/pkg/rpfleet/endpoint.go
+++ b/pkg/rpfleet/endpoint.go
@@ -11,6 +11,8 @@
 
 // HeldModel is a model that an engine holds, with the adapters of it.
 type HeldModel struct {
+	_ struct{} `cbor:",toarray"`
+
 	Name     string
 	Version  string
 	Adapters []string
@@ -24,6 +26,8 @@
 
 // Endpoint is an entry of the platform's list.
 type Endpoint struct {
+	_ struct{} `cbor:",toarray"`
+
 	ID            rpcore.EndpointID
 	Service       string
 	Address       netip.AddrPort
@@ -59,6 +63,9 @@
 type endpoint struct {
 	Endpoint
 	seenAt time.Time
+	// listChange is the number of the last change of the entry.
+	listChange    uint64
+	listChangedAt time.Time
 	// missingSince is set while the list lacks the endpoint after an outage of
 	// the store.
 	missingSince time.Time
@@ -193,6 +200,7 @@
 func (s *State) endpointGone(e *endpoint, why string) {
 	delete(s.endpoints, e.ID)
 	s.byService = nil
+	s.listGone(e.ID)
 	s.note("members", "an endpoint is gone", Field{"endpoint", string(e.ID)}, Field{"service", e.Service},
 		Field{"reason", why}, Field{"entry_age", s.now.Sub(e.seenAt)})
 }
@@ -211,6 +219,9 @@
 		s.note("members", "an endpoint is leaving", Field{"endpoint", string(e.ID)}, Field{"service", e.Service},
 			Field{"entry_age", s.now.Sub(e.seenAt)})
 	}
+	if !sameEntry(&e.Endpoint, &entry) {
+		e.listChange, e.listChangedAt = s.nextListChange(), s.now
+	}
 	moved := e.Address != entry.Address || e.Service != entry.Service
 	wasLeaving := e.Leaving
 	e.Endpoint = entry
@@ -225,7 +236,7 @@
 }
 
 func (s *State) endpointAdded(entry Endpoint) {
-	e := &endpoint{Endpoint: entry, seenAt: s.now, inFlightModels: map[string]int{}}
+	e := &endpoint{Endpoint: entry, seenAt: s.now, listChange: s.nextListChange(), listChangedAt: s.now, inFlightModels: map[string]int{}}
 	e.engine.models = map[string]*replica{}
 	e.engine.dropped = map[string]time.Time{}
 	s.endpoints[entry.ID] = e
--- a/pkg/rpfleet/lease.go
+++ b/pkg/rpfleet/lease.go
@@ -124,6 +124,7 @@
 		s.readLeaseLater(leaseReadInterval)
 		return
 	}
+	s.demand.storeReadAt = s.now
 	s.observeStore(ev.StoreNow, ev.AskedAt)
 	s.considerRow(ev.Row, ev.StoreNow)
 }
--- /dev/null
+++ b/pkg/rpfleet/listing.go
@@ -0,0 +1,100 @@
+package rpfleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+const (
+	// listMemory is how long changes of the list are passed on. An instance
+	// that relies on the planner reads the list itself more often than that.
+	listMemory = 6 * time.Second
+	// listFreshness is the age up to which the planner's news of the list stand
+	// in for a reading of one's own.
+	listFreshness = time.Second
+)
+
+// listing passes the changes of the list of endpoints on from the planner, so
+// that not every instance has to ask the store for them all the time.
+type listing struct {
+	change uint64
+	gone   []goneEntry
+	// toldAt is the time as of which the planner has told the changes.
+	toldAt time.Time
+}
+
+type goneEntry struct {
+	id     rpcore.EndpointID
+	change uint64
+	at     time.Time
+}
+
+// ListNews are the changes of the list since a change that the asking instance
+// has seen.
+type ListNews struct {
+	_ struct{} `cbor:",toarray"`
+
+	Change uint64
+	// Age is the time since the planner has read the list.
+	Age     time.Duration
+	Entries []Endpoint
+	Gone    []rpcore.EndpointID
+}
+
+func (s *State) nextListChange() uint64 {
+	s.listing.change++
+	return s.listing.change
+}
+
+func (s *State) listGone(id rpcore.EndpointID) {
+	s.listing.gone = slices.DeleteFunc(s.listing.gone, func(g goneEntry) bool { return s.now.Sub(g.at) > listMemory })
+	s.listing.gone = append(s.listing.gone, goneEntry{id: id, change: s.nextListChange(), at: s.now})
+}
+
+// sameEntry reports whether an entry says the same but for the time.
+func sameEntry(a, b *Endpoint) bool {
+	sameModel := func(x, y HeldModel) bool {
+		return x.Name == y.Name && x.Version == y.Version && slices.Equal(x.Adapters, y.Adapters)
+	}
+	return a.Service == b.Service && a.Address == b.Address && a.Leaving == b.Leaving && a.Slots == b.Slots &&
+		slices.EqualFunc(a.Models, b.Models, sameModel) && maps.Equal(a.Cached, b.Cached)
+}
+
+// listNews returns the changes since one that the asking instance has seen, 0
+// for none.
+func (s *State) listNews(seen uint64) ListNews {
+	news := ListNews{Change: s.listing.change, Age: s.now.Sub(s.listReadAt)}
+	for _, e := range s.sortedEndpoints() {
+		if e.listChange > seen && s.now.Sub(e.listChangedAt) <= listMemory {
+			news.Entries = append(news.Entries, e.Endpoint)
+		}
+	}
+	for _, gone := range s.listing.gone {
+		if gone.change > seen && s.now.Sub(gone.at) <= listMemory && s.endpoints[gone.id] == nil {
+			news.Gone = append(news.Gone, gone.id)
+		}
+	}
+	return news
+}
+
+// adoptList takes in what the planner read.
+func (s *State) adoptList(news *ListNews, askedAt time.Time) {
+	for i := range news.Entries {
+		s.endpointSeen(news.Entries[i])
+	}
+	for _, id := range news.Gone {
+		if e := s.endpoints[id]; e != nil {
+			s.endpointGone(e, "the planner told that its entry is gone")
+		}
+	}
+	s.listing.toldAt = askedAt.Add(-news.Age)
+}
+
+// ListTold reports whether the planner tells this instance the changes of the
+// list, so that it need not read them often itself.
+func (s *State) ListTold() bool {
+	return !s.leading() && s.now.Sub(s.listing.toldAt) < listFreshness
+}
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -146,15 +146,17 @@
 	s.planNow()
 	d := &ev.Demand
 	if d.Epoch != s.lease.row.Epoch {
-		d.Seen = 0
+		d.Seen, d.ListSeen = 0, 0
 	}
 	placement := Placement{
-		Leading:   true,
-		Epoch:     s.lease.row.Epoch,
-		Change:    s.plan.change,
-		Instances: len(s.plan.demands),
-		Engines:   s.recentContents(d.Seen),
-		Expected:  s.expectedModels(d.Needs),
+		Leading:    true,
+		Epoch:      s.lease.row.Epoch,
+		Change:     s.plan.change,
+		Instances:  len(s.plan.demands),
+		Engines:    s.recentContents(d.Seen),
+		Expected:   s.expectedModels(d.Needs),
+		List:       s.listNews(d.ListSeen),
+		CheckStore: s.lease.failures > 0,
 	}
 	if d.Full {
 		placement.HasOthers = true
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -71,6 +71,7 @@
 	byService   map[string][]*endpoint
 	listed      bool
 	listReadAt  time.Time
+	listing     listing
 	storeLostAt time.Time
 	storeBackAt time.Time
 
