Load first what requests have waited for longest

The field of the log with the code of a refusal is named refusal, as each line has a code of its own.

--- a/internal/rpgateway/callers.go
+++ b/internal/rpgateway/callers.go
@@ -90,7 +90,7 @@
 
 // reject refuses a request that the reducer is not told of.
 func (c *callers) reject(a *answer, id rpcore.RequestID, refusal rpverdict.Refusal) {
-	c.log.Info().Str("request_id", string(id)).Str("code", string(refusal.Code)).Str("detail", refusal.Detail).
+	c.log.Info().Str("request_id", string(id)).Str("refusal", string(refusal.Code)).Str("detail", refusal.Detail).
 		Msg("rejected a request that can't be read")
 	c.observe.requestEnded(0, string(refusal.Code))
 	a.refuse(id, refusal)
--- a/internal/rpgateway/lease.go
+++ b/internal/rpgateway/lease.go
@@ -16,9 +16,10 @@
 	rpwire "github.com/rattanpaddle/rattanpaddle/platform"
 )
 
-// leaseTimeout bounds a call about the lease. A renewal that takes longer does
-// not help its holder.
-const leaseTimeout = 900 * time.Millisecond
+// leaseTimeout bounds a call about the lease. A slow store takes 60 times the
+// usual 4 ms; a call that takes longer leaves no time for another one before the
+// lease ends.
+const leaseTimeout = 500 * time.Millisecond
 
 // keyLease is the key of the row of the planner's lease.
 const keyLease = "planner"
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -54,6 +54,8 @@
 	Model   string
 	Adapter string
 	Waiting int
+	// Waited is the sum of the times that they have waited.
+	Waited time.Duration
 	// Rank is that of the most urgent request.
 	Rank int
 }
@@ -367,7 +369,10 @@
 	for _, service := range sortedKeys(s.waiting) {
 		for _, r := range s.waiting[service] {
 			if r.engine != nil {
-				needs = addNeed(needs, Need{Service: r.service, Model: r.Model, Adapter: r.Adapter, Waiting: 1, Rank: r.route.Rank})
+				needs = addNeed(needs, Need{
+					Service: r.service, Model: r.Model, Adapter: r.Adapter, Waiting: 1,
+					Waited: s.now.Sub(r.arrivedAt), Rank: r.route.Rank,
+				})
 			}
 		}
 	}
@@ -388,6 +393,7 @@
 		n := &needs[i]
 		if n.Service == added.Service && n.Model == added.Model && n.Adapter == added.Adapter {
 			n.Waiting += added.Waiting
+			n.Waited += added.Waited
 			n.Rank = min(n.Rank, added.Rank)
 			return needs
 		}
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -247,7 +247,9 @@
 	rate    float64
 	running int
 	waiting int
-	rank    int
+	// waited is the sum of the times that the requests have waited.
+	waited time.Duration
+	rank   int
 	// holders are the engines that hold or load the model.
 	holders []*endpoint
 }
@@ -384,6 +386,7 @@
 		for _, need := range d.Needs {
 			if m := p.models[need.Model]; m != nil && need.Service == p.service {
 				m.waiting += need.Waiting
+				m.waited += need.Waited
 				m.rank = min(m.rank, need.Rank)
 			}
 		}
@@ -436,8 +439,9 @@
 	return cmp.Or(
 		compareBool(a.preload, b.preload),
 		cmp.Compare(a.urgency(), b.urgency()),
-		cmp.Compare(b.model.waiting, a.model.waiting),
+		cmp.Compare(b.pressure(), a.pressure()),
 		cmp.Compare(b.model.rate, a.model.rate),
+		cmp.Compare(b.model.spec.Adapters, a.model.spec.Adapters),
 	)
 }
 
@@ -450,6 +454,18 @@
 	return w.model.rank
 }
 
+// pressure weighs the number of requests that a load would serve with the square
+// of the time that they have waited, so that none waits for ever behind models
+// that more requests ask for.
+func (w wanted) pressure() float64 {
+	if w.model.waiting == 0 {
+		return 0
+	}
+	n := float64(w.model.waiting)
+	waited := w.model.waited.Seconds()/n + 1
+	return n * waited * waited
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
--- a/pkg/rpfleet/plan_test.go
+++ b/pkg/rpfleet/plan_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
 // withCheckpoints puts the checkpoints of all models on the disk of an engine,
@@ -296,6 +297,41 @@
 	g.Expect(effectsOf[rpfleet.RefuseRequest](r)).To(BeEmpty())
 }
 
+// Guards against a model with one request that waits behind models that more
+// requests ask for until its deadline has passed.
+func TestNoModelStarves(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
+	r.configure(engine)
+	r.lead(engine)
+	r.arrive("lonely", "/later/1", "m7")
+	loads := map[string]time.Time{}
+	begin := r.now
+	held := []string{"m0", "m1", "m2"}
+	for n := 0; r.now.Sub(begin) < 12*time.Second && loads["m7"].IsZero(); n++ {
+		model := []string{"m3", "m4", "m5", "m6"}[n/4%4]
+		r.arrive(model+time.Duration(n).String(), "/later/1", model)
+		before := len(r.effects)
+		r.renew(250 * time.Millisecond)
+		for i := before; i < len(r.effects); i++ {
+			switch effect := r.effects[i].(type) {
+			case rpfleet.StartAttempt:
+				r.endAttempt(effect, rpcore.AttemptComplete, rpverdict.Ran)
+			case rpfleet.SendOrder:
+				r.answer(effect, rpfleet.OrderAccepted)
+				if effect.Kind == rpfleet.OrderLoad {
+					loads[effect.Model] = r.now
+					held = append(held, effect.Model)
+				}
+			}
+		}
+	}
+	g.Expect(loads["m7"]).NotTo(BeZero())
+	g.Expect(loads["m7"].Sub(begin)).To(BeNumerically("<", 6*time.Second))
+	g.Expect(len(held)).To(BeNumerically(">", 3))
+}
+
 // Guards against more adapters at an engine than it has places for.
 func TestAdapterPlaces(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -80,7 +80,7 @@
 func (s *State) requestArrived(asked Request) {
 	r := &request{Request: asked, arrivedAt: s.now, tried: map[rpcore.EndpointID]bool{}, lastEvent: asked.ResumeAfter}
 	if refusal := s.resolve(r); refusal != nil {
-		s.noteRequest(r, "refused a request", Field{"code", string(refusal.Code)}, Field{"detail", refusal.Detail},
+		s.noteRequest(r, "refused a request", Field{"refusal", string(refusal.Code)}, Field{"detail", refusal.Detail},
 			Field{"config_version", s.configVersion()}, Field{"config_age", s.now.Sub(s.configAt)},
 			Field{"retry_after", refusal.RetryAfter})
 		s.emit(RefuseRequest{Request: r.ID, Refusal: *refusal})
@@ -276,7 +276,7 @@
 }
 
 func (s *State) refuse(r *request, refused *rpverdict.Refusal) {
-	s.noteRequest(r, "refused a request", Field{"code", string(refused.Code)}, Field{"verdict", refused.Verdict.String()},
+	s.noteRequest(r, "refused a request", Field{"refusal", string(refused.Code)}, Field{"verdict", refused.Verdict.String()},
 		Field{"detail", refused.Detail}, Field{"route", r.route.Name}, Field{"service", r.service}, Field{"model", r.Model},
 		Field{"adapter", r.Adapter}, Field{"waited", s.now.Sub(r.arrivedAt)}, Field{"attempts", r.sends},
 		Field{"last_failure", r.lastFailure}, Field{"retry_after", refused.RetryAfter},
