--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -33,17 +33,11 @@
 	stopMargin = 500 * time.Millisecond
 	// queueMargin is the part in which what still waits is refused.
 	queueMargin = 1500 * time.Millisecond
-	// The store is asked for changes of the configuration with calls that wait,
-	// and for the list of endpoints at intervals, since that changes all the
-	// time. An endpoint that leaves must get no new work after two seconds.
-	configWait        = 8 * time.Second
-	endpointsWait     = time.Second
-	endpointsInterval = 600 * time.Millisecond
-	// plannerInterval is that of the planner, which sees by it that loads have
-	// ended.
-	plannerInterval = 300 * time.Millisecond
-	// toldInterval is that of an instance which the planner tells the changes.
-	toldInterval = 4 * time.Second
+	// configWait and endpointsWait are how long calls to the store wait for
+	// changes of the configuration and of the list of endpoints, which changes
+	// all the time.
+	configWait    = 8 * time.Second
+	endpointsWait = time.Second
 	// settingsCheck is the time between two looks at the settings file.
 	settingsCheck = 2 * time.Second
 )
--- a/internal/rpgateway/loop.go
+++ b/internal/rpgateway/loop.go
@@ -54,13 +54,7 @@
 func (l *loop) listInterval() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch {
-	case l.state.Leading():
-		return plannerInterval
-	case l.state.ListTold():
-		return toldInterval
-	}
-	return endpointsInterval
+	return l.state.ListInterval()
 }
 
 func (l *loop) close() {
--- a/internal/rpgateway/settings.go
+++ b/internal/rpgateway/settings.go
@@ -20,6 +20,7 @@
 	Store    StoreSettings       `toml:"store"`
 	Retries  Retries             `toml:"retries"`
 	Planner  Planner             `toml:"planner"`
+	Members  Members             `toml:"members"`
 	Drain    Drain               `toml:"drain"`
 	Log      rpsettings.Log      `toml:"log"`
 }
@@ -54,6 +55,13 @@
 	WeightLoads int `toml:"weight_loads"`
 }
 
+// Members bounds how long news of the endpoints may take.
+type Members struct {
+	// LeavingBound is the time after which an endpoint that leaves must get no
+	// new work.
+	LeavingBound rpsettings.Duration `toml:"leaving_bound"`
+}
+
 // Drain bounds a planned stop.
 type Drain struct {
 	// BalancerDelay is the time in which the balancer notices that the
@@ -119,6 +127,7 @@
 	rptoml.Between(r, "retries.window", s.Retries.Window, 0, maxTime)
 	rptoml.Between(r, "planner.holder_gap", s.Planner.HolderGap, 0, maxTime)
 	rptoml.Between(r, "planner.weight_loads", s.Planner.WeightLoads, 1, maxWeightLoads)
+	rptoml.Between(r, "members.leaving_bound", s.Members.LeavingBound, 0, maxTime)
 	rptoml.Between(r, "drain.balancer_delay", s.Drain.BalancerDelay, 0, maxTime)
 	rptoml.Between(r, "drain.timeout", s.Drain.Timeout, 0, maxTime)
 	if s.Drain.Timeout > 0 && s.Drain.BalancerDelay >= s.Drain.Timeout {
@@ -129,11 +138,12 @@
 // policy returns the part of the settings that decisions need.
 func (s *Settings) policy() rpfleet.Policy {
 	return rpfleet.Policy{
-		RetryRatio:  s.Retries.Ratio,
-		RetrySlack:  s.Retries.Slack,
-		RetryWindow: time.Duration(s.Retries.Window),
-		HolderGap:   time.Duration(s.Planner.HolderGap),
-		WeightLoads: s.Planner.WeightLoads,
+		RetryRatio:   s.Retries.Ratio,
+		RetrySlack:   s.Retries.Slack,
+		RetryWindow:  time.Duration(s.Retries.Window),
+		HolderGap:    time.Duration(s.Planner.HolderGap),
+		LeavingBound: time.Duration(s.Members.LeavingBound),
+		WeightLoads:  s.Planner.WeightLoads,
 	}
 }
 
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -137,6 +137,12 @@
 	demandSpacing = 20 * time.Millisecond
 	// needInterval is the time between two demands while requests wait.
 	needInterval = 150 * time.Millisecond
+	// demandCalls, needCalls and newNeedCalls bound the demands a second of all
+	// instances: the regular ones, those while requests wait, and those for a
+	// new need. One costs the planner about a millisecond of a small machine.
+	demandCalls  = 100.0
+	needCalls    = 200.0
+	newNeedCalls = 1000.0
 	// demandMemory is how long the demand of an instance counts that sends no
 	// more.
 	demandMemory = 3 * time.Second
@@ -217,6 +223,12 @@
 // Callers come back within a third of the time that they have left.
 const maxPromise = 5 * time.Second
 
+// scaled returns an interval for the present number of instances, so that the
+// planner gets no more than the given number of calls a second.
+func (s *State) scaled(least time.Duration, calls float64) time.Duration {
+	return max(least, time.Duration(float64(s.demand.instances)/calls*float64(time.Second)))
+}
+
 func (s *State) startDemand() {
 	s.demand.arrivals = map[modelID]*arrivals{}
 	s.demand.expected = map[modelID]time.Time{}
@@ -251,7 +263,7 @@
 		s.demand.again = true
 		return
 	}
-	due := s.demand.sentAt.Add(demandSpacing)
+	due := s.demand.sentAt.Add(s.scaled(demandSpacing, newNeedCalls))
 	if !s.now.Before(due) {
 		s.sendDemand()
 		return
@@ -270,9 +282,9 @@
 
 // demandTick repeats the demand, more often while requests wait.
 func (s *State) demandTick() {
-	interval := demandInterval
+	interval := s.scaled(demandInterval, demandCalls)
 	if s.hasNeeds() {
-		interval = needInterval
+		interval = s.scaled(needInterval, needCalls)
 	}
 	s.after(interval, (*State).demandTick)
 	if !s.demand.asking && s.now.Sub(s.demand.sentAt) >= interval-demandSpacing {
--- a/pkg/rpfleet/endpoint.go
+++ b/pkg/rpfleet/endpoint.go
@@ -1,6 +1,7 @@
 package rpfleet
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -199,7 +200,7 @@
 
 func (s *State) endpointGone(e *endpoint, why string) {
 	delete(s.endpoints, e.ID)
-	s.byService = nil
+	s.byService, s.sorted = nil, nil
 	s.listGone(e.ID)
 	s.note("members", "an endpoint is gone", Field{"endpoint", string(e.ID)}, Field{"service", e.Service},
 		Field{"reason", why}, Field{"entry_age", s.now.Sub(e.seenAt)})
@@ -240,7 +241,7 @@
 	e.engine.models = map[string]*replica{}
 	e.engine.dropped = map[string]time.Time{}
 	s.endpoints[entry.ID] = e
-	s.byService = nil
+	s.byService, s.sorted = nil, nil
 	s.note("members", "an endpoint joined", Field{"endpoint", string(e.ID)}, Field{"service", e.Service},
 		Field{"address", e.Address.String()}, Field{"failure_domain", string(e.FailureDomain)},
 		Field{"leaving", e.Leaving}, Field{"models", len(entry.Models)}, Field{"cached", len(entry.Cached)})
@@ -332,13 +333,15 @@
 	return s.byService[service]
 }
 
+// sortedEndpoints returns all endpoints in the order of their ids. The slice is
+// kept until an endpoint joins or goes, so it must not be changed.
 func (s *State) sortedEndpoints() []*endpoint {
-	sorted := make([]*endpoint, 0, len(s.endpoints))
-	for _, e := range s.endpoints {
-		sorted = append(sorted, e)
+	if s.sorted == nil {
+		s.sorted = slices.SortedFunc(maps.Values(s.endpoints), func(a, b *endpoint) int {
+			return strings.Compare(string(a.ID), string(b.ID))
+		})
 	}
-	slices.SortFunc(sorted, func(a, b *endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	return sorted
+	return s.sorted
 }
 
 // serves reports whether an engine can run a model now.
--- a/pkg/rpfleet/listing.go
+++ b/pkg/rpfleet/listing.go
@@ -12,9 +12,16 @@
 	// listMemory is how long changes of the list are passed on. An instance
 	// that relies on the planner reads the list itself more often than that.
 	listMemory = 6 * time.Second
-	// listFreshness is the age up to which the planner's news of the list stand
-	// in for a reading of one's own.
-	listFreshness = time.Second
+	// toldInterval is the time between two readings of the list by an instance
+	// which the planner tells the changes, plannerInterval that of the planner,
+	// which sees by it that loads have ended.
+	toldInterval    = 4 * time.Second
+	plannerInterval = 300 * time.Millisecond
+	// Parts of Policy.LeavingBound: the age up to which the planner's news stand
+	// in for a reading of one's own, and the interval of these readings without
+	// a planner.
+	toldShare = 0.5
+	readShare = 0.3
 )
 
 // listing passes the changes of the list of endpoints on from the planner, so
@@ -93,8 +100,15 @@
 	s.listing.toldAt = askedAt.Add(-news.Age)
 }
 
-// ListTold reports whether the planner tells this instance the changes of the
-// list, so that it need not read them often itself.
-func (s *State) ListTold() bool {
-	return !s.leading() && s.now.Sub(s.listing.toldAt) < listFreshness
+// ListInterval returns the time between two readings of the list. An instance
+// which the planner tells the changes need not read it often itself.
+func (s *State) ListInterval() time.Duration {
+	bound := float64(s.policy.LeavingBound)
+	switch {
+	case s.leading():
+		return plannerInterval
+	case s.now.Sub(s.listing.toldAt) < time.Duration(toldShare*bound):
+		return toldInterval
+	}
+	return time.Duration(readShare * bound)
 }
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -14,9 +14,11 @@
 	// planInterval is the time between two plans without news.
 	planInterval = 250 * time.Millisecond
 	// planPause collects news that arrive together into one plan, and
-	// planSpacing bounds the plans that demands cause.
+	// planSpacing bounds the plans that demands cause, for each planModels
+	// models.
 	planPause   = 5 * time.Millisecond
 	planSpacing = 15 * time.Millisecond
+	planModels  = 100
 	// replicaRate is the rate, a second, of requests that one replica takes
 	// while its engine still answers within the usual targets. Prefill of the
 	// users' usual prompts takes about 20 ms, so this is a fifth of an engine.
@@ -127,7 +129,7 @@
 		return
 	}
 	s.plan.due = true
-	s.at(maxTime(s.now.Add(planPause), s.plan.at.Add(planSpacing)), func(s *State) {
+	s.at(maxTime(s.now.Add(planPause), s.plan.at.Add(s.planSpacing())), func(s *State) {
 		s.plan.due = false
 		s.runPlan()
 	})
@@ -281,13 +283,26 @@
 // planNow makes a plan unless the last one is so recent that the demands of
 // several instances are better taken together.
 func (s *State) planNow() {
-	if s.now.Sub(s.plan.at) >= planSpacing {
+	if s.now.Sub(s.plan.at) >= s.planSpacing() {
 		s.runPlan()
 		return
 	}
 	s.planSoon()
 }
 
+// planSpacing returns the least time between two plans.
+func (s *State) planSpacing() time.Duration {
+	models := 0
+	if s.config != nil {
+		for _, service := range s.config.Services {
+			if service.Engine != nil {
+				models += len(service.Engine.Models)
+			}
+		}
+	}
+	return planSpacing * time.Duration(max(1, models/planModels))
+}
+
 // runPlan gives the orders that the demand asks for.
 func (s *State) runPlan() {
 	if !s.leading() || s.config == nil || !s.listed {
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -26,6 +26,9 @@
 	// EntryGrace is the time that the entry of a live endpoint may be missing
 	// after an outage of the store.
 	EntryGrace time.Duration
+	// LeavingBound is the time after which an endpoint that leaves must get no
+	// new work.
+	LeavingBound time.Duration
 	// WeightLoads is the number of loads from the weight store at once.
 	WeightLoads int
 }
@@ -38,6 +41,7 @@
 	DefaultRetryWindow = 10 * time.Second
 	DefaultHolderGap   = 3 * time.Second
 	DefaultEntryGrace  = 2 * time.Second
+	DefaultLeaving     = 2 * time.Second
 	DefaultWeightLoads = 4
 )
 
@@ -47,6 +51,7 @@
 	p.RetryWindow = cmp.Or(p.RetryWindow, DefaultRetryWindow)
 	p.HolderGap = cmp.Or(p.HolderGap, DefaultHolderGap)
 	p.EntryGrace = cmp.Or(p.EntryGrace, DefaultEntryGrace)
+	p.LeavingBound = cmp.Or(p.LeavingBound, DefaultLeaving)
 	p.WeightLoads = cmp.Or(p.WeightLoads, DefaultWeightLoads)
 	return p
 }
@@ -69,6 +74,7 @@
 	configAt    time.Time
 	endpoints   map[rpcore.EndpointID]*endpoint
 	byService   map[string][]*endpoint
+	sorted      []*endpoint
 	listed      bool
 	listReadAt  time.Time
 	listing     listing
