--- a/internal/rpgateway/gateway_test.go
+++ b/internal/rpgateway/gateway_test.go
@@ -342,3 +342,23 @@
 	// The caller has the first event while the engine makes the others.
 	g.Expect(gw.log.String()).NotTo(ContainSubstring("an attempt ended"))
 }
+
+// Guards against instances that ask the store all the time although the planner
+// tells them what changes: calls to the store are dear.
+func TestFewCallsToTheStore(t *testing.T) {
+	g := NewWithT(t)
+	p := withPlatform(t)
+	service := p.plain("s1")
+	p.gateway("front-1")
+	other := p.gateway("front-2")
+	g.Eventually(other.log.String, patience).Should(ContainSubstring("another instance plans"))
+	const seconds = 3
+	before := p.store.Calls("/rows-feed")
+	for range seconds * 5 {
+		time.Sleep(200 * time.Millisecond)
+		g.Expect(service.Beat("ready")).To(Succeed())
+	}
+	// The planner reads the list every 0.3 s, the other instance every 4 s; both
+	// wait 8 s for changes of the configuration.
+	g.Expect(p.store.Calls("/rows-feed") - before).To(BeNumerically("<=", seconds*4+4))
+}
--- a/internal/rpgateway/settings.go
+++ b/internal/rpgateway/settings.go
@@ -51,6 +51,9 @@
 	// HolderGap is the least time between orders of two instances to one
 	// engine.
 	HolderGap rpsettings.Duration `toml:"holder_gap"`
+	// CPUShare is the part of a core that the instance has. Of several that
+	// could plan, larger ones go first.
+	CPUShare float64 `toml:"cpu_share"`
 	// WeightLoads is the number of loads from the weight store at once.
 	WeightLoads int `toml:"weight_loads"`
 }
@@ -77,6 +80,8 @@
 	maxSlack       = 100000
 	maxTime        = rpsettings.Duration(10 * time.Minute)
 	maxWeightLoads = 1000
+	minCPUShare    = 0.001
+	maxCPUShare    = 1024
 )
 
 // LoadSettings reads and checks a settings file and returns the settings, or
@@ -126,6 +131,7 @@
 	rptoml.Between(r, "retries.slack", s.Retries.Slack, 0, maxSlack)
 	rptoml.Between(r, "retries.window", s.Retries.Window, 0, maxTime)
 	rptoml.Between(r, "planner.holder_gap", s.Planner.HolderGap, 0, maxTime)
+	rptoml.Between(r, "planner.cpu_share", s.Planner.CPUShare, minCPUShare, maxCPUShare)
 	rptoml.Between(r, "planner.weight_loads", s.Planner.WeightLoads, 1, maxWeightLoads)
 	rptoml.Between(r, "members.leaving_bound", s.Members.LeavingBound, 0, maxTime)
 	rptoml.Between(r, "drain.balancer_delay", s.Drain.BalancerDelay, 0, maxTime)
@@ -143,6 +149,7 @@
 		RetryWindow:  time.Duration(s.Retries.Window),
 		HolderGap:    time.Duration(s.Planner.HolderGap),
 		LeavingBound: time.Duration(s.Members.LeavingBound),
+		CPUShare:     s.Planner.CPUShare,
 		WeightLoads:  s.Planner.WeightLoads,
 	}
 }
--- a/pkg/rpfleet/lease.go
+++ b/pkg/rpfleet/lease.go
@@ -26,6 +26,15 @@
 	// holderPreference is how long a lease that has ended is left to its holder
 	// where that still answers: it needs no gap between its orders.
 	holderPreference = time.Second
+	// storeWitnesses is the number of instances that are asked to try the store
+	// while renewals fail.
+	storeWitnesses = 4.0
+	// candidates is the number of instances a second that try to take a lease
+	// which has ended, so that a large deployment does not try all at once.
+	candidates = 100.0
+	// usualCPU is the part of a core at which an instance waits as long as that;
+	// smaller ones wait longer, since planning takes processor time.
+	usualCPU = 0.4
 	// leaseReadInterval is the time between two readings of the row while its
 	// holder does not answer.
 	leaseReadInterval = 400 * time.Millisecond
@@ -66,6 +75,10 @@
 	// when its lease was first seen to have ended.
 	holderAnsweredAt time.Time
 	vacantAt         time.Time
+	// standAt is when this instance tries to take the lease that ended with the
+	// revision standingFor.
+	standAt     time.Time
+	standingFor uint64
 	// gaveUp is the epoch of the last lease that this instance has stopped to
 	// use, and peerGaveUp that of which the holder has said so.
 	gaveUp     uint64
@@ -143,20 +156,18 @@
 	switch {
 	case s.draining:
 		return
-	case row.Holder == "" || row.Holder == s.self.Instance:
+	case row.Holder == s.self.Instance:
 		s.acquire(storeNow)
 	case left <= 0 && l.peerGaveUp != row.Epoch && s.leftToHolder():
 		s.readLeaseLater(leaseRetry)
-	case l.peerGaveUp == row.Epoch || left <= 0:
-		s.note("replicas", "the planner's lease has ended", Field{"holder", string(row.Holder)}, Field{"epoch", row.Epoch},
-			Field{"given_up", l.peerGaveUp == row.Epoch}, Field{"unchanged_for", s.now.Sub(l.seenAt)})
-		s.acquire(storeNow)
+	case row.Holder == "" || l.peerGaveUp == row.Epoch || left <= 0:
+		s.stand(row, storeNow)
 	default:
 		if row.Holder != holderBefore {
 			s.note("replicas", "another instance plans", Field{"holder", string(row.Holder)}, Field{"epoch", row.Epoch})
 		}
-		if changed && !s.demand.asking {
-			s.sendDemand()
+		if changed {
+			s.after(time.Duration(s.rng.Float64()*float64(s.scaled(0, needCalls))), (*State).demandFirst)
 		}
 		if l.silent {
 			s.readLeaseLater(min(left, leaseReadInterval))
@@ -164,6 +175,24 @@
 	}
 }
 
+// stand takes a lease that is free, after a random time in a large deployment.
+func (s *State) stand(row LeaseRow, storeNow StoreTime) {
+	l := &s.lease
+	if l.standingFor != row.Revision || l.standAt.IsZero() {
+		l.standingFor = row.Revision
+		longest := float64(s.demand.instances) / candidates * usualCPU / s.policy.CPUShare
+		l.standAt = s.now.Add(time.Duration(s.rng.Float64() * longest * float64(time.Second)))
+		s.note("replicas", "the planner's lease has ended", Field{"holder", string(row.Holder)}, Field{"epoch", row.Epoch},
+			Field{"given_up", l.peerGaveUp == row.Epoch}, Field{"unchanged_for", s.now.Sub(l.seenAt)},
+			Field{"stands_in", l.standAt.Sub(s.now)})
+	}
+	if s.now.Before(l.standAt) {
+		s.at(l.standAt, (*State).readLease)
+		return
+	}
+	s.acquire(storeNow)
+}
+
 // leftToHolder reports whether a lease that has ended is left to its holder for
 // now.
 func (s *State) leftToHolder() bool {
@@ -174,6 +203,13 @@
 	return s.now.Sub(l.holderAnsweredAt) < holderPreference && s.now.Sub(l.vacantAt) < holderPreference
 }
 
+// demandFirst sends the first demand to a planner.
+func (s *State) demandFirst() {
+	if !s.demand.asking {
+		s.sendDemand()
+	}
+}
+
 // leaseLeft returns how long the holder of the row may still use its lease.
 func (s *State) leaseLeft(storeNow StoreTime) time.Duration {
 	l := &s.lease
--- a/pkg/rpfleet/order.go
+++ b/pkg/rpfleet/order.go
@@ -26,6 +26,9 @@
 	unknownPause = 300 * time.Millisecond
 	// reportPause is the time between two questions to one engine.
 	reportPause = 300 * time.Millisecond
+	// maxReports bounds the questions in flight, since a new planner has to ask
+	// all engines and may run on a small machine.
+	maxReports = 6
 	// reportLag is the age that a report may have.
 	reportLag = 500 * time.Millisecond
 	// assumedAdapterLoad is the time in which an adapter is loaded: twice what
@@ -238,18 +241,24 @@
 	if s.endpoints[e.ID] != e || e.engine.verified || !s.leading() || s.now.Before(e.engine.reportAt) {
 		return
 	}
+	if s.plan.reports >= maxReports {
+		// The plan after the next answer asks again.
+		return
+	}
+	s.plan.reports++
 	e.engine.reportAt = s.now.Add(reportPause)
 	s.emit(ReadReport{Endpoint: e.ID, Address: e.Address})
 }
 
 func (s *State) engineReported(ev EngineReported) {
+	s.plan.reports = max(0, s.plan.reports-1)
+	defer s.planSoon()
 	e := s.endpoints[ev.Endpoint]
 	if e == nil {
 		return
 	}
 	g := &e.engine
 	if ev.Failed {
-		s.endpointFailed(e, false, "its report could not be read")
 		s.after(unknownPause, func(s *State) { s.askReport(e) })
 		return
 	}
@@ -274,7 +283,6 @@
 	s.note("replicas", "an engine reported", Field{"endpoint", string(e.ID)}, Field{"sequence", ev.Report.Sequence},
 		Field{"sequence_before", before}, Field{"busy", ev.Report.Busy}, Field{"models", len(ev.Report.Models)},
 		Field{"queued", ev.Report.Queued}, Field{"active", ev.Report.Active})
-	s.planSoon()
 }
 
 // verifyContent takes in what an engine holds according to itself. While it is
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -76,6 +76,8 @@
 	orders map[rpcore.OrderID]*order
 	due    bool
 	at     time.Time
+	// reports counts the questions to engines in flight.
+	reports int
 	// change counts the changes of engines that were ordered.
 	change   uint64
 	expected map[modelID]time.Time
@@ -94,11 +96,7 @@
 
 func (s *State) planBegins() {
 	s.plan.initial = nil
-	for _, e := range s.sortedEndpoints() {
-		if e.Cached != nil && (len(e.engine.models) > 0 || len(e.Cached) > 0) {
-			s.askReport(e)
-		}
-	}
+	s.plan.reports = 0
 	s.planSoon()
 	if !s.demand.asking {
 		s.sendDemand()
@@ -158,7 +156,7 @@
 		Engines:    s.recentContents(d.Seen),
 		Expected:   s.expectedModels(d.Needs),
 		List:       s.listNews(d.ListSeen),
-		CheckStore: s.lease.failures > 0,
+		CheckStore: s.lease.failures > 0 && s.rng.Float64()*float64(len(s.plan.demands)) < storeWitnesses,
 	}
 	if d.Full {
 		placement.HasOthers = true
@@ -346,6 +344,9 @@
 	for name, spec := range service.Engine.Models {
 		p.models[name] = &modelDemand{id: modelID{service.Name, name}, spec: spec, rank: math.MaxInt}
 	}
+	for _, e := range p.engines {
+		s.askReport(e)
+	}
 	p.countHolders()
 	p.countDemand()
 	return p
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -29,6 +29,8 @@
 	// LeavingBound is the time after which an endpoint that leaves must get no
 	// new work.
 	LeavingBound time.Duration
+	// CPUShare is the part of a core that this instance has.
+	CPUShare float64
 	// WeightLoads is the number of loads from the weight store at once.
 	WeightLoads int
 }
@@ -51,6 +53,7 @@
 	p.RetryWindow = cmp.Or(p.RetryWindow, DefaultRetryWindow)
 	p.HolderGap = cmp.Or(p.HolderGap, DefaultHolderGap)
 	p.EntryGrace = cmp.Or(p.EntryGrace, DefaultEntryGrace)
+	p.CPUShare = cmp.Or(p.CPUShare, usualCPU)
 	p.LeavingBound = cmp.Or(p.LeavingBound, DefaultLeaving)
 	p.WeightLoads = cmp.Or(p.WeightLoads, DefaultWeightLoads)
 	return p
