--- a/pkg/rpfleet/lease.go
+++ b/pkg/rpfleet/lease.go
@@ -32,9 +32,11 @@
 	// candidates is the number of instances a second that try to take a lease
 	// which has ended, so that a large deployment does not try all at once.
 	candidates = 100.0
-	// usualCPU is the part of a core at which an instance waits as long as that;
-	// smaller ones wait longer, since planning takes processor time.
-	usualCPU = 0.4
+	// usualCPU is the part of a core from which an instance can plan for any
+	// deployment that is known. Smaller ones let the others go first by
+	// smallDelay.
+	usualCPU   = 0.4
+	smallDelay = 500 * time.Millisecond
 	// leaseReadInterval is the time between two readings of the row while its
 	// holder does not answer.
 	leaseReadInterval = 400 * time.Millisecond
@@ -180,8 +182,11 @@
 	l := &s.lease
 	if l.standingFor != row.Revision || l.standAt.IsZero() {
 		l.standingFor = row.Revision
-		longest := float64(s.demand.instances) / candidates * usualCPU / s.policy.CPUShare
+		longest := float64(s.demand.instances) / candidates
 		l.standAt = s.now.Add(time.Duration(s.rng.Float64() * longest * float64(time.Second)))
+		if s.policy.CPUShare < usualCPU && s.demand.instances > 0 {
+			l.standAt = l.standAt.Add(smallDelay)
+		}
 		s.note("replicas", "the planner's lease has ended", Field{"holder", string(row.Holder)}, Field{"epoch", row.Epoch},
 			Field{"given_up", l.peerGaveUp == row.Epoch}, Field{"unchanged_for", s.now.Sub(l.seenAt)},
 			Field{"stands_in", l.standAt.Sub(s.now)})
--- a/pkg/rpfleet/listing.go
+++ b/pkg/rpfleet/listing.go
@@ -1,7 +1,6 @@
 package rpfleet
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -61,13 +60,14 @@
 	s.listing.gone = append(s.listing.gone, goneEntry{id: id, change: s.nextListChange(), at: s.now})
 }
 
-// sameEntry reports whether an entry says the same but for the time.
+// sameEntry reports whether an entry says the same to instances that route.
+// Checkpoints at hand matter to the planner only, which reads the list itself.
 func sameEntry(a, b *Endpoint) bool {
 	sameModel := func(x, y HeldModel) bool {
 		return x.Name == y.Name && x.Version == y.Version && slices.Equal(x.Adapters, y.Adapters)
 	}
 	return a.Service == b.Service && a.Address == b.Address && a.Leaving == b.Leaving && a.Slots == b.Slots &&
-		slices.EqualFunc(a.Models, b.Models, sameModel) && maps.Equal(a.Cached, b.Cached)
+		slices.EqualFunc(a.Models, b.Models, sameModel)
 }
 
 // listNews returns the changes since one that the asking instance has seen, 0
@@ -76,7 +76,9 @@
 	news := ListNews{Change: s.listing.change, Age: s.now.Sub(s.listReadAt)}
 	for _, e := range s.sortedEndpoints() {
 		if e.listChange > seen && s.now.Sub(e.listChangedAt) <= listMemory {
-			news.Entries = append(news.Entries, e.Endpoint)
+			entry := e.Endpoint
+			entry.Cached = nil
+			news.Entries = append(news.Entries, entry)
 		}
 	}
 	for _, gone := range s.listing.gone {
@@ -90,7 +92,11 @@
 // adoptList takes in what the planner read.
 func (s *State) adoptList(news *ListNews, askedAt time.Time) {
 	for i := range news.Entries {
-		s.endpointSeen(news.Entries[i])
+		entry := news.Entries[i]
+		if known := s.endpoints[entry.ID]; known != nil {
+			entry.Cached = known.Cached
+		}
+		s.endpointSeen(entry)
 	}
 	for _, id := range news.Gone {
 		if e := s.endpoints[id]; e != nil {
