--- a/pkg/rpfleet/budget.go
+++ b/pkg/rpfleet/budget.go
@@ -11,10 +11,23 @@
 	// budgetReserve is added to the number of instances that share the slack,
 	// for instances that the planner has not heard of yet.
 	budgetReserve = 2
-	// assumedInstances is the number of instances while none is known.
-	assumedInstances = 14
+	// assumedInstances is the number of instances while none is known: more than
+	// the largest deployment has, so that a start of all of them stays within
+	// the slack.
+	assumedInstances = 100
+	// instancesMemory is how long a larger number of instances goes before a
+	// smaller one: a new planner hears of them one by one.
+	instancesMemory = 10 * time.Second
 )
 
+// countInstances takes in the number of instances that the planner knows.
+func (s *State) countInstances(n int) {
+	d := &s.demand
+	if n >= d.instances || s.now.Sub(d.instancesAt) > instancesMemory {
+		d.instances, d.instancesAt = n, s.now
+	}
+}
+
 // retryBudget counts the requests for a service and the attempts beyond the
 // first of each, in buckets of a tenth of the window.
 type retryBudget struct {
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -192,6 +192,7 @@
 	expected    map[modelID]time.Time
 	placementAt time.Time
 	instances   int
+	instancesAt time.Time
 	// promised holds the models whose requests were told to come back, until
 	// then.
 	promised map[modelID]promise
@@ -316,7 +317,7 @@
 		s.takeDemand(demand)
 		s.planNow()
 		s.adoptExpected(s.expectedModels(demand.Needs))
-		s.demand.instances = len(s.plan.demands)
+		s.countInstances(len(s.plan.demands))
 		s.demand.placementAt = s.now
 		s.adoptOthers(s.othersOf(s.self.Instance))
 		s.dispatchAll()
@@ -422,7 +423,7 @@
 	}
 	s.holderAlive()
 	p := &ev.Placement
-	s.demand.instances = p.Instances
+	s.countInstances(p.Instances)
 	s.demand.placementAt = ev.AskedAt
 	s.demand.epoch, s.demand.seen, s.demand.listSeen = p.Epoch, p.Change, p.List.Change
 	s.adoptList(&p.List, ev.AskedAt)
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -152,7 +152,7 @@
 		Leading:    true,
 		Epoch:      s.lease.row.Epoch,
 		Change:     s.plan.change,
-		Instances:  len(s.plan.demands),
+		Instances:  max(len(s.plan.demands), s.demand.instances),
 		Engines:    s.recentContents(d.Seen),
 		Expected:   s.expectedModels(d.Needs),
 		List:       s.listNews(d.ListSeen),
--- a/pkg/rpfleet/request_test.go
+++ b/pkg/rpfleet/request_test.go
@@ -118,6 +118,32 @@
 	g.Expect(retries).To(BeNumerically(">", 0))
 }
 
+// Guards against a retry budget that grows when a new planner has heard of few
+// instances yet: the slack is shared by all.
+func TestRetryBudgetAfterTakeover(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	r.configure(plainEndpoints()...)
+	placement := func(instances int) {
+		r.apply(rpfleet.PlacementReceived{Stamp: r.stamp(), AskedAt: r.now, Placement: rpfleet.Placement{Leading: true, Instances: instances}})
+	}
+	placement(74)
+	placement(1)
+	const requests = 20
+	for i := range requests {
+		id := time.Duration(i).String()
+		r.arrive(id, "/stock/1", "")
+		attempt := r.lastAttempt(id)
+		r.endAttempt(attempt, rpcore.AttemptFailed, rpverdict.MayHaveRun)
+		attempts := effectsOf[rpfleet.StartAttempt](r)
+		if last := attempts[len(attempts)-1]; last.Attempt != attempt.Attempt {
+			r.endAttempt(last, rpcore.AttemptFailed, rpverdict.MayHaveRun)
+		}
+	}
+	retries := len(effectsOf[rpfleet.StartAttempt](r)) - requests
+	g.Expect(retries).To(BeNumerically("<=", rpfleet.DefaultRetryRatio*requests+rpfleet.DefaultRetrySlack/74.0))
+}
+
 // Guards against a resumed stream that starts from its beginning or that goes
 // on with other weights.
 func TestStreamResumesElsewhere(t *testing.T) {
