--- a/pkg/rpfleet/plan_test.go
+++ b/pkg/rpfleet/plan_test.go
@@ -208,7 +208,10 @@
 	r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row, StoreNow: 1})
 	g.Expect(effectsOf[rpfleet.WriteLease](r)).To(BeEmpty())
 	r.apply(rpfleet.PlacementReceived{Stamp: r.stamp(), AskedAt: r.now, Placement: rpfleet.Placement{GaveUp: 3}})
-	r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row, StoreNow: 2})
+	for range 2 {
+		r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row, StoreNow: 2})
+		r.advance(100 * time.Millisecond)
+	}
 	g.Expect(effectsOf[rpfleet.WriteLease](r)).To(HaveLen(1))
 }
 
--- a/pkg/rpfleet/rig_test.go
+++ b/pkg/rpfleet/rig_test.go
@@ -141,6 +141,9 @@
 func (r *rig) configure(endpoints ...rpfleet.Endpoint) {
 	r.apply(rpfleet.ConfigRead{Stamp: r.stamp(), Config: testConfig(1)})
 	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Complete: true, Entries: endpoints})
+	// Without a word of the planner an instance assumes that it shares the slack
+	// of the retry budget with many.
+	r.apply(rpfleet.PlacementReceived{Stamp: r.stamp(), AskedAt: r.now, Placement: rpfleet.Placement{Leading: true, Instances: 3}})
 }
 
 func (r *rig) arrive(id, path, model string) {
@@ -169,7 +172,11 @@
 
 // lead makes this instance the planner and verifies what the engines hold.
 func (r *rig) lead(endpoints ...rpfleet.Endpoint) {
-	r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: r.lease})
+	// A lease that is free is taken after a random time.
+	for range 2 {
+		r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: r.lease})
+		r.advance(40 * time.Millisecond)
+	}
 	writes := effectsOf[rpfleet.WriteLease](r)
 	row := writes[len(writes)-1].Row
 	row.Revision = r.lease.Revision + 10
