--- /dev/null
+++ b/internal/rpsoak/proxy_test.go
@@ -0,0 +1,153 @@
+package rpsoak
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// linkMode is what a proxy does with the connections to its target.
+type linkMode int32
+
+const (
+	linkPass linkMode = iota
+	// linkDelay delays each part by 50 ms.
+	linkDelay
+	// linkReset resets all connections, also new ones.
+	linkReset
+	// linkSilent passes nothing on and closes nothing.
+	linkSilent
+	// linkOneWay passes requests on and keeps answers back.
+	linkOneWay
+	linkModes
+)
+
+const linkDelayTime = 50 * time.Millisecond
+
+// proxy is a link to an address on which faults are injected.
+type proxy struct {
+	target   netip.AddrPort
+	listener net.Listener
+	mode     atomic.Int32
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+func newProxy(target netip.AddrPort) (*proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{target: target, listener: listener, conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) address() netip.AddrPort { return p.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+func (p *proxy) set(mode linkMode) {
+	p.mode.Store(int32(mode))
+	if mode == linkReset {
+		p.reset()
+	}
+}
+
+// reset resets the connections that are open.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+	clear(p.conns)
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.reset()
+}
+
+func (p *proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.connect(conn)
+	}
+}
+
+func (p *proxy) connect(near net.Conn) {
+	p.track(near)
+	if linkMode(p.mode.Load()) == linkReset {
+		p.reset()
+		return
+	}
+	far, err := net.Dial("tcp", p.target.String())
+	if err != nil {
+		p.untrack(near)
+		return
+	}
+	p.track(far)
+	go p.pipe(far, near, false)
+	p.pipe(near, far, true)
+}
+
+func (p *proxy) track(conn net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[conn] = true
+}
+
+func (p *proxy) untrack(conn net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, conn)
+	_ = conn.Close()
+}
+
+// pipe copies one direction as the mode at the time allows.
+func (p *proxy) pipe(to, from net.Conn, answers bool) {
+	defer p.untrack(to)
+	defer p.untrack(from)
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		for p.held(answers) {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if linkMode(p.mode.Load()) == linkDelay {
+			time.Sleep(linkDelayTime)
+		}
+		if n > 0 {
+			if _, writeErr := to.Write(buf[:n]); writeErr != nil {
+				return
+			}
+		}
+		if err != nil {
+			if err != io.EOF {
+				p.abort(to)
+			}
+			return
+		}
+	}
+}
+
+func (p *proxy) held(answers bool) bool {
+	mode := linkMode(p.mode.Load())
+	return mode == linkSilent || mode == linkOneWay && answers
+}
+
+// abort passes a reset on, so that a broken answer does not end cleanly.
+func (p *proxy) abort(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
