--- a/internal/rpsoak/check_test.go
+++ b/internal/rpsoak/check_test.go
@@ -3,18 +3,24 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	. "github.com/onsi/gomega"
+
 	"github.com/rattanpaddle/rattanpaddle/platform/rpfake"
 )
 
 // checker compares what callers got with what endpoints did.
 type checker struct {
-	w        *world
-	t        *testing.T
+	engines  []*rpfake.Endpoint
+	plains   []*rpfake.Endpoint
 	outcomes []outcome
+	// errorf reports a broken promise.
+	errorf func(format string, args ...any)
 }
 
 // leastServed is the share of the requests that must be served when all faults
@@ -33,7 +39,7 @@
 }
 
 func (c *checker) endpoints() []*rpfake.Endpoint {
-	return append(slices.Clone(c.w.engines), c.w.plains...)
+	return append(slices.Clone(c.engines), c.plains...)
 }
 
 func (c *checker) runs(id string) int {
@@ -55,13 +61,13 @@
 	}
 	if o.route == "suggest" || o.route == "later" {
 		if n := len(eventIDs(o.answer)); n != streamEvents {
-			c.t.Errorf("%s (%s) looks complete with %d of %d events", o.id, o.route, n, streamEvents)
+			c.errorf("%s (%s) looks complete with %d of %d events", o.id, o.route, n, streamEvents)
 		}
 		c.eventsInOrder(o)
 		return
 	}
 	if want := "answer to " + o.body; o.answer != want {
-		c.t.Errorf("%s (%s) got %q in place of %q", o.id, o.route, o.answer, want)
+		c.errorf("%s (%s) got %q in place of %q", o.id, o.route, o.answer, want)
 	}
 }
 
@@ -69,7 +75,7 @@
 func (c *checker) eventsInOrder(o outcome) {
 	for i, id := range eventIDs(o.answer) {
 		if id != fmt.Sprint(i+1) {
-			c.t.Errorf("%s (%s) got event %s as number %d", o.id, o.route, id, i+1)
+			c.errorf("%s (%s) got event %s as number %d", o.id, o.route, id, i+1)
 			return
 		}
 	}
@@ -81,7 +87,7 @@
 		return
 	}
 	if n := c.runs(o.id); n > 1 {
-		c.t.Errorf("%s (%s) ran %d times", o.id, o.route, n)
+		c.errorf("%s (%s) ran %d times", o.id, o.route, n)
 	}
 }
 
@@ -93,7 +99,7 @@
 		return
 	}
 	if n := c.runs(o.id); n > 0 {
-		c.t.Errorf("%s (%s) got %d and ran", o.id, o.route, o.status)
+		c.errorf("%s (%s) got %d and ran", o.id, o.route, o.status)
 	}
 }
 
@@ -102,19 +108,19 @@
 func (c *checker) endpointsWereSpared() {
 	for _, e := range c.endpoints() {
 		for _, problem := range e.Problems() {
-			c.t.Errorf("%s: %s", e.ID, problem)
+			c.errorf("%s: %s", e.ID, problem)
 		}
 	}
 }
 
 // holdersApart: orders of two instances to one engine are holderGap apart.
 func (c *checker) holdersApart() {
-	for _, e := range c.w.engines {
+	for _, e := range c.engines {
 		orders := e.Orders()
 		for i := 1; i < len(orders); i++ {
 			gap := orders[i].At.Sub(orders[i-1].At)
 			if orders[i].Holder != orders[i-1].Holder && gap < holderGap {
-				c.t.Errorf("%s got orders of %s and %s %s apart", e.ID, orders[i-1].Holder, orders[i].Holder, gap)
+				c.errorf("%s got orders of %s and %s %s apart", e.ID, orders[i-1].Holder, orders[i].Holder, gap)
 			}
 		}
 	}
@@ -133,6 +139,57 @@
 		}
 	}
 	if sent == 0 || float64(served) < leastServed*float64(sent) {
-		c.t.Errorf("%d of %d requests were served after the faults", served, sent)
+		c.errorf("%d of %d requests were served after the faults", served, sent)
+	}
+}
+
+// Guards against checks that can't fail.
+func TestChecksCanFail(t *testing.T) {
+	g := NewWithT(t)
+	store := &rpfake.Store{}
+	plain := &rpfake.Endpoint{ID: "s1", Service: plainService}
+	engine := &rpfake.Endpoint{ID: "e1", Service: modelService, Models: []string{"m0", "m1", "m2"}}
+	for _, e := range []*rpfake.Endpoint{plain, engine} {
+		g.Expect(e.Start(store)).To(Succeed())
+		t.Cleanup(e.Stop)
+	}
+	var found []string
+	c := &checker{
+		engines: []*rpfake.Endpoint{engine}, plains: []*rpfake.Endpoint{plain},
+		errorf: func(format string, args ...any) { found = append(found, fmt.Sprintf(format, args...)) },
+	}
+	for range 2 {
+		serve(plain, "/place/1", map[string]string{"X-Rattanpaddle-Attempt-Id": "twice"}, "")
+	}
+	serve(plain, "/place/1", map[string]string{"X-Rattanpaddle-Attempt-Id": "ran"}, "")
+	for i, order := range []string{
+		`{"op":"load","model":"m0","adapter":"a1","expected":0,"holder":"front-1","fencing_token":3}`,
+		`{"op":"load","model":"m0","adapter":"a2","expected":1,"holder":"front-2","fencing_token":4}`,
+		`{"op":"load","model":"m5","expected":2,"holder":"front-2","fencing_token":1}`,
+	} {
+		serve(engine, "/order", nil, order)
+		g.Expect(engine.Orders()).To(HaveLen(i + 1))
+	}
+	now := time.Now()
+	c.outcomes = []outcome{
+		{id: "twice", route: "place", body: "a", status: http.StatusOK, whole: true, answer: "answer to b", sentAt: now},
+		{id: "ran", route: "place", status: http.StatusServiceUnavailable, whole: true, sentAt: now},
+		{id: "short", route: "suggest", status: http.StatusOK, whole: true, answer: "id: 1\n\nid: 3\n\n", sentAt: now},
+	}
+	c.all(now.Add(-time.Second))
+	all := strings.Join(found, "\n")
+	for _, want := range []string{
+		"twice (place) ran 2 times", `got "answer to b"`, "ran (place) got 503 and ran", "looks complete with 2 of 10 events",
+		"got event 3 as number 2", "a load beyond the memory", "fence 1 after 4", "e1 got orders of front-1 and front-2", "2 of 3 requests were served",
+	} {
+		g.Expect(all).To(ContainSubstring(want))
+	}
+}
+
+func serve(e *rpfake.Endpoint, path string, header map[string]string, body string) {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	for name, value := range header {
+		r.Header.Set(name, value)
 	}
+	e.ServeHTTP(httptest.NewRecorder(), r)
 }
--- a/internal/rpsoak/soak_test.go
+++ b/internal/rpsoak/soak_test.go
@@ -84,7 +84,7 @@
 	faults.Wait()
 	// Requests that callers have left may still be under way.
 	time.Sleep(300 * time.Millisecond)
-	check := &checker{w: w, outcomes: c.outcomes, t: t}
+	check := &checker{engines: w.engines, plains: w.plains, outcomes: c.outcomes, errorf: t.Errorf}
 	check.all(begin.Add(warmUp + faultTime + recovery))
 	if t.Failed() {
 		w.keepLogs(seed)
