Tell the next planner the last order to each engine

A planner that gives its lease up, on a planned stop or when only it is cut off from the store, cost 3 s without orders to any engine. It now tells which engines it ordered lately; all others get orders at once. A restart within the time of a takeover no longer forgets it.

--- a/internal/rpgateway/lease.go
+++ b/internal/rpgateway/lease.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"math"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -32,17 +34,33 @@
 	Renewals uint64            `json:"renewals"`
 	// ValidUntilMs is the end of the lease by the clock of the store.
 	ValidUntilMs int64 `json:"valid_until_ms"`
+	// OrdersFromMs is when the holder gives its first order at the latest, by
+	// the same clock.
+	OrdersFromMs int64 `json:"orders_from_ms"`
+	// Given says that the holder gave the lease up, and OrderAgesMs how long
+	// before it had given the last order to each engine.
+	Given       bool                        `json:"given,omitempty"`
+	OrderAgesMs map[rpcore.EndpointID]int64 `json:"order_ages_ms,omitempty"`
 }
 
 func encodeLease(row rpfleet.LeaseRow) ([]byte, error) {
+	ages := make(map[rpcore.EndpointID]int64, len(row.Orders))
+	for _, order := range row.Orders {
+		ages[order.Endpoint] = order.Age.Milliseconds()
+	}
 	return json.Marshal(leaseBody{
+		Given: row.Given, OrderAgesMs: ages,
 		Holder: row.Holder, Address: row.Address, Epoch: row.Epoch, Renewals: row.Renewals,
-		// Rounded up: the holder must not be thought to have stopped before it
-		// has.
-		ValidUntilMs: int64(math.Ceil(float64(row.ValidUntil) / float64(time.Millisecond))),
+		ValidUntilMs: milliseconds(row.ValidUntil), OrdersFromMs: milliseconds(row.OrdersFrom),
 	})
 }
 
+// milliseconds rounds up: a holder must not be thought to have stopped before it
+// has.
+func milliseconds(t rpfleet.StoreTime) int64 {
+	return int64(math.Ceil(float64(t) / float64(time.Millisecond)))
+}
+
 func decodeLease(row rpwire.Row) (rpfleet.LeaseRow, error) {
 	lease := rpfleet.LeaseRow{Revision: row.Revision}
 	if row.Revision == 0 {
@@ -53,6 +71,12 @@
 		return lease, err
 	}
 	lease.Holder, lease.Address, lease.Epoch, lease.Renewals = body.Holder, body.Address, body.Epoch, body.Renewals
+	lease.OrdersFrom = rpfleet.StoreTime(time.Duration(body.OrdersFromMs) * time.Millisecond)
+	lease.Given = body.Given
+	for _, id := range slices.Sorted(maps.Keys(body.OrderAgesMs)) {
+		age := time.Duration(body.OrderAgesMs[id]) * time.Millisecond
+		lease.Orders = append(lease.Orders, rpfleet.LastOrder{Endpoint: id, Age: age})
+	}
 	lease.ValidUntil = rpfleet.StoreTime(time.Duration(body.ValidUntilMs) * time.Millisecond)
 	return lease, nil
 }
--- a/internal/rpgateway/loop.go
+++ b/internal/rpgateway/loop.go
@@ -50,6 +50,15 @@
 
 func (l *loop) tick() { l.apply(rpfleet.Tick{Stamp: l.stamp()}) }
 
+// mayOrder reports whether the lease that an order was decided under still
+// holds.
+func (l *loop) mayOrder(cmd rpfleet.SendOrder) bool {
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(cmd.NotAfter) && l.state.Holds(cmd.Fence)
+}
+
 // listInterval returns the time between two readings of the list of endpoints.
 func (l *loop) listInterval() time.Duration {
 	l.mu.Lock()
--- a/internal/rpgateway/orders.go
+++ b/internal/rpgateway/orders.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return rpfleet.OrderNotSent, err.Error()
 	}
-	if !o.loop.clock.Now().Before(cmd.NotAfter) {
+	if !o.loop.mayOrder(cmd) {
 		return rpfleet.OrderNotSent, "the lease has ended"
 	}
 	resp, done, verdict, err := o.forward.Send(req)
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -78,6 +78,9 @@
 	// GaveUp is the epoch of a lease that the asked instance held and will use
 	// no more, or 0.
 	GaveUp uint64
+	// LastOrders holds the engines that may have got an order under that lease
+	// lately.
+	LastOrders []LastOrder
 	// Epoch is that of the planner's lease, and Change counts what it changed.
 	Epoch     uint64
 	Change    uint64
@@ -418,7 +421,7 @@
 func (s *State) placementReceived(ev PlacementReceived) {
 	s.demand.asking = false
 	if ev.Failed || !ev.Placement.Leading {
-		s.holderSilent(ev.Failed, ev.Placement.GaveUp)
+		s.holderSilent(&ev)
 		return
 	}
 	s.holderAlive()
--- a/pkg/rpfleet/endpoint.go
+++ b/pkg/rpfleet/endpoint.go
@@ -120,6 +120,9 @@
 	// orderedAt is the time of the last accepted order, reportAt the earliest
 	// one of the next question.
 	orderedAt time.Time
+	// sentAt is when the last order of this instance may have been sent at the
+	// latest.
+	sentAt time.Time
 	// change is the number of the planner's last change of the engine.
 	change     uint64
 	unloadedAt time.Time
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -142,6 +142,22 @@
 	// ValidUntil is the end of the lease by the clock of the store. The holder
 	// gives no order after it.
 	ValidUntil StoreTime
+	// OrdersFrom is when the holder gives its first order at the latest, by the
+	// clock of the store. It binds the next process of the same instance too.
+	OrdersFrom StoreTime
+	// Given is set in a lease that was given up. Orders then holds the engines
+	// that may have got an order lately; others may get one at once.
+	Given  bool
+	Orders []LastOrder
+}
+
+// LastOrder says how long ago an engine may have got its last order.
+type LastOrder struct {
+	_ struct{} `cbor:",toarray"`
+
+	Endpoint rpcore.EndpointID
+	// Age is negative for an order that may still be on its way.
+	Age time.Duration
 }
 
 // StoreTime is a time by the steady clock of the store, which all instances can
--- a/pkg/rpfleet/lease.go
+++ b/pkg/rpfleet/lease.go
@@ -26,6 +26,9 @@
 	// holderPreference is how long a lease that has ended is left to its holder
 	// where that still answers: it needs no gap between its orders.
 	holderPreference = time.Second
+	// orderFlight is the time that an order may take until its engine has it,
+	// after it was decided on: that of a connection.
+	orderFlight = 400 * time.Millisecond
 	// storeWitnesses is the number of instances that are asked to try the store
 	// while renewals fail.
 	storeWitnesses = 4.0
@@ -57,8 +60,15 @@
 	validUntil time.Time
 	// ordersFrom is when orders of the holder before can't be near any more.
 	ordersFrom time.Time
-	reading    bool
-	writing    bool
+	// engineFrom replaces ordersFrom where the holder before told its last
+	// orders: engines that it does not name may get one at once.
+	engineFrom map[rpcore.EndpointID]time.Time
+	// peerOrders are the last orders that go with peerGaveUp, as of
+	// peerOrdersAt.
+	peerOrders   []LastOrder
+	peerOrdersAt time.Time
+	reading      bool
+	writing      bool
 	// writtenAt is when the write in flight was decided on.
 	writtenAt time.Time
 	// readDue says that an alarm will read the row.
@@ -111,6 +121,10 @@
 // Leading reports whether this instance gave orders at the last event.
 func (s *State) Leading() bool { return s.leading() }
 
+// Holds reports whether this instance held the lease with the given epoch at the
+// last event.
+func (s *State) Holds(epoch uint64) bool { return s.lease.held && s.lease.row.Epoch == epoch }
+
 func (s *State) readLease() {
 	l := &s.lease
 	if l.reading || l.writing || s.draining || s.leading() {
@@ -232,9 +246,10 @@
 	l.writing = true
 	l.writtenAt = s.now
 	l.ordersFrom = s.firstOrder(l.row, storeNow)
+	l.engineFrom = s.firstOrders(l.row, storeNow)
 	row := LeaseRow{
 		Holder: s.self.Instance, Address: s.peerAddress, Epoch: l.row.Epoch + 1, Renewals: 1,
-		ValidUntil: s.storeTime(s.now) + StoreTime(leaseHold),
+		ValidUntil: s.storeTime(s.now) + StoreTime(leaseHold), OrdersFrom: s.storeTime(s.latestFirstOrder()),
 	}
 	s.emit(WriteLease{Expected: l.row.Revision, Row: row})
 }
@@ -295,13 +310,75 @@
 	s.at(l.writtenAt.Add(leaseRenewal), (*State).renewLease)
 }
 
+// holderApart reports whether an order to an engine is far enough from those of
+// the holder before.
+func (s *State) holderApart(e *endpoint) bool {
+	if s.lease.engineFrom != nil {
+		return !s.now.Before(s.lease.engineFrom[e.ID])
+	}
+	return !s.now.Before(s.lease.ordersFrom)
+}
+
+// firstOrders returns when each engine may get its first order, or nil where the
+// holder before did not tell.
+func (s *State) firstOrders(before LeaseRow, storeNow StoreTime) map[rpcore.EndpointID]time.Time {
+	l := &s.lease
+	orders, asOf := before.Orders, s.now.Add(time.Duration(before.ValidUntil-storeNow))
+	switch {
+	case before.Holder != "" && l.peerGaveUp == before.Epoch:
+		orders, asOf = l.peerOrders, l.peerOrdersAt
+	case before.Holder != "" || !before.Given || storeNow == 0:
+		return nil
+	}
+	from := make(map[rpcore.EndpointID]time.Time, len(orders))
+	for _, order := range orders {
+		from[order.Endpoint] = asOf.Add(s.policy.HolderGap + holderMargin - order.Age)
+	}
+	return from
+}
+
+// latestFirstOrder returns when the last of the engines may get its first order.
+func (s *State) latestFirstOrder() time.Time {
+	if s.lease.engineFrom == nil {
+		return s.lease.ordersFrom
+	}
+	latest := s.now
+	for _, from := range s.lease.engineFrom {
+		latest = maxTime(latest, from)
+	}
+	return latest
+}
+
+// lastOrders returns the engines that may have got an order within the time that
+// holders keep apart, from this instance or from the holder before.
+func (s *State) lastOrders() []LastOrder {
+	gap := s.policy.HolderGap + holderMargin
+	var orders []LastOrder
+	for _, e := range s.sortedEndpoints() {
+		g := &e.engine
+		last := maxTime(g.sentAt, s.lease.ordersFrom.Add(-gap))
+		if s.lease.engineFrom != nil {
+			last = maxTime(g.sentAt, s.lease.engineFrom[e.ID].Add(-gap))
+		}
+		if g.order != nil {
+			last = s.now.Add(orderFlight)
+		}
+		if age := s.now.Sub(last); age < gap {
+			orders = append(orders, LastOrder{Endpoint: e.ID, Age: age})
+		}
+	}
+	return orders
+}
+
 // firstOrder returns when no order of the holder before can be near any more.
 // An earlier process of this instance is the same holder.
 func (s *State) firstOrder(before LeaseRow, storeNow StoreTime) time.Time {
 	gap := s.policy.HolderGap + holderMargin
 	switch {
-	case before.Revision == 0 || before.Holder == s.self.Instance:
+	case before.Revision == 0:
 		return s.now
+	case before.Holder == s.self.Instance:
+		return s.now.Add(max(0, time.Duration(before.OrdersFrom-storeNow)))
 	case s.lease.peerGaveUp == before.Epoch && before.Holder != "":
 		return s.now.Add(gap)
 	case before.ValidUntil > 0 && storeNow > 0:
@@ -374,10 +451,11 @@
 	l.held = false
 	l.gaveUp = l.row.Epoch
 	l.writing = true
+	orders := s.lastOrders()
 	s.planEnds()
-	s.note("replicas", "this instance gives up planning", Field{"epoch", l.row.Epoch})
+	s.note("replicas", "this instance gives up planning", Field{"epoch", l.row.Epoch}, Field{"engines_ordered", len(orders)})
 	s.emit(WriteLease{Expected: l.row.Revision, Row: LeaseRow{
-		Epoch: l.row.Epoch, Renewals: l.row.Renewals + 1, ValidUntil: s.storeTime(s.now),
+		Epoch: l.row.Epoch, Renewals: l.row.Renewals + 1, ValidUntil: s.storeTime(s.now), Given: true, Orders: orders,
 	}})
 }
 
@@ -392,11 +470,14 @@
 
 // holderSilent takes in that the holder did not answer or does not hold the
 // lease any more.
-func (s *State) holderSilent(noAnswer bool, gaveUp uint64) {
+func (s *State) holderSilent(ev *PlacementReceived) {
 	l := &s.lease
+	noAnswer, gaveUp := ev.Failed, ev.Placement.GaveUp
 	l.peerGaveUp = gaveUp
 	if !noAnswer {
 		l.holderAnsweredAt = s.now
+		// The answer was made before now, so the ages are at least these.
+		l.peerOrders, l.peerOrdersAt = ev.Placement.LastOrders, s.now
 	}
 	if !l.silent {
 		s.note("replicas", "the planner does not answer for its lease", Field{"holder", string(l.row.Holder)},
--- a/pkg/rpfleet/order.go
+++ b/pkg/rpfleet/order.go
@@ -82,8 +82,7 @@
 // mayOrder reports whether an engine can get an order from this instance now.
 func (s *State) mayOrder(e *endpoint) bool {
 	g := &e.engine
-	return s.leading() && !s.draining && !s.now.Before(s.lease.ordersFrom) && g.order == nil && g.verified &&
-		!s.now.Before(g.retryAt)
+	return s.leading() && !s.draining && s.holderApart(e) && g.order == nil && g.verified && !s.now.Before(g.retryAt)
 }
 
 // wait returns the time until an engine can take another order.
@@ -116,6 +115,7 @@
 	g := &o.engine.engine
 	o.id = rpcore.OrderID(fmt.Sprintf("%s-%d-%d", s.self.Instance, s.lease.row.Epoch, s.next()))
 	o.sentAt = s.now
+	g.sentAt = s.now
 	g.order = o
 	s.plan.orders[o.id] = o
 	s.emit(SendOrder{
@@ -138,6 +138,7 @@
 	}
 	delete(s.plan.orders, ev.Order)
 	g := &o.engine.engine
+	g.sentAt = s.now
 	g.order = nil
 	s.note("replicas", "an engine answered an order", Field{"order", string(o.kind)}, Field{"endpoint", string(o.engine.ID)},
 		Field{"model", o.model}, Field{"adapter", o.adapter}, Field{"outcome", string(ev.Outcome)},
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -110,6 +110,9 @@
 	clear(s.plan.expected)
 	s.plan.weightLoads = nil
 	for _, e := range s.endpoints {
+		if e.engine.order != nil {
+			e.engine.sentAt = s.now.Add(orderFlight)
+		}
 		e.engine.order = nil
 		e.engine.verified = false
 		e.engine.plannedLoad = ""
@@ -140,7 +143,9 @@
 		s.giveUpIfCutOff()
 	}
 	if !s.leading() {
-		s.emit(AnswerDemand{Call: ev.Call, Placement: Placement{GaveUp: s.lease.gaveUp}})
+		s.emit(AnswerDemand{Call: ev.Call, Placement: Placement{
+			GaveUp: s.lease.gaveUp, LastOrders: s.lastOrders(),
+		}})
 		return
 	}
 	s.planNow()
--- a/pkg/rpfleet/plan_test.go
+++ b/pkg/rpfleet/plan_test.go
@@ -215,6 +215,86 @@
 	g.Expect(effectsOf[rpfleet.WriteLease](r)).To(HaveLen(1))
 }
 
+// Guards against a pause for all engines after a holder that told its last orders,
+// and against an order to an engine that the holder before it had ordered: what
+// was taken over is passed on.
+func TestLastOrdersArePassedOn(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	fresh := withCheckpoints(testEndpoint("e1", testService, homeDomain))
+	ordered := withCheckpoints(testEndpoint("e2", testService, homeDomain))
+	r.configure(fresh, ordered)
+	begin := r.now
+	storeNow := func() rpfleet.StoreTime { return rpfleet.StoreTime(time.Hour + r.now.Sub(begin)) }
+	row := rpfleet.LeaseRow{
+		Revision: 7, Epoch: 3, Given: true, ValidUntil: storeNow(),
+		Orders: []rpfleet.LastOrder{{Endpoint: "e2", Age: time.Second}},
+	}
+	for range 2 {
+		r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row, StoreNow: storeNow()})
+		r.advance(40 * time.Millisecond)
+	}
+	taken := effectsOf[rpfleet.WriteLease](r)[0].Row
+	taken.Revision = 8
+	r.apply(rpfleet.LeaseWritten{Stamp: r.stamp(), AskedAt: r.now, Outcome: rpcore.WriteApplied, Row: taken, StoreNow: storeNow()})
+	r.report(fresh, 0)
+	r.report(ordered, 0)
+	for i, model := range []string{"m0", "m1", "m2", "m3"} {
+		r.arrive("r"+string(rune('0'+i)), "/later/1", model)
+	}
+	first := map[rpcore.EndpointID]time.Duration{}
+	for r.now.Sub(begin) < 2*time.Second {
+		before := len(r.effects)
+		r.renew(100 * time.Millisecond)
+		for _, effect := range r.effects[before:] {
+			if order, ok := effect.(rpfleet.SendOrder); ok {
+				if _, known := first[order.Endpoint]; !known {
+					first[order.Endpoint] = r.now.Sub(begin)
+				}
+			}
+		}
+	}
+	g.Expect(first["e1"]).To(BeNumerically("<", 500*time.Millisecond))
+	if at, ok := first["e2"]; ok {
+		g.Expect(at).To(BeNumerically(">=", rpfleet.DefaultHolderGap-time.Second))
+	}
+	// On a planned stop within that time the next holder hears of both.
+	r.forget()
+	r.apply(rpfleet.DrainRequested{Stamp: r.stamp()})
+	writes := effectsOf[rpfleet.WriteLease](r)
+	g.Expect(writes).NotTo(BeEmpty())
+	named := map[rpcore.EndpointID]bool{}
+	for _, order := range writes[len(writes)-1].Row.Orders {
+		named[order.Endpoint] = true
+	}
+	g.Expect(named).To(HaveKey(rpcore.EndpointID("e1")))
+	g.Expect(named).To(HaveKey(rpcore.EndpointID("e2")))
+}
+
+// Guards against a restart that forgets how long the lease forbids orders.
+func TestRestartKeepsTheGap(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2")
+	r.configure(engine)
+	const storeNow = rpfleet.StoreTime(time.Hour)
+	begin := r.now
+	row := rpfleet.LeaseRow{
+		Revision: 7, Holder: "front-1", Epoch: 3, ValidUntil: storeNow + 1, OrdersFrom: storeNow + rpfleet.StoreTime(2*time.Second),
+	}
+	r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row, StoreNow: storeNow})
+	taken := effectsOf[rpfleet.WriteLease](r)[0].Row
+	taken.Revision = 8
+	r.apply(rpfleet.LeaseWritten{Stamp: r.stamp(), AskedAt: r.now, Outcome: rpcore.WriteApplied, Row: taken, StoreNow: storeNow})
+	r.report(engine, 0)
+	r.arrive("a", "/later/1", "m4")
+	for len(effectsOf[rpfleet.SendOrder](r)) == 0 && r.now.Sub(begin) < time.Minute {
+		r.renew(100 * time.Millisecond)
+	}
+	g.Expect(r.now.Sub(begin)).To(BeNumerically(">=", 2*time.Second))
+	g.Expect(r.now.Sub(begin)).To(BeNumerically("<", 3*time.Second))
+}
+
 // Guards against orders from an instance whose lease ran out while the store
 // did not answer or the instance was paused.
 func TestNoOrderAfterTheLease(t *testing.T) {
