--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -36,9 +36,6 @@
 	s.dequeue(r)
 	r.phase = phaseRunning
 	r.sends++
-	if r.sends > 1 {
-		s.countRetry(r.service)
-	}
 	r.endpoint = e
 	r.sentAt = s.now
 	r.attempt = rpcore.AttemptID(fmt.Sprintf("%s#%d", r.ID, r.sends))
@@ -233,6 +230,9 @@
 	default:
 		r.tried[e.ID] = true
 	}
+	// The attempt counts from now on, although the request may have to wait: the
+	// budget would otherwise allow all that wait at the same time.
+	s.countRetry(r.service)
 	s.enqueue(r)
 	if ev.Reason == rpcore.AttemptNotLoaded || ev.Reason == rpcore.AttemptBusy {
 		s.pause(r, min(refusedRetry<<min(r.sends-1, 8), maxRefusedRetry))
--- a/pkg/rpfleet/endpoint.go
+++ b/pkg/rpfleet/endpoint.go
@@ -87,8 +87,11 @@
 type replica struct {
 	version  string
 	adapters map[string]time.Time
-	// readyAt is in the future while the model is being loaded.
+	// readyAt is in the future while the model is being loaded, and dueAt is when
+	// the load should be done. A load from the weight store can take longer than
+	// that, so its readyAt comes with the entry of the list that shows it.
 	readyAt time.Time
+	dueAt   time.Time
 	// loadedAt is when this instance first saw the replica.
 	loadedAt time.Time
 	usedAt   time.Time
--- a/pkg/rpfleet/order.go
+++ b/pkg/rpfleet/order.go
@@ -34,6 +34,9 @@
 	// assumedAdapterLoad is the time in which an adapter is loaded: twice what
 	// the users' deployments state, for the time on the way.
 	assumedAdapterLoad = 25 * time.Millisecond
+	// remotePatience is how long after its time a load from the weight store is
+	// waited for. Loads share the store, also with those of the planner before.
+	remotePatience = 15 * time.Second
 	// loadMargin covers the time between the end of a load and the first
 	// request that the engine takes.
 	loadMargin = 20 * time.Millisecond
@@ -206,12 +209,16 @@
 			s.wakeAt(s.now.Add(o.load))
 		}
 	case o.kind == OrderLoad:
-		readyAt := s.now.Add(o.load + loadMargin)
+		dueAt := s.now.Add(o.load + loadMargin)
+		readyAt := dueAt
+		if o.place == rpcore.PlaceRemote {
+			readyAt = dueAt.Add(remotePatience)
+		}
 		g.content[o.model] = adapterSet{}
-		g.models[o.model] = &replica{adapters: map[string]time.Time{}, readyAt: readyAt, loadedAt: readyAt}
-		g.busyUntil = readyAt
+		g.models[o.model] = &replica{adapters: map[string]time.Time{}, readyAt: readyAt, dueAt: dueAt, loadedAt: dueAt}
+		g.busyUntil = dueAt
 		s.wakeAt(readyAt)
-		s.at(readyAt, (*State).planSoon)
+		s.at(dueAt, (*State).planSoon)
 	case o.adapter != "":
 		delete(g.content[o.model], o.adapter)
 		g.drop(o.model, o.adapter, s.now)
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -48,6 +48,10 @@
 	// evictionWeight converts the value of an evicted replica, in requests a
 	// second, into seconds of load time.
 	evictionWeight = 6.0
+	// maxEvictionCost is the cost, in seconds, up to which a replica makes room
+	// for work that is not the most urgent: about that of a model with two
+	// requests in three seconds.
+	maxEvictionCost = 4.0
 	// runningCost is the cost, in seconds, of evicting a replica that runs
 	// requests: the engine waits for them.
 	runningCost = 0.7
@@ -542,6 +546,9 @@
 		readyAt := s.now.Add(e.engine.wait(s.now))
 		if r := e.engine.models[m.id.model]; r != nil {
 			readyAt = r.readyAt
+			if readyAt.After(s.now) && !r.dueAt.IsZero() {
+				readyAt = maxTime(r.dueAt, s.now)
+			}
 		}
 		if known, ok := s.plan.expected[m.id]; !ok || readyAt.Before(known) {
 			s.plan.expected[m.id] = readyAt
@@ -599,7 +606,7 @@
 	choice.load = cmp.Or(m.spec.LoadTimes[choice.place], assumedLoad)
 	choice.wait = e.engine.wait(s.now)
 	victim, value, ok := p.victim(w, e)
-	if !ok {
+	if !ok || value > maxEvictionCost && (w.model.rank > 0 || !w.waiting) {
 		return loadChoice{}, false
 	}
 	choice.victim = victim
--- a/pkg/rpfleet/plan_test.go
+++ b/pkg/rpfleet/plan_test.go
@@ -380,6 +380,55 @@
 	g.Expect(effectsOf[rpfleet.RefuseRequest](r)).To(BeEmpty())
 }
 
+// Guards against a replica of a busy model that makes room for a model with one
+// request, because no other engine can take an order at that moment.
+func TestBusyModelsStay(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
+	r.configure(engine)
+	r.lead(engine)
+	for i := range 20 {
+		for _, model := range []string{"m0", "m1", "m2"} {
+			id := model + time.Duration(i).String()
+			r.arrive(id, "/suggest/1", model)
+			r.endAttempt(r.lastAttempt(id), rpcore.AttemptComplete, rpverdict.Ran)
+		}
+		r.renew(100 * time.Millisecond)
+	}
+	r.forget()
+	r.arrive("rare", "/later/1", "m7")
+	r.renew(time.Second)
+	g.Expect(effectsOf[rpfleet.SendOrder](r)).To(BeEmpty())
+	// Urgent work may.
+	r.arrive("urgent", "/suggest/1", "m6")
+	r.renew(500 * time.Millisecond)
+	g.Expect(effectsOf[rpfleet.SendOrder](r)).NotTo(BeEmpty())
+}
+
+// Guards against requests for a model that is still on its way from the weight
+// store after the usual time, each of which the engine turns away.
+func TestRemoteLoadIsConfirmed(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := testEndpoint("e1", testService, homeDomain)
+	r.configure(engine)
+	r.lead(engine)
+	r.arrive("a", "/later/1", "m5")
+	r.renew(200 * time.Millisecond)
+	for _, order := range effectsOf[rpfleet.SendOrder](r) {
+		r.answer(order, rpfleet.OrderAccepted)
+	}
+	held := effectsOf[rpfleet.SendOrder](r)[0].Model
+	r.arrive("b", "/later/1", held)
+	r.forget()
+	r.renew(7 * time.Second)
+	g.Expect(effectsOf[rpfleet.StartAttempt](r)).To(BeEmpty())
+	engine.Models = []rpfleet.HeldModel{{Name: held, Version: "1"}}
+	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Entries: []rpfleet.Endpoint{engine}})
+	g.Expect(effectsOf[rpfleet.StartAttempt](r)).NotTo(BeEmpty())
+}
+
 // Guards against a model with one request that waits behind models that more
 // requests ask for until its deadline has passed.
 func TestNoModelStarves(t *testing.T) {
--- a/pkg/rpfleet/request_test.go
+++ b/pkg/rpfleet/request_test.go
@@ -118,6 +118,27 @@
 	g.Expect(retries).To(BeNumerically(">", 0))
 }
 
+// Guards against a budget that allows all requests which wait to be sent again,
+// since none of them was sent yet.
+func TestRetryBudgetCountsWaitingRequests(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	r.configure(testEndpoint("e1", testService, homeDomain, "m0"))
+	const requests = 6
+	var attempts []rpfleet.StartAttempt
+	for i := range requests {
+		id := time.Duration(i).String()
+		r.arrive(id, "/suggest/1", "m0")
+		attempts = append(attempts, r.lastAttempt(id))
+	}
+	r.apply(rpfleet.PlacementReceived{Stamp: r.stamp(), AskedAt: r.now, Placement: rpfleet.Placement{Leading: true, Instances: 48}})
+	for _, attempt := range attempts {
+		r.endAttempt(attempt, rpcore.AttemptNotLoaded, rpverdict.NotRun)
+	}
+	// Six requests allow one attempt more, and so does a 48th of the slack.
+	g.Expect(len(effectsOf[rpfleet.RefuseRequest](r))).To(BeNumerically(">=", requests-2))
+}
+
 // Guards against a retry budget that grows when a new planner has heard of few
 // instances yet: the slack is shared by all.
 func TestRetryBudgetAfterTakeover(t *testing.T) {
