--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -25,6 +25,9 @@
 	eventStallFactor = 1.5
 	// leastEventStall bounds it from below.
 	leastEventStall = 900 * time.Millisecond
+	// maxUnreached bounds the endpoints that a request tries to connect to in
+	// vain, each of which takes up to the timeout of a connection.
+	maxUnreached = 6
 	// refusedRetry is the first pause before a request that an engine did not
 	// take is offered again; it doubles up to maxRefusedRetry.
 	refusedRetry    = 20 * time.Millisecond
@@ -232,7 +235,11 @@
 	}
 	// The attempt counts from now on, although the request may have to wait: the
 	// budget would otherwise allow all that wait at the same time.
-	s.countRetry(r.service)
+	if arrived(ev) {
+		s.countRetry(r.service)
+	} else {
+		r.unreached++
+	}
 	s.enqueue(r)
 	if ev.Reason == rpcore.AttemptNotLoaded || ev.Reason == rpcore.AttemptBusy {
 		s.pause(r, min(refusedRetry<<min(r.sends-1, 8), maxRefusedRetry))
@@ -274,7 +281,9 @@
 		return "The request ran at as many endpoints as its route allows."
 	case !s.now.Add(answerMargin).Before(r.cutoff):
 		return "The deadline passed."
-	case !s.mayRetry(r.service):
+	case !arrived(ev) && r.unreached >= maxUnreached:
+		return "No endpoint could be reached."
+	case arrived(ev) && !s.mayRetry(r.service):
 		return "The retry budget of the service is used up."
 	case ev.Reason == rpcore.AttemptCanceled:
 		return "The attempt was canceled."
@@ -282,6 +291,12 @@
 	return ""
 }
 
+// arrived reports whether an attempt may have reached its endpoint. One that got
+// no connection costs the endpoints nothing, so the budget does not count it.
+func arrived(ev AttemptEnded) bool {
+	return ev.Reason != rpcore.AttemptRefusedConnection || ev.Verdict != rpverdict.NotRun
+}
+
 func (s *State) failureCode(r *request, ev AttemptEnded) rpverdict.Code {
 	switch {
 	case r.started:
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -44,6 +44,8 @@
 	startedAt time.Time
 	lastEvent string
 	version   string
+	// unreached counts the attempts that got no connection.
+	unreached int
 	// notBefore is the end of the pause after a refusal by an endpoint.
 	notBefore time.Time
 	// lastFailure is what the last attempt met.
--- a/pkg/rpfleet/request_test.go
+++ b/pkg/rpfleet/request_test.go
@@ -118,6 +118,25 @@
 	g.Expect(retries).To(BeNumerically(">", 0))
 }
 
+// Guards against requests that are given up in a cut because the retry budget is
+// used up by connections that were never made.
+func TestUnreachedEndpointsCostNoBudget(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	r.configure(append(plainEndpoints(), testEndpoint("s3", testPlain, homeDomain))...)
+	r.apply(rpfleet.PlacementReceived{Stamp: r.stamp(), AskedAt: r.now, Placement: rpfleet.Placement{Leading: true, Instances: 74}})
+	for i := range 10 {
+		id := time.Duration(i).String()
+		r.arrive(id, "/place/1", "")
+		first := r.lastAttempt(id)
+		r.endAttempt(first, rpcore.AttemptRefusedConnection, rpverdict.NotRun)
+		second := r.lastAttempt(id)
+		g.Expect(second.Attempt).NotTo(Equal(first.Attempt))
+		r.endAttempt(second, rpcore.AttemptComplete, rpverdict.Ran)
+	}
+	g.Expect(effectsOf[rpfleet.RefuseRequest](r)).To(BeEmpty())
+}
+
 // Guards against a budget that allows all requests which wait to be sent again,
 // since none of them was sent yet.
 func TestRetryBudgetCountsWaitingRequests(t *testing.T) {
