--- /dev/null
+++ b/pkg/rpfleet/adapter.go
@@ -0,0 +1,123 @@
+package rpfleet
+
+import (
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// adapters orders the adapters that requests wait for.
+func (p *servicePlan) adapters() {
+	for _, name := range sortedKeys(p.state.plan.demands) {
+		for _, need := range p.state.plan.demands[name].Needs {
+			if need.Service == p.service && need.Adapter != "" {
+				p.adapter(need)
+			}
+		}
+	}
+}
+
+// adapter orders an adapter at the engine that requests for it prefer.
+func (p *servicePlan) adapter(need Need) {
+	s := p.state
+	m := p.models[need.Model]
+	if m == nil {
+		return
+	}
+	var best *endpoint
+	bestCost := 0.0
+	for _, e := range m.holders {
+		r := e.engine.models[need.Model]
+		if r == nil {
+			continue
+		}
+		if _, ok := r.adapters[need.Adapter]; ok && !s.now.After(r.adapters[need.Adapter].Add(contentLag)) {
+			return
+		}
+		if r.readyAt.After(s.now) || e.engine.busyUntil.After(s.now) || !s.mayOrder(e) {
+			continue
+		}
+		cost := float64(p.adaptersAt(e)) + float64(rendezvous(need.Adapter, string(e.ID))%8)
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best != nil {
+		p.orderAdapter(best, need)
+	}
+}
+
+func (p *servicePlan) adaptersAt(e *endpoint) int {
+	n := 0
+	for _, adapters := range e.engine.content {
+		n += len(adapters)
+	}
+	return n
+}
+
+// orderAdapter loads an adapter, or first unloads the one that was used
+// longest ago where all places are taken.
+func (p *servicePlan) orderAdapter(e *endpoint, need Need) {
+	s := p.state
+	o := &order{engine: e, kind: OrderLoad, model: need.Model, adapter: need.Adapter, load: assumedAdapterLoad}
+	spec := p.spec.Models[need.Model]
+	if p.adaptersAt(e) >= p.spec.AdapterSlots || p.freeMemory(e) < spec.AdapterMemory {
+		model, adapter := p.oldestAdapter(e, need)
+		if adapter == "" {
+			return
+		}
+		o.kind, o.model, o.adapter = OrderUnload, model, adapter
+	}
+	s.note("replicas", "orders an adapter", Field{"order", string(o.kind)}, Field{"endpoint", string(e.ID)},
+		Field{"model", o.model}, Field{"adapter", o.adapter}, Field{"for_adapter", need.Adapter},
+		Field{"waiting", need.Waiting}, Field{"adapters", p.adaptersAt(e)}, Field{"sequence", e.engine.sequence})
+	s.sendOrder(o)
+}
+
+// freeMemory returns the memory of an engine that its models and adapters leave.
+// A model that the configuration no longer has counts as all of it.
+func (p *servicePlan) freeMemory(e *endpoint) rpdocument.Bytes {
+	free := p.spec.Memory
+	for name, adapters := range e.engine.content {
+		spec, known := p.spec.Models[name]
+		used := spec.Memory + spec.AdapterMemory*rpdocument.Bytes(len(adapters))
+		if !known || used >= free {
+			return 0
+		}
+		free -= used
+	}
+	return free
+}
+
+// oldestAdapter returns the adapter at an engine that was loaded first. Its
+// engine unloads one that requests use only after they have ended.
+func (p *servicePlan) oldestAdapter(e *endpoint, need Need) (model, adapter string) {
+	var oldest time.Time
+	for _, name := range sortedKeys(e.engine.content) {
+		for _, candidate := range sortedKeys(e.engine.content[name]) {
+			if p.needed(name, candidate) || name == need.Model && candidate == need.Adapter {
+				continue
+			}
+			var at time.Time
+			if r := e.engine.models[name]; r != nil {
+				at = r.adapters[candidate]
+			}
+			if adapter == "" || at.Before(oldest) {
+				model, adapter, oldest = name, candidate, at
+			}
+		}
+	}
+	return model, adapter
+}
+
+// needed reports whether requests wait for an adapter.
+func (p *servicePlan) needed(model, adapter string) bool {
+	for _, d := range p.state.plan.demands {
+		for _, need := range d.Needs {
+			if need.Service == p.service && need.Model == model && need.Adapter == adapter {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/rpfleet/evict.go
@@ -0,0 +1,112 @@
+package rpfleet
+
+import (
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+)
+
+// enginePlan is what a plan needs of an engine, worked out once for all loads.
+type enginePlan struct {
+	free      rpdocument.Bytes
+	evictable []evictable
+}
+
+// evictable is a model that an engine may unload, with the cost of that in
+// seconds.
+type evictable struct {
+	name   string
+	memory rpdocument.Bytes
+	cost   float64
+	// shared says that other engines hold the model, or that it is asked for
+	// often.
+	shared bool
+}
+
+func (p *servicePlan) enginePlan(e *endpoint) *enginePlan {
+	if known := p.enginePlans[e.ID]; known != nil {
+		return known
+	}
+	plan := &enginePlan{free: p.freeMemory(e)}
+	for _, name := range sortedKeys(e.engine.content) {
+		if candidate, ok := p.evictable(e, name); ok {
+			plan.evictable = append(plan.evictable, candidate)
+		}
+	}
+	p.enginePlans[e.ID] = plan
+	return plan
+}
+
+// victim returns the model to unload at an engine so that another one fits, or
+// "" where there is room. It returns false where none may be unloaded. A
+// preload pushes out no model that is shared.
+func (p *servicePlan) victim(w wanted, e *endpoint) (string, float64, bool) {
+	need := w.model.spec.Memory
+	plan := p.enginePlan(e)
+	if plan.free >= need {
+		return "", 0, true
+	}
+	var best *evictable
+	for i := range plan.evictable {
+		candidate := &plan.evictable[i]
+		if plan.free+candidate.memory < need || w.preload && candidate.shared {
+			continue
+		}
+		if best == nil || candidate.cost < best.cost {
+			best = candidate
+		}
+	}
+	if best == nil {
+		return "", 0, false
+	}
+	return best.name, best.cost, true
+}
+
+// evictable returns the cost of unloading a model at an engine. It returns false
+// where the model must stay.
+func (p *servicePlan) evictable(e *endpoint, name string) (evictable, bool) {
+	s := p.state
+	candidate := evictable{name: name, memory: p.spec.Models[name].Memory}
+	r := e.engine.models[name]
+	m := p.models[name]
+	if m == nil || r == nil {
+		return candidate, true
+	}
+	have := len(m.holders)
+	switch {
+	case r.readyAt.After(s.now) || s.now.Sub(r.loadedAt) < leastResidence && m.waiting > 0:
+		return candidate, false
+	case have <= 1 && m.waiting > 0:
+		return candidate, false
+	}
+	candidate.shared = have > 1 || m.rate > replicaRate/2
+	if left := float64(have - 1); left == 0 || m.rate/left > spareRate*replicaRate {
+		candidate.cost = evictionWeight * m.rate / float64(have)
+	}
+	if p.running[runningModel{e.ID, name}] {
+		candidate.cost += runningCost
+	}
+	if s.now.Sub(r.usedAt) < recentUse {
+		candidate.cost += runningCost / 2
+	}
+	return candidate, true
+}
+
+// runningModel is a model with requests in progress at an engine.
+type runningModel struct {
+	endpoint rpcore.EndpointID
+	model    string
+}
+
+// requestsInProgress returns which models run where, and how many requests each
+// endpoint has.
+func (s *State) requestsInProgress() (map[runningModel]bool, map[rpcore.EndpointID]int) {
+	running := map[runningModel]bool{}
+	load := map[rpcore.EndpointID]int{}
+	for _, d := range s.plan.demands {
+		for _, at := range d.InFlight {
+			running[runningModel{at.Endpoint, at.Model}] = true
+			load[at.Endpoint] += at.Count
+		}
+	}
+	return running, load
+}
--- /dev/null
+++ b/pkg/rpfleet/lease_test.go
@@ -0,0 +1,248 @@
+package rpfleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
+)
+
+// Guards against orders of two holders of the lease to one engine within the
+// time that engines need to tell them apart.
+func TestTakeoverWaitsForTheHolderBefore(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
+	r.configure(engine)
+	row := rpfleet.LeaseRow{Revision: 7, Holder: "front-2", Epoch: 3, Renewals: 9}
+	r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row})
+	begin := r.now
+	r.apply(rpfleet.PlacementReceived{Stamp: r.stamp(), AskedAt: r.now, Failed: true})
+	for len(effectsOf[rpfleet.WriteLease](r)) == 0 && r.now.Sub(begin) < time.Minute {
+		r.advance(100 * time.Millisecond)
+		r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row})
+	}
+	// The lease lasts 1.5 s from the last renewal, which was before the first
+	// reading.
+	g.Expect(r.now.Sub(begin)).To(BeNumerically(">", 1500*time.Millisecond))
+	write := effectsOf[rpfleet.WriteLease](r)[0]
+	g.Expect(write.Expected).To(Equal(uint64(7)))
+	g.Expect(write.Row.Epoch).To(Equal(uint64(4)))
+	taken := write.Row
+	taken.Revision = 8
+	r.apply(rpfleet.LeaseWritten{Stamp: r.stamp(), AskedAt: r.now, Outcome: rpcore.WriteApplied, Row: taken})
+	r.report(engine, 0)
+	r.arrive("a", "/later/1", "m4")
+	for len(effectsOf[rpfleet.SendOrder](r)) == 0 && r.now.Sub(begin) < time.Minute {
+		r.renew(100 * time.Millisecond)
+	}
+	g.Expect(r.now.Sub(begin)).To(BeNumerically(">=", 1500*time.Millisecond+rpfleet.DefaultHolderGap))
+	g.Expect(r.now.Sub(begin)).To(BeNumerically("<", 6*time.Second))
+}
+
+// Guards against a takeover before the lease has ended by the clock of the
+// store, and against one that waits much longer.
+func TestTakeoverByTheClockOfTheStore(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2")
+	r.configure(engine)
+	const storeStart = rpfleet.StoreTime(time.Hour)
+	begin := r.now
+	storeNow := func() rpfleet.StoreTime { return storeStart + rpfleet.StoreTime(r.now.Sub(begin)) }
+	row := rpfleet.LeaseRow{Revision: 7, Holder: "front-2", Epoch: 3, ValidUntil: storeStart + rpfleet.StoreTime(time.Second)}
+	r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row, StoreNow: storeNow()})
+	r.apply(rpfleet.PlacementReceived{Stamp: r.stamp(), AskedAt: r.now, Failed: true})
+	for len(effectsOf[rpfleet.WriteLease](r)) == 0 && r.now.Sub(begin) < time.Minute {
+		r.advance(50 * time.Millisecond)
+		for range effectsOf[rpfleet.ReadLease](r) {
+			r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row, StoreNow: storeNow()})
+		}
+		r.seen = min(r.seen, len(r.effects))
+	}
+	g.Expect(r.now.Sub(begin)).To(BeNumerically(">", time.Second))
+	g.Expect(r.now.Sub(begin)).To(BeNumerically("<", 2*time.Second))
+	taken := effectsOf[rpfleet.WriteLease](r)[0].Row
+	g.Expect(taken.ValidUntil).To(BeNumerically(">", storeNow()))
+	taken.Revision = 8
+	r.apply(rpfleet.LeaseWritten{Stamp: r.stamp(), AskedAt: r.now, Outcome: rpcore.WriteApplied, Row: taken, StoreNow: storeNow()})
+	r.report(engine, 0)
+	r.arrive("a", "/later/1", "m4")
+	for len(effectsOf[rpfleet.SendOrder](r)) == 0 && r.now.Sub(begin) < time.Minute {
+		r.renew(100 * time.Millisecond)
+	}
+	// The holder before may have ordered until the end of its lease.
+	g.Expect(r.now.Sub(begin)).To(BeNumerically(">=", time.Second+rpfleet.DefaultHolderGap))
+	g.Expect(r.now.Sub(begin)).To(BeNumerically("<", 5*time.Second))
+}
+
+// Guards against a planner that holds on to its lease while the store turns only
+// itself away, and against one that orders after it has given up.
+func TestGivesUpWhereOthersReachTheStore(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2")
+	r.configure(engine)
+	r.lead(engine)
+	demand := rpfleet.Demand{Instance: "front-2", Full: true}
+	var late rpfleet.LeaseRow
+	for range 2 {
+		r.advance(400 * time.Millisecond)
+		writes := effectsOf[rpfleet.WriteLease](r)
+		late = writes[len(writes)-1].Row
+		r.apply(rpfleet.DemandReceived{Stamp: r.stamp(), Call: 1, Demand: demand})
+		r.apply(rpfleet.LeaseWritten{Stamp: r.stamp(), AskedAt: r.now, Outcome: rpcore.WriteUnavailable, Row: late})
+	}
+	r.forget()
+	r.apply(rpfleet.DemandReceived{Stamp: r.stamp(), Call: 2, Demand: demand})
+	answers := effectsOf[rpfleet.AnswerDemand](r)
+	g.Expect(answers).To(HaveLen(1))
+	g.Expect(answers[0].Placement.Leading).To(BeFalse())
+	g.Expect(answers[0].Placement.GaveUp).To(Equal(late.Epoch))
+	// The answer to an earlier renewal must not bring the lease back.
+	late.Revision = 20
+	r.apply(rpfleet.LeaseWritten{Stamp: r.stamp(), AskedAt: r.now, Outcome: rpcore.WriteApplied, Row: late})
+	r.arrive("a", "/later/1", "m4")
+	r.advance(300 * time.Millisecond)
+	g.Expect(effectsOf[rpfleet.SendOrder](r)).To(BeEmpty())
+}
+
+// Guards against a planner that gives up in an outage of the store for all: it
+// could go on at once when the store is back, and another one could not.
+func TestKeepsItsLeaseInAnOutage(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	r.configure(testEndpoint("e1", testService, homeDomain, "m0"))
+	r.lead()
+	for i := range 3 {
+		r.advance(400 * time.Millisecond)
+		writes := effectsOf[rpfleet.WriteLease](r)
+		demand := rpfleet.Demand{Instance: "front-2", Full: true, StoreAge: time.Duration(i+1) * 400 * time.Millisecond}
+		r.apply(rpfleet.DemandReceived{Stamp: r.stamp(), Call: 1, Demand: demand})
+		r.apply(rpfleet.LeaseWritten{Stamp: r.stamp(), AskedAt: r.now, Outcome: rpcore.WriteUnavailable, Row: writes[len(writes)-1].Row})
+	}
+	g.Expect(r.state.Leading()).To(BeTrue())
+	row := effectsOf[rpfleet.WriteLease](r)[0].Row
+	row.Revision = 10
+	r.advance(2 * time.Second)
+	g.Expect(r.state.Leading()).To(BeFalse())
+	r.forget()
+	r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row})
+	g.Expect(effectsOf[rpfleet.WriteLease](r)).To(HaveLen(1))
+}
+
+// Guards against an instance that waits for the end of a lease that its holder
+// has given up.
+func TestTakesWhatWasGivenUp(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	r.configure(testEndpoint("e1", testService, homeDomain, "m0"))
+	row := rpfleet.LeaseRow{Revision: 7, Holder: "front-2", Epoch: 3, ValidUntil: rpfleet.StoreTime(time.Hour)}
+	r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row, StoreNow: 1})
+	g.Expect(effectsOf[rpfleet.WriteLease](r)).To(BeEmpty())
+	r.apply(rpfleet.PlacementReceived{Stamp: r.stamp(), AskedAt: r.now, Placement: rpfleet.Placement{GaveUp: 3}})
+	for range 2 {
+		r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row, StoreNow: 2})
+		r.advance(100 * time.Millisecond)
+	}
+	g.Expect(effectsOf[rpfleet.WriteLease](r)).To(HaveLen(1))
+}
+
+// Guards against a pause for all engines after a holder that told its last orders,
+// and against an order to an engine that the holder before it had ordered: what
+// was taken over is passed on.
+func TestLastOrdersArePassedOn(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	fresh := withCheckpoints(testEndpoint("e1", testService, homeDomain))
+	ordered := withCheckpoints(testEndpoint("e2", testService, homeDomain))
+	r.configure(fresh, ordered)
+	begin := r.now
+	storeNow := func() rpfleet.StoreTime { return rpfleet.StoreTime(time.Hour + r.now.Sub(begin)) }
+	row := rpfleet.LeaseRow{
+		Revision: 7, Epoch: 3, Given: true, ValidUntil: storeNow(),
+		Orders: []rpfleet.LastOrder{{Endpoint: "e2", Age: time.Second}},
+	}
+	for range 2 {
+		r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row, StoreNow: storeNow()})
+		r.advance(40 * time.Millisecond)
+	}
+	taken := effectsOf[rpfleet.WriteLease](r)[0].Row
+	taken.Revision = 8
+	r.apply(rpfleet.LeaseWritten{Stamp: r.stamp(), AskedAt: r.now, Outcome: rpcore.WriteApplied, Row: taken, StoreNow: storeNow()})
+	r.report(fresh, 0)
+	r.report(ordered, 0)
+	for i, model := range []string{"m0", "m1", "m2", "m3"} {
+		r.arrive("r"+string(rune('0'+i)), "/later/1", model)
+	}
+	first := map[rpcore.EndpointID]time.Duration{}
+	for r.now.Sub(begin) < 2*time.Second {
+		before := len(r.effects)
+		r.renew(100 * time.Millisecond)
+		for _, effect := range r.effects[before:] {
+			if order, ok := effect.(rpfleet.SendOrder); ok {
+				if _, known := first[order.Endpoint]; !known {
+					first[order.Endpoint] = r.now.Sub(begin)
+				}
+			}
+		}
+	}
+	g.Expect(first["e1"]).To(BeNumerically("<", 500*time.Millisecond))
+	if at, ok := first["e2"]; ok {
+		g.Expect(at).To(BeNumerically(">=", rpfleet.DefaultHolderGap-time.Second))
+	}
+	// On a planned stop within that time the next holder hears of both.
+	r.forget()
+	r.apply(rpfleet.DrainRequested{Stamp: r.stamp()})
+	writes := effectsOf[rpfleet.WriteLease](r)
+	g.Expect(writes).NotTo(BeEmpty())
+	named := map[rpcore.EndpointID]bool{}
+	for _, order := range writes[len(writes)-1].Row.Orders {
+		named[order.Endpoint] = true
+	}
+	g.Expect(named).To(HaveKey(rpcore.EndpointID("e1")))
+	g.Expect(named).To(HaveKey(rpcore.EndpointID("e2")))
+}
+
+// Guards against a restart that forgets how long the lease forbids orders.
+func TestRestartKeepsTheGap(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2")
+	r.configure(engine)
+	const storeNow = rpfleet.StoreTime(time.Hour)
+	begin := r.now
+	row := rpfleet.LeaseRow{
+		Revision: 7, Holder: "front-1", Epoch: 3, ValidUntil: storeNow + 1, OrdersFrom: storeNow + rpfleet.StoreTime(2*time.Second),
+	}
+	r.apply(rpfleet.LeaseRead{Stamp: r.stamp(), AskedAt: r.now, Row: row, StoreNow: storeNow})
+	taken := effectsOf[rpfleet.WriteLease](r)[0].Row
+	taken.Revision = 8
+	r.apply(rpfleet.LeaseWritten{Stamp: r.stamp(), AskedAt: r.now, Outcome: rpcore.WriteApplied, Row: taken, StoreNow: storeNow})
+	r.report(engine, 0)
+	r.arrive("a", "/later/1", "m4")
+	for len(effectsOf[rpfleet.SendOrder](r)) == 0 && r.now.Sub(begin) < time.Minute {
+		r.renew(100 * time.Millisecond)
+	}
+	g.Expect(r.now.Sub(begin)).To(BeNumerically(">=", 2*time.Second))
+	g.Expect(r.now.Sub(begin)).To(BeNumerically("<", 3*time.Second))
+}
+
+// Guards against orders from an instance whose lease ran out while the store
+// did not answer or the instance was paused.
+func TestNoOrderAfterTheLease(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
+	r.configure(engine)
+	r.lead(engine)
+	r.forget()
+	r.now = r.now.Add(1600 * time.Millisecond)
+	r.arrive("a", "/later/1", "m4")
+	g.Expect(effectsOf[rpfleet.SendOrder](r)).To(BeEmpty())
+	r.advance(200 * time.Millisecond)
+	g.Expect(effectsOf[rpfleet.SendOrder](r)).To(BeEmpty())
+}
--- /dev/null
+++ b/pkg/rpfleet/placing.go
@@ -0,0 +1,218 @@
+package rpfleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+// wanted is a replica to load, in the order of urgency.
+type wanted struct {
+	model *modelDemand
+	// waiting says that requests wait that no replica can take.
+	waiting bool
+	// preload says that nothing asks for the model yet.
+	preload bool
+}
+
+func (p *servicePlan) wanted() []wanted {
+	var list []wanted
+	for _, name := range sortedKeys(p.models) {
+		m := p.models[name]
+		switch have := len(m.holders); {
+		case have == 0 && m.waiting > 0:
+			list = append(list, wanted{model: m, waiting: true})
+		case have > 0 && have < m.desired(len(p.engines)):
+			list = append(list, wanted{model: m})
+		case have == 0 && !p.atHand(m):
+			list = append(list, wanted{model: m, preload: true})
+		}
+	}
+	slices.SortStableFunc(list, compareWanted)
+	return list
+}
+
+func compareWanted(a, b wanted) int {
+	return cmp.Or(
+		compareBool(a.preload, b.preload),
+		cmp.Compare(a.urgency(), b.urgency()),
+		cmp.Compare(b.pressure(), a.pressure()),
+		cmp.Compare(b.model.rate, a.model.rate),
+		cmp.Compare(b.model.spec.Adapters, a.model.spec.Adapters),
+	)
+}
+
+// urgency is the rank of the waiting requests. A model whose replicas are
+// overloaded counts as one that urgent requests wait for.
+func (w wanted) urgency() int {
+	if !w.waiting && !w.preload {
+		return 0
+	}
+	return w.model.rank
+}
+
+// pressure weighs the number of requests that a load would serve with the square
+// of the time that they have waited, so that none waits for ever behind models
+// that more requests ask for.
+func (w wanted) pressure() float64 {
+	if w.model.waiting == 0 {
+		return 0
+	}
+	n := float64(w.model.waiting)
+	waited := w.model.waited.Seconds()/n + 1
+	return n * waited * waited
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// atHand reports whether an engine can load a model without the weight store.
+func (p *servicePlan) atHand(m *modelDemand) bool {
+	for _, e := range p.engines {
+		if place := e.Cached[m.id.model]; place == rpcore.PlaceMemory || place == rpcore.PlaceDisk {
+			return true
+		}
+	}
+	return false
+}
+
+// loads orders the loads that are wanted, one at each engine at most.
+func (p *servicePlan) loads() {
+	s := p.state
+	ahead := 0
+	for _, m := range p.models {
+		s.expectHolders(m)
+	}
+	for _, w := range p.wanted() {
+		best := p.cheapest(w)
+		if best.engine == nil {
+			if w.waiting && p.allVerified() && !p.atHand(w.model) {
+				ahead++
+				s.plan.expected[w.model.id] = s.now.Add(p.queuedLoad(ahead))
+			}
+			continue
+		}
+		if w.waiting {
+			s.plan.expected[w.model.id] = s.now.Add(best.wait + best.load)
+		}
+		p.carryOut(w, best)
+	}
+}
+
+// allVerified reports whether all engines have said what they hold. Before, it
+// is not known how long a load takes.
+func (p *servicePlan) allVerified() bool {
+	return !slices.ContainsFunc(p.engines, func(e *endpoint) bool { return !e.engine.verified })
+}
+
+// expectHolders says when a model that is being loaded is ready.
+func (s *State) expectHolders(m *modelDemand) {
+	for _, e := range m.holders {
+		readyAt := s.now.Add(e.engine.wait(s.now))
+		if r := e.engine.models[m.id.model]; r != nil {
+			readyAt = r.readyAt
+			if readyAt.After(s.now) && !r.dueAt.IsZero() {
+				readyAt = maxTime(r.dueAt, s.now)
+			}
+		}
+		if known, ok := s.plan.expected[m.id]; !ok || readyAt.Before(known) {
+			s.plan.expected[m.id] = readyAt
+		}
+	}
+}
+
+// queuedLoad estimates the end of a load that waits for the weight store.
+func (p *servicePlan) queuedLoad(ahead int) time.Duration {
+	return assumedLoad * time.Duration(1+(ahead+p.state.policy.WeightLoads-1)/p.state.policy.WeightLoads)
+}
+
+// loadChoice is a way to load a model.
+type loadChoice struct {
+	engine *endpoint
+	victim string
+	place  rpcore.CheckpointPlace
+	// wait is the time until the engine takes the order.
+	wait time.Duration
+	load time.Duration
+	cost float64
+}
+
+// cheapest returns the best engine for a load. Its engine is nil where no load
+// can begin.
+func (p *servicePlan) cheapest(w wanted) loadChoice {
+	var best loadChoice
+	for _, e := range p.engines {
+		choice, ok := p.choice(w, e)
+		if ok && (best.engine == nil || choice.cost < best.cost) {
+			best = choice
+		}
+	}
+	return best
+}
+
+func (p *servicePlan) choice(w wanted, e *endpoint) (loadChoice, bool) {
+	s := p.state
+	m := w.model
+	if !e.engine.verified {
+		s.askReport(e)
+		return loadChoice{}, false
+	}
+	if !w.waiting && !w.preload && float64(p.load[e.ID]) > relief*p.holderLoad(m) {
+		return loadChoice{}, false
+	}
+	if e.engine.models[m.id.model] != nil || e.engine.content[m.id.model] != nil || e.engine.plannedLoad != "" && e.engine.plannedLoad != m.id.model {
+		return loadChoice{}, false
+	}
+	choice := loadChoice{engine: e, place: cmp.Or(e.Cached[m.id.model], rpcore.PlaceRemote)}
+	remote := choice.place == rpcore.PlaceRemote
+	if remote && !p.storeFree(w.preload) {
+		return loadChoice{}, false
+	}
+	choice.load = cmp.Or(m.spec.LoadTimes[choice.place], assumedLoad)
+	choice.wait = e.engine.wait(s.now)
+	victim, value, ok := p.victim(w, e)
+	if !ok || value > maxEvictionCost && (w.model.rank > 0 || !w.waiting) {
+		return loadChoice{}, false
+	}
+	choice.victim = victim
+	choice.cost = (choice.wait + choice.load).Seconds() + value
+	for _, holder := range m.holders {
+		if holder.FailureDomain == e.FailureDomain {
+			choice.cost += spreadCost
+		}
+	}
+	if remote {
+		// Checkpoints that are spread out can be loaded at the same time.
+		choice.cost += float64(len(e.Cached)) / 100
+	}
+	return choice, true
+}
+
+// holderLoad returns the mean number of requests in progress at the engines that
+// hold a model.
+func (p *servicePlan) holderLoad(m *modelDemand) float64 {
+	sum := 0
+	for _, e := range m.holders {
+		sum += p.load[e.ID]
+	}
+	return float64(sum) / float64(max(1, len(m.holders)))
+}
+
+// storeFree reports whether one more load from the weight store runs at full
+// speed.
+func (p *servicePlan) storeFree(preload bool) bool {
+	limit := p.state.policy.WeightLoads
+	if preload {
+		limit -= preloadReserve
+	}
+	return len(p.state.plan.weightLoads) < limit
+}
