--- a/internal/rpgateway/follow.go
+++ b/internal/rpgateway/follow.go
@@ -33,6 +33,8 @@
 	// interval returns the least time between two calls, which bounds the calls
 	// for a table that changes all the time.
 	interval func() time.Duration
+	// idle says that the table is not followed now; nil never does.
+	idle func() bool
 	// apply takes in rows; complete says that they are the whole table.
 	apply func(rows []rpwire.Row, complete bool)
 	// lost is called once for each outage.
@@ -49,6 +51,11 @@
 func (f *follower) run(ctx context.Context) {
 	pause := followRetry
 	for ctx.Err() == nil {
+		if f.idle != nil && f.idle() {
+			f.known = false
+			sleep(ctx, idleCheck)
+			continue
+		}
 		begin := time.Now()
 		err := f.step(ctx)
 		switch {
@@ -73,6 +80,9 @@
 	}
 }
 
+// idleCheck is the time between two looks at whether a table is to be followed.
+const idleCheck = 500 * time.Millisecond
+
 // intervalCheck is the time between two looks at an interval that may have
 // become shorter.
 const intervalCheck = 100 * time.Millisecond
--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -104,6 +104,7 @@
 	orders   *orders
 	peers    *peers
 	leases   *leases
+	posts    *posts
 	store    *rpwire.Store
 	forward  *rpendpoint.Forwarder
 	// ready is what the balancer is told.
@@ -131,6 +132,7 @@
 	p.orders = &orders{loop: p.loop, forward: p.forward, holder: i.Settings.identity().Instance, log: i.Log.Part("endpoint"), observe: p.observer}
 	p.peers = &peers{loop: p.loop, client: client, log: i.Log.Part("peer")}
 	p.leases = &leases{loop: p.loop, store: p.store, log: i.Log.Part("platform")}
+	p.posts = &posts{loop: p.loop, store: p.store, log: i.Log.Part("platform")}
 	lc.Append(fx.Hook{OnStart: p.onStart, OnStop: p.onStop})
 	return p
 }
@@ -162,6 +164,8 @@
 		go p.leases.write(effect)
 	case rpfleet.SendDemand:
 		go p.peers.send(effect)
+	case rpfleet.PostDemand:
+		go p.posts.write(effect)
 	case rpfleet.AnswerDemand:
 		p.peers.answer(effect)
 	case rpfleet.SendOrder:
@@ -203,6 +207,7 @@
 	}
 	p.running.Go(func() { p.configFollower().run(background) })
 	p.running.Go(func() { p.endpointFollower().run(background) })
+	p.running.Go(func() { p.posts.follower().run(background) })
 	p.running.Go(func() { p.watchSettings(background) })
 	p.log.Info().Str("instance", p.settings.Instance.Name).Str("failure_domain", p.settings.Instance.FailureDomain).
 		Str("callers", listen.Callers.String()).Str("peers", listen.Peers.String()).
--- a/internal/rpgateway/loop.go
+++ b/internal/rpgateway/loop.go
@@ -50,6 +50,13 @@
 
 func (l *loop) tick() { l.apply(rpfleet.Tick{Stamp: l.stamp()}) }
 
+// leading reports whether this instance plans.
+func (l *loop) leading() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Leading()
+}
+
 // mayOrder reports whether the lease that an order was decided under still
 // holds.
 func (l *loop) mayOrder(cmd rpfleet.SendOrder) bool {
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -25,6 +25,10 @@
 	demandCalls  = 100.0
 	needCalls    = 200.0
 	newNeedCalls = 1000.0
+	// postAfter is the time without an answer of the planner after which needs go
+	// to the store, and postInterval that between two of them.
+	postAfter    = time.Second
+	postInterval = time.Second
 	// demandMemory is how long the demand of an instance counts that sends no
 	// more.
 	demandMemory = 3 * time.Second
@@ -62,6 +66,8 @@
 	asking bool
 	again  bool
 	sentAt time.Time
+	// postedAt is when the last demand was left in the store.
+	postedAt time.Time
 	// fullAt is when the last full demand was sent.
 	fullAt time.Time
 	// epoch, seen and listSeen are those of the last placement.
@@ -299,6 +305,9 @@
 // placementReceived takes in the planner's answer.
 func (s *State) placementReceived(ev PlacementReceived) {
 	s.demand.asking = false
+	if ev.Failed {
+		s.postDemand()
+	}
 	if ev.Failed || !ev.Placement.Leading {
 		s.holderSilent(&ev)
 		return
@@ -326,6 +335,17 @@
 	}
 }
 
+// postDemand leaves the needs in the store where the planner has not answered for
+// a while. It may still hold its lease and reach the engines and the store.
+func (s *State) postDemand() {
+	d := &s.demand
+	if s.now.Sub(d.placementAt) < postAfter || s.now.Sub(d.postedAt) < postInterval || !s.hasNeeds() {
+		return
+	}
+	d.postedAt = s.now
+	s.emit(PostDemand{Demand: Demand{Instance: s.self.Instance, Needs: s.currentNeeds()}})
+}
+
 // adoptPlacement takes in what the planner ordered at an engine.
 func (s *State) adoptPlacement(content *EngineContent, asOf time.Time) {
 	e := s.endpoints[content.Endpoint]
--- a/pkg/rpfleet/effect.go
+++ b/pkg/rpfleet/effect.go
@@ -82,6 +82,13 @@
 	Demand  Demand
 }
 
+// PostDemand leaves a demand in the store for a planner that does not answer
+// this instance. Nothing follows from it but what the planner orders.
+type PostDemand struct {
+	effectMark
+	Demand Demand
+}
+
 // AnswerDemand answers a DemandReceived.
 type AnswerDemand struct {
 	effectMark
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -229,6 +229,13 @@
 	Demand Demand
 }
 
+// DemandPosted carries a demand that another instance left in the store, because
+// it does not reach this one.
+type DemandPosted struct {
+	Stamp
+	Demand Demand
+}
+
 // PlacementReceived carries the planner's answer to this instance's demand.
 type PlacementReceived struct {
 	Stamp
--- a/pkg/rpfleet/placement.go
+++ b/pkg/rpfleet/placement.go
@@ -114,3 +114,15 @@
 	}
 	return expected
 }
+
+// demandPosted takes in a demand from the store. Its instance sees in the list
+// what was loaded.
+func (s *State) demandPosted(d Demand) {
+	if !s.leading() || d.Instance == s.self.Instance {
+		return
+	}
+	s.note("replicas", "takes a demand from the store", Field{"instance", string(d.Instance)}, Field{"needs", len(d.Needs)})
+	d.Full = false
+	s.takeDemand(d)
+	s.planNow()
+}
--- a/pkg/rpfleet/plan_test.go
+++ b/pkg/rpfleet/plan_test.go
@@ -1,6 +1,7 @@
 package rpfleet_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -227,6 +228,41 @@
 	g.Expect(len(held)).To(BeNumerically(">", 3))
 }
 
+// Guards against an instance that reaches the engines and the store but not the
+// planner, and whose models are therefore never loaded.
+func TestDemandThroughTheStore(t *testing.T) {
+	g := NewWithT(t)
+	cut := withRig(t)
+	cut.configure(testEndpoint("e1", testService, homeDomain, "m0"))
+	row := rpfleet.LeaseRow{Revision: 7, Holder: "front-2", Epoch: 3, ValidUntil: rpfleet.StoreTime(time.Hour), Address: netip.MustParseAddrPort("10.0.0.2:7000")}
+	cut.apply(rpfleet.LeaseRead{Stamp: cut.stamp(), AskedAt: cut.now, Row: row, StoreNow: 1})
+	cut.arrive("a", "/later/1", "m5")
+	answered := 0
+	for range 20 {
+		cut.advance(100 * time.Millisecond)
+		for ; answered < len(cut.effects); answered++ {
+			if _, ok := cut.effects[answered].(rpfleet.SendDemand); ok {
+				cut.apply(rpfleet.PlacementReceived{Stamp: cut.stamp(), AskedAt: cut.now, Failed: true})
+			}
+		}
+	}
+	posts := effectsOf[rpfleet.PostDemand](cut)
+	g.Expect(posts).NotTo(BeEmpty())
+	g.Expect(len(posts)).To(BeNumerically("<=", 2), "one a second at the most")
+
+	planner := withRig(t)
+	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0"))
+	planner.configure(engine)
+	planner.lead(engine)
+	demand := posts[0].Demand
+	demand.Instance = "front-3"
+	planner.apply(rpfleet.DemandPosted{Stamp: planner.stamp(), Demand: demand})
+	planner.renew(200 * time.Millisecond)
+	orders := effectsOf[rpfleet.SendOrder](planner)
+	g.Expect(orders).To(HaveLen(1))
+	g.Expect(orders[0].Model).To(Equal("m5"))
+}
+
 // Guards against more adapters at an engine than it has places for.
 func TestAdapterPlaces(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -139,6 +139,8 @@
 		s.engineReported(ev)
 	case DemandReceived:
 		s.demandReceived(ev)
+	case DemandPosted:
+		s.demandPosted(ev.Demand)
 	case PlacementReceived:
 		s.placementReceived(ev)
 	case DrainRequested:
