--- a/pkg/rpfleet/endpoint.go
+++ b/pkg/rpfleet/endpoint.go
@@ -247,6 +247,7 @@
 	e.engine.models = map[string]*replica{}
 	e.engine.dropped = map[string]time.Time{}
 	s.endpoints[entry.ID] = e
+	s.joinedAt = s.now
 	s.byService, s.sorted = nil, nil
 	s.note("members", "an endpoint joined", Field{"endpoint", string(e.ID)}, Field{"service", e.Service},
 		Field{"address", e.Address.String()}, Field{"failure_domain", string(e.FailureDomain)},
--- a/pkg/rpfleet/placing.go
+++ b/pkg/rpfleet/placing.go
@@ -26,7 +26,7 @@
 			list = append(list, wanted{model: m, waiting: true})
 		case have > 0 && have < m.desired(len(p.engines)):
 			list = append(list, wanted{model: m})
-		case have == 0 && !p.atHand(m):
+		case have == 0 && p.state.now.Sub(p.state.joinedAt) >= listSettled && !p.atHand(m):
 			list = append(list, wanted{model: m, preload: true})
 		}
 	}
@@ -163,8 +163,7 @@
 	s := p.state
 	m := w.model
 	if !e.engine.verified {
-		s.askReport(e)
-		return loadChoice{}, false
+		return p.unverifiedChoice(w, e)
 	}
 	if !w.waiting && !w.preload && float64(p.load[e.ID]) > relief*p.holderLoad(m) {
 		return loadChoice{}, false
@@ -197,6 +196,20 @@
 	return choice, true
 }
 
+// unverifiedChoice stands for an engine that has the checkpoint but has not said
+// yet what it holds. Waiting for its report takes less than a load from the
+// weight store elsewhere.
+func (p *servicePlan) unverifiedChoice(w wanted, e *endpoint) (loadChoice, bool) {
+	p.state.askReport(e)
+	place := e.Cached[w.model.id.model]
+	if place == "" || place == rpcore.PlaceRemote {
+		return loadChoice{}, false
+	}
+	choice := loadChoice{engine: e, place: place, wait: reportPause, load: cmp.Or(w.model.spec.LoadTimes[place], assumedLoad)}
+	choice.cost = (choice.wait + choice.load).Seconds()
+	return choice, true
+}
+
 // holderLoad returns the mean number of requests in progress at the engines that
 // hold a model.
 func (p *servicePlan) holderLoad(m *modelDemand) float64 {
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -59,6 +59,10 @@
 	spreadCost = 0.5
 	// assumedLoad is the load time of a model whose configuration gives none.
 	assumedLoad = 6 * time.Second
+	// listSettled is the time without a new endpoint after which the list counts
+	// as complete. Engines enter it with their heartbeats, over a second apart;
+	// before, a checkpoint seems to be nowhere that one of them has.
+	listSettled = 3 * time.Second
 	// preloadReserve is the number of loads from the weight store that are
 	// kept free for models that requests wait for.
 	preloadReserve = 1
--- a/pkg/rpfleet/plan_test.go
+++ b/pkg/rpfleet/plan_test.go
@@ -193,6 +193,30 @@
 	g.Expect(effectsOf[rpfleet.StartAttempt](r)).NotTo(BeEmpty())
 }
 
+// Guards against loads from the weight store of models that are on the disks of
+// engines which enter the list a moment later, or that have not said yet what
+// they hold.
+func TestNoRemoteLoadOfWhatIsAtHand(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	empty := testEndpoint("e1", testService, homeDomain)
+	r.configure(empty)
+	r.lead(empty)
+	r.renew(1500 * time.Millisecond)
+	late := withCheckpoints(testEndpoint("e2", testService, homeDomain))
+	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Entries: []rpfleet.Endpoint{late}})
+	r.arrive("a", "/later/1", "m5")
+	r.renew(300 * time.Millisecond)
+	g.Expect(effectsOf[rpfleet.SendOrder](r)).To(BeEmpty())
+	r.report(late, 0)
+	r.renew(4 * time.Second)
+	for _, order := range effectsOf[rpfleet.SendOrder](r) {
+		g.Expect(order.Endpoint).To(Equal(late.ID))
+		g.Expect(order.Model).To(Equal("m5"))
+	}
+	g.Expect(effectsOf[rpfleet.SendOrder](r)).NotTo(BeEmpty())
+}
+
 // Guards against a model with one request that waits behind models that more
 // requests ask for until its deadline has passed.
 func TestNoModelStarves(t *testing.T) {
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -73,13 +73,15 @@
 	draining    bool
 	counter     uint64
 
-	config      *Config
-	configAt    time.Time
-	endpoints   map[rpcore.EndpointID]*endpoint
-	byService   map[string][]*endpoint
-	sorted      []*endpoint
-	listed      bool
-	listReadAt  time.Time
+	config     *Config
+	configAt   time.Time
+	endpoints  map[rpcore.EndpointID]*endpoint
+	byService  map[string][]*endpoint
+	sorted     []*endpoint
+	listed     bool
+	listReadAt time.Time
+	// joinedAt is when the last endpoint joined.
+	joinedAt    time.Time
 	listing     listing
 	storeLostAt time.Time
 	storeBackAt time.Time
