Refuse a stream that still waits just before its caller leaves

Cause: callers give up on the first event of a stream long before the deadline of its route. The reducer knew that time, but a waiting request ended at its deadline only.

Change: a request that waits ends when its caller is about to leave, and is not sent again after that. A stream that has begun goes by its deadline.

Also names the cost of a cached checkpoint.

--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -244,7 +244,7 @@
 	if ev.Reason == rpcore.AttemptNotLoaded || ev.Reason == rpcore.AttemptBusy {
 		s.pause(r, min(refusedRetry<<min(r.sends-1, 8), maxRefusedRetry))
 		if r.engine != nil {
-			s.need(r)
+			s.need()
 		}
 		return
 	}
@@ -279,8 +279,8 @@
 		return "The answer broke off."
 	case r.runs >= r.route.MaxEndpoints:
 		return "The request ran at as many endpoints as its route allows."
-	case !s.now.Add(answerMargin).Before(r.cutoff):
-		return "The deadline passed."
+	case s.expired(r):
+		return timeUp
 	case !arrived(ev) && r.unreached >= maxUnreached:
 		return "No endpoint could be reached."
 	case arrived(ev) && !s.mayRetry(r.service):
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -147,7 +147,7 @@
 }
 
 // need tells the planner that a request waits.
-func (s *State) need(*request) {
+func (s *State) need() {
 	if s.demand.asking {
 		s.demand.again = true
 		return
@@ -331,7 +331,7 @@
 	s.dispatchAll()
 	if s.demand.again {
 		s.demand.again = false
-		s.need(nil)
+		s.need()
 	}
 }
 
--- a/pkg/rpfleet/placing.go
+++ b/pkg/rpfleet/placing.go
@@ -190,8 +190,7 @@
 		}
 	}
 	if remote {
-		// Checkpoints that are spread out can be loaded at the same time.
-		choice.cost += float64(len(e.Cached)) / 100
+		choice.cost += cachedCost * float64(len(e.Cached))
 	}
 	return choice, true
 }
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -57,6 +57,9 @@
 	// spreadCost is the cost, in seconds, of a further replica in a failure
 	// domain that has one.
 	spreadCost = 0.5
+	// cachedCost is the cost, in seconds, of each checkpoint that an engine has
+	// already: checkpoints that are spread out can be loaded at the same time.
+	cachedCost = 0.01
 	// assumedLoad is the load time of a model whose configuration gives none.
 	assumedLoad = 6 * time.Second
 	// listSettled is the time without a new endpoint after which the list counts
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -92,6 +92,9 @@
 	s.countRequest(r.service)
 	s.countArrival(r)
 	s.at(r.cutoff.Add(-answerMargin), func(s *State) { s.expire(r) })
+	if r.patience.Before(r.cutoff) {
+		s.at(r.patience.Add(-answerMargin), func(s *State) { s.expire(r) })
+	}
 	s.enqueue(r)
 	s.dispatch(r)
 }
@@ -198,7 +201,7 @@
 		return
 	}
 	if r.engine != nil {
-		s.need(r)
+		s.need()
 	}
 }
 
@@ -253,13 +256,27 @@
 		max(busyRetry, wait-r.patience.Sub(s.now)))
 }
 
-// expire ends a request whose time is up. One that runs is ended by the
-// deadline of its attempt.
+// expire refuses a request that still waits when its time is up. One that runs
+// is ended by the deadline of its attempt.
 func (s *State) expire(r *request) {
-	if r.phase != phaseWaiting {
+	if r.phase != phaseWaiting || !s.expired(r) {
 		return
 	}
-	s.refuse(r, s.giveUp(r, rpverdict.CodeDeadlineExceeded, "The deadline passed."))
+	s.refuse(r, s.giveUp(r, rpverdict.CodeDeadlineExceeded, timeUp))
+}
+
+// timeUp is the detail of a refusal of a request whose time is up.
+const timeUp = "The deadline or the caller's patience ran out."
+
+// expired reports whether the caller of a request that does not run would be
+// gone before another attempt could answer. Patience bounds the first event of
+// a stream only.
+func (s *State) expired(r *request) bool {
+	end := r.patience
+	if r.started {
+		end = r.cutoff
+	}
+	return !s.now.Add(answerMargin).Before(end)
 }
 
 // giveUp returns the refusal of a request that was not answered. A request
--- a/pkg/rpfleet/request_test.go
+++ b/pkg/rpfleet/request_test.go
@@ -278,6 +278,53 @@
 	g.Expect(refused[0].Refusal.RetryAfter).To(BeNumerically("~", 6*time.Second, 100*time.Millisecond))
 }
 
+// Guards against a stream that waits until its caller gives up on the first
+// event and leaves without an answer, and against one that is offered again
+// after that.
+func TestStreamIsRefusedBeforeItsCallerLeaves(t *testing.T) {
+	const callerLeaves = 8 * 600 * time.Millisecond // eight times the longest pause
+	g := NewWithT(t)
+	r := withRig(t)
+	r.configure(testEndpoint("e1", testService, homeDomain, "m0"))
+	for i := range 6 { // 1.5 times the slots of the engine
+		r.arrive(string(rune('a'+i)), "/suggest/1", "m0")
+	}
+	offered := r.lastAttempt("f")
+	r.arrive("waits", "/suggest/1", "m0")
+	r.advance(callerLeaves - 500*time.Millisecond)
+	g.Expect(effectsOf[rpfleet.RefuseRequest](r)).To(BeEmpty())
+	r.advance(400 * time.Millisecond)
+	refused := effectsOf[rpfleet.RefuseRequest](r)
+	g.Expect(refused).To(HaveLen(1))
+	g.Expect(refused[0].Request).To(BeEquivalentTo("waits"))
+	g.Expect(refused[0].Refusal.Verdict).To(Equal(rpverdict.NotRun))
+	g.Expect(refused[0].Refusal.RetryAfter).To(BeNumerically(">", 0))
+
+	r.forget()
+	r.endAttempt(offered, rpcore.AttemptBusy, rpverdict.NotRun)
+	refused = effectsOf[rpfleet.RefuseRequest](r)
+	g.Expect(refused).To(HaveLen(1))
+	g.Expect(refused[0].Request).To(BeEquivalentTo("f"))
+}
+
+// Guards against a stream that has begun being cut off at the time that bounds
+// its first event: it may be resumed until its deadline.
+func TestBegunStreamIsResumedLate(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	r.configure(testEndpoint("e1", testService, homeDomain, "m0"), testEndpoint("e2", testService, homeDomain, "m0"))
+	r.arrive("a", "/suggest/1", "m0")
+	first := r.lastAttempt("a")
+	r.apply(rpfleet.AttemptStarted{Stamp: r.stamp(), Request: first.Request, Attempt: first.Attempt})
+	r.advance(5 * time.Second)
+	r.apply(rpfleet.AttemptEnded{
+		Stamp: r.stamp(), Request: first.Request, Attempt: first.Attempt,
+		Reason: rpcore.AttemptBroken, Verdict: rpverdict.MayHaveRun, AnswerStarted: true, LastEvent: "7",
+	})
+	g.Expect(effectsOf[rpfleet.RefuseRequest](r)).To(BeEmpty())
+	g.Expect(r.lastAttempt("a").ResumeAfter).To(Equal("7"))
+}
+
 // Guards against urgent work that waits behind work that is not.
 func TestUrgentFirst(t *testing.T) {
 	g := NewWithT(t)
