--- /dev/null
+++ b/pkg/rpfleet/answer.go
@@ -0,0 +1,18 @@
+package rpfleet
+
+import "github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+
+// AnswerHead is what the head of an endpoint's answer says.
+type AnswerHead struct {
+	// Request is the request that the answer belongs to.
+	Request rpcore.RequestID
+	// Signed says that an endpoint made the answer.
+	Signed bool
+	// NotRun says that the endpoint did not run the request.
+	NotRun bool
+	// Misdirected says that another endpoint has the address or that the
+	// engine does not hold the model; Endpoint names the one that answered.
+	Misdirected bool
+	Endpoint    rpcore.EndpointID
+	Version     string
+}
--- a/pkg/rpfleet/endpoint.go
+++ b/pkg/rpfleet/endpoint.go
@@ -83,60 +83,6 @@
 	engine engineState
 }
 
-// replica is a model on an engine.
-type replica struct {
-	version  string
-	adapters map[string]time.Time
-	// readyAt is in the future while the model is being loaded, and dueAt is when
-	// the load should be done. A load from the weight store can take longer than
-	// that, so its readyAt comes with the entry of the list that shows it.
-	readyAt time.Time
-	dueAt   time.Time
-	// loadedAt is when this instance first saw the replica.
-	loadedAt time.Time
-	usedAt   time.Time
-}
-
-// adapterSet holds the adapters of a model that an engine has or is loading.
-type adapterSet map[string]bool
-
-// engineState is what is believed of the content of an engine. Requests go by
-// models, which follows the list of endpoints and may be wrong for a moment.
-// Orders go by content, which must not be: it comes from the engine's own
-// report and the orders that it accepted since.
-type engineState struct {
-	// sequence is the number of orders that the engine has accepted as far as
-	// is known.
-	sequence uint64
-	models   map[string]*replica
-	// dropped holds when models and adapters were unloaded, by their names as
-	// in droppedName.
-	dropped map[string]time.Time
-	// verified says that content is what the engine holds after it accepted
-	// sequence orders. Only the planner verifies.
-	verified bool
-	content  map[string]adapterSet
-	// order is the order in progress; only the planner has one.
-	order *order
-	// busyUntil is when the last accepted order should be done.
-	busyUntil time.Time
-	// orderedAt is the time of the last accepted order, reportAt the earliest
-	// one of the next question.
-	orderedAt time.Time
-	// sentAt is when the last order of this instance may have been sent at the
-	// latest.
-	sentAt time.Time
-	// change is the number of the planner's last change of the engine.
-	change     uint64
-	unloadedAt time.Time
-	reportAt   time.Time
-	// retryAt is the earliest time of the next order after a conflict.
-	retryAt   time.Time
-	conflicts int
-	// plannedLoad is the model that room is being made for.
-	plannedLoad string
-}
-
 // endpointsRead takes in entries of the list.
 func (s *State) endpointsRead(ev EndpointsRead) {
 	if !s.storeLostAt.IsZero() {
@@ -255,80 +201,6 @@
 	s.adoptContent(e, entry.Models)
 }
 
-// contentLag covers the time between a change at an engine and the entry of the
-// list that shows it: a heartbeat, the lag of the list and the interval at which
-// it is read. Within it an entry may be older than the change.
-const contentLag = 3 * time.Second
-
-func droppedName(model, adapter string) string { return model + "/" + adapter }
-
-// drop takes in that an engine no longer has a model, or an adapter of it.
-func (g *engineState) drop(model, adapter string, now time.Time) {
-	g.dropped[droppedName(model, adapter)] = now
-	if adapter == "" {
-		delete(g.models, model)
-		return
-	}
-	if r := g.models[model]; r != nil {
-		delete(r.adapters, adapter)
-	}
-}
-
-// droppedLately reports whether news that an engine has a model or adapter may
-// be from before it was unloaded.
-func (g *engineState) droppedLately(model, adapter string, now time.Time) bool {
-	at, ok := g.dropped[droppedName(model, adapter)]
-	if ok && now.Sub(at) >= contentLag {
-		delete(g.dropped, droppedName(model, adapter))
-		return false
-	}
-	return ok
-}
-
-// adoptContent takes in what an engine says that it holds. What was ordered
-// lately goes before it.
-func (s *State) adoptContent(e *endpoint, models []HeldModel) {
-	g := &e.engine
-	held := make(map[string]bool, len(models))
-	for i := range models {
-		held[models[i].Name] = true
-		s.adoptModel(g, &models[i])
-	}
-	for _, name := range sortedKeys(g.models) {
-		if !held[name] && !s.now.Before(g.models[name].readyAt.Add(contentLag)) {
-			delete(g.models, name)
-		}
-	}
-}
-
-func (s *State) adoptModel(g *engineState, held *HeldModel) {
-	r := g.models[held.Name]
-	if r == nil {
-		if g.droppedLately(held.Name, "", s.now) {
-			return
-		}
-		r = &replica{adapters: map[string]time.Time{}, loadedAt: s.now}
-		g.models[held.Name] = r
-	}
-	r.version = held.Version
-	if r.readyAt.After(s.now) {
-		r.readyAt = s.now
-		g.busyUntil = s.now
-	}
-	for name, readyAt := range r.adapters {
-		if !slices.Contains(held.Adapters, name) && !s.now.Before(readyAt.Add(contentLag)) {
-			delete(r.adapters, name)
-		}
-	}
-	for _, name := range held.Adapters {
-		readyAt, ok := r.adapters[name]
-		if ok && !readyAt.After(s.now) || !ok && g.droppedLately(held.Name, name, s.now) {
-			continue
-		}
-		r.adapters[name] = s.now
-	}
-}
-
 // endpointsOf returns the endpoints of a service in the order of their ids.
 func (s *State) endpointsOf(service string) []*endpoint {
 	if s.byService == nil {
@@ -350,37 +222,3 @@
 	}
 	return s.sorted
 }
-
-// serves reports whether an engine can run a model now.
-func (e *endpoint) serves(model string, now time.Time) bool {
-	r := e.engine.models[model]
-	return r != nil && !r.readyAt.After(now)
-}
-
-// hasAdapter reports whether an engine has an adapter of a model now.
-func (e *endpoint) hasAdapter(model, adapter string, now time.Time) bool {
-	if adapter == "" {
-		return true
-	}
-	r := e.engine.models[model]
-	if r == nil {
-		return false
-	}
-	readyAt, ok := r.adapters[adapter]
-	return ok && !readyAt.After(now)
-}
-
-// AnswerHead is what the head of an endpoint's answer says.
-type AnswerHead struct {
-	// Request is the request that the answer belongs to.
-	Request rpcore.RequestID
-	// Signed says that an endpoint made the answer.
-	Signed bool
-	// NotRun says that the endpoint did not run the request.
-	NotRun bool
-	// Misdirected says that another endpoint has the address or that the
-	// engine does not hold the model; Endpoint names the one that answered.
-	Misdirected bool
-	Endpoint    rpcore.EndpointID
-	Version     string
-}
