--- a/internal/rpgateway/callers.go
+++ b/internal/rpgateway/callers.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rattanpaddle/rattanpaddle/internal/rpendpoint"
+	"github.com/rattanpaddle/rattanpaddle/internal/rpmetric"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
@@ -152,7 +153,7 @@
 }
 
 func (x *exchange) abandon() {
-	x.observe.requestEnded(0, rpmetricAbandoned)
+	x.observe.requestEnded(0, rpmetric.CodeAbandoned)
 	x.loop.apply(rpfleet.RequestAbandoned{Stamp: x.loop.stamp(), Request: x.request.ID})
 }
 
@@ -189,7 +190,7 @@
 	ended.Stamp = x.loop.stamp()
 	x.loop.apply(ended)
 	if ended.Reason == rpcore.AttemptComplete {
-		x.observe.requestEnded(x.loop.clock.Now().Sub(x.arrivedAt), codeOK)
+		x.observe.requestEnded(x.loop.clock.Now().Sub(x.arrivedAt), rpmetric.CodeOK)
 		return true
 	}
 	return false
--- a/internal/rpgateway/clock.go
+++ b/internal/rpgateway/clock.go
@@ -12,12 +12,15 @@
 // does not count.
 type clock struct {
 	// Suspended returns the time of all suspensions since the machine started;
-	// nil stands for none.
-	Suspended func() time.Duration
+	// nil stands for none. Where it fails, the time it returned last counts.
+	Suspended func() (time.Duration, error)
 
 	mu        sync.Mutex
 	checkedAt time.Time
+	// first is the first answer of Suspended, where answered says that there
+	// was one.
 	first     time.Duration
+	answered  bool
 	suspended time.Duration
 }
 
@@ -33,16 +36,25 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.checkedAt.IsZero() {
-		c.first = c.Suspended()
-		c.checkedAt = now
-	} else if now.Sub(c.checkedAt) >= suspensionCheck {
-		c.suspended = max(c.suspended, c.Suspended()-c.first)
-		c.checkedAt = now
+	if c.checkedAt.IsZero() || now.Sub(c.checkedAt) >= suspensionCheck {
+		c.check(now)
 	}
 	return now.Add(c.suspended)
 }
 
+func (c *clock) check(now time.Time) {
+	since, err := c.Suspended()
+	switch {
+	case err != nil:
+		// The start of the instance logs that the clocks can't be read.
+	case !c.answered:
+		c.first, c.answered = since, true
+	default:
+		c.suspended = max(c.suspended, since-c.first)
+	}
+	c.checkedAt = now
+}
+
 // local converts a time of Now into one of the runtime's clock.
 func (c *clock) local(at time.Time) time.Time {
 	c.mu.Lock()
@@ -52,12 +64,13 @@
 
 // suspendedTime compares the clock that counts suspensions with the one that
 // does not.
-func suspendedTime() time.Duration {
+func suspendedTime() (time.Duration, error) {
 	var boot, steady unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil {
-		// Both clocks exist on every kernel that the program runs on. Without
-		// them a lease may be held for too long after a suspension.
-		return 0
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady); err != nil {
+		return 0, err
+	}
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot); err != nil {
+		return 0, err
 	}
-	return time.Duration(boot.Nano() - steady.Nano())
+	return time.Duration(boot.Nano() - steady.Nano()), nil
 }
--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -109,6 +109,8 @@
 	forward  *rpendpoint.Forwarder
 	// ready is what the balancer is told.
 	ready atomic.Bool
+	// policy is the one in force; only the start and watchSettings use it.
+	policy rpfleet.Policy
 
 	failed  chan error
 	stop    context.CancelFunc
@@ -216,13 +218,17 @@
 }
 
 func (p *parts) start() {
+	if _, err := suspendedTime(); err != nil {
+		p.log.Error().Err(err).Msg("Suspensions of the machine can't be seen. A lease may be held for too long after one.")
+	}
 	seed := p.instance.Seed
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
+	p.policy = p.settings.policy()
 	p.loop.apply(rpfleet.Start{
 		Stamp: p.loop.stamp(), Self: p.settings.identity(), PeerAddress: p.settings.Listen.Peers.AddrPort,
-		Seed: seed, Policy: p.settings.policy(),
+		Seed: seed, Policy: p.policy,
 	})
 }
 
@@ -355,10 +361,12 @@
 			Msg("The settings have problems. Those in force stay.")
 		return
 	}
-	p.log.Info().Str("reason", why).Bool("policy_changed", settings.policy() != p.settings.policy()).
+	policy := settings.policy()
+	p.log.Info().Str("reason", why).Bool("policy_changed", policy != p.policy).
 		Bool("addresses_changed", settings.Listen != p.settings.Listen || settings.Store != p.settings.Store).
 		Msg("The settings were read again.")
-	p.loop.apply(rpfleet.PolicyChanged{Stamp: p.loop.stamp(), Policy: settings.policy()})
+	p.policy = policy
+	p.loop.apply(rpfleet.PolicyChanged{Stamp: p.loop.stamp(), Policy: policy})
 }
 
 // onStop carries out a planned stop: the balancer sends nobody any more, what
--- a/internal/rpgateway/observe.go
+++ b/internal/rpgateway/observe.go
@@ -11,11 +11,6 @@
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
 )
 
-const (
-	codeOK            = rpmetric.CodeOK
-	rpmetricAbandoned = rpmetric.CodeAbandoned
-)
-
 // observer turns what happens into metrics and log lines.
 type observer struct {
 	metrics *rpmetric.Metrics
--- a/internal/rpmessage/gateway.go
+++ b/internal/rpmessage/gateway.go
@@ -6,6 +6,7 @@
 	logLine("log_settings_kept", "The settings have problems. Those in force stay.", "The settings file changed and has problems.", "Run the command gateway check with the file."),
 	logLine("log_settings_read", "The settings were read again.", "The settings file was read again after a signal or a change.", "If addresses changed, start the instance again."),
 	logLine("log_settings_unseen", "the settings file can't be looked at", "The settings file can't be looked at for changes.", "Check the file and its rights."),
+	logLine("log_suspensions_unseen", "Suspensions of the machine can't be seen. A lease may be held for too long after one.", "The clock that counts suspensions of the machine can't be read.", "Don't suspend the machine, or run the program on another kernel."),
 	logLine("log_store_call_failed", "a call to the store failed", "The first call to the platform's store failed after calls that did not.", "If the store is lost after it, check the store and the network."),
 	logLine("log_store_lost", "the store is lost", "The platform's store has given no answer for a second. What was read last stays in use.", "Restore the store or the network."),
 	logLine("log_store_back", "the store is back", "The platform's store answers again.", nothing),
--- a/pkg/rpfleet/adapter.go
+++ b/pkg/rpfleet/adapter.go
@@ -6,6 +6,10 @@
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
 )
 
+// adapterSpread bounds the preference of an adapter for an engine, in places for
+// adapters: it keeps an adapter at one engine until that has more than others.
+const adapterSpread = 8
+
 // adapters orders the adapters that requests wait for.
 func (p *servicePlan) adapters() {
 	for _, name := range sortedKeys(p.state.plan.demands) {
@@ -37,7 +41,7 @@
 		if r.readyAt.After(s.now) || e.engine.busyUntil.After(s.now) || !s.mayOrder(e) {
 			continue
 		}
-		cost := float64(p.adaptersAt(e)) + float64(rendezvous(need.Adapter, string(e.ID))%8)
+		cost := float64(p.adaptersAt(e)) + float64(rendezvous(need.Adapter, string(e.ID))%adapterSpread)
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
