Give the soak's instances ports that no outgoing connection takes

Cause: seeds 2013 and 2022 failed because an instance was not ready 20 s after its start, before any fault. Their logs were not kept. With kept logs, seed 3018 of 56 (trial) failed in the same way: the instance could not listen, because a connection of another program had taken its port, which is in the range of outgoing connections.

Change: ports from below that range; the logs of a failed start are kept. The three seeds are regression cases.

--- a/internal/rpsoak/soak_test.go
+++ b/internal/rpsoak/soak_test.go
@@ -24,7 +24,13 @@
 )
 
 // regressions are the seeds that once failed, with their cause.
-var regressions = map[uint64]string{}
+var regressions = map[uint64]string{
+	2013: portTaken,
+	2022: portTaken,
+	3018: portTaken,
+}
+
+const portTaken = "a connection of another program took the port of an instance before it listened"
 
 const (
 	warmUp     = 2 * time.Second
@@ -73,6 +79,11 @@
 
 func soak(t *testing.T, seed uint64) {
 	w := newWorld(t, binary)
+	defer func() {
+		if t.Failed() {
+			w.keepLogs(seed)
+		}
+	}()
 	w.waitReady(20 * time.Second)
 	c := newCallers(w, seed)
 	ctx, stop := context.WithTimeout(context.Background(), warmUp+faultTime+recovery+measured)
@@ -86,9 +97,6 @@
 	time.Sleep(300 * time.Millisecond)
 	check := &checker{engines: w.engines, plains: w.plains, outcomes: c.outcomes, errorf: t.Errorf}
 	check.all(begin.Add(warmUp + faultTime + recovery))
-	if t.Failed() {
-		w.keepLogs(seed)
-	}
 }
 
 func (w *world) waitReady(patience time.Duration) {
--- a/internal/rpsoak/world_test.go
+++ b/internal/rpsoak/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -9,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -148,14 +150,35 @@
 	w.must(w.store.PutConfig(config))
 }
 
+// The ports of the processes are below those that Linux gives to outgoing
+// connections (32768 and up). One of those may be taken by a connection of any
+// program before its process listens, or while it restarts.
+const (
+	firstPort = 20000
+	portCount = 12000
+)
+
+// nextPort begins at a place of its own in each run of the tests.
+var nextPort = func() *atomic.Uint32 {
+	var n atomic.Uint32
+	n.Store(rand.Uint32N(portCount))
+	return &n
+}()
+
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		port := uint16(firstPort + nextPort.Add(1)%portCount)
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+		listener, err := net.Listen("tcp", address.String())
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return address
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+	t.Fatal("no port is free")
+	return netip.AddrPort{}
 }
 
 func (w *world) newProcess(i int) *process {
