End orders under way with the lease that allows them

Orders now end with the lease, and the end of their connection discards what the engine has not received. The soak's link loses what it holds back when its sender resets the connection, as a network does; before, it delivered bytes of connections that were gone.

--- a/internal/rpendpoint/client.go
+++ b/internal/rpendpoint/client.go
@@ -39,8 +39,8 @@
 func (c *Client) init() {
 	c.once.Do(func() {
 		c.limits = c.Limits.withDefaults()
-		c.shared = newTransport(c.limits, true)
-		c.single = newTransport(c.limits, false)
+		c.shared = newTransport(c.limits, true, nil)
+		c.single = newTransport(c.limits, false, nil)
 		c.ctx, c.stop = context.WithCancel(context.Background())
 		c.pollers = map[rpcore.EndpointID]*poller{}
 	})
--- a/internal/rpendpoint/conn_test.go
+++ b/internal/rpendpoint/conn_test.go
@@ -84,5 +84,5 @@
 // Guards against proxies from the environment: endpoints are reached by
 // address only.
 func TestTransportUsesNoProxy(t *testing.T) {
-	NewWithT(t).Expect(newTransport(Limits{}.withDefaults(), true).Proxy).To(BeNil())
+	NewWithT(t).Expect(newTransport(Limits{}.withDefaults(), true, nil).Proxy).To(BeNil())
 }
--- a/internal/rpendpoint/exchange.go
+++ b/internal/rpendpoint/exchange.go
@@ -76,7 +76,9 @@
 	return rpverdict.MayHaveRun
 }
 
-func newTransport(l Limits, keepAlive bool) *http.Transport {
+// newTransport returns a transport of tracked connections. setup is applied to
+// each new connection; nil stands for none.
+func newTransport(l Limits, keepAlive bool, setup func(net.Conn) error) *http.Transport {
 	dialer := NewDialer(l)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -84,6 +86,11 @@
 			if err != nil {
 				return nil, err
 			}
+			if setup != nil {
+				if err := setup(conn); err != nil {
+					return nil, errors.Join(err, conn.Close())
+				}
+			}
 			return &trackedConn{Conn: conn}, nil
 		},
 		DisableKeepAlives:      !keepAlive,
@@ -93,3 +100,13 @@
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
+
+// resetOnClose makes the end of a connection discard what the other side has
+// not received yet, also where this process is killed.
+func resetOnClose(conn net.Conn) error {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	return tcp.SetLinger(0)
+}
--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -37,16 +37,19 @@
 	// Head reads the head of an answer.
 	Head func(*http.Response) rpfleet.AnswerHead
 
-	once           sync.Once
-	limits         Limits
-	shared, single *http.Transport
+	once   sync.Once
+	limits Limits
+	// shared keeps connections, single has one for each request, and recalled
+	// resets its connection when a request is given up.
+	shared, single, recalled *http.Transport
 }
 
 func (f *Forwarder) init() {
 	f.once.Do(func() {
 		f.limits = f.Limits.withDefaults()
-		f.shared = newTransport(f.limits, true)
-		f.single = newTransport(f.limits, false)
+		f.shared = newTransport(f.limits, true, nil)
+		f.single = newTransport(f.limits, false, nil)
+		f.recalled = newTransport(f.limits, false, resetOnClose)
 	})
 }
 
@@ -55,6 +58,7 @@
 	f.init()
 	f.shared.CloseIdleConnections()
 	f.single.CloseIdleConnections()
+	f.recalled.CloseIdleConnections()
 }
 
 // Causes of the end of an attempt from this side.
@@ -66,12 +70,13 @@
 )
 
 // Send sends a request once, on a connection of its own, and returns its
-// answer. After an error the verdict says whether a byte of it may have left.
+// answer. After an error the verdict says whether a byte of it may have left;
+// what is still on its way then is discarded, so that it does not arrive later.
 // done must be called after the answer was read.
 func (f *Forwarder) Send(req *http.Request) (resp *http.Response, done func(), verdict rpverdict.Verdict, err error) {
 	f.init()
 	x := &exchange{}
-	resp, err = f.single.RoundTrip(x.trace(req))
+	resp, err = f.recalled.RoundTrip(x.trace(req))
 	if err != nil {
 		verdict = x.verdict()
 		x.cancel(nil)
--- /dev/null
+++ b/internal/rpendpoint/forward_test.go
@@ -0,0 +1,48 @@
+package rpendpoint_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpendpoint"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// Guards against an order that still reaches its engine after it was given up:
+// the kernel would go on to send what the other side has not acknowledged.
+func TestSendDiscardsWhatItGivesUp(t *testing.T) {
+	g := NewWithT(t)
+	read, ended := make(chan struct{}, 1), make(chan error, 1)
+	address := withRawServer(t, func(conn net.Conn) {
+		buf := make([]byte, 4096)
+		_, err := conn.Read(buf)
+		read <- struct{}{}
+		for err == nil {
+			_, err = conn.Read(buf)
+		}
+		ended <- err
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+"/order", strings.NewReader("load"))
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() {
+		<-read
+		cancel()
+	}()
+	var forward rpendpoint.Forwarder
+	_, _, verdict, err := forward.Send(req)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(verdict).To(Equal(rpverdict.MayHaveRun))
+	var end error
+	g.Eventually(ended, 5*time.Second).Should(Receive(&end))
+	g.Expect(errors.Is(end, syscall.ECONNRESET)).To(BeTrue(), "%v", end)
+}
--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -172,6 +172,8 @@
 		p.peers.answer(effect)
 	case rpfleet.SendOrder:
 		go p.orders.send(effect)
+	case rpfleet.CancelOrders:
+		p.orders.cancelAll()
 	case rpfleet.ReadReport:
 		go p.orders.report(effect)
 	case rpfleet.ReportReady:
--- a/internal/rpgateway/orders.go
+++ b/internal/rpgateway/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -28,6 +29,38 @@
 	holder  rpcore.InstanceID
 	log     zerolog.Logger
 	observe *observer
+
+	mu       sync.Mutex
+	underWay map[rpcore.OrderID]context.CancelFunc
+}
+
+// begin returns the context of an order, which ends with the lease that allows
+// the order. end must be called when the order has ended.
+func (o *orders) begin(cmd rpfleet.SendOrder) (ctx context.Context, end func()) {
+	left := min(orderTimeout, time.Until(o.loop.clock.local(cmd.NotAfter)))
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.underWay == nil {
+		o.underWay = map[rpcore.OrderID]context.CancelFunc{}
+	}
+	o.underWay[cmd.Order] = cancel
+	return ctx, func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		delete(o.underWay, cmd.Order)
+		cancel()
+	}
+}
+
+// cancelAll gives up the orders under way. One that has not begun yet finds that
+// the lease is not held any more.
+func (o *orders) cancelAll() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, cancel := range o.underWay {
+		cancel()
+	}
 }
 
 // send sends an order at most once, and not after the lease that allows it has
@@ -41,8 +74,8 @@
 }
 
 func (o *orders) exchange(cmd rpfleet.SendOrder) (rpfleet.OrderOutcome, string) {
-	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-	defer cancel()
+	ctx, end := o.begin(cmd)
+	defer end()
 	req, err := rpwire.NewOrder(ctx, cmd, o.holder)
 	if err != nil {
 		return rpfleet.OrderNotSent, err.Error()
--- a/internal/rpsoak/proxy_test.go
+++ b/internal/rpsoak/proxy_test.go
@@ -113,31 +113,52 @@
 	_ = conn.Close()
 }
 
-// pipe copies one direction as the mode at the time allows.
+// chunkRoom bounds the parts that a proxy has read and not passed on yet.
+const chunkRoom = 64
+
+// pipe copies one direction as the mode at the time allows. Where the sender
+// resets the connection meanwhile, what a link holds back is lost: a network
+// delivers nothing of a connection that does not exist any more.
 func (p *proxy) pipe(to, from net.Conn, answers bool) {
 	defer p.untrack(to)
 	defer p.untrack(from)
-	buf := make([]byte, 16<<10)
-	for {
-		n, err := from.Read(buf)
-		for p.held(answers) {
+	chunks := make(chan []byte, chunkRoom)
+	var reset atomic.Bool
+	go func() {
+		defer close(chunks)
+		for {
+			buf := make([]byte, 16<<10)
+			n, err := from.Read(buf)
+			if n > 0 {
+				chunks <- buf[:n]
+			}
+			if err != nil {
+				reset.Store(err != io.EOF)
+				return
+			}
+		}
+	}()
+	for chunk := range chunks {
+		for p.held(answers) && !reset.Load() {
 			time.Sleep(5 * time.Millisecond)
 		}
 		if linkMode(p.mode.Load()) == linkDelay {
 			time.Sleep(linkDelayTime)
 		}
-		if n > 0 {
-			if _, writeErr := to.Write(buf[:n]); writeErr != nil {
-				return
-			}
+		if p.held(answers) {
+			break
 		}
-		if err != nil {
-			if err != io.EOF {
-				p.abort(to)
-			}
-			return
+		if _, err := to.Write(chunk); err != nil {
+			break
 		}
 	}
+	if reset.Load() {
+		p.abort(to)
+	}
+	p.untrack(from)
+	for range chunks {
+		// The reader ends once its connection is closed.
+	}
 }
 
 func (p *proxy) held(answers bool) bool {
--- a/internal/rpsoak/soak_test.go
+++ b/internal/rpsoak/soak_test.go
@@ -28,8 +28,12 @@
 	2013: portTaken,
 	2022: portTaken,
 	3018: portTaken,
+	3000: lateOrder,
+	3034: lateOrder,
 }
 
+const lateOrder = "an order was still on its way when its planner lost the lease, and reached the engine after one of the next planner"
+
 const portTaken = "a connection of another program took the port of an instance before it listened"
 
 const (
--- a/pkg/rpfleet/effect.go
+++ b/pkg/rpfleet/effect.go
@@ -123,6 +123,13 @@
 	NotAfter time.Time
 }
 
+// CancelOrders gives up the orders under way when this instance plans no more,
+// so that none reaches its engine after those of the next planner. Each still
+// ends with OrderAnswered.
+type CancelOrders struct {
+	effectMark
+}
+
 // ReadReport asks an engine for its report and ends with EngineReported.
 type ReadReport struct {
 	effectMark
--- a/pkg/rpfleet/lease_test.go
+++ b/pkg/rpfleet/lease_test.go
@@ -246,3 +246,22 @@
 	r.advance(200 * time.Millisecond)
 	g.Expect(effectsOf[rpfleet.SendOrder](r)).To(BeEmpty())
 }
+
+// Guards against an order that reaches its engine after those of the next
+// planner, because it was under way when the lease was lost.
+func TestLostLeaseCancelsOrders(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
+	r.configure(engine)
+	r.lead(engine)
+	r.arrive("a", "/later/1", "m4")
+	r.advance(50 * time.Millisecond)
+	g.Expect(effectsOf[rpfleet.SendOrder](r)).NotTo(BeEmpty())
+	r.forget()
+	other := r.lease
+	other.Revision, other.Holder, other.Epoch = other.Revision+5, "front-2", other.Epoch+1
+	r.apply(rpfleet.LeaseWritten{Stamp: r.stamp(), AskedAt: r.now, Outcome: rpcore.WriteConflict, Row: other})
+	g.Expect(r.state.Leading()).To(BeFalse())
+	g.Expect(effectsOf[rpfleet.CancelOrders](r)).To(HaveLen(1))
+}
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -115,6 +115,9 @@
 
 // planEnds forgets what only the holder of the lease may act on.
 func (s *State) planEnds() {
+	if len(s.plan.orders) > 0 {
+		s.emit(CancelOrders{})
+	}
 	clear(s.plan.demands)
 	clear(s.plan.orders)
 	clear(s.plan.expected)
