Keep long loads from engines that requests for other models rely on

The cost of a load now counts what it delays: requests for models that are loaded nowhere and that the engine can load without the weight store.

--- a/pkg/rpfleet/placing.go
+++ b/pkg/rpfleet/placing.go
@@ -192,9 +192,18 @@
 	if remote {
 		choice.cost += cachedCost * float64(len(e.Cached))
 	}
+	choice.cost += p.delayOfOthers(w, e, choice.load)
 	return choice, true
 }
 
+// delayOfOthers returns what a load costs the requests for other models that
+// only this engine can load quickly. Those that arrive during the load wait for
+// half of it; their delay is spread over the requests that the load is for.
+func (p *servicePlan) delayOfOthers(w wanted, e *endpoint, load time.Duration) float64 {
+	served := max(1, float64(w.model.waiting), w.model.rate)
+	return p.reliance[e.ID] * load.Seconds() * load.Seconds() / 2 / served
+}
+
 // unverifiedChoice stands for an engine that has the checkpoint but has not said
 // yet what it holds. Waiting for its report takes less than a load from the
 // weight store elsewhere.
