--- a/pkg/rpfleet/evict.go
+++ b/pkg/rpfleet/evict.go
@@ -78,8 +78,8 @@
 	case have <= 1 && m.waiting > 0:
 		return candidate, false
 	}
-	candidate.shared = have > 1 || m.rate > replicaRate/2
-	if left := float64(have - 1); left == 0 || m.rate/left > spareRate*replicaRate {
+	candidate.shared = have > 1 || m.rate > p.replicaRate()/2
+	if left := float64(have - 1); have <= p.desired(m) || left == 0 || m.rate/left > spareRate*p.replicaRate() {
 		candidate.cost = evictionWeight * m.rate / float64(have)
 	}
 	if p.running[runningModel{e.ID, name}] {
--- a/pkg/rpfleet/placing.go
+++ b/pkg/rpfleet/placing.go
@@ -24,7 +24,7 @@
 		switch have := len(m.holders); {
 		case have == 0 && m.waiting > 0:
 			list = append(list, wanted{model: m, waiting: true})
-		case have > 0 && have < m.desired(len(p.engines)):
+		case have > 0 && have < p.desired(m):
 			list = append(list, wanted{model: m})
 		case have == 0 && p.state.now.Sub(p.state.joinedAt) >= listSettled && !p.atHand(m):
 			list = append(list, wanted{model: m, preload: true})
--- a/pkg/rpfleet/placing_test.go
+++ b/pkg/rpfleet/placing_test.go
@@ -40,3 +40,68 @@
 	g.Expect(orders[0].Model).To(Equal("m5"))
 	g.Expect(orders[0].Endpoint).To(Equal(other.ID))
 }
+
+// busyDemand is the demand of another instance for one model that many ask for.
+func busyDemand(model string, perSecond int) rpfleet.Demand {
+	return rpfleet.Demand{
+		Instance: "front-2", Full: true,
+		Rates: []rpfleet.ModelRate{{Service: testService, Model: model, Fast: perSecond * 1000, Slow: perSecond * 1000}},
+	}
+}
+
+// play answers the orders of the planner for a time and tells it of the same
+// demand again and again. It returns the loads and unloads by model.
+func (r *rig) play(d time.Duration, demand rpfleet.Demand) (loads, unloads map[string][]rpcore.EndpointID) {
+	loads, unloads = map[string][]rpcore.EndpointID{}, map[string][]rpcore.EndpointID{}
+	for begin := r.now; r.now.Sub(begin) < d; {
+		r.forget()
+		r.apply(rpfleet.DemandReceived{Stamp: r.stamp(), Call: 1, Demand: demand})
+		r.renew(100 * time.Millisecond)
+		for _, order := range effectsOf[rpfleet.SendOrder](r) {
+			r.answer(order, rpfleet.OrderAccepted)
+			if order.Kind == rpfleet.OrderLoad {
+				loads[order.Model] = append(loads[order.Model], order.Endpoint)
+			} else {
+				unloads[order.Model] = append(unloads[order.Model], order.Endpoint)
+			}
+		}
+	}
+	return loads, unloads
+}
+
+// Guards against a busy model that callers of a failure domain lose while it is
+// cut off, and against replicas beyond that where one engine could take all
+// requests.
+func TestBusyModelIsInEachDomain(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engines := []rpfleet.Endpoint{
+		withCheckpoints(testEndpoint("a1", testService, "zone-a", "m0")), withCheckpoints(testEndpoint("a2", testService, "zone-a", "m1")),
+		withCheckpoints(testEndpoint("b1", testService, "zone-b", "m1")), withCheckpoints(testEndpoint("c1", testService, "zone-c", "m1")),
+	}
+	r.configure(engines...)
+	r.lead(engines...)
+	loads, _ := r.play(5*time.Second, busyDemand("m0", 6))
+	g.Expect(loads["m0"]).To(ConsistOf(rpcore.EndpointID("b1"), rpcore.EndpointID("c1")))
+}
+
+// Guards against a replica that is evicted as a surplus and loaded again at once,
+// since its failure domain should have one.
+func TestNoReplicaIsEvictedThatIsWantedBack(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	var engines []rpfleet.Endpoint
+	for _, domain := range []string{"a", "b", "c"} {
+		engines = append(engines, withCheckpoints(testEndpoint(domain+"1", testService, rpcore.FailureDomain("zone-"+domain), "m0", "m1", "m2")))
+	}
+	r.configure(engines...)
+	r.lead(engines...)
+	demand := busyDemand("m0", 6)
+	demand.Needs = []rpfleet.Need{
+		{Service: testService, Model: "m5", Waiting: 1, Rank: 2}, {Service: testService, Model: "m6", Waiting: 1, Rank: 2},
+		{Service: testService, Model: "m7", Waiting: 1, Rank: 2},
+	}
+	loads, unloads := r.play(5*time.Second, demand)
+	g.Expect(loads).To(HaveKey("m5"))
+	g.Expect(unloads).NotTo(HaveKey("m0"))
+}
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -18,14 +18,20 @@
 	planPause   = 5 * time.Millisecond
 	planSpacing = 15 * time.Millisecond
 	planModels  = 100
-	// replicaRate is the rate, a second, of requests that one replica takes
-	// while its engine still answers within the usual targets. Prefill of the
-	// users' usual prompts takes about 20 ms, so this is a fifth of an engine.
-	replicaRate = 8.0
-	// replicaLoad is the number of requests in progress that one replica takes.
-	// Requests that take longer than usual, at slow engines or in large batches,
-	// thus ask for more replicas at the same rate.
-	replicaLoad = 5.0
+	// leastReplicaRate is the rate, a second, of requests that one replica takes
+	// while its engine still answers within the usual targets, where engines have
+	// few slots. Others take replicaRateShare of their slots: prefill of the users'
+	// usual prompts takes about 20 ms, so 16 a second are a third of an engine.
+	leastReplicaRate = 8.0
+	replicaRateShare = 0.25
+	// leastReplicaLoad and replicaLoadShare are the same for the number of
+	// requests in progress. Requests that take longer than usual, at slow engines
+	// or in large batches, thus ask for more replicas at the same rate.
+	leastReplicaLoad = 5.0
+	replicaLoadShare = 0.2
+	// spreadRate is the rate from which a model has a replica in each failure
+	// domain, so that callers there are served while it is cut off.
+	spreadRate = 4.0
 	// relief is the part of the load of a model's engines that an engine may
 	// have to get a further replica. Otherwise the replica would move the load
 	// to engines that have as much, and push out a model for it.
@@ -164,13 +170,25 @@
 }
 
 // desired returns the number of replicas that the demand asks for.
-func (d *modelDemand) desired(engines int) int {
+func (p *servicePlan) desired(d *modelDemand) int {
 	if d.rate == 0 && d.waiting == 0 {
 		return 0
 	}
-	byRate := math.Ceil(d.rate / replicaRate)
-	byLoad := math.Ceil(float64(d.running) / replicaLoad)
-	return min(max(1, int(max(byRate, byLoad))), engines)
+	byRate := math.Ceil(d.rate / p.replicaRate())
+	byLoad := math.Ceil(float64(d.running) / p.replicaLoad())
+	n := max(1, int(max(byRate, byLoad)))
+	if d.rate >= spreadRate {
+		n = max(n, p.domains)
+	}
+	return min(n, len(p.engines))
+}
+
+func (p *servicePlan) replicaRate() float64 {
+	return max(leastReplicaRate, replicaRateShare*float64(p.spec.Slots))
+}
+
+func (p *servicePlan) replicaLoad() float64 {
+	return max(leastReplicaLoad, replicaLoadShare*float64(p.spec.Slots))
 }
 
 // servicePlan is one plan for the engines of a service.
@@ -179,6 +197,8 @@
 	service string
 	spec    *EngineSpec
 	engines []*endpoint
+	// domains is the number of failure domains with engines.
+	domains int
 	models  map[string]*modelDemand
 	// running holds the models with requests in progress.
 	running map[runningModel]bool
@@ -257,9 +277,12 @@
 	for name, spec := range service.Engine.Models {
 		p.models[name] = &modelDemand{id: modelID{service.Name, name}, spec: spec, rank: math.MaxInt}
 	}
+	domains := map[rpcore.FailureDomain]bool{}
 	for _, e := range p.engines {
+		domains[e.FailureDomain] = true
 		s.askReport(e)
 	}
+	p.domains = len(domains)
 	p.countHolders()
 	p.countDemand()
 	p.countReliance()
