Ask engines for the end of loads from the weight store

Cause: a load from the weight store counted as done when the list showed it, which is a heartbeat, the lag of the list and an interval of the planner after its end.

The log has a line for each load that is done.

--- a/pkg/rpfleet/content.go
+++ b/pkg/rpfleet/content.go
@@ -48,8 +48,10 @@
 	// sentAt is when the last order of this instance may have been sent at the
 	// latest.
 	sentAt time.Time
-	// change is the number of the planner's last change of the engine.
+	// change is the number of the planner's last change of the engine, at
+	// changedAt.
 	change     uint64
+	changedAt  time.Time
 	unloadedAt time.Time
 	reportAt   time.Time
 	// retryAt is the earliest time of the next order after a conflict.
@@ -96,7 +98,7 @@
 	held := make(map[string]bool, len(models))
 	for i := range models {
 		held[models[i].Name] = true
-		s.adoptModel(g, &models[i])
+		s.adoptModel(e, &models[i])
 	}
 	for _, name := range sortedKeys(g.models) {
 		if !held[name] && !s.now.Before(g.models[name].readyAt.Add(contentLag)) {
@@ -105,7 +107,8 @@
 	}
 }
 
-func (s *State) adoptModel(g *engineState, held *HeldModel) {
+func (s *State) adoptModel(e *endpoint, held *HeldModel) {
+	g := &e.engine
 	r := g.models[held.Name]
 	if r == nil {
 		if g.droppedLately(held.Name, "", s.now) {
@@ -116,6 +119,10 @@
 	}
 	r.version = held.Version
 	if r.readyAt.After(s.now) {
+		if s.leading() && !r.dueAt.IsZero() {
+			s.note("replicas", "a load is done", Field{"endpoint", string(e.ID)}, Field{"model", held.Name},
+				Field{"after_due", s.now.Sub(r.dueAt)}, Field{"weight_loads", len(s.plan.weightLoads)})
+		}
 		r.readyAt = s.now
 		g.busyUntil = s.now
 	}
--- a/pkg/rpfleet/order.go
+++ b/pkg/rpfleet/order.go
@@ -191,13 +191,18 @@
 	}
 }
 
+// changed makes other instances hear of a change of an engine.
+func (s *State) changed(g *engineState) {
+	s.plan.change++
+	g.change, g.changedAt = s.plan.change, s.now
+}
+
 func (s *State) orderAccepted(o *order) {
 	g := &o.engine.engine
 	g.sequence++
 	g.conflicts = 0
 	g.orderedAt = s.now
-	s.plan.change++
-	g.change = s.plan.change
+	s.changed(g)
 	switch {
 	case o.kind == OrderLoad && o.adapter != "":
 		if adapters := g.content[o.model]; adapters != nil {
@@ -218,6 +223,9 @@
 		g.busyUntil = dueAt
 		s.wakeAt(readyAt)
 		s.at(dueAt, (*State).planSoon)
+		if o.place == rpcore.PlaceRemote {
+			s.at(dueAt, func(s *State) { s.confirmLoad(o.engine, o.model) })
+		}
 	case o.adapter != "":
 		delete(g.content[o.model], o.adapter)
 		g.drop(o.model, o.adapter, s.now)
@@ -257,6 +265,31 @@
 	s.emit(ReadReport{Endpoint: e.ID, Address: e.Address})
 }
 
+// confirmLoad asks an engine whether a load from the weight store is done. The
+// entry of the list shows it a heartbeat and the lag of the list later.
+func (s *State) confirmLoad(e *endpoint, model string) {
+	r := e.engine.models[model]
+	if s.endpoints[e.ID] != e || r == nil || !r.readyAt.After(s.now) || !s.leading() {
+		return
+	}
+	s.plan.reports++
+	s.emit(ReadReport{Endpoint: e.ID, Address: e.Address})
+	s.after(reportPause, func(s *State) { s.confirmLoad(e, model) })
+}
+
+// loadsReported takes in the loads that are done by an engine's report.
+func (s *State) loadsReported(e *endpoint, models []HeldModel) {
+	for i := range models {
+		r := e.engine.models[models[i].Name]
+		if r == nil || !r.readyAt.After(s.now) || r.dueAt.IsZero() || s.now.Before(r.dueAt) {
+			continue
+		}
+		s.adoptModel(e, &models[i])
+		s.changed(&e.engine)
+		s.dispatchAll()
+	}
+}
+
 func (s *State) engineReported(ev EngineReported) {
 	s.plan.reports = max(0, s.plan.reports-1)
 	defer s.planSoon()
@@ -265,6 +298,9 @@
 		return
 	}
 	g := &e.engine
+	if !ev.Failed && ev.Report.Incarnation == e.Incarnation {
+		s.loadsReported(e, ev.Report.Models)
+	}
 	if ev.Failed {
 		s.after(unknownPause, func(s *State) { s.askReport(e) })
 		return
--- a/pkg/rpfleet/placement.go
+++ b/pkg/rpfleet/placement.go
@@ -77,7 +77,7 @@
 func (s *State) recentContents(seen uint64) []EngineContent {
 	var contents []EngineContent
 	for _, e := range s.sortedEndpoints() {
-		if e.engine.change <= seen || s.now.Sub(e.engine.orderedAt) > contentLag+time.Second {
+		if e.engine.change <= seen || s.now.Sub(e.engine.changedAt) > contentLag+time.Second {
 			continue
 		}
 		content := EngineContent{Endpoint: e.ID, Incarnation: e.Incarnation, Sequence: e.engine.sequence}
--- a/pkg/rpfleet/plan_test.go
+++ b/pkg/rpfleet/plan_test.go
@@ -193,6 +193,40 @@
 	g.Expect(effectsOf[rpfleet.StartAttempt](r)).NotTo(BeEmpty())
 }
 
+// Guards against requests that wait for the next entry of the list, a second or
+// more after their model was loaded from the weight store.
+func TestEngineIsAskedForTheEndOfALoad(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := testEndpoint("e1", testService, homeDomain)
+	r.configure(engine)
+	r.lead(engine)
+	r.arrive("a", "/later/1", "m5")
+	r.renew(200 * time.Millisecond)
+	order := effectsOf[rpfleet.SendOrder](r)[0]
+	r.answer(order, rpfleet.OrderAccepted)
+	r.forget()
+	r.renew(5500 * time.Millisecond)
+	g.Expect(effectsOf[rpfleet.ReadReport](r)).To(BeEmpty(), "it can't be done yet")
+	r.renew(time.Second)
+	asked := len(effectsOf[rpfleet.ReadReport](r))
+	g.Expect(asked).To(BeNumerically(">=", 1))
+	g.Expect(asked).To(BeNumerically("<=", 4))
+	r.report(engine, 1)
+	g.Expect(effectsOf[rpfleet.StartAttempt](r)).To(BeEmpty(), "the engine does not have it yet")
+	engine.Models = []rpfleet.HeldModel{{Name: order.Model, Version: "1"}}
+	r.report(engine, 1)
+	g.Expect(effectsOf[rpfleet.StartAttempt](r)).To(HaveLen(1))
+	r.forget()
+	r.renew(time.Second)
+	g.Expect(effectsOf[rpfleet.ReadReport](r)).To(BeEmpty())
+	// Other instances hear of it.
+	r.apply(rpfleet.DemandReceived{Stamp: r.stamp(), Call: 1, Demand: rpfleet.Demand{Instance: "front-2"}})
+	engines := effectsOf[rpfleet.AnswerDemand](r)[0].Placement.Engines
+	g.Expect(engines).To(HaveLen(1))
+	g.Expect(engines[0].Models[0].ReadyIn).To(BeZero())
+}
+
 // Guards against loads from the weight store of models that are on the disks of
 // engines which enter the list a moment later, or that have not said yet what
 // they hold.
