Keep the room that was made for a model, and ignore entries from before an unload

An engine that makes room for a model is preferred for it and gives the room to no other one while the model is wanted. News that show a model which is being loaded again do not end the load before it is due.

--- a/pkg/rpfleet/content.go
+++ b/pkg/rpfleet/content.go
@@ -119,6 +119,10 @@
 	}
 	r.version = held.Version
 	if r.readyAt.After(s.now) {
+		if s.now.Before(r.dueAt) && g.droppedLately(held.Name, "", s.now) {
+			// The news are from before the model was unloaded to be loaded again.
+			return
+		}
 		if s.leading() && !r.dueAt.IsZero() {
 			s.note("replicas", "a load is done", Field{"endpoint", string(e.ID)}, Field{"model", held.Name},
 				Field{"after_due", s.now.Sub(r.dueAt)}, Field{"weight_loads", len(s.plan.weightLoads)})
--- a/pkg/rpfleet/order.go
+++ b/pkg/rpfleet/order.go
@@ -18,6 +18,9 @@
 	// is asked, after maxConflicts conflicts at the most.
 	unloadPatience = 2 * time.Second
 	maxConflicts   = 8
+	// roomPatience is how long an engine that made room for a model is preferred
+	// for it.
+	roomPatience = 600 * time.Millisecond
 	// unloadPause is the time that most unloads take.
 	unloadPause = 30 * time.Millisecond
 	// unknownPause is the time after which an engine is asked what became of
@@ -58,11 +61,10 @@
 func (p *servicePlan) carryOut(w wanted, choice loadChoice) {
 	s := p.state
 	e := choice.engine
-	e.engine.plannedLoad = w.model.id.model
 	if choice.wait > 0 || !s.mayOrder(e) {
-		e.engine.plannedLoad = ""
 		return
 	}
+	e.engine.plannedLoad = w.model.id.model
 	o := &order{engine: e, kind: OrderLoad, model: w.model.id.model, load: choice.load, place: choice.place}
 	if choice.victim != "" {
 		o.kind, o.model = OrderUnload, choice.victim
@@ -99,6 +101,13 @@
 	return wait
 }
 
+// makesRoomFor reports whether an engine is unloading a model, or has just done
+// so, to make room for another one. One whose requests keep the unload waiting
+// competes with other engines again after a while.
+func (g *engineState) makesRoomFor(model string, now time.Time) bool {
+	return g.plannedLoad == model && (g.order != nil || now.Sub(g.unloadedAt) < roomPatience)
+}
+
 // loading returns the model that an order in flight loads, or "".
 func (g *engineState) loading() string {
 	if g.order == nil || g.order.kind != OrderLoad || g.order.adapter != "" {
--- a/pkg/rpfleet/placing.go
+++ b/pkg/rpfleet/placing.go
@@ -92,7 +92,9 @@
 	for _, m := range p.models {
 		s.expectHolders(m)
 	}
-	for _, w := range p.wanted() {
+	wanted := p.wanted()
+	p.forgetPlanned(wanted)
+	for _, w := range wanted {
 		best := p.cheapest(w)
 		if best.engine == nil {
 			if w.waiting && p.allVerified() && !p.atHand(w.model) {
@@ -108,6 +110,17 @@
 	}
 }
 
+// forgetPlanned gives up the room that was made for models which are not wanted
+// any more.
+func (p *servicePlan) forgetPlanned(list []wanted) {
+	for _, e := range p.engines {
+		planned := e.engine.plannedLoad
+		if planned != "" && !slices.ContainsFunc(list, func(w wanted) bool { return w.model.id.model == planned }) {
+			e.engine.plannedLoad = ""
+		}
+	}
+}
+
 // allVerified reports whether all engines have said what they hold. Before, it
 // is not known how long a load takes.
 func (p *servicePlan) allVerified() bool {
@@ -149,9 +162,13 @@
 // cheapest returns the best engine for a load. Its engine is nil where no load
 // can begin.
 func (p *servicePlan) cheapest(w wanted) loadChoice {
+	s := p.state
 	var best loadChoice
 	for _, e := range p.engines {
 		choice, ok := p.choice(w, e)
+		if ok && e.engine.makesRoomFor(w.model.id.model, s.now) {
+			return choice
+		}
 		if ok && (best.engine == nil || choice.cost < best.cost) {
 			best = choice
 		}
--- a/pkg/rpfleet/plan_test.go
+++ b/pkg/rpfleet/plan_test.go
@@ -350,3 +350,56 @@
 		r.answer(order, rpfleet.OrderAccepted)
 	}
 }
+
+// Guards against a victim that gets the room back which was made for another
+// model, because requests for it arrived meanwhile.
+func TestRoomIsKeptForItsModel(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
+	r.configure(engine)
+	r.lead(engine)
+	r.forget()
+	r.arrive("a", "/later/1", "m4")
+	r.advance(50 * time.Millisecond)
+	unload := effectsOf[rpfleet.SendOrder](r)[0]
+	g.Expect(unload.Kind).To(Equal(rpfleet.OrderUnload))
+	r.answer(unload, rpfleet.OrderAccepted)
+	for i := range 9 {
+		r.arrive(unload.Model+string(rune('a'+i)), "/later/1", unload.Model)
+	}
+	r.forget()
+	r.advance(200 * time.Millisecond)
+	orders := effectsOf[rpfleet.SendOrder](r)
+	g.Expect(orders).To(HaveLen(1))
+	g.Expect(orders[0].Kind).To(Equal(rpfleet.OrderLoad))
+	g.Expect(orders[0].Model).To(Equal("m4"))
+}
+
+// Guards against requests that are sent before a load is done, because an entry
+// of the list from before the unload still shows the model.
+func TestStaleEntryDoesNotEndALoad(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
+	r.configure(engine)
+	r.lead(engine)
+	// The victim is wanted back at once.
+	r.arrive("a", "/later/1", "m4")
+	r.advance(50 * time.Millisecond)
+	unload := effectsOf[rpfleet.SendOrder](r)[0]
+	r.answer(unload, rpfleet.OrderAccepted)
+	r.apply(rpfleet.RequestAbandoned{Stamp: r.stamp(), Request: "a"})
+	r.arrive("b", "/later/1", unload.Model)
+	r.renew(200 * time.Millisecond)
+	orders := effectsOf[rpfleet.SendOrder](r)
+	load := orders[len(orders)-1]
+	g.Expect(load.Kind).To(Equal(rpfleet.OrderLoad))
+	g.Expect(load.Model).To(Equal(unload.Model))
+	r.answer(load, rpfleet.OrderAccepted)
+	r.forget()
+	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Entries: []rpfleet.Endpoint{engine}})
+	g.Expect(effectsOf[rpfleet.StartAttempt](r)).To(BeEmpty())
+	r.renew(1100 * time.Millisecond)
+	g.Expect(effectsOf[rpfleet.StartAttempt](r)).To(HaveLen(1))
+}
