--- a/pkg/rpfleet/evict.go
+++ b/pkg/rpfleet/evict.go
@@ -73,7 +73,7 @@
 	}
 	have := len(m.holders)
 	switch {
-	case r.readyAt.After(s.now) || s.now.Sub(r.loadedAt) < leastResidence && m.waiting > 0:
+	case s.now.Before(r.readyAt.Add(startTime)) || s.now.Sub(r.loadedAt) < leastResidence && m.waiting > 0:
 		return candidate, false
 	case have <= 1 && m.waiting > 0:
 		return candidate, false
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -45,8 +45,11 @@
 	initialRate   = 2.0
 	initialMemory = 5 * time.Second
 	// leastResidence keeps a new replica long enough to serve those that
-	// waited for it.
+	// waited for it, while more wait. startTime keeps it in any case: the requests
+	// that waited are on their way to the engine, which turns away those that have
+	// not begun when it gets an unload.
 	leastResidence = 1500 * time.Millisecond
+	startTime      = 400 * time.Millisecond
 	// recentUse is the time for which a replica that was used counts as in
 	// use.
 	recentUse = 2 * time.Second
--- a/pkg/rpfleet/plan_test.go
+++ b/pkg/rpfleet/plan_test.go
@@ -403,3 +403,30 @@
 	r.renew(1100 * time.Millisecond)
 	g.Expect(effectsOf[rpfleet.StartAttempt](r)).To(HaveLen(1))
 }
+
+// Guards against a replica that is unloaded as soon as it is there: the requests
+// that waited for it no longer wait then, but have not begun either.
+func TestNewReplicaServesThoseThatWaited(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
+	r.configure(engine)
+	r.lead(engine)
+	// The other two places stay with busy models.
+	demand := rpfleet.Demand{
+		Instance: "front-2", Full: true,
+		Rates: []rpfleet.ModelRate{
+			{Service: testService, Model: "m0", Fast: 20000, Slow: 20000}, {Service: testService, Model: "m1", Fast: 20000, Slow: 20000},
+		},
+		Needs: []rpfleet.Need{{Service: testService, Model: "m5", Waiting: 1, Rank: 2}},
+	}
+	loads, _ := r.play(300*time.Millisecond, demand)
+	g.Expect(loads).To(HaveKey("m5"))
+	begin := r.now
+	demand.Needs = []rpfleet.Need{{Service: testService, Model: "m6", Waiting: 5, Rank: 2}}
+	_, unloads := r.play(1200*time.Millisecond, demand)
+	g.Expect(unloads).To(BeEmpty(), "the load of m5 takes a second")
+	_, unloads = r.play(time.Second, demand)
+	g.Expect(unloads).To(HaveKey("m5"))
+	g.Expect(r.now.Sub(begin)).To(BeNumerically("<", 3*time.Second))
+}
