Ignore entries of the list that are older than what is known

Entries and removals carry their revision, older ones are ignored, and the list is read in full after 3 s without a reading.

--- a/internal/rpgateway/follow.go
+++ b/internal/rpgateway/follow.go
@@ -39,14 +39,19 @@
 	interval func() time.Duration
 	// idle says that the table is not followed now; nil never does.
 	idle func() bool
-	// apply takes in rows; complete says that they are the whole table.
-	apply func(rows []rpwire.Row, complete bool)
+	// snapshotAfter is the time since the last reading after which the whole
+	// table is read in place of its changes; 0 stands for never.
+	snapshotAfter time.Duration
+	// apply takes in rows as of a revision; complete says that they are the whole
+	// table.
+	apply func(rows []rpwire.Row, asOf uint64, complete bool)
 	// lost is called once for each outage.
 	lost func()
 	log  zerolog.Logger
 
 	revision uint64
 	known    bool
+	readAt   time.Time
 	failedAt time.Time
 	reported bool
 }
@@ -111,6 +116,9 @@
 
 // step makes one call and hands on what it brought.
 func (f *follower) step(ctx context.Context) error {
+	if f.snapshotAfter > 0 && time.Since(f.readAt) > f.snapshotAfter {
+		f.known = false
+	}
 	if !f.known {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
@@ -120,7 +128,8 @@
 		}
 		f.known = true
 		f.revision = revision
-		f.apply(rows, true)
+		f.readAt = time.Now()
+		f.apply(rows, revision, true)
 		return nil
 	}
 	return f.changes(ctx)
@@ -146,7 +155,8 @@
 		return err
 	}
 	f.revision = max(f.revision, revision)
-	f.apply(rows, false)
+	f.readAt = time.Now()
+	f.apply(rows, f.revision, false)
 	return nil
 }
 
--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -36,6 +36,10 @@
 	// endpointsWait is how long a call to the store waits for changes of the
 	// list of endpoints, which changes all the time.
 	endpointsWait = time.Second
+	// listSnapshotAfter is the time after which the list is read in full. Its
+	// changes since would be more, and the first of them long out of date:
+	// each endpoint writes about once a second.
+	listSnapshotAfter = 3 * time.Second
 	// settingsCheck is the time between two looks at the settings file.
 	settingsCheck = 2 * time.Second
 )
@@ -272,7 +276,7 @@
 	log := p.instance.Log.Part("documents")
 	return &follower{
 		store: p.store, table: rpwire.TableConfig, wait: p.loop.configWait, retry: p.loop.storeRetry, reread: p.rereadConfig, log: log,
-		apply: func(rows []rpwire.Row, _ bool) {
+		apply: func(rows []rpwire.Row, _ uint64, _ bool) {
 			for _, row := range rows {
 				if row.Key != rpwire.KeyConfig || row.Removed {
 					continue
@@ -293,11 +297,12 @@
 	log := p.instance.Log.Part("members")
 	return &follower{
 		store: p.store, table: rpwire.TableEndpoints, retry: p.loop.storeRetry, log: log,
-		wait:     func() time.Duration { return endpointsWait },
-		interval: p.loop.listInterval,
-		lost:     func() { p.loop.apply(rpfleet.StoreLost{Stamp: p.loop.stamp()}) },
-		apply: func(rows []rpwire.Row, complete bool) {
-			event := rpfleet.EndpointsRead{Complete: complete}
+		wait:          func() time.Duration { return endpointsWait },
+		interval:      p.loop.listInterval,
+		lost:          func() { p.loop.apply(rpfleet.StoreLost{Stamp: p.loop.stamp()}) },
+		snapshotAfter: listSnapshotAfter,
+		apply: func(rows []rpwire.Row, asOf uint64, complete bool) {
+			event := rpfleet.EndpointsRead{Complete: complete, AsOf: asOf}
 			for _, row := range rows {
 				addEntry(&event, row, log)
 			}
@@ -313,13 +318,13 @@
 func addEntry(event *rpfleet.EndpointsRead, row rpwire.Row, log zerolog.Logger) {
 	id := rpcore.EndpointID(row.Key)
 	if row.Removed {
-		event.Removed = append(event.Removed, id)
+		event.Removed = append(event.Removed, rpfleet.RemovedEntry{ID: id, Revision: row.Revision})
 		return
 	}
 	entry, err := rpwire.DecodeEndpoint(row)
 	if err != nil {
 		log.Warn().Err(err).Uint64("revision", row.Revision).Msg("an entry of the list is ignored")
-		event.Removed = append(event.Removed, id)
+		event.Removed = append(event.Removed, rpfleet.RemovedEntry{ID: id, Revision: row.Revision})
 		return
 	}
 	event.Entries = append(event.Entries, entry)
--- a/internal/rpgateway/posts.go
+++ b/internal/rpgateway/posts.go
@@ -46,7 +46,7 @@
 		store: p.store, table: rpwire.TableDemands, retry: p.loop.storeRetry, log: p.log,
 		wait: func() time.Duration { return postsWait },
 		idle: func() bool { return !p.loop.leading() },
-		apply: func(rows []rpwire.Row, complete bool) {
+		apply: func(rows []rpwire.Row, _ uint64, complete bool) {
 			if complete {
 				return
 			}
--- a/pkg/rpfleet/endpoint.go
+++ b/pkg/rpfleet/endpoint.go
@@ -29,7 +29,9 @@
 type Endpoint struct {
 	_ struct{} `cbor:",toarray"`
 
-	ID            rpcore.EndpointID
+	ID rpcore.EndpointID
+	// Revision is that of the entry in the store, or 0 where it is not known.
+	Revision      uint64
 	Service       string
 	Address       netip.AddrPort
 	FailureDomain rpcore.FailureDomain
@@ -95,26 +97,31 @@
 	for i := range ev.Entries {
 		s.endpointSeen(ev.Entries[i])
 	}
-	for _, id := range ev.Removed {
-		if e := s.endpoints[id]; e != nil {
-			s.endpointMissing(e)
-		}
+	for _, removed := range ev.Removed {
+		s.entryRemoved(removed)
 	}
 	if ev.Complete {
-		s.removeUnlisted(ev.Entries)
+		s.removeUnlisted(ev.Entries, ev.AsOf)
 	}
 	s.reportReadiness()
 	s.endpointsChanged()
 }
 
-func (s *State) removeUnlisted(entries []Endpoint) {
+// entryRemoved removes an endpoint unless a newer entry of it is known.
+func (s *State) entryRemoved(removed RemovedEntry) {
+	if e := s.endpoints[removed.ID]; e != nil && (removed.Revision == 0 || e.Revision <= removed.Revision) {
+		s.endpointMissing(e, removed.Revision)
+	}
+}
+
+func (s *State) removeUnlisted(entries []Endpoint, asOf uint64) {
 	listed := make(map[rpcore.EndpointID]bool, len(entries))
 	for i := range entries {
 		listed[entries[i].ID] = true
 	}
 	for _, e := range s.sortedEndpoints() {
 		if !listed[e.ID] {
-			s.endpointMissing(e)
+			s.entryRemoved(RemovedEntry{ID: e.ID, Revision: asOf})
 		}
 	}
 }
@@ -129,7 +136,8 @@
 // endpointMissing removes an endpoint that the list lacks. After an outage of
 // the store the entries of live endpoints may be missing for a short time, in
 // which the endpoint stays in use.
-func (s *State) endpointMissing(e *endpoint) {
+func (s *State) endpointMissing(e *endpoint, revision uint64) {
+	e.Revision = max(e.Revision, revision)
 	if e.Leaving || s.storeBackAt.IsZero() || s.now.Sub(s.storeBackAt) >= s.policy.EntryGrace {
 		s.endpointGone(e, "its entry is gone from the list")
 		return
@@ -153,12 +161,15 @@
 func (s *State) endpointGone(e *endpoint, why string) {
 	delete(s.endpoints, e.ID)
 	s.byService, s.sorted = nil, nil
-	s.listGone(e.ID)
+	s.listGone(e)
 	s.note("members", "an endpoint is gone", Field{"endpoint", string(e.ID)}, Field{"service", e.Service},
 		Field{"reason", why}, Field{"entry_age", s.now.Sub(e.seenAt)})
 }
 
 func (s *State) endpointSeen(entry Endpoint) {
+	if s.outdated(&entry) {
+		return
+	}
 	e := s.endpoints[entry.ID]
 	if e != nil && e.Incarnation != entry.Incarnation {
 		s.endpointGone(e, "another incarnation took its id")
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -56,8 +56,19 @@
 	// Complete says that Entries is the whole list, so an endpoint that it
 	// lacks is gone.
 	Complete bool
-	Entries  []Endpoint
-	Removed  []rpcore.EndpointID
+	// AsOf is the revision of the store at which a complete list was read.
+	AsOf    uint64
+	Entries []Endpoint
+	Removed []RemovedEntry
+}
+
+// RemovedEntry says that an entry was no longer in the list at a revision of the
+// store; 0 where that is not known.
+type RemovedEntry struct {
+	_ struct{} `cbor:",toarray"`
+
+	ID       rpcore.EndpointID
+	Revision uint64
 }
 
 // StoreLost says that the platform's list could not be read.
--- a/pkg/rpfleet/listing.go
+++ b/pkg/rpfleet/listing.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 )
 
 const (
@@ -52,7 +50,7 @@
 }
 
 type goneEntry struct {
-	id     rpcore.EndpointID
+	RemovedEntry
 	change uint64
 	at     time.Time
 }
@@ -66,7 +64,7 @@
 	// Age is the time since the planner has read the list.
 	Age     time.Duration
 	Entries []Endpoint
-	Gone    []rpcore.EndpointID
+	Gone    []RemovedEntry
 }
 
 func (s *State) nextListChange() uint64 {
@@ -74,9 +72,24 @@
 	return s.listing.change
 }
 
-func (s *State) listGone(id rpcore.EndpointID) {
+func (s *State) listGone(e *endpoint) {
 	s.listing.gone = slices.DeleteFunc(s.listing.gone, func(g goneEntry) bool { return s.now.Sub(g.at) > listMemory })
-	s.listing.gone = append(s.listing.gone, goneEntry{id: id, change: s.nextListChange(), at: s.now})
+	s.listing.gone = append(s.listing.gone, goneEntry{
+		RemovedEntry: RemovedEntry{ID: e.ID, Revision: e.Revision}, change: s.nextListChange(), at: s.now,
+	})
+}
+
+// outdated reports whether an entry is older than what is known of its endpoint.
+// Instances read the list and hear of it from the planner, so news may overtake
+// each other.
+func (s *State) outdated(entry *Endpoint) bool {
+	if entry.Revision == 0 {
+		return false
+	}
+	if e := s.endpoints[entry.ID]; e != nil {
+		return entry.Revision < e.Revision
+	}
+	return slices.ContainsFunc(s.listing.gone, func(g goneEntry) bool { return g.ID == entry.ID && entry.Revision <= g.Revision })
 }
 
 // sameEntry reports whether an entry says the same to instances that route.
@@ -101,8 +114,8 @@
 		}
 	}
 	for _, gone := range s.listing.gone {
-		if gone.change > seen && s.now.Sub(gone.at) <= listMemory && s.endpoints[gone.id] == nil {
-			news.Gone = append(news.Gone, gone.id)
+		if gone.change > seen && s.now.Sub(gone.at) <= listMemory && s.endpoints[gone.ID] == nil {
+			news.Gone = append(news.Gone, gone.RemovedEntry)
 		}
 	}
 	return news
@@ -117,8 +130,10 @@
 		}
 		s.endpointSeen(entry)
 	}
-	for _, id := range news.Gone {
-		if e := s.endpoints[id]; e != nil {
+	for _, gone := range news.Gone {
+		e := s.endpoints[gone.ID]
+		if e != nil && (gone.Revision == 0 || e.Revision <= gone.Revision) {
+			e.Revision = max(e.Revision, gone.Revision)
 			s.endpointGone(e, "the planner told that its entry is gone")
 		}
 	}
--- a/pkg/rpfleet/listing_test.go
+++ b/pkg/rpfleet/listing_test.go
@@ -6,7 +6,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
 // Guards against an instance that relies on a connection which went silent: it
@@ -87,3 +89,47 @@
 	g.Expect(reads).To(BeNumerically(">", 2))
 	g.Expect(float64(reads*instances) / span.Seconds()).To(BeNumerically("<", 50))
 }
+
+// Guards against an endpoint that returns to service after it left the list,
+// because a reading that began before or the planner's news bring an older entry.
+func TestOlderEntriesAreIgnored(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	entry := testEndpoint("s1", testPlain, homeDomain)
+	entry.Revision = 10
+	other := testEndpoint("s2", testPlain, homeDomain)
+	other.Revision = 11
+	r.configure(entry, other)
+	served := func(id string) int {
+		r.forget()
+		r.arrive(id, "/stock/1", "")
+		attempts := effectsOf[rpfleet.StartAttempt](r)
+		for _, attempt := range attempts {
+			g.Expect(attempt.Endpoint).To(Equal(other.ID))
+			r.endAttempt(attempt, rpcore.AttemptComplete, rpverdict.Ran)
+		}
+		return len(attempts)
+	}
+	news := rpfleet.Placement{Leading: true, Instances: 3}
+	news.List.Gone = []rpfleet.RemovedEntry{{ID: entry.ID, Revision: 20}}
+	r.apply(rpfleet.PlacementReceived{Stamp: r.stamp(), AskedAt: r.now, Placement: news})
+	// A reading as of revision 15, as changes and in full.
+	entry.Revision = 15
+	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Entries: []rpfleet.Endpoint{entry}})
+	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Complete: true, AsOf: 15, Entries: []rpfleet.Endpoint{entry, other}})
+	for i := range 8 {
+		g.Expect(served("before-" + string(rune('a'+i)))).To(Equal(1))
+	}
+	// One that joined after a reading is not removed by it.
+	other.Revision = 30
+	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Entries: []rpfleet.Endpoint{other}})
+	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Complete: true, AsOf: 25})
+	g.Expect(served("after")).To(Equal(1))
+	// A newer entry counts.
+	entry.Revision = 40
+	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Entries: []rpfleet.Endpoint{entry}, Removed: []rpfleet.RemovedEntry{{ID: other.ID, Revision: 39}}})
+	r.forget()
+	r.arrive("again", "/stock/1", "")
+	g.Expect(effectsOf[rpfleet.StartAttempt](r)).To(HaveLen(1))
+	g.Expect(effectsOf[rpfleet.StartAttempt](r)[0].Endpoint).To(Equal(entry.ID))
+}
--- a/pkg/rpfleet/request_test.go
+++ b/pkg/rpfleet/request_test.go
@@ -253,7 +253,7 @@
 	}
 	// Without an outage a missing entry means that the endpoint is gone.
 	r.advance(time.Minute)
-	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Removed: []rpcore.EndpointID{endpoints[1].ID}})
+	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Removed: []rpfleet.RemovedEntry{{ID: endpoints[1].ID}}})
 	r.forget()
 	r.arrive("e", "/stock/1", "")
 	refused := effectsOf[rpfleet.RefuseRequest](r)
