Learn how many loads the weight store serves at full speed

Cause: the settings say 4 loads at once, and the weight store of the grown deployments serves 2: every load there took twice its time, up to 9 s more. Loads stopped counting at the time they were due, so that more than 4 ran at once. Nothing on the wire tells the number; the rate that the configuration does tell was not used.

A load counts until its engine says it is done. Its time against the usual one gives the number that run at full speed, beginning with the settings; starts are bounded by the configuration's rate.

--- a/internal/rpmessage/gateway.go
+++ b/internal/rpmessage/gateway.go
@@ -55,6 +55,7 @@
 	note("note_engine_order", "orders a change of an engine", "The planner orders an engine to load or unload a model.", nothing),
 	note("note_adapter_order", "orders an adapter", "The planner orders an engine to load or unload an adapter.", nothing),
 	note("note_load_done", "a load is done", "An engine holds a model that it was loading, after the time in the line beyond that of the configuration.", nothing),
+	note("note_weight_load", "a load from the weight store took its time", "A load from the weight store ended. Its time shows how many loads run at full speed at once, which is the limit in the line.", nothing),
 	note("note_order_answered", "an engine answered an order", "An engine answered an order, with the outcome in the line.", "If the outcome stays unknown or rejected, check the engine."),
 	note("note_engine_reported", "an engine reported", "An engine told the planner what it holds.", nothing),
 }
--- a/pkg/rpfleet/content.go
+++ b/pkg/rpfleet/content.go
@@ -125,7 +125,8 @@
 		}
 		if s.leading() && !r.dueAt.IsZero() {
 			s.note("replicas", "a load is done", Field{"endpoint", string(e.ID)}, Field{"model", held.Name},
-				Field{"after_due", s.now.Sub(r.dueAt)}, Field{"weight_loads", len(s.plan.weightLoads)})
+				Field{"after_due", s.now.Sub(r.dueAt)})
+			s.weightLoadDone(e.ID, held.Name)
 		}
 		r.readyAt = s.now
 		g.busyUntil = s.now
--- a/pkg/rpfleet/order.go
+++ b/pkg/rpfleet/order.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
@@ -78,7 +77,7 @@
 	if o.kind == OrderLoad {
 		e.engine.plannedLoad = ""
 		if o.place == rpcore.PlaceRemote {
-			s.plan.weightLoads = append(s.plan.weightLoads, s.now.Add(o.load))
+			s.weightLoadBegan(o)
 		}
 	}
 }
@@ -170,7 +169,7 @@
 		s.after(unknownPause, func(s *State) { s.askReport(o.engine) })
 	}
 	if ev.Outcome == OrderConflict || ev.Outcome == OrderNotSent || ev.Outcome == OrderRejected {
-		s.freeWeightLoad(o)
+		s.weightLoadFailed(o)
 	}
 	s.planSoon()
 }
@@ -189,17 +188,6 @@
 	s.askReport(o.engine)
 }
 
-// freeWeightLoad takes back the place of a load that did not begin.
-func (s *State) freeWeightLoad(o *order) {
-	if o.kind != OrderLoad || o.adapter != "" || o.place != rpcore.PlaceRemote {
-		return
-	}
-	end := o.sentAt.Add(o.load)
-	if at := slices.Index(s.plan.weightLoads, end); at >= 0 {
-		s.plan.weightLoads = slices.Delete(s.plan.weightLoads, at, at+1)
-	}
-}
-
 // changed makes other instances hear of a change of an engine.
 func (s *State) changed(g *engineState) {
 	s.plan.change++
--- a/pkg/rpfleet/placing.go
+++ b/pkg/rpfleet/placing.go
@@ -143,11 +143,6 @@
 	}
 }
 
-// queuedLoad estimates the end of a load that waits for the weight store.
-func (p *servicePlan) queuedLoad(ahead int) time.Duration {
-	return assumedLoad * time.Duration(1+(ahead+p.state.policy.WeightLoads-1)/p.state.policy.WeightLoads)
-}
-
 // loadChoice is a way to load a model.
 type loadChoice struct {
 	engine *endpoint
@@ -244,13 +239,3 @@
 	}
 	return float64(sum) / float64(max(1, len(m.holders)))
 }
-
-// storeFree reports whether one more load from the weight store runs at full
-// speed.
-func (p *servicePlan) storeFree(preload bool) bool {
-	limit := p.state.policy.WeightLoads
-	if preload {
-		limit -= preloadReserve
-	}
-	return len(p.state.plan.weightLoads) < limit
-}
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -89,8 +89,7 @@
 // planState is what the planner knows beyond the engines themselves.
 type planState struct {
 	demands map[rpcore.InstanceID]*receivedDemand
-	// weightLoads holds the ends of the loads from the weight store.
-	weightLoads []time.Time
+	weights weightStore
 	// orders holds the orders in flight.
 	orders map[rpcore.OrderID]*order
 	due    bool
@@ -130,7 +129,7 @@
 	clear(s.plan.demands)
 	clear(s.plan.orders)
 	clear(s.plan.expected)
-	s.plan.weightLoads = nil
+	s.plan.weights.loads = nil
 	for _, e := range s.endpoints {
 		if e.engine.order != nil {
 			e.engine.sentAt = s.now.Add(orderFlight)
@@ -262,7 +261,7 @@
 			delete(s.plan.demands, name)
 		}
 	}
-	s.plan.weightLoads = slices.DeleteFunc(s.plan.weightLoads, func(end time.Time) bool { return !end.After(s.now) })
+	s.forgetWeightLoads()
 }
 
 func (s *State) newServicePlan(service *Service) *servicePlan {
--- /dev/null
+++ b/pkg/rpfleet/weightstore.go
@@ -0,0 +1,134 @@
+package rpfleet
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+)
+
+const (
+	// stretched is the multiple of its usual time from which a load shows that
+	// more loads ran at once than the weight store serves at full speed.
+	stretched = 1.15
+	// limitWeight is the weight of one such load in the learned limit, and
+	// limitGrowth what a load at full speed adds while the limit is used up.
+	limitWeight = 0.5
+	limitGrowth = 0.25
+	// maxWeightLoads bounds the learned limit.
+	maxWeightLoads = 16.0
+	// rateWindow is the time over which the users' rules count the loads that
+	// begin.
+	rateWindow = 5 * time.Second
+)
+
+// weightStore is what the planner knows of the loads from the weight store. The
+// configuration does not tell how many run at full speed, so it is learned from
+// their times, beginning with Policy.WeightLoads.
+type weightStore struct {
+	loads []weightLoad
+	// starts are the begins of loads within rateWindow.
+	starts []time.Time
+	// limit is the learned number of loads at full speed; 0 before the first.
+	limit float64
+}
+
+// weightLoad is a load from the weight store that is under way.
+type weightLoad struct {
+	engine  rpcore.EndpointID
+	model   string
+	beganAt time.Time
+	usual   time.Duration
+	// atOnce is the number of loads under way when this one began, and most the
+	// largest number since.
+	atOnce int
+	most   int
+}
+
+func (s *State) weightLimit() float64 {
+	if s.plan.weights.limit == 0 {
+		return float64(s.policy.WeightLoads)
+	}
+	return s.plan.weights.limit
+}
+
+// weightLoadBegan counts a load that was ordered.
+func (s *State) weightLoadBegan(o *order) {
+	w := &s.plan.weights
+	w.starts = append(w.starts, s.now)
+	w.loads = append(w.loads, weightLoad{
+		engine: o.engine.ID, model: o.model, beganAt: s.now, usual: o.load, atOnce: len(w.loads) + 1,
+	})
+	for i := range w.loads {
+		w.loads[i].most = max(w.loads[i].most, len(w.loads))
+	}
+}
+
+// weightLoadFailed takes a load back that did not begin.
+func (s *State) weightLoadFailed(o *order) {
+	if o.kind != OrderLoad || o.adapter != "" || o.place != rpcore.PlaceRemote {
+		return
+	}
+	w := &s.plan.weights
+	if i := w.index(o.engine.ID, o.model); i >= 0 {
+		w.loads = slices.Delete(w.loads, i, i+1)
+	}
+}
+
+func (w *weightStore) index(engine rpcore.EndpointID, model string) int {
+	return slices.IndexFunc(w.loads, func(l weightLoad) bool { return l.engine == engine && l.model == model })
+}
+
+// weightLoadDone learns from the time that a load took.
+func (s *State) weightLoadDone(engine rpcore.EndpointID, model string) {
+	w := &s.plan.weights
+	i := w.index(engine, model)
+	if i < 0 {
+		return
+	}
+	load := w.loads[i]
+	atOnce := float64(load.atOnce+len(w.loads)) / 2
+	w.loads = slices.Delete(w.loads, i, i+1)
+	before := s.weightLimit()
+	after := before
+	stretch := s.now.Sub(load.beganAt).Seconds() / load.usual.Seconds()
+	switch {
+	case stretch >= stretched:
+		after += limitWeight * (atOnce/stretch - before)
+	case float64(load.most) >= math.Round(before):
+		after += limitGrowth
+	}
+	w.limit = min(max(1, after), maxWeightLoads)
+	s.note("replicas", "a load from the weight store took its time", Field{"endpoint", string(engine)}, Field{"model", model},
+		Field{"took", s.now.Sub(load.beganAt)}, Field{"usual", load.usual}, Field{"at_once", atOnce},
+		Field{"limit_before", before}, Field{"limit", w.limit})
+}
+
+// forgetWeightLoads drops loads whose engine is gone or does not tell their end.
+func (s *State) forgetWeightLoads() {
+	w := &s.plan.weights
+	w.loads = slices.DeleteFunc(w.loads, func(l weightLoad) bool {
+		return s.endpoints[l.engine] == nil || s.now.Sub(l.beganAt) > l.usual+remotePatience
+	})
+	w.starts = slices.DeleteFunc(w.starts, func(at time.Time) bool { return s.now.Sub(at) >= rateWindow })
+}
+
+// storeFree reports whether one more load from the weight store runs at full
+// speed and within the rate of the configuration.
+func (p *servicePlan) storeFree(preload bool) bool {
+	s := p.state
+	limit := max(1, math.Round(s.weightLimit()))
+	if preload {
+		limit -= preloadReserve
+	}
+	rate := p.spec.WeightLoadsPerSecond
+	inRate := rate <= 0 || float64(len(s.plan.weights.starts))+1 <= max(1, rate*rateWindow.Seconds())
+	return float64(len(s.plan.weights.loads)) < limit && inRate
+}
+
+// queuedLoad estimates the end of a load that waits for the weight store behind
+// others.
+func (p *servicePlan) queuedLoad(ahead int) time.Duration {
+	return assumedLoad * time.Duration(1+math.Ceil(float64(ahead)/p.state.weightLimit()))
+}
--- /dev/null
+++ b/pkg/rpfleet/weightstore_test.go
@@ -0,0 +1,140 @@
+package rpfleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
+)
+
+// weightStoreWorld is a weight store that serves some loads at full speed and
+// shares itself among more of them.
+type weightStoreWorld struct {
+	*rig
+	atFullSpeed float64
+	engines     map[rpcore.EndpointID]*rpfleet.Endpoint
+	left        map[rpcore.EndpointID]float64
+	loading     map[rpcore.EndpointID]string
+	most        int
+	starts      []time.Time
+}
+
+const usualLoad = 6.0
+
+func withWeightStore(t *testing.T, engines int, atFullSpeed float64) *weightStoreWorld {
+	w := &weightStoreWorld{
+		rig: withRig(t), atFullSpeed: atFullSpeed, engines: map[rpcore.EndpointID]*rpfleet.Endpoint{},
+		left: map[rpcore.EndpointID]float64{}, loading: map[rpcore.EndpointID]string{},
+	}
+	var list []rpfleet.Endpoint
+	for i := range engines {
+		e := testEndpoint(fmt.Sprintf("e%d", i), testService, homeDomain)
+		list = append(list, e)
+		w.engines[e.ID] = &e
+	}
+	w.configure(list...)
+	w.lead(list...)
+	return w
+}
+
+// run plays the engines and the store for a time, while requests for all models
+// keep waiting.
+func (w *weightStoreWorld) run(d time.Duration) {
+	const step = 50 * time.Millisecond
+	for begin := w.now; w.now.Sub(begin) < d; {
+		w.forget()
+		var needs []rpfleet.Need
+		for i := range 8 {
+			needs = append(needs, rpfleet.Need{Service: testService, Model: fmt.Sprintf("m%d", i), Waiting: 1, Rank: 2})
+		}
+		w.apply(rpfleet.DemandReceived{Stamp: w.stamp(), Call: 1, Demand: rpfleet.Demand{Instance: "front-2", Needs: needs}})
+		w.renew(step)
+		speed := min(1, w.atFullSpeed/float64(max(1, len(w.left))))
+		for id := range w.left {
+			w.left[id] -= step.Seconds() * speed
+		}
+		for _, effect := range w.effects[w.seen:] {
+			switch effect := effect.(type) {
+			case rpfleet.SendOrder:
+				w.order(effect)
+			case rpfleet.ReadReport:
+				w.tell(effect.Endpoint)
+			}
+		}
+		w.most = max(w.most, len(w.left))
+	}
+}
+
+func (w *weightStoreWorld) order(order rpfleet.SendOrder) {
+	w.answer(order, rpfleet.OrderAccepted)
+	e := w.engines[order.Endpoint]
+	if order.Kind == rpfleet.OrderUnload {
+		e.Models = nil
+		return
+	}
+	w.left[e.ID], w.loading[e.ID] = usualLoad, order.Model
+	w.starts = append(w.starts, w.now)
+}
+
+// tell reports what an engine holds. Engines forget their copies, so that each
+// load is one from the store.
+func (w *weightStoreWorld) tell(id rpcore.EndpointID) {
+	e := w.engines[id]
+	if left, ok := w.left[id]; ok && left <= 0 {
+		e.Models = append(e.Models, rpfleet.HeldModel{Name: w.loading[id], Version: "1"})
+		delete(w.left, id)
+	}
+	w.apply(rpfleet.EngineReported{Stamp: w.stamp(), Endpoint: id, Report: rpfleet.EngineReport{
+		Incarnation: e.Incarnation, Models: e.Models, Cached: e.Cached,
+	}})
+}
+
+// Guards against loads that all take twice their time, because the weight store
+// serves fewer of them at once than the settings say.
+func TestLearnsHowManyLoadsRunAtFullSpeed(t *testing.T) {
+	g := NewWithT(t)
+	w := withWeightStore(t, 8, 2)
+	w.run(13 * time.Second)
+	g.Expect(w.most).To(Equal(rpfleet.DefaultWeightLoads))
+	w.run(10 * time.Second)
+	w.most = 0
+	w.run(10 * time.Second)
+	g.Expect(w.most).To(BeNumerically("<=", 3))
+	g.Expect(w.most).To(BeNumerically(">=", 1))
+}
+
+// Guards against a limit that stays at that of the settings where the store
+// serves more.
+func TestUsesAFasterWeightStore(t *testing.T) {
+	g := NewWithT(t)
+	w := withWeightStore(t, 8, 100)
+	const configured = 2
+	w.apply(rpfleet.PolicyChanged{Stamp: w.stamp(), Policy: rpfleet.Policy{WeightLoads: configured}})
+	w.run(30 * time.Second)
+	g.Expect(w.most).To(BeNumerically(">", configured))
+}
+
+// Guards against more loads in a time than the configuration allows, where they
+// are short.
+func TestBoundsWeightLoadsPerSecond(t *testing.T) {
+	g := NewWithT(t)
+	w := withWeightStore(t, 8, 100)
+	config := testConfig(2)
+	config.Services[testService].Engine.WeightLoadsPerSecond = 0.4
+	w.apply(rpfleet.ConfigRead{Stamp: w.stamp(), Config: config})
+	w.run(20 * time.Second)
+	g.Expect(len(w.starts)).To(BeNumerically(">=", 3))
+	for i, at := range w.starts {
+		within := 0
+		for _, other := range w.starts[i:] {
+			if other.Sub(at) < 5*time.Second {
+				within++
+			}
+		}
+		g.Expect(within).To(BeNumerically("<=", 2))
+	}
+}
