--- a/pkg/rpcore/admission.go
+++ b/pkg/rpcore/admission.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpreducer"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
@@ -131,7 +132,7 @@
 
 func (p *pace) dispatched(now time.Time) {
 	gap := now.Sub(p.anchor)
-	kept := decay(gap, recentWindow)
+	kept := rpreducer.Decay(gap, recentWindow)
 	p.dispatches = p.dispatches*kept + 1
 	p.elapsed = time.Duration(float64(p.elapsed)*kept) + gap
 	p.anchor = now
--- a/pkg/rpcore/home_index.go
+++ b/pkg/rpcore/home_index.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpreducer"
 )
 
 // homeIndex keeps what this instance is the home of, so that a round of upkeep
@@ -37,9 +38,9 @@
 	if len(d.added) == 0 {
 		return home
 	}
-	best := rendezvousScore(key, string(home))
+	best := rpreducer.Rendezvous(key, string(home))
 	for _, candidate := range d.added {
-		score := rendezvousScore(key, string(candidate))
+		score := rpreducer.Rendezvous(key, string(candidate))
 		if score > best || score == best && candidate < home {
 			home, best = candidate, score
 		}
--- a/pkg/rpcore/queue.go
+++ b/pkg/rpcore/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpreducer"
 )
 
 // rankQueue holds waiting requests, the earliest deadline first.
@@ -84,7 +85,7 @@
 	// unserved is the time since which a plain service has no endpoint.
 	unserved    time.Time
 	ages        []ageEntry
-	arrivals    decayingCount
+	arrivals    rpreducer.DecayingSum
 	lastArrival time.Time
 	lastRank    rpdocument.Rank
 }
@@ -118,7 +119,7 @@
 const arrivalWindow = time.Hour
 
 func (l *lane) arrived(now time.Time, rank rpdocument.Rank) {
-	l.arrivals.add(now, arrivalWindow)
+	l.arrivals.Add(now, arrivalWindow, 1)
 	l.lastArrival = now
 	l.lastRank = rank
 }
--- a/pkg/rpcore/rendezvous.go
+++ b/pkg/rpcore/rendezvous.go
@@ -1,17 +1,6 @@
 package rpcore
 
-import "github.com/cespare/xxhash/v2"
-
-// rendezvousScore weighs a candidate for a key. The candidate with the
-// highest score is the home of the key; when it leaves, only its own keys
-// move.
-func rendezvousScore(key, candidate string) uint64 {
-	var buffer [128]byte
-	text := append(buffer[:0], key...)
-	text = append(text, 0)
-	text = append(text, candidate...)
-	return xxhash.Sum64(text)
-}
+import "github.com/rattanpaddle/rattanpaddle/pkg/rpreducer"
 
 // rendezvous returns the candidate with the highest score for the key, or ""
 // where there are none. Ties go to the smaller name.
@@ -19,7 +8,7 @@
 	var best T
 	var bestScore uint64
 	for _, candidate := range candidates {
-		score := rendezvousScore(key, string(candidate))
+		score := rpreducer.Rendezvous(key, string(candidate))
 		if best == "" || score > bestScore || (score == bestScore && candidate < best) {
 			best = candidate
 			bestScore = score
--- a/pkg/rpcore/request.go
+++ b/pkg/rpcore/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpreducer"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
@@ -79,7 +80,7 @@
 	deadline time.Time
 	// cutoff is the deadline less the margin; nothing starts after it.
 	cutoff time.Time
-	alarm  alarmID
+	alarm  rpreducer.AlarmID
 	// attempt is the current attempt; it is nil while none is under way.
 	attempt *attempt
 	// failedAt is the endpoint of the last failed attempt.
@@ -146,7 +147,7 @@
 	}
 	r := s.newRequest(req, service, goal)
 	r.lane.arrived(s.now, goal.rank)
-	service.recent.add(s.now, recentWindow)
+	service.recent.Add(s.now, recentWindow, 1)
 	if problem := s.checkIdempotencyKey(r); problem != nil {
 		return nil, problem
 	}
@@ -249,7 +250,7 @@
 		s.dequeue(r)
 	}
 	r.phase = phaseEnded
-	s.stopAlarm(r.alarm)
+	s.alarms.Stop(r.alarm)
 	delete(s.requests.byID, r.ID)
 	if r.claim != nil && r.attempt == nil {
 		s.settleUnfinished(r)
--- a/pkg/rpcore/resolve.go
+++ b/pkg/rpcore/resolve.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpreducer"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
@@ -38,8 +39,8 @@
 	credit  [rpdocument.RankCount]float64
 	// servedAt orders services that share an endpoint.
 	servedAt uint64
-	recent   decayingCount
-	retries  decayingCount
+	recent   rpreducer.DecayingSum
+	retries  rpreducer.DecayingSum
 	duration meanDuration
 }
 
--- a/pkg/rpcore/retry.go
+++ b/pkg/rpcore/retry.go
@@ -24,15 +24,15 @@
 func (s *State) retryFailed(r *request) {
 	service := r.lane.service
 	r.failures++
-	spent := service.retries.get(s.now, recentWindow)
-	budget := retryConstant + retryShare*service.recent.get(s.now, recentWindow)
+	spent := service.retries.Get(s.now, recentWindow)
+	budget := retryConstant + retryShare*service.recent.Get(s.now, recentWindow)
 	switch {
 	case r.failures >= maxFailures:
 		s.refuse(r, r.failureCode(), "Every attempt failed.")
 	case spent+1 > budget:
 		s.refuse(r, r.failureCode(), "The attempt failed, and the service has used up its retries.")
 	default:
-		service.retries.add(s.now, recentWindow)
+		service.retries.Add(s.now, recentWindow, 1)
 		s.retryAfter(r, s.jitter(retryDelay(r.failures)))
 	}
 }
--- a/pkg/rpcore/routing.go
+++ b/pkg/rpcore/routing.go
@@ -1,6 +1,10 @@
 package rpcore
 
-import "time"
+import (
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpreducer"
+)
 
 const (
 	// reportLifetime is the age from which a report says nothing about the
@@ -228,7 +232,7 @@
 	var best *endpoint
 	var bestScore uint64
 	for _, e := range candidates {
-		score := rendezvousScore(session, string(e.id))
+		score := rpreducer.Rendezvous(session, string(e.id))
 		if best == nil || score > bestScore || (score == bestScore && e.id < best.id) {
 			best = e
 			bestScore = score
--- a/pkg/rpcore/state.go
+++ b/pkg/rpcore/state.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"net/netip"
 	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpreducer"
 )
 
 // State is the view of one instance and the only state of the reducer. Its
@@ -20,7 +22,7 @@
 	draining  bool
 	out       []Effect
 
-	alarms    alarms
+	alarms    rpreducer.Alarms[State]
 	table     tableOps
 	members   memberView
 	documents documentView
@@ -39,7 +41,7 @@
 		s.now = at
 	}
 	s.apply(ev)
-	s.fireAlarms()
+	s.alarms.Fire(s.now, s)
 	s.emitAlarm()
 	return s.out
 }
@@ -49,9 +51,7 @@
 	case Start:
 		s.start(ev)
 	case Tick:
-		// fireAlarms does the work. A timer may fire early by its resolution;
-		// the alarm then has to be announced again.
-		s.alarms.announced = time.Time{}
+		s.alarms.Ticked()
 	case RequestArrived:
 		s.requestArrived(ev.Request)
 	case RequestRejected:
--- a/pkg/rpcore/ticket.go
+++ b/pkg/rpcore/ticket.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpreducer"
 )
 
 // ticketView holds the load tickets that this instance asked for or granted.
@@ -19,7 +21,7 @@
 	// it grows with WeightLoadsPerSecond up to WeightLoads.
 	starts   float64
 	startsAt time.Time
-	pumpAt   alarmID
+	pumpAt   rpreducer.AlarmID
 }
 
 // ticketWaiter is a request without a grant.
@@ -157,7 +159,7 @@
 // schedulePump sets the alarm for the next time at which a grant may become
 // possible without a release.
 func (s *State) schedulePump() {
-	s.stopAlarm(s.tickets.pumpAt)
+	s.alarms.Stop(s.tickets.pumpAt)
 	if len(s.tickets.waiting) == 0 {
 		return
 	}
--- a/pkg/rpcore/use.go
+++ b/pkg/rpcore/use.go
@@ -36,7 +36,7 @@
 		Oldest:          l.oldest(s.now),
 		InFlight:        l.inFlight,
 		LastArrival:     l.lastArrival,
-		ArrivalsPerHour: l.arrivals.get(s.now, arrivalWindow),
+		ArrivalsPerHour: l.arrivals.Get(s.now, arrivalWindow),
 	}
 }
 
--- a/pkg/rpfleet/adapter.go
+++ b/pkg/rpfleet/adapter.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpreducer"
 )
 
 // adapterSpread bounds the preference of an adapter for an engine, in places for
@@ -41,7 +42,7 @@
 		if r.readyAt.After(s.now) || e.engine.busyUntil.After(s.now) || !s.mayOrder(e) {
 			continue
 		}
-		cost := float64(p.adaptersAt(e)) + float64(rendezvous(need.Adapter, string(e.ID))%adapterSpread)
+		cost := float64(p.adaptersAt(e)) + float64(rpreducer.Rendezvous(need.Adapter, string(e.ID))%adapterSpread)
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
@@ -76,7 +77,7 @@
 // stallBounds returns how long an attempt may go without a sign before the
 // request goes elsewhere; zero where it can't.
 func (s *State) stallBounds(r *request) (first, event time.Duration) {
-	if !r.route.Repeatable() || r.runs+1 >= r.route.MaxEndpoints || !s.mayRetry(r.service) || !s.hasAlternative(r) {
+	if !r.route.Repeatable() || r.runs+1 >= r.route.MaxEndpoints || !s.mayRetry(r.service) || !s.hasAlternative(r, r.endpoint, true) {
 		return 0, 0
 	}
 	share := plainStallByTarget
@@ -89,15 +90,12 @@
 	return first, event
 }
 
-// hasAlternative reports whether an endpoint other than the current one can
-// take a request.
-func (s *State) hasAlternative(r *request) bool {
-	for _, e := range s.endpointsOf(r.service) {
-		if e != r.endpoint && s.candidate(r, e) && !e.health.ejected(s.now) {
-			return true
-		}
-	}
-	return false
+// hasAlternative reports whether an endpoint other than the given one can take a
+// request. healthy leaves out those that get no work for a time.
+func (s *State) hasAlternative(r *request, e *endpoint, healthy bool) bool {
+	return slices.ContainsFunc(s.endpointsOf(r.service), func(other *endpoint) bool {
+		return other != e && s.candidate(r, other) && !(healthy && other.health.ejected(s.now))
+	})
 }
 
 // release gives back the place of a running attempt.
@@ -227,7 +225,7 @@
 	case rpcore.AttemptNotLoaded:
 		// The engine may get the model back.
 	case rpcore.AttemptBusy:
-		if r.engine == nil || s.hasAlternativeTo(r, e) {
+		if r.engine == nil || s.hasAlternative(r, e, false) {
 			r.tried[e.ID] = true
 		}
 	default:
@@ -261,15 +259,6 @@
 	})
 }
 
-func (s *State) hasAlternativeTo(r *request, e *endpoint) bool {
-	for _, other := range s.endpointsOf(r.service) {
-		if other != e && s.candidate(r, other) {
-			return true
-		}
-	}
-	return false
-}
-
 // retryBar returns why a request must not be sent again, or "".
 func (s *State) retryBar(r *request, ev AttemptEnded) string {
 	switch {
--- a/pkg/rpfleet/health.go
+++ b/pkg/rpfleet/health.go
@@ -1,8 +1,9 @@
 package rpfleet
 
 import (
-	"math"
 	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpreducer"
 )
 
 const (
@@ -64,7 +65,7 @@
 		return 1
 	}
 	factor := float64(h.latency) / float64(usual)
-	kept := math.Exp(-float64(now.Sub(h.latencyAt)) / float64(latencyMemory))
+	kept := rpreducer.Decay(now.Sub(h.latencyAt), latencyMemory)
 	return min(max(1, 1+(factor-1)*kept), maxSlowness)
 }
 
--- a/pkg/rpfleet/placing_test.go
+++ b/pkg/rpfleet/placing_test.go
@@ -98,7 +98,8 @@
 	r.lead(engines...)
 	demand := busyDemand("m0", 6)
 	demand.Needs = []rpfleet.Need{
-		{Service: testService, Model: "m5", Waiting: 1, Rank: 2}, {Service: testService, Model: "m6", Waiting: 1, Rank: 2},
+		{Service: testService, Model: "m5", Waiting: 1, Rank: 2},
+		{Service: testService, Model: "m6", Waiting: 1, Rank: 2},
 		{Service: testService, Model: "m7", Waiting: 1, Rank: 2},
 	}
 	loads, unloads := r.play(5*time.Second, demand)
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpreducer"
 )
 
 const (
@@ -376,7 +377,7 @@
 	s := p.state
 	weight := 1.0
 	if !s.plan.firstArrival.IsZero() {
-		weight = math.Exp(-float64(s.now.Sub(s.plan.firstArrival)) / float64(initialMemory))
+		weight = rpreducer.Decay(s.now.Sub(s.plan.firstArrival), initialMemory)
 	}
 	for _, m := range p.models {
 		if n := s.plan.initial[m.id]; n > 1 {
--- a/pkg/rpfleet/routing.go
+++ b/pkg/rpfleet/routing.go
@@ -1,9 +1,8 @@
 package rpfleet
 
 import (
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpreducer"
 )
 
 const (
@@ -143,7 +142,7 @@
 		if e.Leaving || e.FailureDomain != s.self.FailureDomain || !e.serves(r.Model, s.now) {
 			continue
 		}
-		if score := rendezvous(key, string(e.ID)); best == "" || score > bestScore {
+		if score := rpreducer.Rendezvous(key, string(e.ID)); best == "" || score > bestScore {
 			best, bestScore = e.ID, score
 		}
 	}
@@ -157,13 +156,3 @@
 	_, tokens := r.prefixKey()
 	return min(1+float64(tokens)/prefillUnit, maxPrefixGain)
 }
-
-// rendezvous weighs a candidate for a key (highest random weight).
-func rendezvous(key, candidate string) uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	_, _ = digest.WriteString(key)
-	_, _ = digest.Write([]byte{0})
-	_, _ = digest.WriteString(candidate)
-	return digest.Sum64()
-}
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpreducer"
 )
 
 // Policy holds the bounds that the settings set. A zero field stands for its
@@ -67,7 +68,7 @@
 	rng         *rand.Rand
 	now         time.Time
 	out         []Effect
-	alarms      alarms
+	alarms      rpreducer.Alarms[State]
 	ready       bool
 	readyReason string
 	draining    bool
@@ -104,7 +105,7 @@
 		s.now = at
 	}
 	s.apply(ev)
-	s.fireAlarms()
+	s.alarms.Fire(s.now, s)
 	s.emitAlarm()
 	return s.out
 }
@@ -116,7 +117,7 @@
 	case PolicyChanged:
 		s.policy = ev.Policy.withDefaults()
 	case Tick:
-		s.alarms.announced = time.Time{}
+		s.alarms.Ticked()
 	case ConfigRead:
 		s.configRead(ev.Config)
 	case EndpointsRead:
