--- a/internal/rpcommand/gateway.go
+++ b/internal/rpcommand/gateway.go
@@ -31,10 +31,7 @@
 
 func gatewayCheck(_ context.Context, p *Program, args *settingsCheckArgs) error {
 	_, problems := rpgateway.LoadSettings(args.File)
-	if len(problems) > 0 {
-		return p.settingsProblems(args.File, args.Output, problems)
-	}
-	return p.report(args.Output, checkReport{File: args.File, Problems: []any{}}, args.File+" has no problems.\n")
+	return p.reportCheck(args, problems)
 }
 
 // RunGateway runs an instance on the users' platform until the context ends and
--- a/internal/rpcommand/run.go
+++ b/internal/rpcommand/run.go
@@ -57,6 +57,11 @@
 
 func settingsCheck(_ context.Context, p *Program, args *settingsCheckArgs) error {
 	_, problems := rpsettings.Load(args.File)
+	return p.reportCheck(args, problems)
+}
+
+// reportCheck reports the problems of a settings file, or that there are none.
+func (p *Program) reportCheck(args *settingsCheckArgs, problems []rpsettings.Problem) error {
 	if len(problems) > 0 {
 		return p.settingsProblems(args.File, args.Output, problems)
 	}
--- a/internal/rpsoak/caller_test.go
+++ b/internal/rpsoak/caller_test.go
@@ -34,6 +34,10 @@
 	running  sync.WaitGroup
 	rng      *rand.Rand
 	sent     int
+	// stay keeps all callers until their answers end, and choose returns the
+	// instance of a request; nil stands for any.
+	stay   bool
+	choose func(*rand.Rand) *process
 }
 
 const (
@@ -61,7 +65,10 @@
 			o := outcome{id: fmt.Sprintf("r%d", c.sent), route: routes[c.rng.IntN(len(routes))], body: fmt.Sprintf("body %d", c.sent)}
 			model := rpfake.ModelName(c.rng.IntN(models))
 			target := c.w.processes[c.rng.IntN(len(c.w.processes))]
-			leaves := c.rng.IntN(20) == 0
+			if c.choose != nil {
+				target = c.choose(c.rng)
+			}
+			leaves := c.rng.IntN(20) == 0 && !c.stay
 			c.running.Go(func() { c.send(o, model, target, leaves) })
 		}
 	}
--- a/internal/rpsoak/check_test.go
+++ b/internal/rpsoak/check_test.go
@@ -171,10 +171,16 @@
 		{id: "short", route: "suggest", sentAt: now, Reply: rpfake.Reply{Status: http.StatusOK, Whole: true, Body: "id: 1\n\nid: 3\n\n"}},
 	}
 	c.all(now.Add(-time.Second))
+	for _, o := range c.outcomes {
+		o.Whole = false
+		c.notCut(o)
+	}
+	c.leaversSpared([]absence{{endpoint: plain, from: now.Add(-time.Minute), to: now.Add(time.Minute)}})
 	all := strings.Join(found, "\n")
 	for _, want := range []string{
 		"twice (place) ran 2 times", `got "answer to b"`, "ran (place) got 503 and ran", "looks complete with 2 of 10 events",
 		"got event 3 as number 2", "a load beyond the memory", "fence 1 after 4", "e1 got orders of front-1 and front-2", "2 of 3 requests were served",
+		"twice (place) ran at s1 and was cut", "reached s1",
 	} {
 		g.Expect(all).To(ContainSubstring(want))
 	}
--- a/internal/rpsoak/soak_test.go
+++ b/internal/rpsoak/soak_test.go
@@ -82,14 +82,7 @@
 }
 
 func soak(t *testing.T, seed uint64) {
-	w := newWorld(t, binary)
-	defer func() {
-		if t.Failed() {
-			w.keepLogs(seed)
-		}
-	}()
-	w.waitReady(20 * time.Second)
-	c := newCallers(w, seed)
+	w, c := withWorld(t, seed)
 	ctx, stop := context.WithTimeout(context.Background(), warmUp+faultTime+recovery+measured)
 	defer stop()
 	begin := time.Now()
@@ -103,6 +96,23 @@
 	check.all(begin.Add(warmUp + faultTime + recovery))
 }
 
+// withWorld returns a world whose instances are ready, with callers. Its logs are
+// kept where the test fails.
+func withWorld(t *testing.T, seed uint64) (*world, *callers) {
+	t.Helper()
+	w := newWorld(t, binary)
+	t.Cleanup(func() {
+		if t.Failed() {
+			w.keepLogs(seed)
+		}
+	})
+	w.waitReady(startPatience)
+	return w, newCallers(w, seed)
+}
+
+// startPatience bounds the wait for the instances to be ready.
+const startPatience = 20 * time.Second
+
 func (w *world) waitReady(patience time.Duration) {
 	deadline := time.Now().Add(patience)
 	for _, p := range w.processes {
--- a/internal/rpsoak/world_test.go
+++ b/internal/rpsoak/world_test.go
@@ -62,6 +62,9 @@
 	storeFault     rpfake.Fault
 	endpointFaults map[string]func(n int) rpfake.EndpointFault
 	requests       map[string]int
+
+	// ready holds the instances that the balancer sends callers to.
+	ready atomic.Pointer[[]*process]
 }
 
 func newWorld(t *testing.T, binary string) *world {
--- a/pkg/rpfleet/config.go
+++ b/pkg/rpfleet/config.go
@@ -99,8 +99,6 @@
 	// Memory is the accelerator memory for weights of models and adapters.
 	Memory       rpdocument.Bytes
 	AdapterSlots int
-	// CacheTokens is the number of tokens that the KV cache holds.
-	CacheTokens int
 	// WeightLoadsPerSecond bounds the loads from the weight store over all
 	// engines.
 	WeightLoadsPerSecond float64
--- a/pkg/rpfleet/lease_test.go
+++ b/pkg/rpfleet/lease_test.go
@@ -235,10 +235,7 @@
 // did not answer or the instance was paused.
 func TestNoOrderAfterTheLease(t *testing.T) {
 	g := NewWithT(t)
-	r := withRig(t)
-	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
-	r.configure(engine)
-	r.lead(engine)
+	r, _ := withPlanner(t, "m0", "m1", "m2")
 	r.forget()
 	r.now = r.now.Add(1600 * time.Millisecond)
 	r.arrive("a", "/later/1", "m4")
@@ -251,10 +248,7 @@
 // planner, because it was under way when the lease was lost.
 func TestLostLeaseCancelsOrders(t *testing.T) {
 	g := NewWithT(t)
-	r := withRig(t)
-	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
-	r.configure(engine)
-	r.lead(engine)
+	r, _ := withPlanner(t, "m0", "m1", "m2")
 	r.arrive("a", "/later/1", "m4")
 	r.advance(50 * time.Millisecond)
 	g.Expect(effectsOf[rpfleet.SendOrder](r)).NotTo(BeEmpty())
--- a/pkg/rpfleet/plan_test.go
+++ b/pkg/rpfleet/plan_test.go
@@ -25,10 +25,7 @@
 // list no longer showed a model that the engine still had.
 func TestStaleEntryDoesNotFreeMemory(t *testing.T) {
 	g := NewWithT(t)
-	r := withRig(t)
-	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
-	r.configure(engine)
-	r.lead(engine)
+	r, _ := withPlanner(t, "m0", "m1", "m2")
 	stale := testEndpoint("e1", testService, homeDomain, "m0")
 	r.renew(10 * time.Second)
 	r.apply(rpfleet.EndpointsRead{Stamp: r.stamp(), Entries: []rpfleet.Endpoint{stale}})
@@ -131,10 +128,7 @@
 // weight store although an engine that is busy has the checkpoint on its disk.
 func TestBusyEngineIsNoColdStart(t *testing.T) {
 	g := NewWithT(t)
-	r := withRig(t)
-	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
-	r.configure(engine)
-	r.lead(engine)
+	r, _ := withPlanner(t, "m0", "m1", "m2")
 	for _, model := range []string{"m0", "m1", "m2"} {
 		r.arrive("keep-"+model, "/suggest/1", model)
 	}
@@ -148,10 +142,7 @@
 // request, because no other engine can take an order at that moment.
 func TestBusyModelsStay(t *testing.T) {
 	g := NewWithT(t)
-	r := withRig(t)
-	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
-	r.configure(engine)
-	r.lead(engine)
+	r, _ := withPlanner(t, "m0", "m1", "m2")
 	for i := range 20 {
 		for _, model := range []string{"m0", "m1", "m2"} {
 			id := model + time.Duration(i).String()
@@ -255,10 +246,7 @@
 // requests ask for until its deadline has passed.
 func TestNoModelStarves(t *testing.T) {
 	g := NewWithT(t)
-	r := withRig(t)
-	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
-	r.configure(engine)
-	r.lead(engine)
+	r, _ := withPlanner(t, "m0", "m1", "m2")
 	r.arrive("lonely", "/later/1", "m7")
 	loads := map[string]time.Time{}
 	begin := r.now
@@ -324,10 +312,7 @@
 // Guards against more adapters at an engine than it has places for.
 func TestAdapterPlaces(t *testing.T) {
 	g := NewWithT(t)
-	r := withRig(t)
-	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0"))
-	r.configure(engine)
-	r.lead(engine)
+	r, _ := withPlanner(t, "m0")
 	r.forget()
 	for i, adapter := range []string{"a1", "a2", "a3"} {
 		r.apply(rpfleet.RequestArrived{Stamp: r.stamp(), Request: rpfleet.Request{
@@ -355,10 +340,7 @@
 // model, because requests for it arrived meanwhile.
 func TestRoomIsKeptForItsModel(t *testing.T) {
 	g := NewWithT(t)
-	r := withRig(t)
-	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
-	r.configure(engine)
-	r.lead(engine)
+	r, engine := withPlanner(t, "m0", "m1", "m2")
 	r.forget()
 	r.arrive("a", "/later/1", "m4")
 	r.advance(50 * time.Millisecond)
@@ -380,10 +362,7 @@
 // of the list from before the unload still shows the model.
 func TestStaleEntryDoesNotEndALoad(t *testing.T) {
 	g := NewWithT(t)
-	r := withRig(t)
-	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
-	r.configure(engine)
-	r.lead(engine)
+	r, engine := withPlanner(t, "m0", "m1", "m2")
 	// The victim is wanted back at once.
 	r.arrive("a", "/later/1", "m4")
 	r.advance(50 * time.Millisecond)
@@ -408,10 +387,7 @@
 // that waited for it no longer wait then, but have not begun either.
 func TestNewReplicaServesThoseThatWaited(t *testing.T) {
 	g := NewWithT(t)
-	r := withRig(t)
-	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0", "m1", "m2"))
-	r.configure(engine)
-	r.lead(engine)
+	r, engine := withPlanner(t, "m0", "m1", "m2")
 	// The other two places stay with busy models.
 	demand := rpfleet.Demand{
 		Instance: "front-2", Full: true,
--- a/pkg/rpfleet/rig_test.go
+++ b/pkg/rpfleet/rig_test.go
@@ -188,6 +188,17 @@
 	}
 }
 
+// withPlanner returns a planner and its only engine, which holds the given models
+// and has the checkpoints of all.
+func withPlanner(t *testing.T, models ...string) (*rig, rpfleet.Endpoint) {
+	t.Helper()
+	r := withRig(t)
+	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, models...))
+	r.configure(engine)
+	r.lead(engine)
+	return r, engine
+}
+
 func (r *rig) report(e rpfleet.Endpoint, sequence uint64) {
 	r.apply(rpfleet.EngineReported{Stamp: r.stamp(), Endpoint: e.ID, Report: rpfleet.EngineReport{
 		Incarnation: e.Incarnation, Sequence: sequence, Models: e.Models, Cached: e.Cached,
