--- a/pkg/rpfleet/plan_test.go
+++ b/pkg/rpfleet/plan_test.go
@@ -340,7 +340,7 @@
 // model, because requests for it arrived meanwhile.
 func TestRoomIsKeptForItsModel(t *testing.T) {
 	g := NewWithT(t)
-	r, engine := withPlanner(t, "m0", "m1", "m2")
+	r, _ := withPlanner(t, "m0", "m1", "m2")
 	r.forget()
 	r.arrive("a", "/later/1", "m4")
 	r.advance(50 * time.Millisecond)
@@ -387,7 +387,7 @@
 // that waited for it no longer wait then, but have not begun either.
 func TestNewReplicaServesThoseThatWaited(t *testing.T) {
 	g := NewWithT(t)
-	r, engine := withPlanner(t, "m0", "m1", "m2")
+	r, _ := withPlanner(t, "m0", "m1", "m2")
 	// The other two places stay with busy models.
 	demand := rpfleet.Demand{
 		Instance: "front-2", Full: true,
