--- a/internal/rpgateway/settings.go
+++ b/internal/rpgateway/settings.go
@@ -54,7 +54,8 @@
 	// CPUShare is the part of a core that the instance has. Of several that
 	// could plan, larger ones go first.
 	CPUShare float64 `toml:"cpu_share"`
-	// WeightLoads is the number of loads from the weight store at once.
+	// WeightLoads is the number of loads from the weight store at once with which
+	// the planner begins. It learns from their times how many run at full speed.
 	WeightLoads int `toml:"weight_loads"`
 }
 
--- a/pkg/rpfleet/content.go
+++ b/pkg/rpfleet/content.go
@@ -40,6 +40,9 @@
 	content  map[string]adapterSet
 	// order is the order in progress; only the planner has one.
 	order *order
+	// foreignOrder says that the engine reported an order in progress that this
+	// instance did not give.
+	foreignOrder bool
 	// busyUntil is when the last accepted order should be done.
 	busyUntil time.Time
 	// orderedAt is the time of the last accepted order, reportAt the earliest
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -319,6 +319,7 @@
 	s.demand.epoch, s.demand.seen, s.demand.listSeen = p.Epoch, p.Change, p.List.Change
 	s.adoptList(&p.List, ev.AskedAt)
 	s.adoptConfigVersion(p.ConfigVersion)
+	s.adoptWeightLimit(p.WeightLimit)
 	if p.CheckStore {
 		s.readLease()
 	}
--- a/pkg/rpfleet/message.go
+++ b/pkg/rpfleet/message.go
@@ -89,6 +89,9 @@
 	Expected []ExpectedModel
 	// List tells the changes of the list of endpoints.
 	List ListNews
+	// WeightLimit is the number of loads from the weight store at full speed that
+	// the planner has learned.
+	WeightLimit float64
 	// ConfigVersion is the version of the configuration that the planner has.
 	ConfigVersion uint64
 	// CheckStore asks the instance to try whether it reaches the store.
--- a/pkg/rpfleet/order.go
+++ b/pkg/rpfleet/order.go
@@ -331,6 +331,7 @@
 	g := &e.engine
 	g.sequence = report.Sequence
 	g.conflicts = 0
+	g.foreignOrder = report.Busy && s.plan.weights.index(e.ID, "") < 0
 	if report.Busy {
 		g.busyUntil = maxTime(g.busyUntil, s.now.Add(reportPause))
 		s.after(reportPause, func(s *State) { s.askReport(e) })
--- a/pkg/rpfleet/placement.go
+++ b/pkg/rpfleet/placement.go
@@ -33,6 +33,7 @@
 		List:      s.listNews(d.ListSeen),
 
 		ConfigVersion: s.configVersion(),
+		WeightLimit:   s.weightLimit(),
 		CheckStore:    s.lease.failures > 0 && s.rng.Float64()*float64(len(s.plan.demands)) < storeWitnesses,
 	}
 	if d.Full {
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -137,6 +137,7 @@
 		}
 		e.engine.order = nil
 		e.engine.verified = false
+		e.engine.foreignOrder = false
 		e.engine.plannedLoad = ""
 	}
 }
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -32,7 +32,8 @@
 	LeavingBound time.Duration
 	// CPUShare is the part of a core that this instance has.
 	CPUShare float64
-	// WeightLoads is the number of loads from the weight store at once.
+	// WeightLoads is the number of loads from the weight store at once, until
+	// their times have shown how many run at full speed.
 	WeightLoads int
 }
 
--- a/pkg/rpfleet/weightstore.go
+++ b/pkg/rpfleet/weightstore.go
@@ -15,7 +15,7 @@
 	// limitWeight is the weight of one such load in the learned limit, and
 	// limitGrowth what a load at full speed adds while the limit is used up.
 	limitWeight = 0.5
-	limitGrowth = 0.25
+	limitGrowth = 0.5
 	// maxWeightLoads bounds the learned limit.
 	maxWeightLoads = 16.0
 	// rateWindow is the time over which the users' rules count the loads that
@@ -76,8 +76,10 @@
 	}
 }
 
+// index finds a load at an engine, of any model where model is "". It returns -1
+// where there is none.
 func (w *weightStore) index(engine rpcore.EndpointID, model string) int {
-	return slices.IndexFunc(w.loads, func(l weightLoad) bool { return l.engine == engine && l.model == model })
+	return slices.IndexFunc(w.loads, func(l weightLoad) bool { return l.engine == engine && (model == "" || l.model == model) })
 }
 
 // weightLoadDone learns from the time that a load took.
@@ -124,7 +126,27 @@
 	}
 	rate := p.spec.WeightLoadsPerSecond
 	inRate := rate <= 0 || float64(len(s.plan.weights.starts))+1 <= max(1, rate*rateWindow.Seconds())
-	return float64(len(s.plan.weights.loads)) < limit && inRate
+	return float64(len(s.plan.weights.loads)+p.foreignLoads()) < limit && inRate
+}
+
+// foreignLoads counts the engines that are busy with an order of the planner
+// before, which may be a load from the weight store.
+func (p *servicePlan) foreignLoads() int {
+	n := 0
+	for _, e := range p.engines {
+		if e.engine.foreignOrder {
+			n++
+		}
+	}
+	return n
+}
+
+// adoptWeightLimit takes over what the planner has learned, for when this instance
+// plans.
+func (s *State) adoptWeightLimit(limit float64) {
+	if limit >= 1 {
+		s.plan.weights.limit = min(limit, maxWeightLoads)
+	}
 }
 
 // queuedLoad estimates the end of a load that waits for the weight store behind
--- a/pkg/rpfleet/weightstore_test.go
+++ b/pkg/rpfleet/weightstore_test.go
@@ -138,3 +138,31 @@
 		g.Expect(within).To(BeNumerically("<=", 2))
 	}
 }
+
+// Guards against a new planner that adds its own loads to those of the planner
+// before: the weight store would share itself among all of them.
+func TestLoadsOfThePlannerBeforeCount(t *testing.T) {
+	g := NewWithT(t)
+	r := withRig(t)
+	var engines []rpfleet.Endpoint
+	for i := range 6 {
+		engines = append(engines, testEndpoint(fmt.Sprintf("e%d", i), testService, homeDomain))
+	}
+	r.configure(engines...)
+	// The planner before has learned that two run at full speed.
+	r.apply(rpfleet.PlacementReceived{Stamp: r.stamp(), AskedAt: r.now, Placement: rpfleet.Placement{
+		Leading: true, Instances: 3, WeightLimit: 2,
+	}})
+	r.lead(engines[2:]...)
+	for _, e := range engines[:2] {
+		r.apply(rpfleet.EngineReported{Stamp: r.stamp(), Endpoint: e.ID, Report: rpfleet.EngineReport{Incarnation: "1", Busy: true}})
+	}
+	for i := range 4 {
+		r.arrive(fmt.Sprintf("r%d", i), "/later/1", fmt.Sprintf("m%d", i))
+	}
+	r.renew(200 * time.Millisecond)
+	g.Expect(effectsOf[rpfleet.SendOrder](r)).To(BeEmpty())
+	r.report(engines[0], 1)
+	r.renew(200 * time.Millisecond)
+	g.Expect(effectsOf[rpfleet.SendOrder](r)).To(HaveLen(1))
+}
