--- a/internal/rpgateway/follow.go
+++ b/internal/rpgateway/follow.go
@@ -135,7 +135,8 @@
 	return f.changes(ctx)
 }
 
-// errRepeated ends a call that waits for changes before its time.
+// Causes of the end of a call that waits for changes, after which it is made
+// again.
 var (
 	errRepeated = errors.New("the call has waited for longer than it should by now")
 	errNewer    = fmt.Errorf("%w: there is a newer version", errRepeated)
@@ -160,8 +161,8 @@
 	return nil
 }
 
-// guard ends a call that has waited for too long, by what is right now, or that
-// a newer version is known of.
+// guard ends a call that has waited for longer than is right by now, or of whose
+// table a newer version is known.
 func (f *follower) guard(ctx context.Context, cancel context.CancelCauseFunc, begin time.Time) {
 	ticker := time.NewTicker(guardInterval)
 	defer ticker.Stop()
--- a/pkg/rpfleet/placing.go
+++ b/pkg/rpfleet/placing.go
@@ -213,7 +213,36 @@
 // half of it; their delay is spread over the requests that the load is for.
 func (p *servicePlan) delayOfOthers(w wanted, e *endpoint, load time.Duration) float64 {
 	served := max(1, float64(w.model.waiting), w.model.rate)
-	return p.reliance[e.ID] * load.Seconds() * load.Seconds() / 2 / served
+	perSecond := float64(p.relianceOn(e)) / rateUnit
+	return perSecond * load.Seconds() * load.Seconds() / 2 / served
+}
+
+// relianceOn returns the rate of requests, in rateUnit, for models that are loaded
+// nowhere and that an engine can load without the weight store. Where several
+// engines can, each has its part. Whole numbers have the same sum in any order.
+func (p *servicePlan) relianceOn(e *endpoint) int {
+	if p.reliance == nil {
+		p.countReliance()
+	}
+	return p.reliance[e.ID]
+}
+
+func (p *servicePlan) countReliance() {
+	p.reliance = make(map[rpcore.EndpointID]int, len(p.engines))
+	cold := make([][]*modelDemand, len(p.engines))
+	for i, e := range p.engines {
+		for name, place := range e.Cached {
+			if m := p.models[name]; m != nil && len(m.holders) == 0 && m.rate > 0 && place != rpcore.PlaceRemote {
+				m.copies++
+				cold[i] = append(cold[i], m)
+			}
+		}
+	}
+	for i, models := range cold {
+		for _, m := range models {
+			p.reliance[p.engines[i].ID] += int(rateUnit * m.rate / float64(m.copies))
+		}
+	}
 }
 
 // unverifiedChoice stands for an engine that has the checkpoint but has not said
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -171,6 +171,8 @@
 	rank   int
 	// holders are the engines that hold or load the model.
 	holders []*endpoint
+	// copies counts the engines that can load it without the weight store.
+	copies int
 }
 
 // desired returns the number of replicas that the demand asks for.
@@ -209,10 +211,8 @@
 	// load counts the requests in progress at the engines.
 	load        map[rpcore.EndpointID]int
 	enginePlans map[rpcore.EndpointID]*enginePlan
-	// reliance is the rate of requests, by engine, for models that are loaded
-	// nowhere and that the engine can load without the weight store. Where
-	// several engines can, each has its part.
-	reliance map[rpcore.EndpointID]float64
+	// reliance is worked out when a load is considered; see relianceOn.
+	reliance map[rpcore.EndpointID]int
 }
 
 // planNow makes a plan unless the last one is so recent that the demands of
@@ -289,7 +289,6 @@
 	p.domains = len(domains)
 	p.countHolders()
 	p.countDemand()
-	p.countReliance()
 	return p
 }
 
@@ -351,27 +350,6 @@
 	p.addInitial()
 }
 
-// countReliance works out how many requests each engine keeps waiting while it
-// carries out an order.
-func (p *servicePlan) countReliance() {
-	copies := map[string]int{}
-	for _, e := range p.engines {
-		for name, place := range e.Cached {
-			if place != rpcore.PlaceRemote {
-				copies[name]++
-			}
-		}
-	}
-	p.reliance = make(map[rpcore.EndpointID]float64, len(p.engines))
-	for _, e := range p.engines {
-		for name, place := range e.Cached {
-			if m := p.models[name]; m != nil && len(m.holders) == 0 && place != rpcore.PlaceRemote {
-				p.reliance[e.ID] += m.rate / float64(copies[name])
-			}
-		}
-	}
-}
-
 // addInitial assumes demand for the models that the platform placed on several
 // engines, until requests show what is asked for.
 func (p *servicePlan) addInitial() {
