--- a/pkg/rpfleet/doc.go
+++ b/pkg/rpfleet/doc.go
@@ -19,7 +19,8 @@
 //
 // Every instance routes its own requests (request.go, routing.go). One
 // instance at a time, the planner, holds a lease in the store (lease.go) and
-// gives all orders to the engines (plan.go, order.go). Instances tell it what
-// their callers ask for and learn from its answer what the engines hold
-// (demand.go).
+// gives all orders to the engines (plan.go, placing.go, order.go), within what
+// the weight store serves at full speed (weightstore.go). Instances tell it what
+// their callers ask for, and learn from its answer what the engines hold and how
+// the list of endpoints changed (demand.go, listing.go).
 package rpfleet
