Read the lease once when its holder says that it gave it up

The holder said in each of its answers to demands that it plans no more, and each instance read the row each time.

Only the first such answer leads to a reading at once.

--- a/pkg/rpfleet/lease.go
+++ b/pkg/rpfleet/lease.go
@@ -303,6 +303,7 @@
 func (s *State) holderSilent(ev *PlacementReceived) {
 	l := &s.lease
 	noAnswer, gaveUp := ev.Failed, ev.Placement.GaveUp
+	news := gaveUp != l.peerGaveUp
 	l.peerGaveUp = gaveUp
 	if !noAnswer {
 		l.holderAnsweredAt = s.now
@@ -314,7 +315,7 @@
 			Field{"no_answer", noAnswer})
 	}
 	l.silent = true
-	if gaveUp != 0 && gaveUp == l.row.Epoch {
+	if news && gaveUp != 0 && gaveUp == l.row.Epoch {
 		s.readLease()
 		return
 	}
