Ask for the lease again just before the first byte of an order

The lease was checked before the connection was made, and the end of the order with the lease took effect too late on a fifth of a core.

--- a/internal/rpendpoint/conn.go
+++ b/internal/rpendpoint/conn.go
@@ -16,11 +16,17 @@
 	sealed  bool
 	writing int
 	written int64
+	// allowed is asked before the first byte of a request; nil allows it.
+	allowed func() bool
 }
 
-// Write fails once the connection is sealed.
+// Write fails once the connection is sealed, and seals it where the request is not
+// allowed any more.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
+	if c.written == 0 && c.allowed != nil && !c.allowed() {
+		c.sealed = true
+	}
 	if c.sealed {
 		c.mu.Unlock()
 		return 0, errSealed
@@ -36,10 +42,11 @@
 }
 
 // begin starts the count of a new request.
-func (c *trackedConn) begin() {
+func (c *trackedConn) begin(allowed func() bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.written = 0
+	c.allowed = allowed
 }
 
 // touched reports whether a byte of the request left or may be leaving.
--- a/internal/rpendpoint/exchange.go
+++ b/internal/rpendpoint/exchange.go
@@ -21,6 +21,8 @@
 	conn *trackedConn
 	// wrote says that an earlier connection took bytes of the request.
 	wrote bool
+	// allowed is asked before the first byte leaves; nil allows it.
+	allowed func() bool
 }
 
 // trace returns a request that reports its connections to the exchange.
@@ -47,7 +49,7 @@
 	if x.conn != nil && x.conn.touched() {
 		x.wrote = true
 	}
-	conn.begin()
+	conn.begin(x.allowed)
 	x.conn = conn
 	if x.wrote {
 		conn.seal()
--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -72,10 +72,11 @@
 // Send sends a request once, on a connection of its own, and returns its
 // answer. After an error the verdict says whether a byte of it may have left;
 // what is still on its way then is discarded, so that it does not arrive later.
-// done must be called after the answer was read.
-func (f *Forwarder) Send(req *http.Request) (resp *http.Response, done func(), verdict rpverdict.Verdict, err error) {
+// allowed is asked just before the first byte leaves; nil allows it. done must be
+// called after the answer was read.
+func (f *Forwarder) Send(req *http.Request, allowed func() bool) (resp *http.Response, done func(), verdict rpverdict.Verdict, err error) {
 	f.init()
-	x := &exchange{}
+	x := &exchange{allowed: allowed}
 	resp, err = f.recalled.RoundTrip(x.trace(req))
 	if err != nil {
 		verdict = x.verdict()
--- a/internal/rpendpoint/forward_test.go
+++ b/internal/rpendpoint/forward_test.go
@@ -39,10 +39,33 @@
 		cancel()
 	}()
 	var forward rpendpoint.Forwarder
-	_, _, verdict, err := forward.Send(req)
+	_, _, verdict, err := forward.Send(req, nil)
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(verdict).To(Equal(rpverdict.MayHaveRun))
 	var end error
 	g.Eventually(ended, 5*time.Second).Should(Receive(&end))
 	g.Expect(errors.Is(end, syscall.ECONNRESET)).To(BeTrue(), "%v", end)
 }
+
+// Guards against an order that is written after its lease has ended, because the
+// instance was paused while the connection was made.
+func TestSendAsksBeforeTheFirstByte(t *testing.T) {
+	g := NewWithT(t)
+	got := make(chan int, 1)
+	address := withRawServer(t, func(conn net.Conn) {
+		n, _ := conn.Read(make([]byte, 4096))
+		got <- n
+	})
+	req, err := http.NewRequest(http.MethodPost, "http://"+address.String()+"/order", strings.NewReader("load"))
+	g.Expect(err).NotTo(HaveOccurred())
+	var forward rpendpoint.Forwarder
+	asked := false
+	_, _, verdict, err := forward.Send(req, func() bool {
+		asked = true
+		return false
+	})
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(asked).To(BeTrue())
+	g.Expect(verdict).To(Equal(rpverdict.NotRun))
+	g.Eventually(got, 5*time.Second).Should(Receive(Equal(0)))
+}
--- a/internal/rpgateway/orders.go
+++ b/internal/rpgateway/orders.go
@@ -83,7 +83,9 @@
 	if !o.loop.mayOrder(cmd) {
 		return rpfleet.OrderNotSent, "the lease has ended"
 	}
-	resp, done, verdict, err := o.forward.Send(req)
+	// The lease may end while the connection is made, also because the instance is
+	// paused.
+	resp, done, verdict, err := o.forward.Send(req, func() bool { return o.loop.mayOrder(cmd) })
 	if err != nil {
 		if verdict == rpverdict.NotRun {
 			return rpfleet.OrderNotSent, err.Error()
@@ -113,7 +115,7 @@
 	if err != nil {
 		return rpfleet.EngineReport{}, err
 	}
-	resp, done, _, err := o.forward.Send(req)
+	resp, done, _, err := o.forward.Send(req, nil)
 	if err != nil {
 		return rpfleet.EngineReport{}, err
 	}
