Wait for the lag of the list in TestPlannedStop; hold listeners of gateway tests

Cause: the list stand-in shows a change after 300 ms, and TestPlannedStop read it once right after the exit. Tests of rpgateway chose a port, closed it and opened it again later; Linux gave it to an outgoing connection in between.

Change: the test waits for the stated lag plus the time of one read. The gateway gets its listeners through a function, and the tests hand over listeners that are open from the choice of the port.

--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"sync"
@@ -63,6 +64,18 @@
 	Metrics  *rpmetric.Metrics
 	// Seed is the seed of the reducer's random numbers; 0 means a random seed.
 	Seed uint64
+	// Listen opens a listener on an address of the settings; nil opens a TCP
+	// listener. Tests pass listeners that are open already, because a port that
+	// was free a moment ago may be in use.
+	Listen func(ctx context.Context, address netip.AddrPort) (net.Listener, error)
+}
+
+func (i Instance) listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
+	if i.Listen != nil {
+		return i.Listen(ctx, address)
+	}
+	var config net.ListenConfig
+	return config.Listen(ctx, "tcp", address.String())
 }
 
 // Run starts the instance and serves until the context ends or a listener fails,
@@ -209,8 +222,7 @@
 			listeners = append(listeners, nil)
 			continue
 		}
-		var config net.ListenConfig
-		listener, err := config.Listen(ctx, "tcp", address.String())
+		listener, err := c.instance.listen(ctx, address.AddrPort)
 		if err != nil {
 			return trace.Wrap(err, "listening on %s", address)
 		}
--- a/internal/rpgateway/platform_test.go
+++ b/internal/rpgateway/platform_test.go
@@ -105,19 +105,34 @@
 	return b.buf.String()
 }
 
-// freeAddress returns a loopback address with a port that is currently free.
-func freeAddress(t *testing.T) netip.AddrPort {
+// heldListeners are open listeners on loopback ports, by address. The ports stay
+// in use from their choice to the start of the instance: Linux also gives them to
+// outgoing connections.
+type heldListeners map[netip.AddrPort]net.Listener
+
+// open opens a listener and returns its address.
+func (l heldListeners) open(t *testing.T) netip.AddrPort {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+	t.Cleanup(func() { _ = listener.Close() })
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	l[address] = listener
+	return address
+}
+
+func (l heldListeners) listen(_ context.Context, address netip.AddrPort) (net.Listener, error) {
+	if listener := l[address]; listener != nil {
+		return listener, nil
+	}
+	return nil, fmt.Errorf("no listener is open on %s", address)
 }
 
 func (p *platform) startGateway(name string) *gateway {
 	p.t.Helper()
 	g := NewWithT(p.t)
-	gw := &gateway{t: p.t, callerAddress: freeAddress(p.t), readinessAddress: freeAddress(p.t), log: &logBuffer{}, done: make(chan error, 1)}
+	listeners := heldListeners{}
+	gw := &gateway{t: p.t, callerAddress: listeners.open(p.t), readinessAddress: listeners.open(p.t), log: &logBuffer{}, done: make(chan error, 1)}
 	text := fmt.Sprintf(`
 [instance]
 name = %q
@@ -139,13 +154,13 @@
 [drain]
 balancer_delay = "200ms"
 timeout = "6s"
-`, name, gw.callerAddress, gw.readinessAddress, freeAddress(p.t), freeAddress(p.t), p.address)
+`, name, gw.callerAddress, gw.readinessAddress, listeners.open(p.t), listeners.open(p.t), p.address)
 	settings, problems := rpgateway.ParseSettings("test.toml", []byte(text))
 	g.Expect(problems).To(BeEmpty())
 	ctx, stop := context.WithCancel(context.Background())
 	gw.stop = stop
 	instance := rpgateway.Instance{
-		File: "test.toml", Settings: settings, Metrics: rpmetric.New(), Seed: 1,
+		File: "test.toml", Settings: settings, Metrics: rpmetric.New(), Seed: 1, Listen: listeners.listen,
 		Log: rplog.New(gw.log, rplog.FormatJSON, rplog.Levels{}),
 	}
 	go func() { gw.done <- instance.Run(ctx) }()
--- a/internal/rpsystem/cluster_test.go
+++ b/internal/rpsystem/cluster_test.go
@@ -22,6 +22,10 @@
 	// waitTimeout limits every wait. It is not a performance target.
 	waitTimeout  = 40 * time.Second
 	pollInterval = 20 * time.Millisecond
+	// listLag is the time until the list shows a change, and listReadTime limits
+	// a read of the list on a busy machine.
+	listLag      = 300 * time.Millisecond
+	listReadTime = 2 * time.Second
 
 	domainCount        = 3
 	instancesPerDomain = 2
@@ -108,7 +112,7 @@
 	c.authFile = c.writeFile("ca.pem", authority.PEM())
 	for i, part := range append(platformParts, "weights") {
 		c.platform[part] = c.withStandin(part, c.address(platformOctet, i+1, standinPort), part,
-			"--load-time", orDefault(config.LoadTime, time.Second).String())
+			"--load-time", orDefault(config.LoadTime, time.Second).String(), "--lag", listLag.String())
 	}
 	for i := range config.Engines {
 		c.withEngine(i)
--- a/internal/rpsystem/stop_test.go
+++ b/internal/rpsystem/stop_test.go
@@ -56,8 +56,10 @@
 	group.Wait()
 	c.expectComplete(answers)
 	g.Expect(stopped.exitCode()).To(BeZero())
-	_, listed := c.member(stopped.id)
-	g.Expect(listed).To(BeFalse())
+	g.Eventually(func() bool {
+		_, listed := c.member(stopped.id)
+		return listed
+	}, listLag+listReadTime, pollInterval).Should(BeFalse(), "the instance is still listed after its exit")
 }
 
 // Guards against an instance that accepts new work during its planned stop, or
