Play notices, endless bodies and late copies in the soak

The checks compare, by the instance that each request was sent to, what endpoints got after they had turned it away or said that they leave. TestChecksCanFail violates both. Regression seeds still choose from the faults that they were found with.

--- a/internal/rpsoak/check_test.go
+++ b/internal/rpsoak/check_test.go
@@ -18,6 +18,10 @@
 	engines        []*rpfake.Endpoint
 	plainEndpoints []*rpfake.Endpoint
 	outcomes       []outcome
+	disruptions    []disruption
+	// notices are the times in which endpoints said only in their responses that
+	// they were leaving.
+	notices []absence
 	// errorf reports a violation.
 	errorf func(format string, args ...any)
 }
@@ -35,6 +39,8 @@
 	c.checkEndpointViolations()
 	c.checkHolderGap()
 	c.checkRecovery(calmFrom)
+	c.checkHoldOffs()
+	c.checkNotices()
 }
 
 func (c *checker) endpoints() []*rpfake.Endpoint {
@@ -168,7 +174,21 @@
 	engine.AcceptOrder("load", "m0", "a2", "front-2", 4)
 	engine.AcceptOrder("load", "m5", "", "front-2", 1)
 	now := time.Now()
+	plain.Fault = func(*http.Request) rpfake.EndpointFault { return rpfake.EndpointFault{Shed: true, RetryAfter: "30"} }
+	g.Expect(plain.SendRequest(rpfake.CallerRequest{ID: "turned away", Path: "/place/1"})).To(Succeed())
+	time.Sleep(holdOffGrace + 50*time.Millisecond)
+	plain.Fault = nil
+	plain.SetLeaving(true)
+	for i := range holdOffArrivals + 1 {
+		g.Expect(plain.SendRequest(rpfake.CallerRequest{ID: fmt.Sprint("again", i), Path: "/place/1"})).To(Succeed())
+	}
+	c.notices = []absence{{endpoint: plain, from: now, to: now.Add(time.Minute)}}
 	c.outcomes = []outcome{
+		{id: "turned away", route: "place", target: "front-1", sentAt: now, CallerResponse: rpfake.CallerResponse{Status: http.StatusBadGateway}},
+		{id: "again0", route: "place", target: "front-1", sentAt: now, CallerResponse: rpfake.CallerResponse{Status: http.StatusBadGateway}},
+		{id: "again1", route: "place", target: "front-1", sentAt: now, CallerResponse: rpfake.CallerResponse{Status: http.StatusBadGateway}},
+		{id: "again2", route: "place", target: "front-1", sentAt: now.Add(leavingBound + time.Second), CallerResponse: rpfake.CallerResponse{Status: http.StatusBadGateway}},
+
 		{id: "twice", route: "place", body: "a", sentAt: now, CallerResponse: rpfake.CallerResponse{Status: http.StatusOK, Complete: true, Body: "answer to b"}},
 		{id: "ran", route: "place", sentAt: now, CallerResponse: rpfake.CallerResponse{Status: http.StatusServiceUnavailable, Complete: true}},
 		{id: "short", route: "suggest", sentAt: now, CallerResponse: rpfake.CallerResponse{Status: http.StatusOK, Complete: true, Body: "id: 1\n\nid: 3\n\n"}},
@@ -182,8 +202,8 @@
 	all := strings.Join(found, "\n")
 	for _, want := range []string{
 		"twice (place) ran 2 times", `got "answer to b"`, "ran (place) got 503 and ran", "looks complete with 2 of 10 events",
-		"got event 3 as number 2", "load exceeds the memory", "fencing token 1 after 4", "e1 got orders of front-1 and front-2", "2 of 3 requests were served",
-		"twice (place) ran at s1 and was truncated", "reached s1",
+		"got event 3 as number 2", "load exceeds the memory", "fencing token 1 after 4", "e1 got orders of front-1 and front-2", "2 of 7 requests were served",
+		"twice (place) ran at s1 and was truncated", "reached s1", "s1 got 3 requests of front-1", "said that it is leaving",
 	} {
 		g.Expect(all).To(ContainSubstring(want))
 	}
--- a/internal/rpsoak/doc.go
+++ b/internal/rpsoak/doc.go
@@ -13,7 +13,8 @@
 //   - processes are stopped, paused, killed and restarted by signals;
 //   - the store is unavailable or slow, drops responses or drops its change
 //     history;
-//   - endpoints leave, shed requests, and drop or corrupt responses;
+//   - endpoints leave, say so in their responses only, shed requests, say for how
+//     long, drop or corrupt responses, send them twice or without end;
 //   - the configuration changes and the settings are reloaded.
 //
 // The checks compare what callers received with what endpoints did:
@@ -22,7 +23,9 @@
 //     recognizably incomplete;
 //   - a request that must not be repeated runs at most once;
 //   - a request whose refusal says that it did not run did not run;
-//   - endpoints that left get no requests;
+//   - endpoints that left, or said that they are leaving, get no requests;
+//   - endpoints that turned an instance away for a time get no more than two
+//     requests from it in that time;
 //   - orders to an engine never exceed its memory, never have decreasing fencing
 //     tokens, and never come from two instances too close together;
 //   - requests are served again after the faults have ended.
--- a/internal/rpsoak/environment_test.go
+++ b/internal/rpsoak/environment_test.go
@@ -64,6 +64,8 @@
 	storeFault     rpfake.StoreFault
 	endpointFaults map[string]func(n int) rpfake.EndpointFault
 	requestCounts  map[string]int
+	disruptions    []disruption
+	notices        []absence
 
 	// ready holds the instances that the balancer currently sends requests to.
 	ready atomic.Pointer[[]*process]
--- a/internal/rpsoak/load_test.go
+++ b/internal/rpsoak/load_test.go
@@ -18,6 +18,8 @@
 	route  string
 	body   string
 	sentAt time.Time
+	// target is the name of the process that the request was sent to.
+	target string
 }
 
 func (o *outcome) stream() bool { return o.route == "suggest" || o.route == "later" }
@@ -84,7 +86,7 @@
 	if o.stream() {
 		request.Model = model
 	}
-	o.sentAt = time.Now()
+	o.sentAt, o.target = time.Now(), target.name
 	var err error
 	if o.CallerResponse, err = request.Do(ctx, g.client, target.callerAddress); err != nil {
 		panic(err)
--- a/internal/rpsoak/planned_test.go
+++ b/internal/rpsoak/planned_test.go
@@ -68,7 +68,10 @@
 	load.run(ctx)
 	work.Wait()
 	time.Sleep(300 * time.Millisecond)
-	check := &checker{engines: env.engines, plainEndpoints: env.plainEndpoints, outcomes: load.outcomes, errorf: t.Errorf}
+	check := &checker{
+		engines: env.engines, plainEndpoints: env.plainEndpoints, outcomes: load.outcomes, disruptions: env.disruptions,
+		notices: env.notices, errorf: t.Errorf,
+	}
 	check.checkAll(begin)
 	for _, o := range load.outcomes {
 		check.checkNotTruncated(o)
@@ -158,6 +161,7 @@
 		if err := a.endpoint.Heartbeat("draining"); err != nil {
 			env.t.Error(err)
 		}
+		a.endpoint.SetLeaving(true)
 		a.from = time.Now()
 		time.Sleep(leavingBound + time.Second)
 		a.to = time.Now()
--- a/internal/rpsoak/soak_test.go
+++ b/internal/rpsoak/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -32,6 +33,10 @@
 	3034: lateOrder,
 }
 
+// regressionFaults is the number of faults that regressions choose from. Faults that
+// were added later would change what their seeds play.
+const regressionFaults = 18
+
 const lateOrder = "an order was in flight when its planner lost the lease, and reached the engine after an order of the next planner"
 
 const portTaken = "an outgoing connection of another program used the port of an instance before the instance listened on it"
@@ -93,7 +98,10 @@
 	faults.Wait()
 	// Requests of callers that disconnected may still be in progress.
 	time.Sleep(300 * time.Millisecond)
-	check := &checker{engines: env.engines, plainEndpoints: env.plainEndpoints, outcomes: load.outcomes, errorf: t.Errorf}
+	check := &checker{
+		engines: env.engines, plainEndpoints: env.plainEndpoints, outcomes: load.outcomes, disruptions: env.disruptions,
+		notices: env.notices, errorf: t.Errorf,
+	}
 	check.checkAll(begin.Add(warmUpDuration + faultDuration + recoveryDuration))
 }
 
@@ -156,9 +164,13 @@
 		run      func(d time.Duration)
 		duration time.Duration
 	}
+	kinds := math.MaxInt
+	if _, ok := regressions[seed]; ok {
+		kinds = regressionFaults
+	}
 	for range faultCount {
 		at := time.Duration(rng.Int64N(int64(faultDuration - 2*time.Second)))
-		e := entry{at: at, duration: 500*time.Millisecond + time.Duration(rng.Int64N(int64(1500*time.Millisecond))), run: env.pickFault(rng)}
+		e := entry{at: at, duration: 500*time.Millisecond + time.Duration(rng.Int64N(int64(1500*time.Millisecond))), run: env.pickFault(rng, kinds)}
 		running.Go(func() {
 			time.Sleep(time.Until(from.Add(e.at)))
 			e.run(e.duration)
@@ -166,10 +178,12 @@
 	}
 }
 
-// pickFault returns a random fault as a function of its duration.
-func (env *environment) pickFault(rng *rand.Rand) func(time.Duration) {
+// pickFault returns a random one of the first kinds faults, as a function of its
+// duration.
+func (env *environment) pickFault(rng *rand.Rand, kinds int) func(time.Duration) {
 	p := env.processes[rng.IntN(len(env.processes))]
-	link := env.links[rng.IntN(len(env.links))]
+	linkIndex := rng.IntN(len(env.links))
+	link := env.links[linkIndex]
 	mode := linkMode(1 + rng.IntN(int(linkModes)-1))
 	endpoint := append(append([]*rpfake.Endpoint{}, env.engines...), env.plainEndpoints...)[rng.IntN(engineCount+plainCount)]
 	leaver := env.plainEndpoints[rng.IntN(len(env.plainEndpoints))]
@@ -179,7 +193,10 @@
 		func(d time.Duration) { env.pauseProcess(p, d) },
 		func(time.Duration) { env.stopProcess(p) },
 		func(time.Duration) { p.signal(syscall.SIGHUP) },
-		func(d time.Duration) { applyFor(d, func() { link.setMode(mode) }, func() { link.setMode(linkPass) }) },
+		func(d time.Duration) {
+			defer env.disrupt(env.endpointIDs()[linkIndex])()
+			applyFor(d, func() { link.setMode(mode) }, func() { link.setMode(linkPass) })
+		},
 		func(d time.Duration) {
 			applyFor(d, func() { env.storeLink.setMode(mode) }, func() { env.storeLink.setMode(linkPass) })
 		},
@@ -205,8 +222,19 @@
 		func(d time.Duration) { env.injectEndpointFault(endpoint, d, 1, rpfake.EndpointFault{Shed: true}) },
 		func(d time.Duration) { env.injectEndpointFault(endpoint, d, every, rpfake.EndpointFault{Hang: true}) },
 		func(d time.Duration) { env.leaveAndRejoin(leaver, d) },
+		func(time.Duration) { env.leaveByResponse(endpoint) },
+		func(d time.Duration) {
+			env.injectEndpointFault(endpoint, d, every, rpfake.EndpointFault{Shed: true, RetryAfter: retryAfter})
+		},
+		func(d time.Duration) {
+			env.injectEndpointFault(endpoint, d, every, rpfake.EndpointFault{Endless: true})
+		},
+		func(d time.Duration) { env.injectEndpointFault(leaver, d, every, rpfake.EndpointFault{LateCopy: true}) },
+		func(d time.Duration) {
+			env.injectEndpointFault(leaver, d, every, rpfake.EndpointFault{LateCopy: true, AnonymousCopy: true})
+		},
 	}
-	return faults[rng.IntN(len(faults))]
+	return faults[rng.IntN(min(kinds, len(faults)))]
 }
 
 func applyFor(d time.Duration, begin, end func()) {
@@ -216,6 +244,7 @@
 }
 
 func (env *environment) killProcess(p *process, d time.Duration) {
+	defer env.disrupt(p.name)()
 	p.signal(syscall.SIGCONT)
 	p.signal(syscall.SIGKILL)
 	p.waitExit()
@@ -224,6 +253,7 @@
 }
 
 func (env *environment) stopProcess(p *process) {
+	defer env.disrupt(p.name)()
 	p.signal(syscall.SIGCONT)
 	p.signal(syscall.SIGTERM)
 	p.waitExit()
@@ -242,6 +272,7 @@
 }
 
 func (env *environment) pauseProcess(p *process, d time.Duration) {
+	defer env.disrupt(p.name)()
 	applyFor(d, func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) })
 }
 
@@ -272,6 +303,7 @@
 	if e.Heartbeat("draining") != nil {
 		return
 	}
+	e.SetLeaving(true)
 	time.Sleep(d)
 	e.Rejoin()
 }
