Give each view of the store one bound and keep within it

Calls that fail were repeated after up to 195/60 = 3.25 s, and a call in flight took up to 2.5 s more: longer than the 4 s of the bound. With 195 instances the planner's answers come every 1.95 s and counted as recent for 2 s less their age, so each instance also read the list itself in each cycle. A configuration in quick succession was read by each instance ten times.

Change: freshness.go divides the bounds of the list and of the configuration among the steps from a change to its effect: age of the planner's news, reads without a planner, timeouts, delays after failures. The planner confirms its version of the configuration only while it has checked it; then the others make no calls of their own, and read several new versions at once. New setting members.config_bound.

--- a/internal/rpgateway/endless_test.go
+++ b/internal/rpgateway/endless_test.go
@@ -234,7 +234,7 @@
 // Guards against a store, an engine's report or another instance whose bytes
 // without end keep a call for longer than its timeout.
 func TestEndlessAnswersToInternalCalls(t *testing.T) {
-	const bound = snapshotTimeout + 3*time.Second
+	const timeout, bound = 2 * time.Second, 5 * time.Second
 	for name, response := range endlessResponses {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -242,7 +242,7 @@
 			s := withEndlessServer(t, response)
 			client := &http.Client{Transport: newTransport()}
 			begin := time.Now()
-			ctx, cancel := context.WithTimeout(context.Background(), snapshotTimeout)
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
 			defer cancel()
 			_, _, err := (&rpwire.Store{Address: s.address, Do: client.Do}).List(ctx, rpwire.TableEndpoints)
 			g.Expect(err).To(HaveOccurred())
--- a/internal/rpgateway/follower.go
+++ b/internal/rpgateway/follower.go
@@ -18,11 +18,6 @@
 	// outageAfter is how long calls must fail before the store counts as
 	// unavailable. Single calls also fail while the store is healthy.
 	outageAfter = time.Second
-	// snapshotTimeout limits the read of a whole table.
-	snapshotTimeout = 2 * time.Second
-	// pollTimeoutMargin is how much longer than its wait time a long poll may
-	// take.
-	pollTimeoutMargin = 1500 * time.Millisecond
 )
 
 // follower follows a table of the store: it reads the whole table once and then
@@ -33,8 +28,8 @@
 	// pollWait returns the wait time of a long poll. It may become shorter while
 	// a long poll is in progress.
 	pollWait func() time.Duration
-	// maxRetryDelay returns the longest delay after a failed call.
-	maxRetryDelay func() time.Duration
+	// loop gives the timeouts of calls and the longest delay after a failed one.
+	loop *loop
 	// snapshotRequests requests an immediate read of the whole table. It may be
 	// nil.
 	snapshotRequests chan struct{}
@@ -45,6 +40,9 @@
 	// idle reports whether following is suspended. If it is nil, the table is
 	// always followed.
 	idle func() bool
+	// resumes says that the follower continues from its last revision after a
+	// suspension. Otherwise it reads the whole table.
+	resumes bool
 	// snapshotAfter is the time since the last successful call after which the
 	// whole table is read instead of its changes; 0 means never.
 	snapshotAfter time.Duration
@@ -66,9 +64,7 @@
 func (f *follower) run(ctx context.Context) {
 	pause := initialRetryDelay
 	for ctx.Err() == nil {
-		if f.idle != nil && f.idle() {
-			f.synced = false
-			sleep(ctx, idleCheckInterval)
+		if f.idle != nil && f.idle() && !f.waitSuspended(ctx) {
 			continue
 		}
 		begin := time.Now()
@@ -88,7 +84,7 @@
 		case err != nil:
 			f.recordFailure(err)
 			sleep(ctx, pause)
-			pause = min(2*pause, f.maxRetryDelay())
+			pause = min(2*pause, f.loop.storeRetry(err))
 		default:
 			f.recordSuccess()
 			pause = initialRetryDelay
@@ -104,7 +100,23 @@
 const pollCheckInterval = 500 * time.Millisecond
 
 // idleCheckInterval is how often a suspended follower checks whether to resume.
-const idleCheckInterval = 500 * time.Millisecond
+const idleCheckInterval = 200 * time.Millisecond
+
+// waitSuspended waits for idleCheckInterval while following is suspended. It reports
+// whether a read of the whole table was requested meanwhile.
+func (f *follower) waitSuspended(ctx context.Context) bool {
+	f.synced = f.synced && f.resumes
+	timer := time.NewTimer(idleCheckInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-f.snapshotRequests:
+		f.synced = false
+		return true
+	}
+	return false
+}
 
 // intervalRecheck is how often waitInterval reads minInterval, which may become
 // shorter in the meantime.
@@ -128,7 +140,7 @@
 		f.synced = false
 	}
 	if !f.synced {
-		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+		ctx, cancel := context.WithTimeout(ctx, f.loop.storeTimeout())
 		defer cancel()
 		rows, revision, err := f.store.List(ctx, f.table)
 		if err != nil {
@@ -181,7 +193,7 @@
 			cancel(errNewerVersion)
 			return
 		case <-ticker.C:
-			if time.Since(begin) > f.pollWait()+pollTimeoutMargin {
+			if time.Since(begin) > f.pollWait()+f.loop.pollMargin() {
 				cancel(errPollAborted)
 				return
 			}
--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -35,9 +35,6 @@
 	// queueRefusalMargin is how long before the end of the drain queued requests
 	// are refused.
 	queueRefusalMargin = 1500 * time.Millisecond
-	// endpointPollWait is the wait time of a long poll for the list of endpoints,
-	// which changes all the time.
-	endpointPollWait = time.Second
 	// endpointSnapshotAfter is the time since the last read after which the whole
 	// list is read. Each endpoint writes about once a second, so by then there are
 	// more changes than entries, and the first ones are out of date.
@@ -45,6 +42,10 @@
 	// internalReadTimeout limits the time to read a request of the balancer, of
 	// another instance or of the metrics collector. Each fits into a few packets.
 	internalReadTimeout = 5 * time.Second
+	// internalDialTimeout limits the time to connect to the store or to another
+	// instance. It is shorter than the second after which a lost first packet is
+	// sent again.
+	internalDialTimeout = 500 * time.Millisecond
 	// settingsCheckInterval is how often the settings file is checked for
 	// changes.
 	settingsCheckInterval = 2 * time.Second
@@ -173,7 +174,7 @@
 // writes of the lease are conditional, and a demand may be repeated.
 func newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         rpendpoint.NewDialer(rpendpoint.Limits{DialTimeout: time.Second}).DialContext,
+		DialContext:         rpendpoint.NewDialer(rpendpoint.Limits{DialTimeout: internalDialTimeout}).DialContext,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     time.Minute,
@@ -306,7 +307,8 @@
 func (c *components) configFollower() *follower {
 	log := c.instance.Log.Part("documents")
 	return &follower{
-		store: c.store, table: rpwire.TableConfig, pollWait: c.loop.configWait, maxRetryDelay: c.loop.storeRetry, snapshotRequests: c.configReads, log: log,
+		store: c.store, table: rpwire.TableConfig, loop: c.loop, pollWait: c.loop.configWait, idle: c.loop.configFollowed, resumes: true,
+		snapshotRequests: c.configReads, log: log,
 		apply: func(rows []rpwire.Row, _ uint64, _ bool) {
 			for _, row := range rows {
 				if row.Key != rpwire.KeyConfig || row.Removed {
@@ -320,6 +322,7 @@
 				c.callers.limits.Store(&config.Limits)
 				c.loop.apply(rpfleet.ConfigRead{Stamp: c.loop.stamp(), Config: config})
 			}
+			c.loop.apply(rpfleet.ConfigChecked{Stamp: c.loop.stamp()})
 		},
 	}
 }
@@ -327,8 +330,8 @@
 func (c *components) endpointFollower() *follower {
 	log := c.instance.Log.Part("members")
 	return &follower{
-		store: c.store, table: rpwire.TableEndpoints, maxRetryDelay: c.loop.storeRetry, log: log,
-		pollWait:      func() time.Duration { return endpointPollWait },
+		store: c.store, table: rpwire.TableEndpoints, loop: c.loop, log: log,
+		pollWait:      c.loop.listWait,
 		minInterval:   c.loop.listInterval,
 		onOutage:      func() { c.loop.apply(rpfleet.StoreLost{Stamp: c.loop.stamp()}) },
 		snapshotAfter: endpointSnapshotAfter,
--- a/internal/rpgateway/loop.go
+++ b/internal/rpgateway/loop.go
@@ -1,11 +1,13 @@
 package rpgateway
 
 import (
+	"errors"
 	"sync"
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
+	rpwire "github.com/rattanpaddle/rattanpaddle/platform"
 )
 
 // loop applies events to the reducer's state, one at a time, and executes the
@@ -83,7 +85,25 @@
 
 func (l *loop) configWait() time.Duration { return l.query((*rpfleet.State).ConfigWait) }
 
-func (l *loop) storeRetry() time.Duration { return l.query((*rpfleet.State).StoreRetry) }
+func (l *loop) listWait() time.Duration { return l.query((*rpfleet.State).ListWait) }
+
+func (l *loop) pollMargin() time.Duration { return l.query((*rpfleet.State).PollMargin) }
+
+func (l *loop) storeTimeout() time.Duration { return l.query((*rpfleet.State).StoreTimeout) }
+
+// storeRetry returns the longest delay after a failed call to the store.
+func (l *loop) storeRetry(err error) time.Duration {
+	var status rpwire.StatusError
+	answered := errors.As(err, &status)
+	return l.query(func(s *rpfleet.State) time.Duration { return s.StoreRetry(answered) })
+}
+
+// configFollowed reports whether the planner keeps the configuration current.
+func (l *loop) configFollowed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.ConfigFollowed()
+}
 
 func (l *loop) close() {
 	l.mu.Lock()
--- a/internal/rpgateway/settings.go
+++ b/internal/rpgateway/settings.go
@@ -59,11 +59,14 @@
 	WeightLoads int `toml:"weight_loads"`
 }
 
-// Members limits how long changes of the endpoint list may take to apply.
+// Members limits how long changes of the endpoint list and of the configuration may
+// take to apply.
 type Members struct {
 	// LeavingBound is the time after which an endpoint that leaves must get no
 	// new work.
 	LeavingBound rpsettings.Duration `toml:"leaving_bound"`
+	// ConfigBound is the time after which a new configuration must be in force.
+	ConfigBound rpsettings.Duration `toml:"config_bound"`
 }
 
 // Drain limits a planned stop.
@@ -136,6 +139,7 @@
 	rptoml.CheckRange(r, "planner.cpu_share", s.Planner.CPUShare, minCPUShare, maxCPUShare)
 	rptoml.CheckRange(r, "planner.weight_loads", s.Planner.WeightLoads, 1, maxWeightLoads)
 	rptoml.CheckRange(r, "members.leaving_bound", s.Members.LeavingBound, 0, maxTime)
+	rptoml.CheckRange(r, "members.config_bound", s.Members.ConfigBound, 0, maxTime)
 	rptoml.CheckRange(r, "drain.balancer_delay", s.Drain.BalancerDelay, 0, maxTime)
 	rptoml.CheckRange(r, "drain.timeout", s.Drain.Timeout, 0, maxTime)
 	if s.Drain.Timeout > 0 && s.Drain.BalancerDelay >= s.Drain.Timeout {
@@ -151,6 +155,7 @@
 		RetryWindow:  time.Duration(s.Retries.Window),
 		HolderGap:    time.Duration(s.Planner.HolderGap),
 		LeavingBound: time.Duration(s.Members.LeavingBound),
+		ConfigBound:  time.Duration(s.Members.ConfigBound),
 		CPUShare:     s.Planner.CPUShare,
 		WeightLoads:  s.Planner.WeightLoads,
 	}
--- a/internal/rpgateway/store_demands.go
+++ b/internal/rpgateway/store_demands.go
@@ -45,7 +45,7 @@
 // which are out of date.
 func (d *storeDemands) follower() *follower {
 	return &follower{
-		store: d.store, table: rpwire.TableDemands, maxRetryDelay: d.loop.storeRetry, log: d.log,
+		store: d.store, table: rpwire.TableDemands, loop: d.loop, log: d.log,
 		pollWait: func() time.Duration { return demandPollWait },
 		idle:     func() bool { return !d.loop.isPlanner() },
 		apply: func(rows []rpwire.Row, _ uint64, complete bool) {
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -332,7 +332,7 @@
 	s.demand.placementAsOf = ev.AskedAt
 	s.demand.seenEpoch, s.demand.seenChange, s.demand.seenListChange = p.Epoch, p.Change, p.List.Change
 	s.applyListChanges(&p.List, ev.AskedAt)
-	s.checkConfigVersion(p.ConfigVersion)
+	s.checkConfigVersion(p.ConfigVersion, ev.AskedAt)
 	s.applyWeightLimit(p.WeightLimit)
 	if p.CheckStore {
 		s.readLease()
--- a/pkg/rpfleet/demand_answers.go
+++ b/pkg/rpfleet/demand_answers.go
@@ -32,7 +32,7 @@
 		Expected:  s.expectedModels(d.Needs),
 		List:      s.listChangesSince(d.SeenListChange),
 
-		ConfigVersion: s.configVersion(),
+		ConfigVersion: s.confirmedConfigVersion(),
 		WeightLimit:   s.weightLimit(),
 		CheckStore:    s.lease.failedRenewals > 0 && s.rng.Float64()*float64(len(s.plan.demands)) < storeProbeInstances,
 	}
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -50,6 +50,12 @@
 	Config *Config
 }
 
+// ConfigChecked says that the store answered a call for the configuration and that
+// all versions in the answer were applied.
+type ConfigChecked struct {
+	Stamp
+}
+
 // EndpointsRead carries entries of the platform's list of endpoints.
 type EndpointsRead struct {
 	Stamp
--- a/pkg/rpfleet/list_changes.go
+++ b/pkg/rpfleet/list_changes.go
@@ -9,32 +9,6 @@
 	// listChangeTTL is how long changes of the list are passed on. Instances
 	// that rely on the planner read the list themselves more often than that.
 	listChangeTTL = 20 * time.Second
-	// followerListInterval is the time between two reads of the list by an
-	// instance that gets the changes from the planner, as a check that none was
-	// lost. plannerListInterval is the interval of the planner, which learns from
-	// the list that loads have ended.
-	followerListInterval = 15 * time.Second
-	plannerListInterval  = 300 * time.Millisecond
-	// configWait is how long a call waits for a change of the configuration. An
-	// instance that learns of new versions from the planner waits longer. The
-	// planner waits less: a connection that went silent must not keep a new
-	// version from all instances.
-	configWait         = 8 * time.Second
-	followerConfigWait = 25 * time.Second
-	plannerConfigWait  = 2 * time.Second
-	// configGrace is how long an instance that learns of a newer configuration
-	// waits for its own call to return it. The calls of all instances return
-	// within milliseconds of each other.
-	configGrace = 300 * time.Millisecond
-	// minStoreRetryDelay is the minimum of StoreRetry. maxOutageCallsPerSecond
-	// bounds the calls of all instances together while the store fails.
-	minStoreRetryDelay      = 500 * time.Millisecond
-	maxOutageCallsPerSecond = 60.0
-	// Shares of Policy.LeavingBound: the maximum age of the planner's list
-	// changes at which an instance needs no reads of its own, and the interval
-	// of its reads without a planner.
-	plannerListAgeShare = 0.5
-	listIntervalShare   = 0.3
 )
 
 // listChanges numbers the changes of the list of endpoints. The planner passes
@@ -46,9 +20,6 @@
 	// plannerListAsOf is the time up to which the planner has reported all
 	// changes.
 	plannerListAsOf time.Time
-	// plannerConfigVersion is the newest version of the configuration that the
-	// planner named while it was not in force here.
-	plannerConfigVersion uint64
 }
 
 // listRemoval is a removed entry with the number and time of the change.
@@ -142,59 +113,3 @@
 	}
 	s.listChanges.plannerListAsOf = askedAt.Add(-changes.Age)
 }
-
-// plannerListFresh reports whether the planner's list changes are recent enough
-// to replace reads by this instance.
-func (s *State) plannerListFresh() bool {
-	return s.now.Sub(s.listChanges.plannerListAsOf) < time.Duration(plannerListAgeShare*float64(s.policy.LeavingBound))
-}
-
-// ListInterval returns the time between two reads of the list. It is long for
-// an instance that gets the changes from the planner.
-func (s *State) ListInterval() time.Duration {
-	switch {
-	case s.isPlanner():
-		return plannerListInterval
-	case s.plannerListFresh():
-		return followerListInterval
-	}
-	return time.Duration(listIntervalShare * float64(s.policy.LeavingBound))
-}
-
-// ConfigWait returns how long a call may wait for a change of the
-// configuration.
-func (s *State) ConfigWait() time.Duration {
-	switch {
-	case s.isPlanner():
-		return plannerConfigWait
-	case s.plannerListFresh():
-		return followerConfigWait
-	}
-	return configWait
-}
-
-// StoreRetry returns the maximum delay between two reads of one table while the
-// store fails. It grows with the number of instances.
-func (s *State) StoreRetry() time.Duration {
-	return s.scaleInterval(minStoreRetryDelay, maxOutageCallsPerSecond)
-}
-
-// checkConfigVersion reads the configuration if the planner has a newer one and
-// this instance's own call does not return it within configGrace.
-func (s *State) checkConfigVersion(version uint64) {
-	if version <= s.configVersion() || version <= s.listChanges.plannerConfigVersion {
-		return
-	}
-	s.listChanges.plannerConfigVersion = version
-	s.runAfter(configGrace, func(s *State) { s.readNewerConfig(version) })
-}
-
-func (s *State) readNewerConfig(version uint64) {
-	if version <= s.configVersion() {
-		return
-	}
-	s.listChanges.plannerConfigVersion = 0
-	s.note("documents", "the planner has a newer configuration", Field{"config_version", s.configVersion()},
-		Field{"planner_version", version}, Field{"config_age", s.now.Sub(s.configAt)})
-	s.emit(ReadConfig{})
-}
--- a/pkg/rpfleet/list_changes_test.go
+++ b/pkg/rpfleet/list_changes_test.go
@@ -11,59 +11,6 @@
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
-// Guards against an instance that misses changes because a connection went
-// silent. It may wait long for changes only while the planner reports them.
-func TestLongWaitsNeedPlannerUpdates(t *testing.T) {
-	g := NewWithT(t)
-	h := withHarness(t)
-	h.configure(testEndpoint("e1", testService, homeDomain, "m0"))
-	g.Expect(h.state.ConfigWait()).To(BeNumerically(">", 20*time.Second))
-	g.Expect(h.state.ListInterval()).To(BeNumerically(">", 10*time.Second))
-
-	h.advance(rpfleet.DefaultLeavingBound)
-	g.Expect(h.state.ConfigWait()).To(BeNumerically("<=", 8*time.Second))
-	g.Expect(h.state.ListInterval()).To(BeNumerically("<", rpfleet.DefaultLeavingBound/2))
-
-	h.becomePlanner()
-	g.Expect(h.state.ConfigWait()).To(BeNumerically("<=", 2*time.Second))
-}
-
-// Guards against an instance that misses a version of the configuration because
-// its own call to the store went silent.
-func TestPlannerVersionCausesConfigRead(t *testing.T) {
-	g := NewWithT(t)
-	h := withHarness(t)
-	h.configure(testEndpoint("e1", testService, homeDomain, "m0"))
-	placement := rpfleet.Placement{IsPlanner: true, Instances: 3, ConfigVersion: 1}
-	h.apply(rpfleet.PlacementReceived{Stamp: h.stamp(), AskedAt: h.now, Placement: placement})
-	g.Expect(effectsOf[rpfleet.ReadConfig](h)).To(BeEmpty())
-	placement.ConfigVersion = 2
-	h.apply(rpfleet.PlacementReceived{Stamp: h.stamp(), AskedAt: h.now, Placement: placement})
-	h.advance(500 * time.Millisecond)
-	g.Expect(effectsOf[rpfleet.ReadConfig](h)).To(HaveLen(1))
-	// If the read fails, the next placement causes another one.
-	h.apply(rpfleet.PlacementReceived{Stamp: h.stamp(), AskedAt: h.now, Placement: placement})
-	h.advance(500 * time.Millisecond)
-	g.Expect(effectsOf[rpfleet.ReadConfig](h)).To(HaveLen(2))
-	// The instance's own call usually returns a version first.
-	h.discardEffects()
-	placement.ConfigVersion = 3
-	h.apply(rpfleet.PlacementReceived{Stamp: h.stamp(), AskedAt: h.now, Placement: placement})
-	h.apply(rpfleet.ConfigRead{Stamp: h.stamp(), Config: testConfig(3)})
-	h.advance(500 * time.Millisecond)
-	g.Expect(effectsOf[rpfleet.ReadConfig](h)).To(BeEmpty())
-}
-
-// Guards against a planner that does not send the version of its configuration.
-func TestPlannerSendsConfigVersion(t *testing.T) {
-	g := NewWithT(t)
-	h := withHarness(t)
-	h.configure(testEndpoint("e1", testService, homeDomain, "m0"))
-	h.becomePlanner()
-	h.apply(rpfleet.DemandReceived{Stamp: h.stamp(), Call: 1, Demand: rpfleet.Demand{Instance: "front-2"}})
-	g.Expect(effectsOf[rpfleet.AnswerDemand](h)[0].Placement.ConfigVersion).To(Equal(uint64(1)))
-}
-
 // Guards against a large deployment whose instances together make too many
 // calls to a failing store.
 func TestOutageCallsScaleWithInstances(t *testing.T) {
@@ -72,7 +19,7 @@
 	h := withHarness(t)
 	h.configure(testEndpoint("e1", testService, homeDomain, "m0"))
 	h.apply(rpfleet.PlacementReceived{Stamp: h.stamp(), AskedAt: h.now, Placement: rpfleet.Placement{IsPlanner: true, Instances: instances}})
-	g.Expect(h.state.StoreRetry()).To(BeNumerically(">", time.Second))
+	g.Expect(h.state.StoreRetry(true)).To(BeNumerically(">", time.Second))
 	// The planner does not answer and the store fails.
 	row := rpfleet.LeaseRow{Revision: 7, Holder: "front-2", Epoch: 3}
 	h.apply(rpfleet.LeaseRead{Stamp: h.stamp(), AskedAt: h.now, Row: row})
--- a/pkg/rpfleet/message.go
+++ b/pkg/rpfleet/message.go
@@ -105,7 +105,8 @@
 	// WeightLimit is the learned number of concurrent loads from the weight
 	// store at full speed.
 	WeightLimit float64
-	// ConfigVersion is the version of the planner's configuration.
+	// ConfigVersion is the version of the planner's configuration, or 0 if the
+	// planner does not know whether there is a newer one.
 	ConfigVersion uint64
 	// CheckStore asks the instance to check whether it reaches the store.
 	CheckStore bool
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -31,6 +31,8 @@
 	// LeavingBound is the time after which an endpoint that is leaving must get
 	// no new work.
 	LeavingBound time.Duration
+	// ConfigBound is the time after which a new configuration must be in force.
+	ConfigBound time.Duration
 	// CPUShare is the number of CPU cores that this instance may use; it can be
 	// below 1.
 	CPUShare float64
@@ -49,6 +51,7 @@
 	DefaultHolderGap    = 3 * time.Second
 	DefaultEntryGrace   = 2 * time.Second
 	DefaultLeavingBound = 2 * time.Second
+	DefaultConfigBound  = 2 * time.Second
 	DefaultWeightLoads  = 4
 )
 
@@ -60,6 +63,7 @@
 	p.EntryGrace = cmp.Or(p.EntryGrace, DefaultEntryGrace)
 	p.CPUShare = cmp.Or(p.CPUShare, minPlannerCPUShare)
 	p.LeavingBound = cmp.Or(p.LeavingBound, DefaultLeavingBound)
+	p.ConfigBound = cmp.Or(p.ConfigBound, DefaultConfigBound)
 	p.WeightLoads = cmp.Or(p.WeightLoads, DefaultWeightLoads)
 	return p
 }
@@ -82,9 +86,13 @@
 	draining        bool
 	lastOrderNumber uint64
 
-	config    *Config
-	configAt  time.Time
-	endpoints map[rpcore.EndpointID]*endpoint
+	config   *Config
+	configAt time.Time
+	// configConfirmedAt is when the configuration was last known to be the newest
+	// one. configReadScheduled says that an alarm will read a newer one.
+	configConfirmedAt   time.Time
+	configReadScheduled bool
+	endpoints           map[rpcore.EndpointID]*endpoint
 	// endpointsByService and endpointsByID are sorted by id. They are caches,
 	// nil after a change of the endpoints.
 	endpointsByService map[string][]*endpoint
@@ -135,6 +143,8 @@
 		s.alarms.ClearAnnounced()
 	case ConfigRead:
 		s.handleConfigRead(ev.Config)
+	case ConfigChecked:
+		s.handleConfigChecked()
 	case EndpointsRead:
 		s.handleEndpointsRead(ev)
 	case StoreLost:
