Let instances with more CPU take the planner's lease first

Small instances waited 0.5 s longer for the lease, less than the random delay of up to 1.95 s with 195 instances.

Change: the delay grows with what an instance lacks to 0.8 of a core.

--- a/pkg/rpfleet/lease.go
+++ b/pkg/rpfleet/lease.go
@@ -37,12 +37,18 @@
 	storeProbeInstances = 4.0
 	// maxAcquisitionsPerSecond bounds the attempts to take a lease that has
 	// ended. The instances of a large deployment spread theirs over time.
+	// minAcquisitionSpread applies while their number is not known.
 	maxAcquisitionsPerSecond = 100.0
-	// minPlannerCPUShare is the number of cores from which an instance can plan
-	// for any known deployment. Smaller instances wait for lowCPUDelay so that
-	// others take the lease first.
-	minPlannerCPUShare = 0.4
-	lowCPUDelay        = 500 * time.Millisecond
+	minAcquisitionSpread     = 500 * time.Millisecond
+	// largePlannerCPUShare is the number of cores from which an instance can plan
+	// for several hundred instances. On a fifth of a core, half of the orders to
+	// 83 endpoints for 195 instances are not answered in time. Instances with
+	// less wait for up to cpuDelayShare of the spread, so that those with more
+	// take the lease first.
+	largePlannerCPUShare = 0.8
+	cpuDelayShare        = 0.7
+	// defaultCPUShare is assumed if the settings give none.
+	defaultCPUShare = 0.4
 	// leaseReadInterval is the time between two reads of the row while its
 	// holder does not answer.
 	leaseReadInterval = 400 * time.Millisecond
--- a/pkg/rpfleet/lease_test.go
+++ b/pkg/rpfleet/lease_test.go
@@ -1,6 +1,7 @@
 package rpfleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -262,3 +263,43 @@
 	g.Expect(h.state.IsPlanner()).To(BeFalse())
 	g.Expect(effectsOf[rpfleet.CancelOrders](h)).To(HaveLen(1))
 }
+
+// Guards against a planner with too little CPU for a large deployment although
+// larger instances are there: its orders get no answers in time. Also guards
+// against attempts of all instances at the same time.
+func TestLargeInstancesTakeLeaseFirst(t *testing.T) {
+	const instances, large = 195, 15
+	for _, known := range []int{0, instances} {
+		t.Run(fmt.Sprint("known instances ", known), func(t *testing.T) {
+			g := NewWithT(t)
+			var firstSmall, firstLarge, last time.Duration
+			for i := range instances {
+				h := withHarness(t)
+				share := 0.192
+				if i < large {
+					share = 0.8
+				}
+				h.apply(rpfleet.Start{Stamp: h.stamp(), Self: rpcore.Identity{Instance: "front-1"}, Seed: uint64(i), Policy: rpfleet.Policy{CPUShare: share}})
+				if known > 0 {
+					h.apply(rpfleet.PlacementReceived{Stamp: h.stamp(), AskedAt: h.now, Placement: rpfleet.Placement{IsPlanner: true, Instances: known}})
+				}
+				begin := h.now
+				h.discardEffects()
+				h.apply(rpfleet.LeaseRead{Stamp: h.stamp(), AskedAt: h.now})
+				for len(effectsOf[rpfleet.ReadLease](h))+len(effectsOf[rpfleet.WriteLease](h)) == 0 {
+					h.advance(time.Millisecond)
+				}
+				after := h.now.Sub(begin)
+				last = max(last, after)
+				if i < large && (firstLarge == 0 || after < firstLarge) {
+					firstLarge = after
+				}
+				if i >= large && (firstSmall == 0 || after < firstSmall) {
+					firstSmall = after
+				}
+			}
+			g.Expect(firstLarge).To(BeNumerically("<", firstSmall/2))
+			g.Expect(last).To(BeNumerically("<", 2*time.Second))
+		})
+	}
+}
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -61,7 +61,7 @@
 	p.RetryWindow = cmp.Or(p.RetryWindow, DefaultRetryWindow)
 	p.HolderGap = cmp.Or(p.HolderGap, DefaultHolderGap)
 	p.EntryGrace = cmp.Or(p.EntryGrace, DefaultEntryGrace)
-	p.CPUShare = cmp.Or(p.CPUShare, minPlannerCPUShare)
+	p.CPUShare = cmp.Or(p.CPUShare, defaultCPUShare)
 	p.LeavingBound = cmp.Or(p.LeavingBound, DefaultLeavingBound)
 	p.ConfigBound = cmp.Or(p.ConfigBound, DefaultConfigBound)
 	p.WeightLoads = cmp.Or(p.WeightLoads, DefaultWeightLoads)
--- a/pkg/rpfleet/takeover.go
+++ b/pkg/rpfleet/takeover.go
@@ -45,11 +45,7 @@
 	l := &s.lease
 	if l.acquireRevision != row.Revision || l.acquireAt.IsZero() {
 		l.acquireRevision = row.Revision
-		longest := float64(s.demand.instanceCount) / maxAcquisitionsPerSecond
-		l.acquireAt = s.now.Add(time.Duration(s.rng.Float64() * longest * float64(time.Second)))
-		if s.policy.CPUShare < minPlannerCPUShare && s.demand.instanceCount > 0 {
-			l.acquireAt = l.acquireAt.Add(lowCPUDelay)
-		}
+		l.acquireAt = s.now.Add(s.acquisitionDelay())
 		s.note("replicas", "the planner's lease has ended", Field{"holder", string(row.Holder)}, Field{"epoch", row.Epoch},
 			Field{"given_up", l.peerReleasedEpoch == row.Epoch}, Field{"unchanged_for", s.now.Sub(l.rowSeenAt)},
 			Field{"stands_in", l.acquireAt.Sub(s.now)})
@@ -61,6 +57,17 @@
 	s.acquireLease(storeNow)
 }
 
+// acquisitionDelay returns a random time that is longer for an instance with less
+// CPU. A planner that is too small for the deployment delays the orders for all.
+func (s *State) acquisitionDelay() time.Duration {
+	spread := minAcquisitionSpread
+	if s.demand.instanceCount > 0 {
+		spread = s.scaleInterval(0, maxAcquisitionsPerSecond)
+	}
+	lacking := 1 - min(1, s.policy.CPUShare/largePlannerCPUShare)
+	return time.Duration((cpuDelayShare*lacking + (1-cpuDelayShare)*s.rng.Float64()) * float64(spread))
+}
+
 // leaseReservedForHolder reports whether a lease that has ended is still left to its
 // holder.
 func (s *State) leaseReservedForHolder() bool {
