Load an adapter at another engine when the one that has it is full

Cause: requests that waited for an adapter whose engine had no slot made the planner order the adapter at the same engine again (answers "holds"), never at another engine that holds the model.

Change: once requests have waited 0.5 s on average, engines that have the adapter are passed over.

--- a/pkg/rpfleet/adapter.go
+++ b/pkg/rpfleet/adapter.go
@@ -12,6 +12,10 @@
 // others.
 const adapterSpread = 8
 
+// adapterSettleTime is how long requests may wait after the load of their adapter
+// because their instances have not learned of it.
+const adapterSettleTime = 500 * time.Millisecond
+
 // orderNeededAdapters orders the adapters that requests wait for.
 func (p *servicePlan) orderNeededAdapters() {
 	for _, name := range sortedKeys(p.state.plan.demands) {
@@ -24,7 +28,8 @@
 }
 
 // placeAdapter orders an adapter at an engine that holds its model, unless an
-// engine has or is loading the adapter.
+// engine was just ordered to load it. Requests that wait for an adapter although an
+// engine has it wait for a slot there, so another engine gets the adapter too.
 func (p *servicePlan) placeAdapter(need Need) {
 	s := p.state
 	m := p.models[need.Model]
@@ -38,13 +43,16 @@
 		if r == nil {
 			continue
 		}
-		if _, ok := r.adapters[need.Adapter]; ok && !s.now.After(r.adapters[need.Adapter].Add(listUpdateLag)) {
-			return
+		if readyAt, ok := r.adapters[need.Adapter]; ok {
+			if !s.now.After(readyAt.Add(adapterSettleTime)) || need.Waited < adapterSettleTime*time.Duration(need.Waiting) {
+				return
+			}
+			continue
 		}
 		if r.readyAt.After(s.now) || e.engine.busyUntil.After(s.now) || !s.canSendOrder(e) {
 			continue
 		}
-		cost := float64(p.adapterCount(e)) + float64(rpreducer.Rendezvous(need.Adapter, string(e.ID))%adapterSpread)
+		cost := float64(p.adapterCount(e)) + float64(p.requestsAtEngine[e.ID]) + float64(rpreducer.Rendezvous(need.Adapter, string(e.ID))%adapterSpread)
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
--- a/pkg/rpfleet/plan_test.go
+++ b/pkg/rpfleet/plan_test.go
@@ -1,6 +1,7 @@
 package rpfleet_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -406,3 +407,32 @@
 	g.Expect(unloads).To(HaveKey("m5"))
 	g.Expect(h.now.Sub(begin)).To(BeNumerically("<", 3*time.Second))
 }
+
+// Guards against requests for an adapter that wait for a slot of the only engine
+// that has it, while another engine holds the model and is idle.
+func TestAdapterOfFullEngineIsLoadedElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	h := withHarness(t)
+	full, idle := testEndpoint("e1", testService, homeDomain, "m0"), testEndpoint("e2", testService, "zone-b", "m0")
+	full.Models[0].Adapters = []string{"a1"}
+	h.configure(full, idle)
+	h.becomePlanner(full, idle)
+	h.advanceRenewingLease(time.Second)
+	arrive := func(id string) {
+		h.apply(rpfleet.RequestArrived{Stamp: h.stamp(), Request: rpfleet.Request{
+			ID: rpcore.RequestID(id), Host: "shop.example", Path: "/suggest/1", Model: "m0", Adapter: "a1", Deadline: h.now.Add(8 * time.Second),
+		}})
+	}
+	// An engine with four slots takes six requests of rank 0.
+	for i := range 7 {
+		arrive(fmt.Sprint(i))
+	}
+	g.Expect(effectsOf[rpfleet.StartAttempt](h)).To(HaveLen(6))
+	h.advanceRenewingLease(400 * time.Millisecond)
+	g.Expect(effectsOf[rpfleet.SendOrder](h)).To(BeEmpty(), "a slot may soon be free")
+	h.advanceRenewingLease(600 * time.Millisecond)
+	orders := effectsOf[rpfleet.SendOrder](h)
+	g.Expect(orders).NotTo(BeEmpty())
+	g.Expect(orders[0].Endpoint).To(Equal(idle.ID))
+	g.Expect(orders[0].Adapter).To(Equal("a1"))
+}
