Keep adapters in use

The adapter that was loaded first was unloaded, whether in use or not.

Change: demands name the adapter of requests in progress. The adapter that was not used for longest is unloaded, one in use only for requests that have waited 2 s on average. TestAdapterSlots waits for that time before the third adapter.

--- a/pkg/rpfleet/adapter.go
+++ b/pkg/rpfleet/adapter.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpreducer"
 )
@@ -16,6 +17,16 @@
 // because their instances have not learned of it.
 const adapterSettleTime = 500 * time.Millisecond
 
+const (
+	// adapterIdleTime is how long an adapter must not have been used before it
+	// counts as idle. The planner learns of requests with the demands, up to
+	// two seconds later in a large deployment.
+	adapterIdleTime = time.Second
+	// maxAdapterWait is the mean time that requests for an adapter may wait before
+	// an adapter in use is unloaded for them.
+	maxAdapterWait = 2 * time.Second
+)
+
 // orderNeededAdapters orders the adapters that requests wait for.
 func (p *servicePlan) orderNeededAdapters() {
 	for _, name := range sortedKeys(p.state.plan.demands) {
@@ -78,7 +89,7 @@
 	o := &order{engine: e, kind: OrderLoad, model: need.Model, adapter: need.Adapter, loadTime: defaultAdapterLoadTime}
 	spec := p.spec.Models[need.Model]
 	if p.adapterCount(e) >= p.spec.AdapterSlots || p.freeMemory(e) < spec.AdapterMemory {
-		model, adapter := p.oldestAdapter(e, need)
+		model, adapter := p.leastUsedAdapter(e, need)
 		if adapter == "" {
 			return
 		}
@@ -105,25 +116,43 @@
 	return free
 }
 
-// oldestAdapter returns the adapter at an engine that was loaded first and that
-// no request waits for, or "". The engine unloads an adapter in use after its
-// requests have ended.
-func (p *servicePlan) oldestAdapter(e *endpoint, need Need) (model, adapter string) {
+// recordAdapterUse records that requests for an adapter are in progress at an
+// engine.
+func (s *State) recordAdapterUse(id rpcore.EndpointID, model, adapter string) {
+	e := s.endpoints[id]
+	if adapter == "" || e == nil {
+		return
+	}
+	if e.engine.adapterUsedAt == nil {
+		e.engine.adapterUsedAt = map[string]time.Time{}
+	}
+	e.engine.adapterUsedAt[weightsName(model, adapter)] = s.now
+}
+
+// leastUsedAdapter returns the adapter at an engine that was not used for the longest
+// time and that no request waits for, or "". An engine unloads an adapter in use only
+// after its requests have ended and meanwhile turns away all requests for the model.
+// Such an adapter is therefore unloaded only for requests that have waited long.
+func (p *servicePlan) leastUsedAdapter(e *endpoint, need Need) (model, adapter string) {
+	s := p.state
 	var oldest time.Time
 	for _, name := range sortedKeys(e.engine.content) {
 		for _, candidate := range sortedKeys(e.engine.content[name]) {
 			if p.adapterNeeded(name, candidate) || name == need.Model && candidate == need.Adapter {
 				continue
 			}
-			var at time.Time
+			at := e.engine.adapterUsedAt[weightsName(name, candidate)]
 			if r := e.engine.models[name]; r != nil {
-				at = r.adapters[candidate]
+				at = maxTime(at, r.adapters[candidate])
 			}
 			if adapter == "" || at.Before(oldest) {
 				model, adapter, oldest = name, candidate, at
 			}
 		}
 	}
+	if s.now.Sub(oldest) < adapterIdleTime && need.Waited < maxAdapterWait*time.Duration(need.Waiting) {
+		return "", ""
+	}
 	return model, adapter
 }
 
--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -48,7 +48,7 @@
 	r.pendingPrefill = r.prefillTokens()
 	e.pendingPrefill += r.pendingPrefill
 	if r.engineSpec != nil {
-		e.inFlightModels[r.Model]++
+		e.inFlightModels[r.weights()]++
 		if held := e.engine.models[r.Model]; held != nil {
 			held.usedAt = s.now
 		}
@@ -107,9 +107,9 @@
 	e.inFlight--
 	s.releasePrefill(r)
 	if r.engineSpec != nil {
-		e.inFlightModels[r.Model]--
-		if e.inFlightModels[r.Model] <= 0 {
-			delete(e.inFlightModels, r.Model)
+		e.inFlightModels[r.weights()]--
+		if e.inFlightModels[r.weights()] <= 0 {
+			delete(e.inFlightModels, r.weights())
 		}
 	}
 	r.endpoint = nil
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -265,9 +265,9 @@
 		d.Ejected = append(d.Ejected, e.ID)
 	}
 	withModel := 0
-	for _, model := range sortedKeys(e.inFlightModels) {
-		d.InFlight = append(d.InFlight, EndpointLoad{Endpoint: e.ID, Model: model, Count: e.inFlightModels[model]})
-		withModel += e.inFlightModels[model]
+	for _, weights := range sortedKeys(e.inFlightModels) {
+		d.InFlight = append(d.InFlight, EndpointLoad{Endpoint: e.ID, Weights: weights, Count: e.inFlightModels[weights]})
+		withModel += e.inFlightModels[weights]
 	}
 	if rest := e.inFlight - withModel; rest > 0 {
 		d.InFlight = append(d.InFlight, EndpointLoad{Endpoint: e.ID, Count: rest})
--- a/pkg/rpfleet/endpoint.go
+++ b/pkg/rpfleet/endpoint.go
@@ -88,7 +88,7 @@
 	// pendingPrefill counts the prompt tokens of this instance's attempts that
 	// have no first event yet.
 	pendingPrefill int
-	// inFlightModels counts this instance's attempts by model.
+	// inFlightModels counts this instance's attempts by weightsName.
 	inFlightModels map[string]int
 
 	health health
--- a/pkg/rpfleet/engine_content.go
+++ b/pkg/rpfleet/engine_content.go
@@ -38,6 +38,9 @@
 	// sequence orders. Only the planner verifies engines.
 	verified bool
 	content  map[string]adapterSet
+	// adapterUsedAt is when requests for adapters were last in progress, by
+	// weightsName. Only the planner knows it.
+	adapterUsedAt map[string]time.Time
 	// order is the order in flight, or nil. Only the planner has one.
 	order *order
 	// foreignOrder says that the engine reported an order in progress that this
--- a/pkg/rpfleet/eviction.go
+++ b/pkg/rpfleet/eviction.go
@@ -106,7 +106,9 @@
 	load := map[rpcore.EndpointID]int{}
 	for _, d := range s.plan.demands {
 		for _, at := range d.InFlight {
-			running[runningModel{at.Endpoint, at.Model}] = true
+			model, adapter := at.modelAndAdapter()
+			running[runningModel{at.Endpoint, model}] = true
+			s.recordAdapterUse(at.Endpoint, model, adapter)
 			load[at.Endpoint] += at.Count
 		}
 	}
--- a/pkg/rpfleet/message.go
+++ b/pkg/rpfleet/message.go
@@ -1,6 +1,7 @@
 package rpfleet
 
 import (
+	"strings"
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
@@ -63,16 +64,30 @@
 	Rank int
 }
 
-// EndpointLoad is the number of attempts in progress at an endpoint, by model.
-// Model is "" for other requests and in sums over models.
+// EndpointLoad is the number of attempts in progress at an endpoint, by model and
+// adapter. Weights is a result of weightsName, or "" for other requests and in sums.
 type EndpointLoad struct {
 	_ struct{} `cbor:",toarray"`
 
 	Endpoint rpcore.EndpointID
-	Model    string
+	Weights  string
 	Count    int
 }
 
+// weightsName returns the name of a model, or of an adapter of it.
+func weightsName(model, adapter string) string {
+	if adapter == "" {
+		return model
+	}
+	return model + "/" + adapter
+}
+
+// modelAndAdapter returns what weightsName was made of.
+func (l *EndpointLoad) modelAndAdapter() (model, adapter string) {
+	model, adapter, _ = strings.Cut(l.Weights, "/")
+	return model, adapter
+}
+
 // Placement is the planner's answer to a demand.
 type Placement struct {
 	_ struct{} `cbor:",toarray"`
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -354,7 +354,8 @@
 			}
 		}
 		for _, load := range d.InFlight {
-			if m := p.models[load.Model]; m != nil {
+			model, _ := load.modelAndAdapter()
+			if m := p.models[model]; m != nil {
 				m.running += load.Count
 			}
 		}
--- a/pkg/rpfleet/plan_test.go
+++ b/pkg/rpfleet/plan_test.go
@@ -320,6 +320,10 @@
 			ID: rpcore.RequestID(rune('0' + i)), Host: "shop.example", Path: "/suggest/1", Model: "m0", Adapter: adapter,
 		}})
 		h.advanceRenewingLease(100 * time.Millisecond)
+		if i == 2 {
+			// Both adapters are in use.
+			h.advanceRenewingLease(2 * time.Second)
+		}
 		var order rpfleet.SendOrder
 		for _, sent := range effectsOf[rpfleet.SendOrder](h) {
 			if sent.Adapter != "" {
@@ -436,3 +440,43 @@
 	g.Expect(orders[0].Endpoint).To(Equal(idle.ID))
 	g.Expect(orders[0].Adapter).To(Equal("a1"))
 }
+
+// Guards against unloading an adapter in use: the engine turns away all requests for
+// the model until those for the adapter have ended. With two adapter places, the
+// model has three adapters that are asked for.
+func TestAdapterInUseStays(t *testing.T) {
+	g := NewWithT(t)
+	h := withHarness(t)
+	engine := withCheckpoints(testEndpoint("e1", testService, homeDomain, "m0"))
+	engine.Models[0].Adapters = []string{"a1", "a2"}
+	h.configure(engine)
+	h.becomePlanner(engine)
+	h.advanceRenewingLease(2 * time.Second)
+	arrive := func(id, adapter string) {
+		h.apply(rpfleet.RequestArrived{Stamp: h.stamp(), Request: rpfleet.Request{
+			ID: rpcore.RequestID(id), Host: "shop.example", Path: "/later/1", Model: "m0", Adapter: adapter, Deadline: h.now.Add(8 * time.Second),
+		}})
+	}
+	arrive("in use", "a1")
+	h.advanceRenewingLease(600 * time.Millisecond)
+	arrive("other", "a3")
+	h.advanceRenewingLease(300 * time.Millisecond)
+	orders := effectsOf[rpfleet.SendOrder](h)
+	g.Expect(orders).To(HaveLen(1))
+	g.Expect(orders[0].Kind).To(Equal(rpfleet.OrderUnload))
+	g.Expect(orders[0].Adapter).To(Equal("a2"), "the adapter that is idle")
+	h.answerOrder(orders[0], rpfleet.OrderHolds)
+	h.advanceRenewingLease(300 * time.Millisecond)
+	orders = effectsOf[rpfleet.SendOrder](h)
+	g.Expect(orders).To(HaveLen(2))
+	g.Expect(orders[1].Adapter).To(Equal("a3"))
+	h.answerOrder(orders[1], rpfleet.OrderAccepted)
+	// Now both adapters are in use. A third one has to wait for its turn.
+	h.advanceRenewingLease(300 * time.Millisecond)
+	h.discardEffects()
+	arrive("third", "a2")
+	h.advanceRenewingLease(time.Second)
+	g.Expect(effectsOf[rpfleet.SendOrder](h)).To(BeEmpty())
+	h.advanceRenewingLease(2 * time.Second)
+	g.Expect(effectsOf[rpfleet.SendOrder](h)).NotTo(BeEmpty(), "no adapter waits forever")
+}
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -60,6 +60,8 @@
 	lastFailure string
 }
 
+func (r *request) weights() string { return weightsName(r.Model, r.Adapter) }
+
 const (
 	// startupRetryAfter is the Retry-After while the configuration or the
 	// endpoints are not known yet. It is about the time of a start.
