Keep requests in their failure domain while it has room

Change: another failure domain costs a quarter of the slots, half of them for plain services, instead of two requests in progress.

Models with many requests have no replica in most domains: loads from the weight store are too slow for that.

--- a/pkg/rpfleet/routing.go
+++ b/pkg/rpfleet/routing.go
@@ -6,9 +6,17 @@
 )
 
 const (
-	// crossDomainCost is added for an endpoint of another failure domain, in
-	// requests in progress, as are all costs here.
-	crossDomainCost = 2.0
+	// minCrossDomainCost and crossDomainSlotShare, a share of the slots, give what
+	// is added for an endpoint of another failure domain, in requests in progress,
+	// as are all costs here. An endpoint that is partly filled answers nearly as
+	// fast as an empty one, and the counts of other instances are up to two
+	// seconds old: with a smaller cost they send most requests between failure
+	// domains at random.
+	minCrossDomainCost   = 2.0
+	crossDomainSlotShare = 0.25
+	// plainCrossDomainSlotShare is the same for plain services, whose requests
+	// don't slow each other down while there are free slots.
+	plainCrossDomainSlotShare = 0.5
 	// warmingCost is added for an endpoint that has just started.
 	warmingCost = 4.0
 	// prefillTokensPerRequest is the number of prompt tokens whose prefill
@@ -96,7 +104,11 @@
 func (s *State) routingCost(r *request, e *endpoint) float64 {
 	cost := float64(e.inFlight+e.inFlightElsewhere+1) * e.health.slownessFactor(s.serviceStats(r.service).latency, s.now)
 	if e.FailureDomain != s.self.FailureDomain {
-		cost += crossDomainCost
+		share := crossDomainSlotShare
+		if r.engineSpec == nil {
+			share = plainCrossDomainSlotShare
+		}
+		cost += max(minCrossDomainCost, share*float64(e.Slots))
 	}
 	if e.Warming > s.now.Sub(e.entrySeenAt) {
 		cost += warmingCost
