--- a/internal/rpgateway/platform_test.go
+++ b/internal/rpgateway/platform_test.go
@@ -151,6 +151,7 @@
 [planner]
 holder_gap = "300ms"
 weight_loads = 4
+cpu_share = 1.0
 [drain]
 balancer_delay = "200ms"
 timeout = "6s"
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -219,6 +219,7 @@
 		s.updateInstanceCount(len(s.plan.demands))
 		s.demand.placementAsOf = s.now
 		s.applyOtherLoad(s.inFlightOfOthers(s.self.Instance))
+		s.applySuspects(s.plan.suspects)
 		s.dispatchAll()
 		return
 	}
@@ -241,7 +242,7 @@
 	}
 	s.demand.fullSentAt = s.now
 	d.Full = true
-	d.Leaving = s.leavingReports()
+	d.Extension.Leaving = s.leavingReports()
 	for _, id := range sortedModels(s.demand.arrivalRates) {
 		a := s.demand.arrivalRates[id]
 		rate := ModelRate{
@@ -255,13 +256,16 @@
 		d.Rates = append(d.Rates, rate)
 	}
 	for _, e := range s.sortedEndpoints() {
-		d.addEndpointLoad(e, s.now, s.outlastsLoad(e))
+		d.addEndpointLoad(e, s.now)
+		if s.outlastsLoad(e) {
+			d.Extension.HeldOff = append(d.Extension.HeldOff, e.ID)
+		}
 	}
 	return d
 }
 
-func (d *Demand) addEndpointLoad(e *endpoint, now time.Time, heldOff bool) {
-	if e.health.isEjected(now) || heldOff {
+func (d *Demand) addEndpointLoad(e *endpoint, now time.Time) {
+	if e.health.isEjected(now) {
 		d.Ejected = append(d.Ejected, e.ID)
 	}
 	withModel := 0
@@ -344,6 +348,7 @@
 		s.applyOtherLoad(p.OtherLoad)
 	}
 	s.applyExpectedModels(p.Expected)
+	s.applySuspects(p.Suspects)
 	s.dispatchAll()
 	if s.demand.resend {
 		s.demand.resend = false
--- a/pkg/rpfleet/demand_answers.go
+++ b/pkg/rpfleet/demand_answers.go
@@ -34,6 +34,7 @@
 
 		ConfigVersion: s.confirmedConfigVersion(),
 		WeightLimit:   s.weightLimit(),
+		Suspects:      s.plan.suspects,
 		CheckStore:    s.lease.failedRenewals > 0 && s.rng.Float64()*float64(len(s.plan.demands)) < storeProbeInstances,
 	}
 	if d.Full {
@@ -46,10 +47,10 @@
 // recordDemand stores an instance's demand. A demand that is not full updates
 // only its needs.
 func (s *State) recordDemand(d Demand) {
-	s.applyLeavingReports(d.Leaving)
+	s.applyLeavingReports(d.Extension.Leaving)
 	known := s.plan.demands[d.Instance]
 	if known != nil && !d.Full {
-		d.Rates, d.InFlight, d.Ejected = known.Rates, known.InFlight, known.Ejected
+		d.Rates, d.InFlight, d.Ejected, d.Extension = known.Rates, known.InFlight, known.Ejected, known.Extension
 	}
 	s.plan.demands[d.Instance] = &receivedDemand{Demand: d, at: s.now}
 	if len(d.Rates) > 0 && s.plan.firstArrivalAt.IsZero() {
--- a/pkg/rpfleet/lease.go
+++ b/pkg/rpfleet/lease.go
@@ -37,9 +37,10 @@
 	storeProbeInstances = 4.0
 	// maxAcquisitionsPerSecond bounds the attempts to take a lease that has
 	// ended. The instances of a large deployment spread theirs over time.
-	// minAcquisitionSpread applies while their number is not known.
+	// startAcquisitionSpread applies while their number is not known: the instances
+	// of a deployment start within 0.3 s of each other.
 	maxAcquisitionsPerSecond = 100.0
-	minAcquisitionSpread     = 500 * time.Millisecond
+	startAcquisitionSpread   = 300 * time.Millisecond
 	// largePlannerCPUShare is the number of cores from which an instance can plan
 	// for several hundred instances. On a fifth of a core, half of the orders to
 	// 83 endpoints for 195 instances are not answered in time. Instances with
--- a/pkg/rpfleet/message.go
+++ b/pkg/rpfleet/message.go
@@ -30,13 +30,24 @@
 	Needs          []Need
 	// InFlight counts the attempts of the instance.
 	InFlight []EndpointLoad
-	// Ejected contains the endpoints that the instance does not use: those that
-	// it has ejected and those that hold it off for longer than a load takes.
+	// Ejected contains the endpoints that the instance has ejected.
 	Ejected []rpcore.EndpointID
+	// Extension follows the demand on the wire as an item of its own, which
+	// earlier versions of the program skip.
+	Extension DemandExtension `cbor:"-"`
+}
+
+// DemandExtension is the part of a full demand that earlier versions of the program
+// don't know.
+type DemandExtension struct {
+	_ struct{} `cbor:",toarray"`
+
 	// Leaving contains the endpoints that told this instance that they are
-	// leaving, until the planner knows. On the wire it follows the demand as
-	// an item of its own, which earlier versions of the program skip.
-	Leaving []LeavingEndpoint `cbor:"-"`
+	// leaving, until the planner knows.
+	Leaving []LeavingEndpoint
+	// HeldOff contains the endpoints that hold the instance off for longer than a
+	// load takes.
+	HeldOff []rpcore.EndpointID
 }
 
 // ModelRate is the arrival rate of requests for a model, in requests per 1000
@@ -123,6 +134,10 @@
 	// ConfigVersion is the version of the planner's configuration, or 0 if the
 	// planner does not know whether there is a newer one.
 	ConfigVersion uint64
+	// Suspects are endpoints that failed at several instances lately. On the wire
+	// they follow the placement as an item of their own, which earlier versions of
+	// the program skip.
+	Suspects []rpcore.EndpointID `cbor:"-"`
 	// CheckStore asks the instance to check whether it reaches the store.
 	CheckStore bool
 }
--- a/pkg/rpfleet/notice_test.go
+++ b/pkg/rpfleet/notice_test.go
@@ -200,7 +200,7 @@
 	demands := effectsOf[rpfleet.SendDemand](other)
 	g.Expect(demands).NotTo(BeEmpty())
 	demand := demands[len(demands)-1].Demand
-	g.Expect(demand.Leaving).To(ConsistOf(rpfleet.LeavingEndpoint{ID: entry.ID, Incarnation: entry.Incarnation}))
+	g.Expect(demand.Extension.Leaving).To(ConsistOf(rpfleet.LeavingEndpoint{ID: entry.ID, Incarnation: entry.Incarnation}))
 
 	planner := withHarness(t)
 	known := entry
@@ -233,7 +233,7 @@
 	other.apply(rpfleet.PlacementReceived{Stamp: other.stamp(), AskedAt: other.now, Placement: placement})
 	other.advance(2 * time.Second)
 	for _, sent := range effectsOf[rpfleet.SendDemand](other) {
-		g.Expect(sent.Demand.Leaving).To(BeEmpty())
+		g.Expect(sent.Demand.Extension.Leaving).To(BeEmpty())
 	}
 }
 
--- a/pkg/rpfleet/takeover.go
+++ b/pkg/rpfleet/takeover.go
@@ -60,11 +60,11 @@
 // acquisitionDelay returns a random time that is longer for an instance with less
 // CPU. A planner that is too small for the deployment delays the orders for all.
 func (s *State) acquisitionDelay() time.Duration {
-	spread := minAcquisitionSpread
-	if s.demand.instanceCount > 0 {
-		spread = s.scaleInterval(0, maxAcquisitionsPerSecond)
-	}
 	lacking := 1 - min(1, s.policy.CPUShare/largePlannerCPUShare)
+	if s.demand.instanceCount == 0 {
+		return time.Duration(lacking * float64(startAcquisitionSpread))
+	}
+	spread := s.scaleInterval(0, maxAcquisitionsPerSecond)
 	return time.Duration((cpuDelayShare*lacking + (1-cpuDelayShare)*s.rng.Float64()) * float64(spread))
 }
 
