--- a/pkg/rpfleet/routing.go
+++ b/pkg/rpfleet/routing.go
@@ -6,17 +6,9 @@
 )
 
 const (
-	// minCrossDomainCost and crossDomainSlotShare, a share of the slots, give what
-	// is added for an endpoint of another failure domain, in requests in progress,
-	// as are all costs here. An endpoint that is partly filled answers nearly as
-	// fast as an empty one, and the counts of other instances are up to two
-	// seconds old: with a smaller cost they send most requests between failure
-	// domains at random.
-	minCrossDomainCost   = 2.0
-	crossDomainSlotShare = 0.25
-	// plainCrossDomainSlotShare is the same for plain services, whose requests
-	// don't slow each other down while there are free slots.
-	plainCrossDomainSlotShare = 0.5
+	// crossDomainCost is added for an endpoint of another failure domain, in
+	// requests in progress, as are all costs here.
+	crossDomainCost = 2.0
 	// warmingCost is added for an endpoint that has just started.
 	warmingCost = 4.0
 	// prefillTokensPerRequest is the number of prompt tokens whose prefill
@@ -104,11 +96,7 @@
 func (s *State) routingCost(r *request, e *endpoint) float64 {
 	cost := float64(e.inFlight+e.inFlightElsewhere+1) * e.health.slownessFactor(s.serviceStats(r.service).latency, s.now)
 	if e.FailureDomain != s.self.FailureDomain {
-		share := crossDomainSlotShare
-		if r.engineSpec == nil {
-			share = plainCrossDomainSlotShare
-		}
-		cost += max(minCrossDomainCost, share*float64(e.Slots))
+		cost += crossDomainCost
 	}
 	if e.Warming > s.now.Sub(e.entrySeenAt) {
 		cost += warmingCost
