Count connections to endpoints and calls to the store by cause

Cause: the largest prices of the further and the large sites are new connections and calls to the store, and no metric told why they are made.

Change: rattanpaddle_endpoint_connections_total (kept, none kept, single use) and rattanpaddle_store_calls_total (call, table, outcome).

--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -44,6 +44,10 @@
 	// something about itself in it. It may be nil.
 	OnNotice func(id rpcore.EndpointID, incarnation rpcore.Incarnation, notice rpfleet.EndpointNotice)
 
+	// OnConnection is called for each attempt that got a connection; nil means
+	// nothing.
+	OnConnection func(ConnectionUse)
+
 	once   sync.Once
 	limits Limits
 	// pooled reuses connections. singleUse and resetting open a connection for
@@ -53,6 +57,18 @@
 	kept connRegistry
 }
 
+// ConnectionUse says on which connection an attempt ran.
+type ConnectionUse string
+
+// The uses of connections.
+const (
+	ConnectionKept ConnectionUse = "kept"
+	// ConnectionNoneKept is a new one, because no idle one was kept.
+	ConnectionNoneKept ConnectionUse = "none_kept"
+	// ConnectionSingleUse is a new one for a request that may run only once.
+	ConnectionSingleUse ConnectionUse = "single_use"
+)
+
 func (f *Forwarder) init() {
 	f.once.Do(func() {
 		f.limits = f.Limits.withDefaults()
@@ -187,9 +203,23 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	r.reused = tracker.reusedConn()
+	r.reportConnection()
 	r.handleResponse(ctx, resp)
 }
 
+func (r *forwardAttempt) reportConnection() {
+	use := ConnectionNoneKept
+	switch {
+	case r.reused:
+		use = ConnectionKept
+	case !r.request.Command.Repeatable:
+		use = ConnectionSingleUse
+	}
+	if r.OnConnection != nil {
+		r.OnConnection(use)
+	}
+}
+
 func (r *forwardAttempt) newRequest(ctx context.Context) *http.Request {
 	a := &r.request
 	header := forwardedHeader(a.Header)
--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -156,9 +156,12 @@
 		configReads: make(chan struct{}, 1),
 	}
 	c.loop = &loop{clock: c.clock, execute: c.executeEffect}
-	c.forwarder = &rpendpoint.Forwarder{Limits: endpointLimits, SetHeaders: rpwire.SetAttemptHeaders, ReadHead: rpwire.ReadResponseHead, OnNotice: c.loop.applyNotice}
+	c.forwarder = &rpendpoint.Forwarder{
+		Limits: endpointLimits, SetHeaders: rpwire.SetAttemptHeaders, ReadHead: rpwire.ReadResponseHead,
+		OnNotice: c.loop.applyNotice, OnConnection: c.observer.connectionUsed,
+	}
 	client := &http.Client{Transport: newTransport()}
-	c.store = &rpwire.Store{Address: i.Settings.Store.Address.AddrPort, Do: client.Do}
+	c.store = &rpwire.Store{Address: i.Settings.Store.Address.AddrPort, Do: client.Do, OnCall: c.observer.storeCalled}
 	c.callers = &callerServer{loop: c.loop, forwarder: c.forwarder, log: i.Log.Part("front"), observer: c.observer}
 	c.callers.init()
 	c.orders = &orderSender{loop: c.loop, forwarder: c.forwarder, holder: i.Settings.identity().Instance, log: i.Log.Part("endpoint"), observer: c.observer}
--- a/internal/rpgateway/observer.go
+++ b/internal/rpgateway/observer.go
@@ -1,14 +1,17 @@
 package rpgateway
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/rattanpaddle/rattanpaddle/internal/rpendpoint"
 	"github.com/rattanpaddle/rattanpaddle/internal/rplog"
 	"github.com/rattanpaddle/rattanpaddle/internal/rpmetric"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
+	rpwire "github.com/rattanpaddle/rattanpaddle/platform"
 )
 
 // observer records metrics and writes the reducer's notes to the log.
@@ -37,6 +40,28 @@
 	o.metrics.OrderEnded(string(kind), string(outcome))
 }
 
+// storeTables are the labels of the tables of the store.
+var storeTables = map[rpwire.Table]string{
+	rpwire.TableConfig: "configuration", rpwire.TableEndpoints: "endpoints", rpwire.TablePlanner: "lease", rpwire.TableDemands: "demands",
+}
+
+// storeCalled counts a call to the store. A condition that does not hold and lost
+// history are answers too.
+func (o *observer) storeCalled(call rpwire.Call, table rpwire.Table, status int) {
+	outcome := "answered"
+	switch {
+	case status == 0:
+		outcome = "lost"
+	case status != http.StatusOK && status != http.StatusPreconditionFailed && status != http.StatusGone:
+		outcome = "refused"
+	}
+	o.metrics.StoreCall(string(call), storeTables[table], outcome)
+}
+
+func (o *observer) connectionUsed(use rpendpoint.ConnectionUse) {
+	o.metrics.EndpointConnection(string(use))
+}
+
 // logNote writes a note of the reducer to the log of its part. Durations are in
 // milliseconds, and their keys end in _ms.
 func (o *observer) logNote(note rpfleet.Note) {
--- a/internal/rpmetric/metric.go
+++ b/internal/rpmetric/metric.go
@@ -129,6 +129,17 @@
 	m.add(nameAttempts, 1, string(reason))
 }
 
+// StoreCall counts a call of the gateway to the platform's store.
+func (m *Metrics) StoreCall(call, table, outcome string) {
+	m.add(nameStoreCalls, 1, call, table, outcome)
+}
+
+// EndpointConnection counts a request of the gateway that got a connection to an
+// endpoint.
+func (m *Metrics) EndpointConnection(connection string) {
+	m.add(nameConnections, 1, connection)
+}
+
 // SetQueuedRequests sets the number of requests of a rank that wait for an
 // endpoint.
 func (m *Metrics) SetQueuedRequests(rank rpdocument.Rank, waiting int) {
--- a/internal/rpmetric/metric_test.go
+++ b/internal/rpmetric/metric_test.go
@@ -40,6 +40,8 @@
 	m.RequestEnded(rpdocument.RankUrgent, CodeOK)
 	m.FirstToken(rpdocument.RankUrgent, 550*time.Millisecond)
 	m.AttemptEnded(rpcore.AttemptBroken)
+	m.StoreCall("changes", "lease", "lost")
+	m.EndpointConnection("none_kept")
 	m.SetQueuedRequests(rpdocument.RankNormal, 3)
 	m.SetRequestsInProgress(4)
 	m.LoadEnded(rpcore.PlaceDisk, rpcore.OrderDone, time.Second)
@@ -58,6 +60,8 @@
 		`rattanpaddle_first_token_seconds_bucket{rank="urgent",le="0.56"} 1`,
 		`rattanpaddle_first_token_seconds_bucket{rank="urgent",le="0.4"} 0`,
 		`rattanpaddle_attempts_total{reason="broken"} 1`,
+		`rattanpaddle_store_calls_total{call="changes",outcome="lost",table="lease"} 1`,
+		`rattanpaddle_endpoint_connections_total{connection="none_kept"} 1`,
 		`rattanpaddle_queue_requests{rank="normal"} 3`,
 		`rattanpaddle_requests_in_progress 4`,
 		`rattanpaddle_loads_total{place="disk",result="done"} 1`,
