--- a/internal/rpgateway/gateway_test.go
+++ b/internal/rpgateway/gateway_test.go
@@ -253,13 +253,7 @@
 func TestServesWithoutStore(t *testing.T) {
 	g := NewWithT(t)
 	p := withPlatform(t)
-	var down atomic.Bool
-	p.store.Fault = func(*http.Request) rpfake.StoreFault {
-		if down.Load() {
-			return rpfake.StoreFault{Status: http.StatusServiceUnavailable}
-		}
-		return rpfake.StoreFault{}
-	}
+	down := p.withStoreSwitch()
 	p.startPlain("s1")
 	p.startEngine("e1", "m0")
 	gw := p.startGateway("front-1")
--- a/internal/rpgateway/notice_test.go
+++ b/internal/rpgateway/notice_test.go
@@ -18,13 +18,7 @@
 func TestLeavingResponseStopsRequests(t *testing.T) {
 	g := NewWithT(t)
 	p := withPlatform(t)
-	var down atomic.Bool
-	p.store.Fault = func(*http.Request) rpfake.StoreFault {
-		if down.Load() {
-			return rpfake.StoreFault{Status: http.StatusServiceUnavailable}
-		}
-		return rpfake.StoreFault{}
-	}
+	down := p.withStoreSwitch()
 	endpoints := []*rpfake.Endpoint{p.startPlain("s1"), p.startPlain("s2")}
 	gw := p.startGateway("front-1")
 	down.Store(true)
--- a/internal/rpgateway/platform_test.go
+++ b/internal/rpgateway/platform_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,6 +46,18 @@
 	return p
 }
 
+// withStoreSwitch returns a switch that makes the store answer all calls with 503.
+func (p *platform) withStoreSwitch() *atomic.Bool {
+	var down atomic.Bool
+	p.store.Fault = func(*http.Request) rpfake.StoreFault {
+		if down.Load() {
+			return rpfake.StoreFault{Status: http.StatusServiceUnavailable}
+		}
+		return rpfake.StoreFault{}
+	}
+	return &down
+}
+
 // writeConfig writes a configuration with the standard routes and extra ones.
 func (p *platform) writeConfig(version int, extra ...rpfake.Route) {
 	p.t.Helper()
