--- a/pkg/rpfleet/list_changes.go
+++ b/pkg/rpfleet/list_changes.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// listChangeTTL is how long changes of the list are passed on. Instances
-	// that rely on the planner read the list themselves more often than that.
+	// listChangeTTL is how long changes of the list are passed on. An instance
+	// without news from the planner reads the list itself long before that.
 	listChangeTTL = 20 * time.Second
 )
 
--- a/pkg/rpfleet/order.go
+++ b/pkg/rpfleet/order.go
@@ -137,9 +137,8 @@
 	g.order = o
 	s.plan.orders[o.id] = o
 	s.emit(SendOrder{
-		Order:    o.id,
-		Endpoint: o.engine.ID,
-
+		Order:       o.id,
+		Endpoint:    o.engine.ID,
 		Incarnation: o.engine.Incarnation,
 		Address:     o.engine.Address,
 		Kind:        o.kind,
