--- a/internal/rpsoak/check_test.go
+++ b/internal/rpsoak/check_test.go
@@ -127,7 +127,8 @@
 		for i := 1; i < len(orders); i++ {
 			gap := orders[i].At.Sub(orders[i-1].At)
 			if orders[i].Holder != orders[i-1].Holder && gap < holderGap {
-				c.errorf("%s got orders of %s and %s %s apart", e.ID, orders[i-1].Holder, orders[i].Holder, gap)
+				c.errorf("%s got orders of %s and %s %s apart, the second at %s", e.ID, orders[i-1].Holder, orders[i].Holder, gap,
+					orders[i].At.Format(time.StampMilli))
 			}
 		}
 	}
--- a/internal/rpsoak/soak_test.go
+++ b/internal/rpsoak/soak_test.go
@@ -110,9 +110,11 @@
 func withRunningEnvironment(t *testing.T, seed uint64) (*environment, *loadGenerator) {
 	t.Helper()
 	env := withEnvironment(t, binary)
+	delays := watchScheduling(t)
 	t.Cleanup(func() {
 		if t.Failed() {
 			env.saveLogs(seed)
+			t.Logf("the stand-ins were not scheduled in time: %v", delays())
 		}
 	})
 	env.waitReady(startTimeout)
@@ -307,3 +309,32 @@
 	time.Sleep(d)
 	e.Rejoin()
 }
+
+// minReportedDelay is the delay of a timer from which watchScheduling reports it.
+const minReportedDelay = 200 * time.Millisecond
+
+// watchScheduling returns a function that lists when this process, which runs the
+// stand-ins, was not scheduled in time, and for how long. On a machine that is busy,
+// a stand-in handles what it has received late.
+func watchScheduling(t *testing.T) func() []string {
+	const interval = 10 * time.Millisecond
+	var mu sync.Mutex
+	var delays []string
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go func() {
+		for last := time.Now(); ctx.Err() == nil; last = time.Now() {
+			time.Sleep(interval)
+			if delay := time.Since(last) - interval; delay >= minReportedDelay {
+				mu.Lock()
+				delays = append(delays, fmt.Sprintf("%s at %s", delay.Round(time.Millisecond), time.Now().Format(time.StampMilli)))
+				mu.Unlock()
+			}
+		}
+	}()
+	return func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return delays
+	}
+}
