--- a/internal/rpgateway/endless_test.go
+++ b/internal/rpgateway/endless_test.go
@@ -23,6 +23,7 @@
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 	rpwire "github.com/rattanpaddle/rattanpaddle/platform"
+	"github.com/rattanpaddle/rattanpaddle/platform/rpfake"
 )
 
 // endless is a response that never ends: first, and then repeated for as long as
@@ -35,7 +36,7 @@
 }
 
 const (
-	plainHead  = "HTTP/1.1 200 OK\r\nX-Rattanpaddle-Attempt-Id: r\r\nX-Rattanpaddle-Server-Seal: s\r\n"
+	plainHead  = "HTTP/1.1 200 OK\r\n" + rpfake.HeaderRequestID + ": r\r\n" + rpfake.HeaderSignature + ": s\r\n"
 	streamHead = plainHead + "Content-Type: text/event-stream\r\n"
 	chunked    = "Transfer-Encoding: chunked\r\n\r\n"
 )
