Skip responses to callers that disconnected in the check of hold-offs

Log of front-2: r426 was sent, and 75 ms later its caller closed the connection; no attempt of it ended as busy, so the instance never read the response. The process of the stand-ins was scheduled in time. An instance can't follow an answer that it has not got.

--- a/internal/rpsoak/notice_test.go
+++ b/internal/rpsoak/notice_test.go
@@ -81,7 +81,9 @@
 }
 
 // checkHoldOffs verifies that an instance that an endpoint turned away with a
-// Retry-After sends it nothing more until then, apart from holdOffArrivals.
+// Retry-After sends it nothing more until then, apart from holdOffArrivals. It skips
+// responses to callers that disconnected: the instance closes its connection to the
+// endpoint then, and may not have read the response.
 func (c *checker) checkHoldOffs() {
 	requests := c.requests()
 	for _, e := range c.endpoints() {
@@ -90,7 +92,7 @@
 			seconds, err := strconv.ParseFloat(a.RetryAfter, 64)
 			process := requests[a.ID].target
 			until := a.At.Add(time.Duration(seconds * float64(time.Second)))
-			if err != nil || process == "" || c.disrupted(process, e.ID, a.At, until) {
+			if err != nil || process == "" || requests[a.ID].NoResponse || c.disrupted(process, e.ID, a.At, until) {
 				continue
 			}
 			n := 0
