Log the parts of a prompt and attempts that stop at their start

Which requests crash engines could not be told from the logs: a line named neither the parts of the prompt nor whether the engine had begun to answer. 'stopped_at_start' marks a stream whose head arrived and whose connection broke before the first event.

--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -401,6 +401,7 @@
 			return
 		}
 		if err != nil {
+			r.ended.StoppedAtStart = !started && ctx.Err() == nil
 			r.setFailure(ctx, rpcore.AttemptBroken, rpverdict.MayHaveRun, err)
 			return
 		}
--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
@@ -58,7 +59,7 @@
 		Field{"route", r.route.Name}, Field{"service", r.service}, Field{"model", r.Model}, Field{"adapter", r.Adapter},
 		Field{"waited", s.now.Sub(r.arrivedAt)}, Field{"in_flight", e.inFlight}, Field{"in_flight_others", e.inFlightElsewhere},
 		Field{"others_age", s.now.Sub(s.demand.placementAsOf)}, Field{"entry_age", s.now.Sub(e.entrySeenAt)},
-		Field{"config_version", s.configVersion()})
+		Field{"config_version", s.configVersion()}, Field{"prompt_parts", strings.Join(r.sharedParts(), ",")})
 	s.emit(StartAttempt{
 		Request:      r.ID,
 		Attempt:      r.attemptID,
@@ -169,7 +170,8 @@
 	s.noteRequest(r, "an attempt ended", Field{"attempt", r.attemptCount}, Field{"endpoint", string(e.ID)},
 		Field{"reason", string(ev.Reason)}, Field{"verdict", ev.Verdict.String()}, Field{"took", s.now.Sub(r.sentAt)},
 		Field{"since_arrival", s.now.Sub(r.arrivedAt)}, Field{"first_event", firstEvent},
-		Field{"longest_pause", ev.LongestPause}, Field{"last_event", r.lastEvent}, Field{"route", r.route.Name}, Field{"detail", ev.Detail})
+		Field{"longest_pause", ev.LongestPause}, Field{"last_event", r.lastEvent}, Field{"stopped_at_start", ev.StoppedAtStart},
+		Field{"route", r.route.Name}, Field{"detail", ev.Detail})
 	if ev.Reason == rpcore.AttemptComplete {
 		e.health.recordSuccess()
 		s.serviceStats(r.service).recordOutcome(false)
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -138,6 +138,9 @@
 	Verdict rpverdict.Verdict
 	// ResponseStarted says that a byte of the response reached the caller.
 	ResponseStarted bool
+	// StoppedAtStart says that the head of a stream arrived, but the connection
+	// broke before the first event of this attempt.
+	StoppedAtStart bool
 	// LastEvent is the id of the last event that reached the caller.
 	LastEvent string
 	// LongestPause is the longest time between two events of the stream.
--- a/pkg/rpfleet/routing.go
+++ b/pkg/rpfleet/routing.go
@@ -119,6 +119,19 @@
 	return max(tokens, r.PromptTokens)
 }
 
+// sharedParts returns the ids of the parts of the prompt that other requests may
+// have too. The last part belongs to one request alone.
+func (r *request) sharedParts() []string {
+	if r.engineSpec == nil || len(r.Prompt) < 2 {
+		return nil
+	}
+	ids := make([]string, len(r.Prompt)-1)
+	for i := range ids {
+		ids[i] = r.Prompt[i].ID
+	}
+	return ids
+}
+
 // sharedPrefix returns a key for the part of the prompt that other requests may
 // share, and its number of tokens. The last part of a prompt belongs to one
 // request alone.
