Keep requests away from engines that crash on a part of their prompt

Cause: each instance sees one or two of the crashes and takes each for that of an engine. Nothing connects them, so every request with the part is sent, and after a crash sent again to the next engine.

Change: such an attempt is evidence against the shared parts of its prompt if its engine does not answer any more. Instances report evidence to the planner with their demands, which finds the parts that explain the crashes: parts that no served request had first, then those with most crashes, then the most specific ones. Requests with such a part are refused as not run. The planner's answers and a row of the store carry the decision; instances without a planner share evidence through the store and keep away parts that one engine crashed on. A request that crashed an engine is not sent to another one.

--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -131,8 +131,10 @@
 	peers        *peerAPI
 	leases       *leaseClient
 	storeDemands *storeDemands
-	store        *rpwire.Store
-	forwarder    *rpendpoint.Forwarder
+	// storeEvidence passes evidence of crashes through the store.
+	storeEvidence *storeEvidence
+	store         *rpwire.Store
+	forwarder     *rpendpoint.Forwarder
 	// configReads requests an immediate read of the configuration.
 	configReads chan struct{}
 	// ready is the readiness reported to the balancer.
@@ -168,6 +170,7 @@
 	c.peers = &peerAPI{loop: c.loop, client: client, log: i.Log.Part("peer")}
 	c.leases = &leaseClient{loop: c.loop, store: c.store, log: i.Log.Part("platform")}
 	c.storeDemands = &storeDemands{loop: c.loop, store: c.store, log: i.Log.Part("platform")}
+	c.storeEvidence = &storeEvidence{loop: c.loop, store: c.store, log: i.Log.Part("platform")}
 	lc.Append(fx.Hook{OnStart: c.onStart, OnStop: c.onStop})
 	return c
 }
@@ -218,6 +221,12 @@
 		c.orders.cancelAll()
 	case rpfleet.ReadReport:
 		go c.orders.readReport(effect)
+	case rpfleet.CheckEngine:
+		go c.orders.checkEngine(effect)
+	case rpfleet.PostEvidence:
+		go c.storeEvidence.post(string(effect.Instance), effect.Evidence)
+	case rpfleet.PostQuarantine:
+		go c.storeEvidence.post(rpwire.KeyQuarantine, rpfleet.CrashEvidence{Quarantined: effect.Parts})
 	case rpfleet.CloseIdleConnections:
 		go c.forwarder.CloseIdle(effect.Address)
 	case rpfleet.ReportReady:
@@ -256,6 +265,7 @@
 	c.running.Go(func() { c.configFollower().run(background) })
 	c.running.Go(func() { c.endpointFollower().run(background) })
 	c.running.Go(func() { c.storeDemands.follower().run(background) })
+	c.running.Go(func() { c.storeEvidence.follower().run(background) })
 	c.running.Go(func() { c.watchSettings(background) })
 	c.log.Info().Str("instance", c.settings.Instance.Name).Str("failure_domain", c.settings.Instance.FailureDomain).
 		Str("callers", listen.Callers.String()).Str("peers", listen.Peers.String()).
--- a/internal/rpgateway/loop.go
+++ b/internal/rpgateway/loop.go
@@ -65,6 +65,14 @@
 	return l.state.IsPlanner()
 }
 
+// followsEvidence reports whether this instance follows the evidence of crashes in the
+// store.
+func (l *loop) followsEvidence() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.FollowsEvidence()
+}
+
 // maySendOrder reports whether the instance still holds the lease under which the
 // reducer issued the order.
 func (l *loop) maySendOrder(cmd rpfleet.SendOrder) bool {
--- a/internal/rpgateway/observer.go
+++ b/internal/rpgateway/observer.go
@@ -43,6 +43,7 @@
 // storeTables are the labels of the tables of the store.
 var storeTables = map[rpwire.Table]string{
 	rpwire.TableConfig: "configuration", rpwire.TableEndpoints: "endpoints", rpwire.TablePlanner: "lease", rpwire.TableDemands: "demands",
+	rpwire.TableCrashes: "crashes",
 }
 
 // storeCalled counts a call to the store. A condition that does not hold and lost
--- a/internal/rpgateway/peers.go
+++ b/internal/rpgateway/peers.go
@@ -62,7 +62,11 @@
 	select {
 	case placement := <-answered:
 		w.Header().Set("Content-Type", typeCBOR)
-		if err := cbor.NewEncoder(w).Encode(placement); err != nil {
+		body, err := encodePlacement(&placement)
+		if err == nil {
+			_, err = w.Write(body)
+		}
+		if err != nil {
 			p.log.Debug().Err(err).Msg("failed to send the response to a demand")
 		}
 	default:
@@ -128,30 +132,64 @@
 	if resp.StatusCode != http.StatusOK {
 		return placement, fmt.Errorf("unexpected status %d from the planner", resp.StatusCode)
 	}
-	return placement, trace.Wrap(cbor.NewDecoder(io.LimitReader(resp.Body, maxDemandBytes)).Decode(&placement))
+	return decodePlacement(resp.Body)
 }
 
-// encodeDemand encodes a demand and its extension as two CBOR items. Earlier versions
-// of the program read only the first one.
+// encodeDemand encodes a demand, its extension and its evidence as CBOR items.
+// Earlier versions of the program read only the first one or two.
 func encodeDemand(demand *rpfleet.Demand) ([]byte, error) {
-	body, err := cbor.Marshal(demand)
-	if err != nil {
-		return nil, trace.Wrap(err)
+	if demand.Evidence.IsEmpty() {
+		return encodeItems(demand, &demand.Extension)
 	}
-	extension, err := cbor.Marshal(&demand.Extension)
-	return append(body, extension...), trace.Wrap(err)
+	return encodeItems(demand, &demand.Extension, &demand.Evidence)
 }
 
-// decodeDemand decodes a demand and its extension, which earlier versions of the
-// program don't send.
+// decodeDemand decodes a demand with its extension and evidence, which earlier
+// versions of the program don't send.
 func decodeDemand(r io.Reader) (rpfleet.Demand, error) {
 	var demand rpfleet.Demand
-	decoder := cbor.NewDecoder(io.LimitReader(r, maxDemandBytes))
-	if err := decoder.Decode(&demand); err != nil {
-		return demand, trace.Wrap(err)
+	return demand, decodeItems(r, &demand, &demand.Extension, &demand.Evidence)
+}
+
+// encodePlacement encodes a placement and its quarantine as CBOR items. Earlier
+// versions of the program read only the first one.
+func encodePlacement(placement *rpfleet.Placement) ([]byte, error) {
+	if placement.Quarantine == nil {
+		return encodeItems(placement)
 	}
-	if err := decoder.Decode(&demand.Extension); err != nil && !errors.Is(err, io.EOF) {
-		return demand, trace.Wrap(err)
+	return encodeItems(placement, placement.Quarantine)
+}
+
+// decodePlacement decodes a placement and its quarantine, which earlier versions of
+// the program don't send.
+func decodePlacement(r io.Reader) (rpfleet.Placement, error) {
+	var placement rpfleet.Placement
+	return placement, decodeItems(r, &placement, &placement.Quarantine)
+}
+
+func encodeItems(items ...any) ([]byte, error) {
+	var body []byte
+	for _, item := range items {
+		encoded, err := cbor.Marshal(item)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		body = append(body, encoded...)
+	}
+	return body, nil
+}
+
+// decodeItems decodes CBOR items. Only the first one must be there.
+func decodeItems(r io.Reader, items ...any) error {
+	decoder := cbor.NewDecoder(io.LimitReader(r, maxDemandBytes))
+	for i, item := range items {
+		err := decoder.Decode(item)
+		if i > 0 && errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return trace.Wrap(err)
+		}
 	}
-	return demand, nil
+	return nil
 }
--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -135,6 +135,7 @@
 	r.responseStarted = true
 	s.releasePrefill(r)
 	s.recordLatency(r)
+	s.recordPartsUsed(r)
 }
 
 func (s *State) recordLatency(r *request) {
@@ -181,7 +182,7 @@
 	}
 	r.lastFailure = string(ev.Reason)
 	s.recordFailure(r, e, ev)
-	s.retryOrRefuse(r, e, ev)
+	s.retryOrRefuse(r, e, ev, ev.StoppedAtStart && s.checkCrash(r, e))
 	s.dispatchService(r.service)
 }
 
@@ -222,8 +223,9 @@
 	e.engine.recordUnload(r.Model, adapter, s.now)
 }
 
-// retryOrRefuse queues a request again after a failed attempt, or refuses it.
-func (s *State) retryOrRefuse(r *request, e *endpoint, ev AttemptEnded) {
+// retryOrRefuse queues a request again after a failed attempt, or refuses it. With
+// checking set, the request waits for handleEngineChecked.
+func (s *State) retryOrRefuse(r *request, e *endpoint, ev AttemptEnded, checking bool) {
 	if reason := s.retryForbiddenReason(r, ev); reason != "" {
 		s.refuseRequest(r, s.unansweredRefusal(r, s.failureCode(r, ev), reason))
 		return
@@ -246,6 +248,10 @@
 		r.failedConnects++
 	}
 	s.enqueue(r)
+	if checking {
+		s.delayRetry(r, crashCheckTime)
+		return
+	}
 	if ev.Reason == rpcore.AttemptNotLoaded || ev.Reason == rpcore.AttemptBusy {
 		s.delayRetry(r, s.retryDelay(r))
 		if r.engineSpec != nil {
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -181,7 +181,7 @@
 // requests wait.
 func (s *State) sendPeriodicDemand() {
 	interval := s.scaleInterval(demandInterval, maxDemandsPerSecond)
-	if s.hasNeeds() {
+	if s.hasNeeds() || s.watchesNewParts() {
 		interval = s.scaleInterval(waitingDemandInterval, maxWaitingDemandsPerSecond)
 	}
 	s.runAfter(interval, (*State).sendPeriodicDemand)
@@ -235,6 +235,7 @@
 	d := Demand{
 		Instance: s.self.Instance, Epoch: s.demand.seenEpoch, SeenChange: s.demand.seenChange, SeenListChange: s.demand.seenListChange, Needs: s.currentNeeds(),
 		StoreAge: s.now.Sub(maxTime(s.listReadAt, s.demand.leaseReadAt)),
+		Evidence: s.ownEvidence(),
 	}
 	if s.now.Sub(s.demand.fullSentAt) < demandInterval-minDemandInterval {
 		return d
@@ -327,6 +328,7 @@
 	}
 	if ev.Failed || !ev.Placement.IsPlanner {
 		s.recordHolderUnavailable(&ev)
+		s.postEvidence()
 		return
 	}
 	s.recordHolderAnswer()
@@ -347,6 +349,9 @@
 		s.applyOtherLoad(p.OtherLoad)
 	}
 	s.applyExpectedModels(p.Expected)
+	if p.Quarantine != nil {
+		s.applyQuarantine(p.Quarantine)
+	}
 	s.dispatchAll()
 	if s.demand.resend {
 		s.demand.resend = false
--- a/pkg/rpfleet/demand_answers.go
+++ b/pkg/rpfleet/demand_answers.go
@@ -36,6 +36,8 @@
 		WeightLimit:   s.weightLimit(),
 		CheckStore:    s.lease.failedRenewals > 0 && s.rng.Float64()*float64(len(s.plan.demands)) < storeProbeInstances,
 	}
+	quarantine := s.describeQuarantine()
+	placement.Quarantine = &quarantine
 	if d.Full {
 		placement.HasOtherLoad = true
 		placement.OtherLoad = s.inFlightOfOthers(d.Instance)
@@ -47,6 +49,9 @@
 // only its needs.
 func (s *State) recordDemand(d Demand) {
 	s.applyLeavingReports(d.Extension.Leaving)
+	if d.Instance != s.self.Instance {
+		s.poolEvidence(&d.Evidence)
+	}
 	known := s.plan.demands[d.Instance]
 	if known != nil && !d.Full {
 		d.Rates, d.InFlight, d.Ejected, d.Extension = known.Rates, known.InFlight, known.Ejected, known.Extension
--- a/pkg/rpfleet/effect.go
+++ b/pkg/rpfleet/effect.go
@@ -152,6 +152,31 @@
 	Address     netip.AddrPort
 }
 
+// CheckEngine asks whether an incarnation of an engine still runs. EngineChecked
+// follows.
+type CheckEngine struct {
+	effectMark
+	Endpoint    rpcore.EndpointID
+	Incarnation rpcore.Incarnation
+	Address     netip.AddrPort
+}
+
+// PostEvidence writes an instance's evidence of crashes to the store, for a planner
+// that does not answer it and for the other instances without one. No event
+// follows.
+type PostEvidence struct {
+	effectMark
+	Instance rpcore.InstanceID
+	Evidence CrashEvidence
+}
+
+// PostQuarantine writes the parts in quarantine to the store, for instances that
+// the planner can't reach and for the next planner. No event follows.
+type PostQuarantine struct {
+	effectMark
+	Parts []PartTime
+}
+
 // CloseIdleConnections closes the connections to an address that are kept for
 // later requests, each once it is idle.
 type CloseIdleConnections struct {
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -259,6 +259,23 @@
 	Report   EngineReport
 }
 
+// EngineChecked answers CheckEngine. Alive says that the same incarnation still
+// runs.
+type EngineChecked struct {
+	Stamp
+	Endpoint    rpcore.EndpointID
+	Incarnation rpcore.Incarnation
+	Alive       bool
+}
+
+// EvidenceRead carries what the store holds of crashes: the evidence that
+// instances wrote, and the parts in quarantine that a planner wrote.
+type EvidenceRead struct {
+	Stamp
+	Evidence    []CrashEvidence
+	Quarantined []PartTime
+}
+
 // DemandReceived carries the demand of another instance. AnswerDemand answers
 // it.
 type DemandReceived struct {
--- a/pkg/rpfleet/harness_test.go
+++ b/pkg/rpfleet/harness_test.go
@@ -22,6 +22,8 @@
 	alarm   time.Time
 	// lease is the row that this instance last wrote.
 	lease rpfleet.LeaseRow
+	// prompts are the shared parts of the requests of arrivePrompt.
+	prompts map[rpcore.RequestID][]string
 	// discarded is the number of effects that effectsOf skips.
 	discarded int
 }
@@ -174,11 +176,12 @@
 // becomePlanner acquires the lease and reports the content of the engines.
 func (h *harness) becomePlanner(endpoints ...rpfleet.Endpoint) {
 	// A free lease is taken after a random time.
-	for range 2 {
+	var writes []rpfleet.WriteLease
+	for i := 0; i < 2 || len(writes) == 0; i++ {
 		h.apply(rpfleet.LeaseRead{Stamp: h.stamp(), AskedAt: h.now, Row: h.lease})
 		h.advance(40 * time.Millisecond)
+		writes = effectsOf[rpfleet.WriteLease](h)
 	}
-	writes := effectsOf[rpfleet.WriteLease](h)
 	row := writes[len(writes)-1].Row
 	row.Revision = h.lease.Revision + 10
 	h.lease = row
--- a/pkg/rpfleet/message.go
+++ b/pkg/rpfleet/message.go
@@ -35,6 +35,8 @@
 	// Extension follows the demand on the wire as an item of its own, which
 	// earlier versions of the program skip.
 	Extension DemandExtension `cbor:"-"`
+	// Evidence follows Extension in the same way.
+	Evidence CrashEvidence `cbor:"-"`
 }
 
 // DemandExtension is the part of a full demand that earlier versions of the program
@@ -136,6 +138,9 @@
 	ConfigVersion uint64
 	// CheckStore asks the instance to check whether it reaches the store.
 	CheckStore bool
+	// Quarantine follows the placement on the wire as an item of its own, which
+	// earlier versions of the program skip. It is nil if the planner sent none.
+	Quarantine *Quarantine `cbor:"-"`
 }
 
 // EngineContent is what an engine holds after it has accepted Sequence orders.
--- /dev/null
+++ b/pkg/rpfleet/quarantine.go
@@ -0,0 +1,662 @@
+package rpfleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// A part of a prompt may crash every engine that begins to answer a request with it.
+// Such a part is put into quarantine: its requests are refused and reach no engine.
+//
+// The evidence is a stream that stopped between its head and its first event while
+// its engine crashed. All instances pool their evidence, since each sees only a few
+// of the requests: the planner does so from their demands and passes the result on
+// with its answers. An instance that the planner does not answer uses the store.
+const (
+	// minCrashes is the number of crashed engines that puts a part into quarantine
+	// if no request with it is known to have had a first event.
+	minCrashes = 2
+	// minCrashesAfterUse and minCrashSpan apply to a part that requests had before:
+	// so many engines must have crashed since the last first event, over such a
+	// time. Engines that crash together for another reason don't count.
+	minCrashesAfterUse = 3
+	minCrashSpan       = 1500 * time.Millisecond
+	// quarantineTime is how long a part stays in quarantine, and how long a crash
+	// and the use of a part are remembered.
+	quarantineTime = 10 * time.Minute
+	// maxCrashes and maxUsedParts bound the memory for crashes and for parts in
+	// use.
+	maxCrashes   = 64
+	maxUsedParts = 4096
+	// maxPartBytes and maxCrashParts bound one prompt in a report. The most
+	// specific parts are at the end of a prompt.
+	maxPartBytes  = 128
+	maxCrashParts = 8
+	// maxCrashPrompts bounds the prompts of one crash, maxReportedCrashes the
+	// crashes of one report, the newest ones.
+	maxCrashPrompts    = 4
+	maxReportedCrashes = 16
+	// crashCheckTime is how long a request waits at most for the answer whether its
+	// engine has crashed.
+	crashCheckTime = time.Second
+	// watchTime is how long the planner is asked more often after a new part is
+	// watched.
+	watchTime = 5 * time.Second
+	// suspectRetryAfter is the Retry-After of a request with a part that one engine
+	// crashed on, while the planner can't be asked about other crashes.
+	suspectRetryAfter = 2 * time.Second
+)
+
+// crashID identifies a crash. An incarnation crashes at most once.
+type crashID struct {
+	endpoint    rpcore.EndpointID
+	incarnation rpcore.Incarnation
+}
+
+func (a crashID) compare(b crashID) int {
+	return cmp.Or(strings.Compare(string(a.endpoint), string(b.endpoint)), strings.Compare(string(a.incarnation), string(b.incarnation)))
+}
+
+// crash is an engine that crashed, with the prompts of the streams that had a head
+// but no event then. A prompt lacks its last part.
+type crash struct {
+	at      time.Time
+	prompts [][]string
+}
+
+// addPrompt adds a prompt and reports whether it is new.
+func (c *crash) addPrompt(prompt []string) bool {
+	if len(c.prompts) >= maxCrashPrompts || slices.ContainsFunc(c.prompts, func(known []string) bool { return slices.Equal(known, prompt) }) {
+		return false
+	}
+	c.prompts = append(c.prompts, prompt)
+	return true
+}
+
+// crashCheck is a request whose stream stopped at its start, until it is known
+// whether its engine has crashed.
+type crashCheck struct {
+	crashID
+	request *request
+	at      time.Time
+}
+
+// quarantineState is what is known of parts that crash engines.
+type quarantineState struct {
+	// usedAt is when a request of this instance with a part last had a first event.
+	// usedElsewhereAt is the same for other instances, as far as reported.
+	usedAt          map[string]time.Time
+	usedElsewhereAt map[string]time.Time
+	checks          []crashCheck
+	// ownCrashes were seen by this instance; crashes are those of all instances, as
+	// far as known.
+	ownCrashes map[crashID]*crash
+	crashes    map[crashID]*crash
+	// parts holds the end of the quarantine of each part.
+	parts map[string]time.Time
+	// watched are the parts that may have caused a crash. The value says that no
+	// request with it is known to have had a first event. watchedAt is when a part
+	// was last added.
+	watched   map[string]bool
+	watchedAt time.Time
+	// postedAt is when evidence was last written to the store, and unposted says
+	// that there is newer evidence.
+	postedAt time.Time
+	unposted bool
+}
+
+func (s *State) initQuarantine() {
+	s.quarantine = quarantineState{
+		usedAt: map[string]time.Time{}, usedElsewhereAt: map[string]time.Time{},
+		ownCrashes: map[crashID]*crash{}, crashes: map[crashID]*crash{},
+		parts: map[string]time.Time{}, watched: map[string]bool{},
+	}
+}
+
+// recordPartsUsed records that a request had its first event.
+func (s *State) recordPartsUsed(r *request) {
+	q := &s.quarantine
+	for _, part := range r.sharedParts() {
+		q.usedAt[part] = s.now
+		if _, ok := q.watched[part]; ok {
+			s.evaluateOwnEvidence()
+		}
+	}
+	if len(q.usedAt) > maxUsedParts {
+		q.forgetOldestUses()
+	}
+}
+
+// forgetOldestUses forgets the older half of the uses.
+func (q *quarantineState) forgetOldestUses() {
+	times := slices.SortedFunc(maps.Values(q.usedAt), time.Time.Compare)
+	middle := times[len(times)/2]
+	maps.DeleteFunc(q.usedAt, func(_ string, at time.Time) bool { return !at.After(middle) })
+}
+
+// checkCrash asks whether the engine of a stream that stopped at its start has
+// crashed. The request waits for the answer, so that it does not crash another
+// engine. It reports whether the engine is asked.
+func (s *State) checkCrash(r *request, e *endpoint) bool {
+	if len(r.sharedParts()) == 0 {
+		return false
+	}
+	check := crashCheck{crashID: crashID{e.ID, e.Incarnation}, request: r, at: s.now}
+	s.quarantine.checks = append(s.quarantine.checks, check)
+	s.note("members", "a stream stopped between its head and its first event", Field{"request_id", string(r.ID)},
+		Field{"endpoint", string(e.ID)}, Field{"prompt_parts", strings.Join(r.sharedParts(), ",")})
+	s.emit(CheckEngine{Endpoint: e.ID, Incarnation: e.Incarnation, Address: e.Address})
+	return true
+}
+
+// handleEngineChecked ends the checks of an engine.
+func (s *State) handleEngineChecked(ev EngineChecked) {
+	id := crashID{ev.Endpoint, ev.Incarnation}
+	var ended []crashCheck
+	s.quarantine.checks = slices.DeleteFunc(s.quarantine.checks, func(c crashCheck) bool {
+		if c.crashID == id {
+			ended = append(ended, c)
+		}
+		return c.crashID == id
+	})
+	for _, check := range ended {
+		if !ev.Alive {
+			s.recordCrash(check)
+		}
+		s.resumeAfterCheck(check, !ev.Alive)
+	}
+}
+
+// resumeAfterCheck sends a request again whose engine lives, and refuses one that
+// may have crashed its engine.
+func (s *State) resumeAfterCheck(check crashCheck, crashed bool) {
+	r := check.request
+	if r.phase != phaseWaiting {
+		return
+	}
+	if crashed && s.mayHaveCrashed(r) {
+		s.refuseRequest(r, s.unansweredRefusal(r, s.brokenCode(r), "The engine crashed as it began to answer the request."))
+		return
+	}
+	r.retryNotBefore = s.now
+	s.dispatch(r)
+}
+
+// brokenCode returns the code for a request whose attempt broke.
+func (s *State) brokenCode(r *request) rpverdict.Code {
+	if r.responseStarted {
+		return rpverdict.CodeStreamBroken
+	}
+	return rpverdict.CodeAttemptFailed
+}
+
+// mayHaveCrashed reports whether a request has a part that no other request is known
+// to have had without a crash.
+func (s *State) mayHaveCrashed(r *request) bool {
+	return slices.ContainsFunc(r.sharedParts(), func(part string) bool { return s.quarantine.lastUse(part).IsZero() })
+}
+
+// recordCrash records a crash that this instance has seen.
+func (s *State) recordCrash(check crashCheck) {
+	q := &s.quarantine
+	prompt := reportedPrompt(check.request.sharedParts())
+	s.note("members", "an engine crashed as it began to answer a request", Field{"request_id", string(check.request.ID)},
+		Field{"endpoint", string(check.endpoint)}, Field{"prompt_parts", strings.Join(prompt, ",")})
+	addCrash(q.ownCrashes, check.crashID, check.at, prompt)
+	addCrash(q.crashes, check.crashID, check.at, prompt)
+	q.unposted = true
+	s.evaluateOwnEvidence()
+	s.reportNeed()
+	s.postEvidence()
+}
+
+// reportedPrompt returns the parts of a prompt that are reported.
+func reportedPrompt(parts []string) []string {
+	parts = slices.DeleteFunc(slices.Clone(parts), func(part string) bool { return len(part) > maxPartBytes })
+	return parts[max(0, len(parts)-maxCrashParts):]
+}
+
+// addCrash adds a prompt to a crash and reports whether it is new.
+func addCrash(crashes map[crashID]*crash, id crashID, at time.Time, prompt []string) bool {
+	c := crashes[id]
+	if c == nil {
+		if len(crashes) >= maxCrashes {
+			ids := newestCrashes(crashes)
+			delete(crashes, ids[len(ids)-1])
+		}
+		c = &crash{at: at}
+		crashes[id] = c
+	}
+	return c.addPrompt(prompt)
+}
+
+// newestCrashes returns the ids of crashes, the newest first.
+func newestCrashes(crashes map[crashID]*crash) []crashID {
+	return slices.SortedFunc(maps.Keys(crashes), func(a, b crashID) int {
+		return cmp.Or(crashes[b].at.Compare(crashes[a].at), a.compare(b))
+	})
+}
+
+// lastUse returns when a request with a part last had a first event, or the zero
+// time if that is not known.
+func (q *quarantineState) lastUse(part string) time.Time {
+	return maxTime(q.usedAt[part], q.usedElsewhereAt[part])
+}
+
+// evaluateOwnEvidence decides on the parts unless the planner does.
+func (s *State) evaluateOwnEvidence() {
+	if s.FollowsEvidence() {
+		s.evaluateEvidence()
+	}
+}
+
+// withoutPlanner reports whether the planner does not answer this instance.
+func (s *State) withoutPlanner() bool {
+	return !s.isPlanner() && s.lease.holderUnavailable
+}
+
+// FollowsEvidence reports whether this instance follows the evidence in the store:
+// it is the planner, or the planner does not answer it.
+func (s *State) FollowsEvidence() bool { return s.isPlanner() || s.withoutPlanner() }
+
+// evaluateEvidence puts parts into quarantine that explain the known crashes, and
+// releases those whose crashes other parts explain.
+func (s *State) evaluateEvidence() {
+	q := &s.quarantine
+	q.expire(s.now)
+	found, watched := q.explainCrashes()
+	changed := false
+	for _, part := range found {
+		if _, ok := q.parts[part]; !ok {
+			changed = true
+			s.note("requests", "a prompt part that crashes engines is put into quarantine", Field{"prompt_part", part},
+				Field{"crashes", q.countCrashes(part)}, Field{"known_crashes", len(q.crashes)}, Field{"for", quarantineTime})
+		}
+		q.parts[part] = s.now.Add(quarantineTime)
+	}
+	for _, part := range sortedKeys(q.parts) {
+		if _, unexplained := watched[part]; unexplained || slices.Contains(found, part) || q.countCrashes(part) == 0 {
+			continue
+		}
+		changed = true
+		delete(q.parts, part)
+		s.note("requests", "a prompt part is released from quarantine", Field{"prompt_part", part}, Field{"crashes", q.countCrashes(part)})
+	}
+	if !s.isPlanner() {
+		// The planner knew more crashes.
+		for part, unused := range q.watched {
+			if _, ok := watched[part]; !ok && unused && q.lastUse(part).IsZero() {
+				watched[part] = true
+			}
+		}
+	}
+	s.setWatched(watched)
+	if !changed {
+		return
+	}
+	if s.isPlanner() {
+		s.emit(PostQuarantine{Parts: q.describeParts(s.now)})
+	}
+	s.dispatchAll()
+}
+
+// setWatched replaces the watched parts.
+func (s *State) setWatched(watched map[string]bool) {
+	q := &s.quarantine
+	for part := range watched {
+		if _, ok := q.watched[part]; !ok {
+			q.watchedAt = s.now
+		}
+	}
+	q.watched = watched
+}
+
+// watchesNewParts reports whether a part was added to the watched ones so recently
+// that the decision on it may be near.
+func (s *State) watchesNewParts() bool {
+	return len(s.quarantine.watched) > 0 && s.now.Sub(s.quarantine.watchedAt) < watchTime
+}
+
+// expire forgets old evidence.
+func (q *quarantineState) expire(now time.Time) {
+	old := func(at time.Time) bool { return now.Sub(at) > quarantineTime }
+	maps.DeleteFunc(q.crashes, func(_ crashID, c *crash) bool { return old(c.at) })
+	maps.DeleteFunc(q.ownCrashes, func(_ crashID, c *crash) bool { return old(c.at) })
+	maps.DeleteFunc(q.usedElsewhereAt, func(_ string, at time.Time) bool { return old(at) })
+	maps.DeleteFunc(q.parts, func(_ string, until time.Time) bool { return !now.Before(until) })
+}
+
+func (c *crash) has(part string) bool {
+	return slices.ContainsFunc(c.prompts, func(prompt []string) bool { return slices.Contains(prompt, part) })
+}
+
+func (q *quarantineState) countCrashes(part string) int {
+	n := 0
+	for _, c := range q.crashes {
+		if c.has(part) {
+			n++
+		}
+	}
+	return n
+}
+
+// partEvidence is the evidence against one part.
+type partEvidence struct {
+	part string
+	// crashes are the times of the crashes, latest is the one added last.
+	crashes []time.Time
+	latest  crashID
+	// depth is the position of the part in its prompts. Of several parts that are
+	// always together, the last one is the most specific.
+	depth int
+	used  bool
+}
+
+// suffices reports whether the evidence puts the part into quarantine.
+func (p *partEvidence) suffices() bool {
+	if !p.used {
+		return len(p.crashes) >= minCrashes
+	}
+	if len(p.crashes) < minCrashesAfterUse {
+		return false
+	}
+	return slices.MaxFunc(p.crashes, time.Time.Compare).Sub(slices.MinFunc(p.crashes, time.Time.Compare)) >= minCrashSpan
+}
+
+// stronger orders evidence: parts that were never used come first, then those with
+// more crashes, then the more specific ones.
+func (p *partEvidence) stronger(other *partEvidence) int {
+	if p.used != other.used {
+		if other.used {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(len(other.crashes)-len(p.crashes), other.depth-p.depth, strings.Compare(p.part, other.part))
+}
+
+// explainCrashes returns the parts that explain the crashes, and the parts of the
+// crashes that they don't explain.
+func (q *quarantineState) explainCrashes() (found []string, watched map[string]bool) {
+	left := maps.Clone(q.crashes)
+	for {
+		evidence := q.collectEvidence(left)
+		i := slices.IndexFunc(evidence, func(p *partEvidence) bool { return p.suffices() })
+		if i < 0 {
+			watched = make(map[string]bool, len(evidence))
+			for _, p := range evidence {
+				watched[p.part] = !p.used
+			}
+			return found, watched
+		}
+		part := evidence[i].part
+		found = append(found, part)
+		maps.DeleteFunc(left, func(_ crashID, c *crash) bool { return c.has(part) })
+	}
+}
+
+// collectEvidence returns the evidence of crashes against each part, the strongest
+// first.
+func (q *quarantineState) collectEvidence(crashes map[crashID]*crash) []*partEvidence {
+	byPart := map[string]*partEvidence{}
+	for _, id := range slices.SortedFunc(maps.Keys(crashes), crashID.compare) {
+		c := crashes[id]
+		for _, prompt := range c.prompts {
+			for depth, part := range prompt {
+				lastUse := q.lastUse(part)
+				if lastUse.After(c.at) {
+					continue
+				}
+				p := byPart[part]
+				if p == nil {
+					p = &partEvidence{part: part, used: !lastUse.IsZero()}
+					byPart[part] = p
+				}
+				p.depth = max(p.depth, depth)
+				if p.latest != id {
+					// Several prompts of a crash may have the part.
+					p.latest = id
+					p.crashes = append(p.crashes, c.at)
+				}
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Values(byPart), (*partEvidence).stronger)
+}
+
+// quarantineRefusal returns the refusal of a request with a part in quarantine, or
+// nil. Without the planner's knowledge, a part that one engine crashed on counts
+// too.
+func (s *State) quarantineRefusal(r *request) *rpverdict.Refusal {
+	q := &s.quarantine
+	if len(q.parts) == 0 && len(q.watched) == 0 {
+		return nil
+	}
+	for _, part := range r.sharedParts() {
+		if until := q.parts[part]; until.After(s.now) {
+			return s.refusalOfPart(r, "Engines crash on the part "+part+" of the prompt.", until.Sub(s.now))
+		}
+		if q.watched[part] && q.lastUse(part).IsZero() && s.withoutPlanner() {
+			return s.refusalOfPart(r, "An engine crashed on a request with the part "+part+" of the prompt.", suspectRetryAfter)
+		}
+	}
+	return nil
+}
+
+func (s *State) refusalOfPart(r *request, detail string, retryAfter time.Duration) *rpverdict.Refusal {
+	if r.possibleRuns > 0 {
+		return s.unansweredRefusal(r, s.brokenCode(r), detail)
+	}
+	return newRefusal(rpverdict.CodePromptQuarantined, detail, retryAfter)
+}
+
+// CrashReport is a crash that an instance has seen.
+type CrashReport struct {
+	_ struct{} `cbor:",toarray"`
+
+	Endpoint    rpcore.EndpointID
+	Incarnation rpcore.Incarnation
+	Age         time.Duration
+	// Prompts are the prompts of the streams that stopped at their start, without
+	// their last parts.
+	Prompts [][]string
+}
+
+// PartTime is a part of a prompt with a time: how long ago a request with it had its
+// first event, or how much longer it is in quarantine.
+type PartTime struct {
+	_ struct{} `cbor:",toarray"`
+
+	Part string
+	Time time.Duration
+}
+
+// CrashEvidence is what an instance knows of crashes and of the parts in question.
+type CrashEvidence struct {
+	_ struct{} `cbor:",toarray"`
+
+	Crashes []CrashReport
+	// Used is when requests of the instance with a part in question had a first
+	// event.
+	Used []PartTime
+	// Quarantined are the parts that the instance knows to be in quarantine. A new
+	// planner adopts them.
+	Quarantined []PartTime
+}
+
+// IsEmpty reports whether there is no evidence.
+func (v *CrashEvidence) IsEmpty() bool {
+	return len(v.Crashes) == 0 && len(v.Used) == 0 && len(v.Quarantined) == 0
+}
+
+// AddAge makes the evidence older by d.
+func (v *CrashEvidence) AddAge(d time.Duration) {
+	for i := range v.Crashes {
+		v.Crashes[i].Age += d
+	}
+	for i := range v.Used {
+		v.Used[i].Time += d
+	}
+	for i := range v.Quarantined {
+		v.Quarantined[i].Time -= d
+	}
+}
+
+// Quarantine is the planner's decision on parts of prompts.
+type Quarantine struct {
+	_ struct{} `cbor:",toarray"`
+
+	Quarantined []PartTime
+	// Watched are the parts that may have caused a crash, Unused those of them that
+	// no request is known to have had without a crash.
+	Watched []string
+	Unused  []string
+}
+
+func (q *quarantineState) describeParts(now time.Time) []PartTime {
+	var parts []PartTime
+	for _, part := range sortedKeys(q.parts) {
+		parts = append(parts, PartTime{Part: part, Time: q.parts[part].Sub(now)})
+	}
+	return parts
+}
+
+// ownEvidence returns what other instances need to know.
+func (s *State) ownEvidence() CrashEvidence {
+	q := &s.quarantine
+	evidence := CrashEvidence{Quarantined: q.describeParts(s.now)}
+	asked := map[string]bool{}
+	for part := range q.watched {
+		asked[part] = true
+	}
+	for part := range q.parts {
+		asked[part] = true
+	}
+	ids := newestCrashes(q.ownCrashes)
+	for _, id := range ids[:min(len(ids), maxReportedCrashes)] {
+		c := q.ownCrashes[id]
+		evidence.Crashes = append(evidence.Crashes, CrashReport{
+			Endpoint: id.endpoint, Incarnation: id.incarnation, Age: s.now.Sub(c.at), Prompts: c.prompts,
+		})
+		for _, prompt := range c.prompts {
+			for _, part := range prompt {
+				asked[part] = true
+			}
+		}
+	}
+	for _, part := range sortedKeys(asked) {
+		if at, ok := q.usedAt[part]; ok {
+			evidence.Used = append(evidence.Used, PartTime{Part: part, Time: s.now.Sub(at)})
+		}
+	}
+	return evidence
+}
+
+// poolEvidence adds the evidence of another instance.
+func (s *State) poolEvidence(evidence *CrashEvidence) {
+	if evidence.IsEmpty() {
+		return
+	}
+	q := &s.quarantine
+	changed := q.adoptParts(evidence.Quarantined, s.now)
+	for _, report := range evidence.Crashes {
+		for _, prompt := range report.Prompts {
+			added := addCrash(q.crashes, crashID{report.Endpoint, report.Incarnation}, s.now.Add(-report.Age), reportedPrompt(prompt))
+			changed = changed || added
+		}
+	}
+	for _, used := range evidence.Used {
+		at := s.now.Add(-used.Time)
+		if !at.After(q.usedElsewhereAt[used.Part]) {
+			continue
+		}
+		q.usedElsewhereAt[used.Part] = at
+		_, watched := q.watched[used.Part]
+		_, quarantined := q.parts[used.Part]
+		changed = changed || watched || quarantined
+	}
+	if changed {
+		s.evaluateEvidence()
+	}
+}
+
+// adoptParts adds parts that another instance has in quarantine and reports whether
+// one is new.
+func (q *quarantineState) adoptParts(parts []PartTime, now time.Time) bool {
+	added := false
+	for _, p := range parts {
+		if p.Time <= 0 {
+			continue
+		}
+		if _, ok := q.parts[p.Part]; !ok {
+			added = true
+		}
+		q.parts[p.Part] = maxTime(q.parts[p.Part], now.Add(min(p.Time, quarantineTime)))
+	}
+	return added
+}
+
+// describeQuarantine returns the decision for the answer to a demand.
+func (s *State) describeQuarantine() Quarantine {
+	q := &s.quarantine
+	decision := Quarantine{Quarantined: q.describeParts(s.now)}
+	for _, part := range sortedKeys(q.watched) {
+		decision.Watched = append(decision.Watched, part)
+		if q.watched[part] {
+			decision.Unused = append(decision.Unused, part)
+		}
+	}
+	return decision
+}
+
+// applyQuarantine replaces what this instance knows by the planner's decision.
+func (s *State) applyQuarantine(decision *Quarantine) {
+	q := &s.quarantine
+	before := sortedKeys(q.parts)
+	clear(q.parts)
+	q.adoptParts(decision.Quarantined, s.now)
+	watched := make(map[string]bool, len(decision.Watched))
+	for _, part := range decision.Watched {
+		watched[part] = slices.Contains(decision.Unused, part)
+	}
+	s.setWatched(watched)
+	if after := sortedKeys(q.parts); !slices.Equal(before, after) {
+		s.note("requests", "the planner's quarantine of prompt parts changed", Field{"prompt_parts", strings.Join(after, ",")})
+		s.dispatchAll()
+	}
+}
+
+// postEvidence writes the evidence to the store if the planner does not answer.
+func (s *State) postEvidence() {
+	q := &s.quarantine
+	if !q.unposted || !s.withoutPlanner() || s.now.Sub(q.postedAt) < postEvidenceInterval {
+		return
+	}
+	q.unposted, q.postedAt = false, s.now
+	s.emit(PostEvidence{Instance: s.self.Instance, Evidence: s.ownEvidence()})
+}
+
+// postEvidenceInterval is the time between two writes of evidence to the store.
+const postEvidenceInterval = 100 * time.Millisecond
+
+// handleEvidenceRead pools the evidence that instances wrote to the store because
+// the planner did not answer them.
+func (s *State) handleEvidenceRead(ev EvidenceRead) {
+	if !s.FollowsEvidence() {
+		return
+	}
+	added := s.quarantine.adoptParts(ev.Quarantined, s.now)
+	for i := range ev.Evidence {
+		s.poolEvidence(&ev.Evidence[i])
+	}
+	if added {
+		s.evaluateEvidence()
+		s.dispatchAll()
+	}
+}
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -202,6 +202,10 @@
 // dispatch starts a waiting request, refuses it if it can't be served in time,
 // or else leaves it in the queue.
 func (s *State) dispatch(r *request) {
+	if refusal := s.quarantineRefusal(r); refusal != nil {
+		s.refuseRequest(r, refusal)
+		return
+	}
 	if s.now.Before(r.retryNotBefore) {
 		return
 	}
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -116,6 +116,7 @@
 	statsByService map[string]*serviceStats
 	demand         demandState
 	lease          leaseState
+	quarantine     quarantineState
 	plan           planState
 }
 
@@ -167,6 +168,10 @@
 		s.handleOrderAnswered(ev)
 	case EngineReported:
 		s.handleEngineReported(ev)
+	case EngineChecked:
+		s.handleEngineChecked(ev)
+	case EvidenceRead:
+		s.handleEvidenceRead(ev)
 	case DemandReceived:
 		s.handleDemandReceived(ev)
 	case DemandPosted:
@@ -191,6 +196,7 @@
 	s.budgets = map[string]*retryBudget{}
 	s.statsByService = map[string]*serviceStats{}
 	s.updateReadiness()
+	s.initQuarantine()
 	s.initDemand()
 	s.initLease()
 	s.initPlan()
--- a/pkg/rpverdict/refusal.go
+++ b/pkg/rpverdict/refusal.go
@@ -35,6 +35,7 @@
 	CodeEarlierAttemptUnknown  Code = "earlier_attempt_unknown"
 	CodeOutcomeNotKept         Code = "outcome_not_kept"
 	CodeTooManyStreams         Code = "too_many_streams"
+	CodePromptQuarantined      Code = "prompt_quarantined"
 )
 
 type codeInfo struct {
@@ -66,6 +67,7 @@
 	CodeEarlierAttemptUnknown:  {http.StatusConflict, "An earlier request with this idempotency key may have run. Its outcome is not known."},
 	CodeOutcomeNotKept:         {http.StatusConflict, "An earlier request with this idempotency key ran. Its answer was too large to keep."},
 	CodeTooManyStreams:         {http.StatusServiceUnavailable, "This instance has reached its limit of requests in progress."},
+	CodePromptQuarantined:      {http.StatusServiceUnavailable, "Engines crashed on a part of the prompt, so the request is kept away from them."},
 }
 
 // CodeCount returns the number of codes.
