Treat a stream without length, chunks and events as broken off

Callers saw an empty stream that looked complete when the engine ended after the head of a response that only the end of its connection ends. A stream that is resumed after its last event has no event, so it still counts as complete.

--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -98,6 +98,7 @@
 	errEndpointTimeout    = errors.New("the endpoint sent no data in time")
 	errUnexpectedResponse = errors.New("the response is not from the endpoint or not for this request")
 	errTruncatedStream    = errors.New("the stream ended in the middle of an event")
+	errNoEvents           = errors.New("the stream ended with its connection before its first event")
 	errContentEncoding    = errors.New("the response has a content encoding that was not requested")
 )
 
@@ -428,13 +429,25 @@
 	return nil
 }
 
+// isUnframed reports whether a response has neither a length nor chunks, so that only
+// the end of its connection ends it.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // finishStream ends a stream that did not break off within an event. A stream
-// without events still gets its header sent to the caller.
+// without events still gets its header sent to the caller, unless only the end of the
+// connection ended it: the engine may have crashed.
 func (r *forwardAttempt) finishStream(resp *http.Response, started *bool) {
 	if *started {
 		r.finish(nil)
 		return
 	}
+	if isUnframed(resp) && r.request.Command.ResumeAfter == "" {
+		r.ended.StoppedAtStart = true
+		r.setResult(rpcore.AttemptBroken, rpverdict.MayHaveRun, errNoEvents.Error())
+		return
+	}
 	err := r.relay.SendHeader(resp.StatusCode, forwardedHeader(resp.Header))
 	r.ended.ResponseStarted = true
 	r.finish(err)
