--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -333,7 +333,7 @@
 		Field{"adapter", r.Adapter}, Field{"waited", s.now.Sub(r.arrivedAt)}, Field{"attempts", r.attemptCount},
 		Field{"last_failure", r.lastFailure}, Field{"retry_after", refusal.RetryAfter},
 		Field{"config_version", s.configVersion()}, Field{"placement_age", s.now.Sub(s.demand.placementAsOf)})
-	if refusal.Verdict == rpverdict.NotRun {
+	if refusal.Verdict == rpverdict.NotRun && refusal.Code != rpverdict.CodePromptQuarantined {
 		s.keepDemandForRetry(r, refusal.RetryAfter)
 	}
 	s.finishRequest(r)
