Decide when an endpoint is silent whether its request leaves it

Callers saw streams that were cut although their engine was only silent for about a second (docs/incidents/streams-cut-in-silence.md).

Cause: whether a request may go to another endpoint was decided when its attempt started. The runtime ended the attempt seconds later, when the retry budget was used up or no other endpoint was left. The request was then refused, and the caller's connection closed.

Change: the runtime reports silence with AttemptStalled, and again after each further timeout. The reducer decides then: if the route, the budget and the other endpoints allow it, it counts the retry at once and emits CancelAttempt, which the request registry takes to the running attempt. Otherwise the attempt goes on, and the first reason is logged. The reserved retry can't be taken by another request before the attempt has ended. OnSilence runs under the lock of its timer, so no report overlaps data that is passed on or comes after the end of the attempt. Whether a 5xx response is retried is decided at the start as before, in the new field RetryFailure.

The timeout between events is 2 s instead of 0.9 s at least, and at most half of the time after which the caller gives up: a pause above the route's longest one makes the answer late in any case.

Tests of the new parts were tried on wrong code: a retry that is counted twice (TestReservedRetryIsCountedOnce: 9 instead of 10 retries left), a reservation that outlives its attempt (10 instead of 9), OnSilence outside the lock (TestSilenceTimerDoesNotOverlapReset: 184 overlaps), and no check before a buffered response starts (TestSilentResponseDoesNotStart: the response started).

go test -race of rpfleet, rpgateway, rpendpoint, rpmessage and platform passed.

--- a/internal/rpendpoint/attempt.go
+++ b/internal/rpendpoint/attempt.go
@@ -32,8 +32,8 @@
 	Stream *StreamState
 }
 
-// Relay passes a response on to the caller. Its functions are called by the
-// goroutine that runs the attempt. An error means that the caller has
+// Relay passes a response on to the caller. Its functions other than OnSilence are
+// called by the goroutine that runs the attempt. An error means that the caller has
 // disconnected.
 type Relay struct {
 	// SendHeader sends status and header. It is called again for each later
@@ -44,6 +44,13 @@
 	// OnFirstWrite is called after the first part of an attempt's response was
 	// sent.
 	OnFirstWrite func()
+	// OnSilence is called by a Forwarder when the endpoint has sent no data for
+	// the command's FirstTimeout or EventTimeout, and again after each further
+	// timeout without data. To end the attempt, it cancels the context of the
+	// attempt with ErrEndpointSilent. nil ends the attempt at the first timeout.
+	// Data that arrives meanwhile is passed on only after OnSilence has returned,
+	// and Run returns only after that, so OnSilence must not block.
+	OnSilence func()
 }
 
 // Result is the result of an attempt.
--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -93,9 +93,12 @@
 	f.resetting.CloseIdleConnections()
 }
 
+// ErrEndpointSilent is the cause with which the context of an attempt is canceled if
+// its endpoint sent no data in time. The attempt ends with AttemptTimedOut.
+var ErrEndpointSilent = errors.New("the endpoint sent no data in time")
+
 // Reasons to end an attempt that do not come from the transport.
 var (
-	errEndpointTimeout    = errors.New("the endpoint sent no data in time")
 	errUnexpectedResponse = errors.New("the response is not from the endpoint or not for this request")
 	errTruncatedStream    = errors.New("the stream ended in the middle of an event")
 	errNoEvents           = errors.New("the stream ended with its connection before its first event")
@@ -134,10 +137,14 @@
 	defer cancelDeadline()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	attempt := &forwardAttempt{Forwarder: f, request: request, relay: relay, cancel: cancel}
+	attempt := &forwardAttempt{Forwarder: f, request: request, relay: relay}
 	attempt.ended = rpfleet.AttemptEnded{Request: request.Command.Request, Attempt: request.Command.Attempt}
-	attempt.resetTimeout(request.Command.FirstTimeout)
-	defer attempt.resetTimeout(0)
+	attempt.silence.onSilence = relay.OnSilence
+	if relay.OnSilence == nil {
+		attempt.silence.onSilence = func() { cancel(ErrEndpointSilent) }
+	}
+	attempt.silence.reset(request.Command.FirstTimeout)
+	defer attempt.silence.reset(0)
 	attempt.run(ctx)
 	return attempt.ended, attempt.callerGone
 }
@@ -147,26 +154,13 @@
 	*Forwarder
 	request    ForwardRequest
 	relay      Relay
-	cancel     context.CancelCauseFunc
-	timer      *time.Timer
+	silence    silenceTimer
 	ended      rpfleet.AttemptEnded
 	callerGone bool
 	// reused says that the connection carried another request before.
 	reused bool
 }
 
-// resetTimeout replaces the running timeout: the attempt ends unless the endpoint
-// sends data within d. 0 disables the timeout.
-func (r *forwardAttempt) resetTimeout(d time.Duration) {
-	if r.timer != nil {
-		r.timer.Stop()
-		r.timer = nil
-	}
-	if d > 0 {
-		r.timer = time.AfterFunc(d, func() { r.cancel(errEndpointTimeout) })
-	}
-}
-
 func (r *forwardAttempt) setResult(reason rpcore.AttemptReason, verdict rpverdict.Verdict, detail string) {
 	r.ended.Reason, r.ended.Verdict, r.ended.Detail = reason, verdict, detail
 }
@@ -177,7 +171,7 @@
 	if ctx.Err() != nil {
 		reason = rpcore.AttemptCanceled
 		cause := context.Cause(ctx)
-		if errors.Is(cause, errDeadlinePassed) || errors.Is(cause, errEndpointTimeout) {
+		if errors.Is(cause, errDeadlinePassed) || errors.Is(cause, ErrEndpointSilent) {
 			reason = rpcore.AttemptTimedOut
 		}
 		err = cause
@@ -271,7 +265,7 @@
 		r.setResult(rpcore.AttemptFailed, rpverdict.MayHaveRun, detail)
 	case resp.Header.Get("Content-Encoding") != "":
 		r.setResult(rpcore.AttemptBroken, rpverdict.MayHaveRun, errContentEncoding.Error())
-	case resp.StatusCode >= 500 && r.request.Command.FirstTimeout > 0:
+	case resp.StatusCode >= 500 && r.request.Command.RetryFailure:
 		r.setResult(rpcore.AttemptFailed, rpverdict.MayHaveRun, detail)
 	case success && r.request.Command.Kind == rpfleet.KindStream:
 		r.ended.Version = head.Version
@@ -322,7 +316,13 @@
 		r.setResult(rpcore.AttemptFailed, rpverdict.MayHaveRun, fmt.Sprintf("the endpoint did not resume the stream: status %d", resp.StatusCode))
 		return
 	}
-	r.resetTimeout(0)
+	r.silence.reset(0)
+	if err == nil && errors.Is(context.Cause(ctx), ErrEndpointSilent) {
+		// The rest could not be read, and a response that has started can't be
+		// retried.
+		r.setFailure(ctx, rpcore.AttemptBroken, rpverdict.MayHaveRun, ErrEndpointSilent)
+		return
+	}
 	relayErr := r.relay.SendHeader(resp.StatusCode, forwardedHeader(resp.Header))
 	r.ended.ResponseStarted = true
 	if relayErr == nil && len(buf) > 0 {
@@ -390,7 +390,7 @@
 			if hasData(part) {
 				// An endpoint that only sends comments does not work on the
 				// request.
-				r.resetTimeout(r.request.Command.EventTimeout)
+				r.silence.reset(r.request.Command.EventTimeout)
 			}
 			if relayErr := r.relayEvents(resp, part, lastID, &started); relayErr != nil {
 				r.finish(relayErr)
--- a/internal/rpgateway/caller_server.go
+++ b/internal/rpgateway/caller_server.go
@@ -175,14 +175,21 @@
 func (x *exchange) runAttempt(ctx context.Context, cmd rpfleet.StartAttempt) bool {
 	x.forward.Command = cmd
 	x.forward.Command.Deadline = x.loop.clock.runtimeTime(cmd.Deadline)
-	ended, callerGone := x.callerServer.forwarder.Run(ctx, x.forward, rpendpoint.Relay{
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	x.queue.attemptStarted(cmd.Attempt, func() { cancel(rpendpoint.ErrEndpointSilent) })
+	ended, callerGone := x.callerServer.forwarder.Run(attemptCtx, x.forward, rpendpoint.Relay{
 		SendHeader: x.response.sendHeader,
 		Write:      x.response.write,
 		OnFirstWrite: func() {
 			x.loop.apply(rpfleet.AttemptStarted{Stamp: x.loop.stamp(), Request: cmd.Request, Attempt: cmd.Attempt})
 			x.observer.firstEvent(cmd.Rank, x.loop.clock.Now().Sub(x.arrivedAt))
 		},
+		OnSilence: func() {
+			x.loop.apply(rpfleet.AttemptStalled{Stamp: x.loop.stamp(), Request: cmd.Request, Attempt: cmd.Attempt})
+		},
 	})
+	x.queue.attemptEnded()
+	cancel(nil)
 	x.observer.attemptEnded(ended.Reason)
 	if callerGone || ctx.Err() != nil && ended.Reason != rpcore.AttemptComplete {
 		x.abandon()
--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -197,8 +197,7 @@
 	case rpfleet.RefuseRequest:
 		c.callers.inProgress.deliver(effect.Request, effect)
 	case rpfleet.CancelAttempt:
-		// Only a caller that disconnects causes this effect, and its exchange has
-		// ended the attempt already.
+		c.callers.inProgress.cancelAttempt(effect.Request, effect.Attempt)
 	case rpfleet.ReadLease:
 		go c.leases.read()
 	case rpfleet.WriteLease:
--- a/internal/rpgateway/platform_test.go
+++ b/internal/rpgateway/platform_test.go
@@ -35,11 +35,13 @@
 	address netip.AddrPort
 	// balancerDelay is the setting drain.balancer_delay of the instances.
 	balancerDelay time.Duration
+	// retrySlack is the setting retries.slack of the instances.
+	retrySlack int
 }
 
 func withPlatform(t *testing.T) *platform {
 	t.Helper()
-	p := &platform{t: t, store: &rpfake.Store{}, balancerDelay: 200 * time.Millisecond}
+	p := &platform{t: t, store: &rpfake.Store{}, balancerDelay: 200 * time.Millisecond, retrySlack: 50}
 	address, stop, err := rpfake.Serve(p.store)
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(stop)
@@ -161,7 +163,7 @@
 address = %q
 [retries]
 ratio = 0.2
-slack = 50
+slack = %d
 window = "10s"
 [planner]
 holder_gap = "300ms"
@@ -170,7 +172,7 @@
 [drain]
 balancer_delay = %q
 timeout = "6s"
-`, name, gw.callerAddress, gw.readinessAddress, listeners.open(p.t), listeners.open(p.t), p.address, p.balancerDelay)
+`, name, gw.callerAddress, gw.readinessAddress, listeners.open(p.t), listeners.open(p.t), p.address, p.retrySlack, p.balancerDelay)
 	settings, problems := rpgateway.ParseSettings("test.toml", []byte(text))
 	g.Expect(problems).To(BeEmpty())
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/rpgateway/request_registry.go
+++ b/internal/rpgateway/request_registry.go
@@ -8,9 +8,37 @@
 )
 
 // commandQueue holds the commands for one request in progress. A command either
-// starts an attempt or refuses the request.
+// starts an attempt or refuses the request. The cancellation of the running attempt
+// does not wait in the queue.
 type commandQueue struct {
 	commands chan rpfleet.Effect
+
+	mu sync.Mutex
+	// attempt is the running attempt, or "", and cancel cancels it because its
+	// endpoint is silent.
+	attempt rpcore.AttemptID
+	cancel  func()
+}
+
+func (q *commandQueue) attemptStarted(id rpcore.AttemptID, cancel func()) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.attempt, q.cancel = id, cancel
+}
+
+func (q *commandQueue) attemptEnded() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.attempt, q.cancel = "", nil
+}
+
+// cancelAttempt cancels an attempt unless it has ended.
+func (q *commandQueue) cancelAttempt(id rpcore.AttemptID) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.cancel != nil && q.attempt == id {
+		q.cancel()
+	}
 }
 
 // commandBuffer is the capacity of a command queue. At most two commands wait at
@@ -48,9 +76,7 @@
 // deliver queues a command for a request. It drops the command if the request
 // has ended, because the request has already abandoned its attempts.
 func (r *requestRegistry) deliver(id rpcore.RequestID, command rpfleet.Effect) {
-	r.mu.Lock()
-	found := r.byID[id]
-	r.mu.Unlock()
+	found := r.find(id)
 	if found == nil {
 		return
 	}
@@ -61,3 +87,18 @@
 		// if the request has ended.
 	}
 }
+
+// cancelAttempt cancels an attempt at a silent endpoint. It does nothing for an
+// attempt that has ended: a caller that disconnected has ended its attempt already.
+func (r *requestRegistry) cancelAttempt(id rpcore.RequestID, attempt rpcore.AttemptID) {
+	if found := r.find(id); found != nil {
+		found.cancelAttempt(attempt)
+	}
+}
+
+// find returns the queue of a request in progress, or nil.
+func (r *requestRegistry) find(id rpcore.RequestID) *commandQueue {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byID[id]
+}
--- a/internal/rpmessage/gateway.go
+++ b/internal/rpmessage/gateway.go
@@ -41,6 +41,8 @@
 	note("note_configuration_newer", "the planner has a newer configuration", "The planner has a newer version of the configuration, and the instance reads it now.", "If it happens often, check the connections of the instance to the store."),
 	note("note_request_sent", "sends a request to an endpoint", "A request was sent to an endpoint.", nothing),
 	note("note_attempt_ended", "an attempt ended", "An endpoint answered a request, or failed to answer it.", "Look at the reason and the verdict in the line."),
+	note("note_attempt_canceled", "cancels an attempt at a silent endpoint", "An endpoint sent no data for too long. The request continues at another endpoint.", "If it happens often, look at the log of the endpoint."),
+	note("note_attempt_kept", "keeps an attempt at a silent endpoint", "An endpoint sent no data for too long. The request stays there, for the reason in the line.", "If it happens often, look at the log of the endpoint."),
 	note("note_request_refused", "refused a request", "A request was refused, for the reason in the line.", "Look at the code in docs/messages.md."),
 	note("note_caller_gone", "the caller closed the connection", "A caller closed the connection before the answer was complete.", nothing),
 	note("note_fleet_joined", "an endpoint joined", "An endpoint appeared in the list.", nothing),
--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -11,23 +11,6 @@
 )
 
 const (
-	// firstByteStallFactor is the multiple of the service's usual time to the
-	// first byte after which a repeatable request goes to another endpoint.
-	firstByteStallFactor = 5
-	// minFirstByteStall is the lower bound of that time, since single slow
-	// responses are normal.
-	minFirstByteStall = 120 * time.Millisecond
-	// streamStallTargetShare is the share of the route's target that an attempt
-	// of a stream may use before the request goes to another endpoint.
-	streamStallTargetShare = 0.75
-	// plainStallTargetShare is the same for routes without streams, whose
-	// responses start only after the whole work.
-	plainStallTargetShare = 0.8
-	// eventStallFactor is the multiple of the route's longest pause between
-	// events after which a resumable stream continues at another endpoint.
-	eventStallFactor = 1.5
-	// minEventStall is the lower bound of that time.
-	minEventStall = 900 * time.Millisecond
 	// maxFailedConnects bounds the failed connections of one request, each of
 	// which may take the whole connect timeout.
 	maxFailedConnects = 6
@@ -45,6 +28,7 @@
 	r.endpoint = e
 	r.sentAt = s.now
 	r.attemptID = rpcore.AttemptID(fmt.Sprintf("%s#%d", r.ID, r.attemptCount))
+	r.retryReserved, r.stayNoted = false, false
 	e.inFlight++
 	r.pendingPrefill = r.prefillTokens()
 	e.pendingPrefill += r.pendingPrefill
@@ -54,7 +38,7 @@
 			held.usedAt = s.now
 		}
 	}
-	first, event := s.stallTimeouts(r)
+	first, event := s.silenceTimeouts(r)
 	s.noteRequest(r, "sends a request to an endpoint", Field{"attempt", r.attemptCount}, Field{"endpoint", string(e.ID)},
 		Field{"route", r.route.Name}, Field{"service", r.service}, Field{"model", r.Model}, Field{"adapter", r.Adapter},
 		Field{"waited", s.now.Sub(r.arrivedAt)}, Field{"in_flight", e.inFlight}, Field{"in_flight_others", e.inFlightElsewhere},
@@ -72,28 +56,12 @@
 		ResumeAfter:  r.lastEvent,
 		Version:      r.weightsVersion,
 		Deadline:     r.responseDeadline,
+		RetryFailure: r.mayRunAgain() && s.retryBudgetAllows(r.service) && s.hasOtherEndpoint(r, e, true),
 		FirstTimeout: first,
 		EventTimeout: event,
 	})
 }
 
-// stallTimeouts returns how long an attempt may go without its first byte and
-// without its next event before the request goes to another endpoint. Zero
-// means that it must stay.
-func (s *State) stallTimeouts(r *request) (first, event time.Duration) {
-	if !r.route.Repeatable() || r.possibleRuns+1 >= r.route.MaxEndpoints || !s.retryBudgetAllows(r.service) || !s.hasOtherEndpoint(r, r.endpoint, true) {
-		return 0, 0
-	}
-	share := plainStallTargetShare
-	if r.route.Kind == KindStream {
-		share = streamStallTargetShare
-		event = max(minEventStall, time.Duration(eventStallFactor*float64(r.route.EventGap)))
-	}
-	usual := firstByteStallFactor * s.serviceStats(r.service).latency
-	first = max(minFirstByteStall, usual, time.Duration(share*float64(r.route.Target)))
-	return first, event
-}
-
 // hasOtherEndpoint reports whether an endpoint other than e can take the
 // request. With healthy set, ejected endpoints don't count.
 func (s *State) hasOtherEndpoint(r *request, e *endpoint, healthy bool) bool {
@@ -242,10 +210,11 @@
 	}
 	// Count the retry now, even if the request has to wait for an endpoint.
 	// Otherwise the budget would allow all waiting requests at once.
-	if mayHaveReachedEndpoint(ev) {
-		s.countBudgetRetry(r.service)
-	} else {
+	switch {
+	case !mayHaveReachedEndpoint(ev):
 		r.failedConnects++
+	case !r.retryReserved:
+		s.countBudgetRetry(r.service)
 	}
 	s.enqueue(r)
 	if checking {
@@ -303,14 +272,18 @@
 		return timeoutDetail
 	case !mayHaveReachedEndpoint(ev) && r.failedConnects >= maxFailedConnects:
 		return "No endpoint could be reached."
-	case mayHaveReachedEndpoint(ev) && !s.retryBudgetAllows(r.service):
-		return "The retry budget of the service is used up."
+	case mayHaveReachedEndpoint(ev) && !r.retryReserved && !s.retryBudgetAllows(r.service):
+		return budgetUsedUpDetail
 	case ev.Reason == rpcore.AttemptCanceled:
 		return "The attempt was canceled."
 	}
 	return ""
 }
 
+// budgetUsedUpDetail says in refusals and in the log why a request is not sent
+// again.
+const budgetUsedUpDetail = "The retry budget of the service is used up."
+
 // mayHaveReachedEndpoint reports whether an attempt may have reached its
 // endpoint. An attempt without a connection costs endpoints nothing, so the
 // retry budget does not count it.
--- a/pkg/rpfleet/doc.go
+++ b/pkg/rpfleet/doc.go
@@ -19,7 +19,8 @@
 //
 // Every instance routes the requests of its own callers: request.go queues and
 // refuses them, routing.go chooses endpoints, attempt.go handles the end of
-// attempts and retries, within the budget of retry_budget.go. health.go ejects
+// attempts and retries, within the budget of retry_budget.go. silence.go decides
+// whether a request leaves an endpoint that sends no data, health.go ejects
 // endpoints that fail.
 //
 // One instance at a time is the planner. It holds a lease in the store
--- a/pkg/rpfleet/effect.go
+++ b/pkg/rpfleet/effect.go
@@ -43,9 +43,13 @@
 	Version string
 	// Deadline is when the response must be complete.
 	Deadline time.Time
-	// FirstTimeout bounds the wait for the first event, or for the response if
-	// it is not a stream. EventTimeout bounds the time between two events. Zero means
-	// no bound.
+	// RetryFailure says that a response which reports a failure of the endpoint
+	// ends the attempt, because the request can go to another endpoint. Otherwise
+	// the response is passed on.
+	RetryFailure bool
+	// FirstTimeout is the time without a first event, or without the response if it
+	// is not a stream, after which AttemptStalled follows. EventTimeout is that
+	// between two events. Zero means never.
 	FirstTimeout time.Duration
 	EventTimeout time.Duration
 }
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -129,6 +129,15 @@
 	Attempt rpcore.AttemptID
 }
 
+// AttemptStalled says that the endpoint has sent no data for the FirstTimeout or
+// the EventTimeout of the attempt. It comes again after each further timeout
+// without data. CancelAttempt may follow.
+type AttemptStalled struct {
+	Stamp
+	Request rpcore.RequestID
+	Attempt rpcore.AttemptID
+}
+
 // AttemptEnded is the last event of an attempt.
 type AttemptEnded struct {
 	Stamp
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -47,6 +47,11 @@
 	// responseStarted says that a part of the response reached the caller.
 	responseStarted bool
 	firstByteAt     time.Time
+	// retryReserved says that the end of the running attempt was already counted
+	// in the retry budget. stayNoted says that the log says why the attempt stays
+	// at its silent endpoint.
+	retryReserved bool
+	stayNoted     bool
 	// lastEvent is the id of the last event that the caller has, and
 	// weightsVersion the version that a resumed stream needs.
 	lastEvent      string
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -156,6 +156,8 @@
 		s.handleRequestAbandoned(ev.Request)
 	case AttemptStarted:
 		s.handleAttemptStarted(ev)
+	case AttemptStalled:
+		s.handleAttemptStalled(ev)
 	case AttemptEnded:
 		s.handleAttemptEnded(ev)
 	case EndpointNoticed:
