Test an unframed stream that is reset between two events

Without chunks, only the reset shows that the stream is not complete. On a scratch copy, it fails when a failed read between two events counts as the end of the stream.

--- a/internal/rpgateway/unframed_test.go
+++ b/internal/rpgateway/unframed_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -153,6 +154,36 @@
 	}
 }
 
+// Guards against a stream without chunks that is reset between two events and reaches
+// its caller as complete, because no event is cut. A crash of its engine does that.
+func TestUnframedStreamResetIsNotComplete(t *testing.T) {
+	request := rpfake.CallerRequest{ID: "r1", Path: "/later/1", Model: "m0"}
+	withCrash := func(t *testing.T) *gateway {
+		p := withPlatform(t)
+		engine := p.startEngine("e1", "m0")
+		engine.EventDelay = 200 * time.Millisecond
+		engine.Fault = func(*http.Request) rpfake.EndpointFault {
+			time.AfterFunc(4*engine.EventDelay+engine.EventDelay/2, func() { engine.Crash(time.Minute) })
+			return rpfake.EndpointFault{Unframed: true}
+		}
+		return p.startGateway("front-1")
+	}
+	t.Run("1.1", func(t *testing.T) {
+		g := NewWithT(t)
+		got := withCrash(t).send(request)
+		g.Expect(got.Status).To(Equal(http.StatusOK))
+		g.Expect(got.Complete).To(BeFalse())
+		g.Expect(len(got.EventIDs())).To(BeNumerically("<", 12))
+		g.Expect(got.Body).To(HaveSuffix("\n\n"), "no event is cut")
+	})
+	t.Run("1.0", func(t *testing.T) {
+		g := NewWithT(t)
+		body, err := sendHTTP10(t, withCrash(t), request)
+		g.Expect(string(body)).To(ContainSubstring(" 200 OK\r\n"))
+		g.Expect(err).To(HaveOccurred(), "%q", body)
+	})
+}
+
 // Guards against a response without length on a kept connection that is taken for the
 // rest of the one before, or whose connection is used again after it.
 func TestUnframedResponseOnKeptConnection(t *testing.T) {
