Play crashes, silent engines and unframed responses in the soak

The soak had no engines that crash, none that are silent for a second and go on, and no responses with neither a length nor chunks. TestSoak now chooses from these too; the regressions choose from the faults that they had. Proxies pass a refused connection on as a reset and follow an endpoint that is back at another address.

TestSoakSilentEngines silences most engines together, beside configurations. It checks that no stream is cut whose engine was only silent, and that each request gets a response or a refusal. Streams are given up only while another engine could go on, so each engine holds all models; with one engine a model, no stream was given up. The retry budget is small, because the streams of the users are some ten times longer. TestChecksCanFail violates both checks.

--- a/internal/rpsoak/check_test.go
+++ b/internal/rpsoak/check_test.go
@@ -22,15 +22,33 @@
 	// notices are the times in which endpoints said only in their responses that
 	// they were leaving.
 	notices []absence
+	// silences are the times in which sound engines sent nothing.
+	silences []silence
+	// contactTime is the users' contact_ms in the rules on deadly parts of prompts.
+	contactTime time.Duration
 	// errorf reports a violation.
 	errorf func(format string, args ...any)
 }
 
+// newChecker returns a checker of what has happened so far.
+func (env *environment) newChecker(load *loadGenerator) *checker {
+	return &checker{
+		engines: env.engines, plainEndpoints: env.plainEndpoints, outcomes: load.outcomes, disruptions: env.disruptions,
+		notices: env.notices, silences: env.silences, errorf: env.t.Errorf,
+	}
+}
+
 // minServedShare is the share of requests that must be served after all faults have
 // ended. It allows for the callers that disconnect on purpose, 1 in 20.
 const minServedShare = 0.9
 
 func (c *checker) checkAll(calmFrom time.Time) {
+	c.checkGuarantees()
+	c.checkRecovery(calmFrom)
+}
+
+// checkGuarantees verifies what holds at any time, also during faults.
+func (c *checker) checkGuarantees() {
 	for _, o := range c.outcomes {
 		c.checkComplete(o)
 		c.checkRanAtMostOnce(o)
@@ -38,9 +56,9 @@
 	}
 	c.checkEndpointViolations()
 	c.checkHolderGap()
-	c.checkRecovery(calmFrom)
 	c.checkHoldOffs()
 	c.checkNotices()
+	c.checkSilences()
 }
 
 func (c *checker) endpoints() []*rpfake.Endpoint {
@@ -76,6 +94,15 @@
 	}
 }
 
+// checkAnswered verifies that a request got a response or a refusal before its
+// deadline, also if it never reached an endpoint. It is for tests in which nothing
+// happens to processes and no caller disconnects.
+func (c *checker) checkAnswered(o outcome) {
+	if o.NoResponse && o.endedAt.Sub(o.sentAt) < requestDeadline {
+		c.errorf("%s (%s) got neither a response nor a refusal of %s after %s", o.id, o.route, o.target, o.endedAt.Sub(o.sentAt))
+	}
+}
+
 // checkEventOrder verifies that no event is missing, duplicate or out of order.
 func (c *checker) checkEventOrder(o outcome) {
 	for i, id := range o.EventIDs() {
@@ -183,6 +210,8 @@
 	for i := range holdOffArrivals + 1 {
 		g.Expect(plain.SendRequest(rpfake.CallerRequest{ID: fmt.Sprint("again", i), Path: "/place/1"})).To(Succeed())
 	}
+	g.Expect(engine.SendRequest(rpfake.CallerRequest{ID: "cut", Path: "/suggest/1", Model: "m1"})).To(Succeed())
+	c.silences = []silence{{endpoint: engine, from: now, to: now.Add(time.Minute)}}
 	c.notices = []absence{{endpoint: plain, from: now, to: now.Add(time.Minute)}}
 	c.outcomes = []outcome{
 		{id: "turned away", route: "place", target: "front-1", sentAt: now, CallerResponse: rpfake.CallerResponse{Status: http.StatusBadGateway}},
@@ -192,6 +221,7 @@
 
 		{id: "twice", route: "place", body: "a", sentAt: now, CallerResponse: rpfake.CallerResponse{Status: http.StatusOK, Complete: true, Body: "answer to b"}},
 		{id: "ran", route: "place", sentAt: now, CallerResponse: rpfake.CallerResponse{Status: http.StatusServiceUnavailable, Complete: true}},
+		{id: "cut", route: "suggest", target: "front-1", sentAt: now, endedAt: now.Add(time.Second), CallerResponse: rpfake.CallerResponse{Status: http.StatusOK, Body: "id: 1\n\n"}},
 		{id: "short", route: "suggest", sentAt: now, CallerResponse: rpfake.CallerResponse{Status: http.StatusOK, Complete: true, Body: "id: 1\n\nid: 3\n\n"}},
 	}
 	c.checkAll(now.Add(-time.Second))
@@ -199,12 +229,14 @@
 		o.Complete = false
 		c.checkNotTruncated(o)
 	}
+	c.checkAnswered(outcome{id: "unanswered", route: "stock", target: "front-1", sentAt: now, endedAt: now, CallerResponse: rpfake.CallerResponse{NoResponse: true}})
 	c.checkNoWorkAfterLeaving([]absence{{endpoint: plain, from: now.Add(-time.Minute), to: now.Add(time.Minute)}})
 	all := strings.Join(found, "\n")
 	for _, want := range []string{
 		"twice (place) ran 2 times", `got "answer to b"`, "ran (place) got 503 and ran", "looks complete with 2 of 10 events",
-		"got event 3 as number 2", "load exceeds the memory", "fencing token 1 after 4", "e1 got orders of front-1 and front-2", "2 of 7 requests were served",
+		"got event 3 as number 2", "load exceeds the memory", "fencing token 1 after 4", "e1 got orders of front-1 and front-2", "2 of 8 requests were served",
 		"twice (place) ran at s1 and was truncated", "reached s1", "s1 got 3 requests of front-1", "said that it is leaving",
+		"cut (suggest) ended", "its engine e1 was only silent", "unanswered (stock) got neither a response nor a refusal of front-1",
 	} {
 		g.Expect(all).To(ContainSubstring(want))
 	}
--- a/internal/rpsoak/doc.go
+++ b/internal/rpsoak/doc.go
@@ -14,7 +14,9 @@
 //   - the store is unavailable or slow, drops responses or drops its change
 //     history;
 //   - endpoints leave, say so in their responses only, shed requests, say for how
-//     long, drop or corrupt responses, send them twice or without end;
+//     long, drop or corrupt responses, send them twice, without end, or with
+//     neither a length nor chunks;
+//   - endpoints crash and come back empty, or are silent for a while and go on;
 //   - the configuration changes and the settings are reloaded.
 //
 // The checks compare what callers received with what endpoints did:
@@ -29,4 +31,11 @@
 //   - orders to an engine never exceed its memory, never have decreasing fencing
 //     tokens, and never come from two instances too close together;
 //   - requests are served again after the faults have ended.
+//
+// Three further tests play planned work, engines that are silent although they are
+// sound, and a part of prompts that crashes engines. They also check that:
+//
+//   - planned work and silent engines cut no response;
+//   - requests with a part that has crashed engines soon reach no more of them, while
+//     sound requests that share their other parts are served.
 package rpsoak
--- a/internal/rpsoak/environment_test.go
+++ b/internal/rpsoak/environment_test.go
@@ -1,6 +1,7 @@
 package rpsoak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -44,10 +45,26 @@
 	exited  chan struct{}
 }
 
+// shape is what differs between the environments of the tests. The zero value is that
+// of TestSoak.
+type shape struct {
+	// directEngines lets instances connect to engines without a proxy between, so
+	// that connections to an engine that is down are refused.
+	directEngines bool
+	// models is the number of models, if it is not 0.
+	models int
+	// eventDelay is the time before each event of a stream, if it is not 0.
+	eventDelay time.Duration
+	// retryRatio and retrySlack are the retry budget of a service, if they are not
+	// 0.
+	retryRatio, retrySlack float64
+}
+
 // environment holds the gateway processes, the stand-ins of the platform and the
 // proxies between them.
 type environment struct {
 	t              *testing.T
+	shape          shape
 	dir            string
 	binary         string
 	store          *rpfake.Store
@@ -66,15 +83,23 @@
 	requestCounts  map[string]int
 	disruptions    []disruption
 	notices        []absence
+	// silences are the times in which engines that are sound sent nothing.
+	silences []silence
+	// deadlyParts are the parts of prompts that crash engines, with the time after
+	// which an engine is back.
+	deadlyParts map[string]time.Duration
 
 	// ready holds the instances that the balancer currently sends requests to.
 	ready atomic.Pointer[[]*process]
 }
 
-func withEnvironment(t *testing.T, binary string) *environment {
+func withEnvironment(t *testing.T, binary string, shape shape) *environment {
 	t.Helper()
+	shape.models = cmp.Or(shape.models, modelCount)
+	shape.eventDelay = cmp.Or(shape.eventDelay, 5*time.Millisecond)
+	shape.retryRatio, shape.retrySlack = cmp.Or(shape.retryRatio, 0.2), cmp.Or(shape.retrySlack, 50)
 	env := &environment{
-		t: t, dir: t.TempDir(), binary: binary, store: &rpfake.Store{},
+		t: t, shape: shape, dir: t.TempDir(), binary: binary, store: &rpfake.Store{},
 		endpointFaults: map[string]func(int) rpfake.EndpointFault{}, requestCounts: map[string]int{},
 	}
 	env.store.Fault = func(*http.Request) rpfake.StoreFault {
@@ -92,21 +117,21 @@
 	for i := range engineCount {
 		e := &rpfake.Endpoint{
 			ID: fmt.Sprintf("e%d", i), Service: modelService, Slots: 8, Events: streamEvents,
-			EventDelay: 5 * time.Millisecond, LoadTime: 100 * time.Millisecond,
+			EventDelay: shape.eventDelay, LoadTime: 100 * time.Millisecond,
 		}
-		for j := range modelCount {
+		for j := range shape.models {
 			e.OnDisk = append(e.OnDisk, rpfake.ModelName(j))
 		}
 		for j := range 3 {
-			e.Models = append(e.Models, rpfake.ModelName((3*i+j)%modelCount))
+			e.Models = append(e.Models, rpfake.ModelName((3*i+j)%shape.models))
 		}
 		env.engines = append(env.engines, e)
-		env.startEndpoint(e)
+		env.startEndpoint(e, !shape.directEngines)
 	}
 	for i := range plainCount {
 		e := &rpfake.Endpoint{ID: fmt.Sprintf("s%d", i), Service: plainService, Slots: 6, ResponseDelay: 5 * time.Millisecond}
 		env.plainEndpoints = append(env.plainEndpoints, e)
-		env.startEndpoint(e)
+		env.startEndpoint(e, true)
 	}
 	for i := range instanceCount {
 		env.processes = append(env.processes, env.newProcess(i))
@@ -121,24 +146,37 @@
 	}
 }
 
-// startEndpoint starts an endpoint behind its own proxy.
-func (env *environment) startEndpoint(e *rpfake.Endpoint) {
+// startEndpoint starts an endpoint, if linked is set behind its own proxy.
+func (env *environment) startEndpoint(e *rpfake.Endpoint, linked bool) {
 	e.Zone = []string{"a", "b", "c"}[len(env.links)%3]
-	e.Fault = func(*http.Request) rpfake.EndpointFault {
+	e.Fault = func(r *http.Request) rpfake.EndpointFault {
 		env.faultMu.Lock()
 		defer env.faultMu.Unlock()
 		env.requestCounts[e.ID]++
+		for _, part := range rpfake.PromptPartIDs(r) {
+			if down, ok := env.deadlyParts[part]; ok {
+				return rpfake.EndpointFault{Crash: down}
+			}
+		}
 		if fault := env.endpointFaults[e.ID]; fault != nil {
 			return fault(env.requestCounts[e.ID])
 		}
 		return rpfake.EndpointFault{}
 	}
-	e.ListedAddress = func(address netip.AddrPort) netip.AddrPort {
-		link, err := newProxy(address)
-		env.requireNoError(err)
-		env.t.Cleanup(link.close)
-		env.links = append(env.links, link)
-		return link.address()
+	if linked {
+		var link *proxy
+		e.ListedAddress = func(address netip.AddrPort) netip.AddrPort {
+			if link != nil {
+				link.target.Store(&address)
+				return link.address()
+			}
+			var err error
+			link, err = newProxy(address)
+			env.requireNoError(err)
+			env.t.Cleanup(link.close)
+			env.links = append(env.links, link)
+			return link.address()
+		}
 	}
 	env.requireNoError(e.Start(env.store))
 	env.t.Cleanup(e.Stop)
@@ -149,7 +187,7 @@
 func (env *environment) writeNextConfig() {
 	env.configVersion++
 	config := &rpfake.Config{
-		Version: env.configVersion, ModelService: modelService, PlainService: plainService, Models: modelCount, RemoteLoad: 1,
+		Version: env.configVersion, ModelService: modelService, PlainService: plainService, Models: env.shape.models, RemoteLoad: 1,
 	}
 	config.Routes = append(config.StandardRoutes(), rpfake.Route{
 		Name: fmt.Sprintf("version-%d", env.configVersion), Kind: "idempotent", Service: plainService,
@@ -203,8 +241,8 @@
 [store]
 address = %q
 [retries]
-ratio = 0.2
-slack = 50
+ratio = %g
+slack = %g
 window = "10s"
 [planner]
 holder_gap = %q
@@ -214,7 +252,8 @@
 [drain]
 balancer_delay = "300ms"
 timeout = "5s"
-`, p.name, string("abc"[i%3]), p.callerAddress, p.readinessAddress, freeAddress(env.t), env.storeLink.address(), holderGap)
+`, p.name, string("abc"[i%3]), p.callerAddress, p.readinessAddress, freeAddress(env.t), env.storeLink.address(),
+		env.shape.retryRatio, env.shape.retrySlack, holderGap)
 	env.requireNoError(os.WriteFile(p.settingsFile, []byte(text), 0o600))
 	log, err := os.Create(filepath.Join(env.dir, p.name+".log"))
 	env.requireNoError(err)
--- a/internal/rpsoak/load_test.go
+++ b/internal/rpsoak/load_test.go
@@ -18,6 +18,12 @@
 	route  string
 	body   string
 	sentAt time.Time
+	// endedAt is when the caller had read the response.
+	endedAt time.Time
+	model   string
+	prompt  []rpfake.PromptPart
+	// deadlyPart is the part of the prompt that crashes engines, or "".
+	deadlyPart string
 	// target is the name of the process that the request was sent to.
 	target string
 }
@@ -40,6 +46,9 @@
 	neverCancel bool
 	// chooseTarget returns the process for a request; nil chooses any at random.
 	chooseTarget func(*rand.Rand) *process
+	// choosePrompt returns the prompt of a request with a model; nil chooses the
+	// default one.
+	choosePrompt func(*rand.Rand) []rpfake.PromptPart
 }
 
 const (
@@ -65,18 +74,21 @@
 		case <-ticker.C:
 			g.sentCount++
 			o := outcome{id: fmt.Sprintf("r%d", g.sentCount), route: routes[g.rng.IntN(len(routes))], body: fmt.Sprintf("body %d", g.sentCount)}
-			model := rpfake.ModelName(g.rng.IntN(modelCount))
+			o.model = rpfake.ModelName(g.rng.IntN(g.env.shape.models))
+			if g.choosePrompt != nil {
+				o.prompt = g.choosePrompt(g.rng)
+			}
 			target := g.env.processes[g.rng.IntN(len(g.env.processes))]
 			if g.chooseTarget != nil {
 				target = g.chooseTarget(g.rng)
 			}
 			disconnects := g.rng.IntN(20) == 0 && !g.neverCancel
-			g.running.Go(func() { g.send(o, model, target, disconnects) })
+			g.running.Go(func() { g.send(o, target, disconnects) })
 		}
 	}
 }
 
-func (g *loadGenerator) send(o outcome, model string, target *process, disconnects bool) {
+func (g *loadGenerator) send(o outcome, target *process, disconnects bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), requestDeadline)
 	defer cancel()
 	if disconnects {
@@ -84,13 +96,14 @@
 	}
 	request := rpfake.CallerRequest{ID: o.id, Path: "/" + o.route + "/x", Body: o.body, Deadline: requestDeadline}
 	if o.stream() {
-		request.Model = model
+		request.Model, request.Prompt = o.model, o.prompt
 	}
 	o.sentAt, o.target = time.Now(), target.name
 	var err error
 	if o.CallerResponse, err = request.Do(ctx, g.client, target.callerAddress); err != nil {
 		panic(err)
 	}
+	o.endedAt = time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.outcomes = append(g.outcomes, o)
--- a/internal/rpsoak/planned_test.go
+++ b/internal/rpsoak/planned_test.go
@@ -53,7 +53,7 @@
 }
 
 func runPlannedWork(t *testing.T, seed uint64) {
-	env, load := withRunningEnvironment(t, seed)
+	env, load := withRunningEnvironment(t, seed, shape{})
 	ctx, stop := context.WithTimeout(context.Background(), plannedDuration+5*time.Second)
 	defer stop()
 	env.watchReadiness(ctx)
@@ -68,10 +68,7 @@
 	load.run(ctx)
 	work.Wait()
 	time.Sleep(300 * time.Millisecond)
-	check := &checker{
-		engines: env.engines, plainEndpoints: env.plainEndpoints, outcomes: load.outcomes, disruptions: env.disruptions,
-		notices: env.notices, errorf: t.Errorf,
-	}
+	check := env.newChecker(load)
 	check.checkAll(begin)
 	for _, o := range load.outcomes {
 		check.checkNotTruncated(o)
--- a/internal/rpsoak/proxy_test.go
+++ b/internal/rpsoak/proxy_test.go
@@ -29,8 +29,8 @@
 
 // proxy forwards TCP connections to a target and injects faults.
 type proxy struct {
-	target   netip.AddrPort
 	listener net.Listener
+	target   atomic.Pointer[netip.AddrPort]
 	mode     atomic.Int32
 
 	mu    sync.Mutex
@@ -42,7 +42,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{target: target, listener: listener, conns: map[net.Conn]bool{}}
+	p := &proxy{listener: listener, conns: map[net.Conn]bool{}}
+	p.target.Store(&target)
 	go p.accept()
 	return p, nil
 }
@@ -90,8 +91,9 @@
 		p.resetAll()
 		return
 	}
-	server, err := net.Dial("tcp", p.target.String())
+	server, err := net.Dial("tcp", p.target.Load().String())
 	if err != nil {
+		p.resetOnClose(client)
 		p.untrack(client)
 		return
 	}
--- a/internal/rpsoak/soak_test.go
+++ b/internal/rpsoak/soak_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -88,7 +89,7 @@
 }
 
 func runSoak(t *testing.T, seed uint64) {
-	env, load := withRunningEnvironment(t, seed)
+	env, load := withRunningEnvironment(t, seed, shape{})
 	ctx, stop := context.WithTimeout(context.Background(), warmUpDuration+faultDuration+recoveryDuration+measuredDuration)
 	defer stop()
 	begin := time.Now()
@@ -98,22 +99,18 @@
 	faults.Wait()
 	// Requests of callers that disconnected may still be in progress.
 	time.Sleep(300 * time.Millisecond)
-	check := &checker{
-		engines: env.engines, plainEndpoints: env.plainEndpoints, outcomes: load.outcomes, disruptions: env.disruptions,
-		notices: env.notices, errorf: t.Errorf,
-	}
-	check.checkAll(begin.Add(warmUpDuration + faultDuration + recoveryDuration))
+	env.newChecker(load).checkAll(begin.Add(warmUpDuration + faultDuration + recoveryDuration))
 }
 
 // withRunningEnvironment starts an environment, waits until its instances are ready, and
 // returns it with a load generator. If the test fails, the logs are saved.
-func withRunningEnvironment(t *testing.T, seed uint64) (*environment, *loadGenerator) {
+func withRunningEnvironment(t *testing.T, seed uint64, shape shape) (*environment, *loadGenerator) {
 	t.Helper()
-	env := withEnvironment(t, binary)
+	env := withEnvironment(t, binary, shape)
 	delays := watchScheduling(t)
 	t.Cleanup(func() {
 		if t.Failed() {
-			env.saveLogs(seed)
+			env.saveLogs()
 			t.Logf("the stand-ins were not scheduled in time: %v", delays())
 		}
 	})
@@ -136,9 +133,10 @@
 	}
 }
 
-// saveLogs copies the logs to a directory that is kept after the test.
-func (env *environment) saveLogs(seed uint64) {
-	dir := filepath.Join(os.TempDir(), fmt.Sprintf("soak-%d", seed))
+// saveLogs copies the logs to a directory that is kept after the test. Its name is that
+// of the test, because several tests play the same seeds.
+func (env *environment) saveLogs() {
+	dir := filepath.Join(os.TempDir(), "soak-"+strings.ReplaceAll(env.t.Name(), "/", "-"))
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		env.t.Log(err)
 		return
@@ -152,7 +150,7 @@
 			env.t.Log(err)
 		}
 	}
-	env.t.Logf("the logs of seed %d are in %s", seed, dir)
+	env.t.Logf("the logs are in %s", dir)
 }
 
 // runFaults injects faults at random times within faultDuration. Each fault ends
@@ -235,6 +233,14 @@
 		func(d time.Duration) {
 			env.injectEndpointFault(leaver, d, every, rpfake.EndpointFault{LateCopy: true, AnonymousCopy: true})
 		},
+		func(d time.Duration) { env.crashEndpoint(endpoint, d) },
+		func(d time.Duration) { endpoint.Silence(d) },
+		func(d time.Duration) {
+			env.injectEndpointFault(endpoint, d, every, rpfake.EndpointFault{Unframed: true})
+		},
+		func(d time.Duration) {
+			env.injectEndpointFault(endpoint, d, every, rpfake.EndpointFault{Unframed: true, TruncateAfter: 3})
+		},
 	}
 	return faults[rng.IntN(min(kinds, len(faults)))]
 }
@@ -278,6 +284,13 @@
 	applyFor(d, func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) })
 }
 
+// crashEndpoint crashes an endpoint and waits until it is back.
+func (env *environment) crashEndpoint(e *rpfake.Endpoint, down time.Duration) {
+	defer env.disrupt(e.ID)()
+	e.Crash(down)
+	time.Sleep(down)
+}
+
 func (env *environment) changeConfig() {
 	env.faultMu.Lock()
 	defer env.faultMu.Unlock()
