Serve requests that have arrived when a planned stop closes idle connections

Cause: http.Server.Shutdown closes a connection as idle until the whole header of its next request is read.

Evidence: the first two tests failed before with 'unexpected EOF'.

Why it works: the read deadline of idle connections passes, and a last read returns what has arrived; net/http then closes the connection or serves the request. Shutdown begins when no header is incomplete, after 1 s at the latest. A request that is sent while the close is on its way is still lost; it is not read and callers may repeat it.

--- a/internal/rpgateway/caller_response.go
+++ b/internal/rpgateway/caller_response.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -32,7 +31,7 @@
 	if r.http10 {
 		// Only a reset shows an HTTP/1.0 caller that the response is cut.
 		if conn, _, err := r.control.Hijack(); err == nil {
-			if tcp, ok := conn.(*net.TCPConn); ok {
+			if tcp, ok := conn.(interface{ SetLinger(int) error }); ok {
 				_ = tcp.SetLinger(0)
 			}
 			_ = conn.Close()
--- a/internal/rpgateway/caller_server.go
+++ b/internal/rpgateway/caller_server.go
@@ -45,6 +45,7 @@
 	limits     atomic.Pointer[rpfleet.CallerLimits]
 	draining   atomic.Bool
 	server     *http.Server
+	conns      callerConns
 }
 
 func (c *callerServer) init() {
@@ -54,10 +55,21 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          log.New(c.log, "", 0),
+		ConnState:         c.conns.onState,
 	}
 }
 
-func (c *callerServer) serve(listener net.Listener) error { return c.server.Serve(listener) }
+func (c *callerServer) serve(listener net.Listener) error {
+	return c.server.Serve(callerListener{Listener: listener, conns: &c.conns})
+}
+
+// shutdown closes the idle connections and the listener, and waits for the requests
+// in progress.
+func (c *callerServer) shutdown(ctx context.Context) error {
+	closed, incomplete := c.conns.retireIdle(ctx)
+	c.log.Info().Int("closed", closed).Int("incomplete_headers", incomplete).Msg("closed the idle connections of callers")
+	return c.server.Shutdown(ctx)
+}
 
 // ServeHTTP forwards one request of a caller to an endpoint.
 func (c *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -447,7 +447,7 @@
 	defer refuse.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(timeout))
 	defer cancel()
-	err := c.callers.server.Shutdown(ctx)
+	err := c.callers.shutdown(ctx)
 	if err != nil {
 		err = trace.NewAggregate(trace.Wrap(err, "requests were still in progress"), c.callers.server.Close())
 	}
--- a/internal/rpgateway/platform_test.go
+++ b/internal/rpgateway/platform_test.go
@@ -37,6 +37,9 @@
 	balancerDelay time.Duration
 	// retrySlack is the setting retries.slack of the instances.
 	retrySlack int
+	// wrapCallers wraps the listeners for callers of the instances; nil means not
+	// to.
+	wrapCallers func(net.Listener) net.Listener
 }
 
 func withPlatform(t *testing.T) *platform {
@@ -150,6 +153,9 @@
 	g := NewWithT(p.t)
 	listeners := heldListeners{}
 	gw := &gateway{t: p.t, callerAddress: listeners.open(p.t), readinessAddress: listeners.open(p.t), log: &logBuffer{}, done: make(chan error, 1)}
+	if p.wrapCallers != nil {
+		listeners[gw.callerAddress] = p.wrapCallers(listeners[gw.callerAddress])
+	}
 	text := fmt.Sprintf(`
 [instance]
 name = %q
--- /dev/null
+++ b/internal/rpgateway/stop_test.go
@@ -0,0 +1,169 @@
+package rpgateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/platform/rpfake"
+)
+
+// readGate holds the reads of the connections of a listener that return marker,
+// like a process that gets no processor time right after the kernel has the bytes.
+type readGate struct {
+	net.Listener
+	marker []byte
+	// reached is closed when a read returns marker, and open lets it continue.
+	reached, open chan struct{}
+	once          sync.Once
+}
+
+func (l *readGate) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return gatedConn{Conn: conn, gate: l}, nil
+}
+
+type gatedConn struct {
+	net.Conn
+	gate *readGate
+}
+
+func (c gatedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if bytes.Contains(p[:n], c.gate.marker) {
+		c.gate.once.Do(func() { close(c.gate.reached) })
+		<-c.gate.open
+	}
+	return n, err
+}
+
+// keptConnection is a connection of a caller that has got one response.
+type keptConnection struct {
+	t    *testing.T
+	gw   *gateway
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+func (gw *gateway) withKeptConnection() *keptConnection {
+	gw.t.Helper()
+	g := NewWithT(gw.t)
+	conn, err := net.Dial("tcp", gw.callerAddress.String())
+	g.Expect(err).NotTo(HaveOccurred())
+	gw.t.Cleanup(func() { _ = conn.Close() })
+	g.Expect(conn.SetDeadline(time.Now().Add(eventTimeout))).To(Succeed())
+	k := &keptConnection{t: gw.t, gw: gw, conn: conn, r: bufio.NewReader(conn)}
+	k.write(k.encode("first"))
+	body, err := k.readResponse()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("answer to first"))
+	return k
+}
+
+// encode returns the bytes of a request whose id and body are the given text.
+func (k *keptConnection) encode(id string) []byte {
+	k.t.Helper()
+	g := NewWithT(k.t)
+	req, err := rpfake.CallerRequest{ID: id, Path: "/place/1", Body: id}.HTTPRequest(k.t.Context(), k.gw.callerAddress)
+	g.Expect(err).NotTo(HaveOccurred())
+	var buf bytes.Buffer
+	g.Expect(req.Write(&buf)).To(Succeed())
+	return buf.Bytes()
+}
+
+func (k *keptConnection) write(p []byte) {
+	k.t.Helper()
+	_, err := k.conn.Write(p)
+	NewWithT(k.t).Expect(err).NotTo(HaveOccurred())
+}
+
+func (k *keptConnection) readResponse() (string, error) {
+	resp, err := http.ReadResponse(k.r, nil)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+// stopDelay is longer than the delay until a stopping instance closes idle
+// connections, and shorter than it waits for a started header.
+const stopDelay = 500 * time.Millisecond
+
+// Guards against a stopping instance that closes a kept connection as idle although
+// a whole request has arrived on it: net/http counts a connection as idle until it
+// has read the next header, which takes a while on a machine that is short of
+// processor time. The request got neither a response nor a refusal.
+func TestPlannedStopServesArrivedRequest(t *testing.T) {
+	g := NewWithT(t)
+	p := withPlatform(t)
+	service := p.startPlain("s1")
+	gate := &readGate{marker: []byte("second"), reached: make(chan struct{}), open: make(chan struct{})}
+	p.wrapCallers = func(l net.Listener) net.Listener {
+		gate.Listener = l
+		return gate
+	}
+	gw := p.startGateway("front-1")
+	kept := gw.withKeptConnection()
+	kept.write(kept.encode("second"))
+	g.Eventually(gate.reached, eventTimeout).Should(BeClosed())
+	gw.stop()
+	time.Sleep(stopDelay)
+	close(gate.open)
+	body, err := kept.readResponse()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("answer to second"))
+	g.Expect(service.Runs("second")).To(Equal(1))
+}
+
+// Guards against a stopping instance that closes a kept connection as idle while
+// the header of the next request arrives in parts.
+func TestPlannedStopServesRequestInParts(t *testing.T) {
+	g := NewWithT(t)
+	p := withPlatform(t)
+	p.startPlain("s1")
+	gw := p.startGateway("front-1")
+	kept := gw.withKeptConnection()
+	request := kept.encode("second")
+	kept.write(request[:len(request)/2])
+	gw.stop()
+	time.Sleep(stopDelay)
+	kept.write(request[len(request)/2:])
+	body, err := kept.readResponse()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("answer to second"))
+}
+
+// Guards against a planned stop that waits for idle connections, or for callers
+// that never complete a header, until its timeout.
+func TestPlannedStopClosesIdleConnections(t *testing.T) {
+	for name, begun := range map[string]int{"idle": 0, "incomplete header": 20} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := withPlatform(t)
+			p.startPlain("s1")
+			gw := p.startGateway("front-1")
+			kept := gw.withKeptConnection()
+			kept.write(kept.encode("second")[:begun])
+			begin := time.Now()
+			gw.stop()
+			_, err := kept.readResponse()
+			g.Expect(err).To(HaveOccurred(), fmt.Sprintf("%d bytes sent", begun))
+			err = <-gw.done
+			gw.done <- err
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(time.Since(begin)).To(BeNumerically("<", 4*time.Second), "the timeout is 6 s")
+		})
+	}
+}
