Keep waiting through an outage for responses to requests that may run once

Cause: TCP_USER_TIMEOUT of 1.5 s and probes each second. The kernel gives up a silent connection 2 s after the last segment if one probe was lost.

Evidence: TestSingleRunSurvivesOutage failed before with 'connection timed out'; with outages of 1 s, 1.2 s and 1.8 s and 2.5 s of silence too, with one of 0.5 s not.

Why it works: nothing can take such a request over, so giving up early gains nothing. The deadline of the attempt still ends it.

--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -60,6 +60,12 @@
 // ConnectionUse says on which connection an attempt ran.
 type ConnectionUse string
 
+// singleUseAckTimeout is the AckTimeout of a request that may run only once. Giving
+// it up gains nothing: no other endpoint may run it, and the endpoint may go on
+// after an outage of the link or of its host. The deadline of the attempt ends it
+// earlier.
+const singleUseAckTimeout = time.Minute
+
 // The uses of connections.
 const (
 	ConnectionKept ConnectionUse = "kept"
@@ -74,7 +80,9 @@
 		f.limits = f.Limits.withDefaults()
 		f.pooled = newTransport(f.limits, true, nil)
 		f.kept.watch(f.pooled)
-		f.singleUse = newTransport(f.limits, false, nil)
+		singleUse := f.limits
+		singleUse.AckTimeout = singleUseAckTimeout
+		f.singleUse = newTransport(singleUse, false, nil)
 		f.resetting = newTransport(f.limits, false, resetOnClose)
 	})
 }
--- a/internal/rpendpoint/limits.go
+++ b/internal/rpendpoint/limits.go
@@ -20,7 +20,8 @@
 	IdleTimeout time.Duration
 	// AckTimeout is the time within which the other side must acknowledge sent
 	// data or a keep-alive probe. It detects a host that went down or became
-	// unreachable without closing the connection.
+	// unreachable without closing the connection. A Forwarder does not apply it to
+	// requests that may run only once.
 	AckTimeout time.Duration
 	// IdleConnections is the maximum number of idle connections per endpoint.
 	IdleConnections int
