Log the requests that the end of a planned stop cuts off

Cause: the server closes the connections, which looks like a caller that disconnects. TestPlannedStopLogsRequestsItCutsOff failed before.

--- a/internal/rpgateway/caller_server.go
+++ b/internal/rpgateway/caller_server.go
@@ -68,7 +68,13 @@
 func (c *callerServer) shutdown(ctx context.Context) error {
 	closed, incomplete := c.conns.retireIdle(ctx)
 	c.log.Info().Int("closed", closed).Int("incomplete_headers", incomplete).Msg("closed the idle connections of callers")
-	return c.server.Shutdown(ctx)
+	err := c.server.Shutdown(ctx)
+	if err != nil {
+		for _, id := range c.inProgress.ids() {
+			c.log.Warn().Str("request_id", string(id)).Msg("the end of the planned stop cuts off a request in progress")
+		}
+	}
+	return err
 }
 
 // ServeHTTP forwards one request of a caller to an endpoint.
--- a/internal/rpgateway/request_registry.go
+++ b/internal/rpgateway/request_registry.go
@@ -1,6 +1,8 @@
 package rpgateway
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
@@ -73,6 +75,13 @@
 	delete(r.byID, id)
 }
 
+// ids returns the requests in progress in a fixed order.
+func (r *requestRegistry) ids() []rpcore.RequestID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Sorted(maps.Keys(r.byID))
+}
+
 // deliver queues a command for a request. It drops the command if the request
 // has ended, because the request has already abandoned its attempts.
 func (r *requestRegistry) deliver(id rpcore.RequestID, command rpfleet.Effect) {
--- a/internal/rpgateway/stop_test.go
+++ b/internal/rpgateway/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -167,3 +168,28 @@
 		})
 	}
 }
+
+// Guards against a request that is cut off at the end of a planned stop and whose
+// log says only that its caller has disconnected.
+func TestPlannedStopLogsRequestsItCutsOff(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := withPlatform(t)
+	p.writeConfig(2, rpfake.Route{Name: "slow", Kind: "non_idempotent", Service: plainService, MaxAttempts: 1, TargetMs: 100, TimeoutMs: 20_000})
+	service := p.startPlain("s1")
+	service.ResponseDelay = 8 * time.Second // the instance stops within 6 s
+	gw := p.startGateway("front-1")
+	answered := make(chan rpfake.CallerResponse, 1)
+	go func() {
+		// The error is that the connection was closed.
+		got, _ := rpfake.CallerRequest{ID: "r1", Path: "/slow/1", Body: "x"}.Do(context.Background(), http.DefaultClient, gw.callerAddress)
+		answered <- got
+	}()
+	g.Eventually(func() int { return len(service.Arrivals()) }, eventTimeout).Should(Equal(1))
+	gw.stop()
+	g.Expect((<-answered).Complete).To(BeFalse())
+	err := <-gw.done
+	gw.done <- err
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(gw.log.String()).To(MatchRegexp(`"request_id":"r1".*the end of the planned stop cuts off a request in progress`))
+}
