--- a/internal/rpmessage/gateway.go
+++ b/internal/rpmessage/gateway.go
@@ -28,6 +28,8 @@
 	logLine("log_evidence_posted", "wrote evidence of crashes to the store", "The planner does not answer this instance, or this instance is the planner, and wrote what it knows of crashed engines and of prompt parts in quarantine.", nothing),
 	logLine("log_evidence_not_posted", "failed to write evidence of crashes to the store", "What the instance knows of crashed engines could not be written.", "If it persists, check the store."),
 	logLine("log_evidence_unreadable", "can't decode evidence of crashes from the store", "A row with evidence of crashes can't be decoded.", "Compare the versions of the instances."),
+	logLine("log_callers_closed", "closed the idle connections of callers", "An instance that stops closed the connections without a request. The line says on how many a header had begun to arrive and was not complete in time.", nothing),
+	logLine("log_request_cut", "the end of the planned stop cuts off a request in progress", "The drain timeout ended before the response was complete.", "If it happens often, allow a longer drain timeout."),
 	logLine("log_request_rejected", "rejected an invalid request", "The headers or the body of a request are invalid or too large.", "Tell the caller the detail in the line."),
 	logLine("log_body_time_unbounded", "failed to set the read deadline of a request body", "The time limit for receiving a request body could not be set.", "Report the line as a bug."),
 	logLine("log_engine_header_ignored", "ignoring a header of an engine", "A header in the response of an engine has a value that can't be read.", "Correct the engine."),
