Hold a started stream until the deadline of its response

Cause: a waiting request is refused if a load, the queue or a hold-off lasts beyond the deadline for the first event. That deadline also counted for streams whose first event the caller had.

Why it works: the three checks use the deadline of the response for a started stream, as the check for expired requests already did.

--- a/pkg/rpfleet/notice.go
+++ b/pkg/rpfleet/notice.go
@@ -166,7 +166,7 @@
 	if readyAt, ok := s.expectedReadyAt(r); ok && readyAt.After(s.now) && readyAt.Before(until) {
 		until = readyAt
 	}
-	if !until.Add(s.serviceStats(r.service).latency).After(r.firstByteDeadline) || s.mayLoadElsewhere(r) {
+	if !until.Add(s.serviceStats(r.service).latency).After(r.waitDeadline()) || s.mayLoadElsewhere(r) {
 		return nil
 	}
 	return newRefusal(rpverdict.CodeDeadlineUnreachable, "All endpoints that could serve the request want none for now.",
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -262,7 +262,7 @@
 		return s.heldOffRefusal(r, heldOffUntil)
 	}
 	readyAt, ok := s.expectedReadyAt(r)
-	if ok && readyAt.After(r.firstByteDeadline) {
+	if ok && readyAt.After(r.waitDeadline()) {
 		return newRefusal(rpverdict.CodeDeadlineUnreachable, "The model is not loaded before the deadline.", readyAt.Sub(s.now))
 	}
 	return nil
@@ -287,11 +287,11 @@
 		return nil
 	}
 	wait := time.Duration(float64(ahead+1) / rate * float64(time.Second))
-	if !s.now.Add(wait).After(r.firstByteDeadline) {
+	if !s.now.Add(wait).After(r.waitDeadline()) {
 		return nil
 	}
 	return newRefusal(rpverdict.CodeDeadlineUnreachable, fmt.Sprintf("%d requests are ahead in the queue.", ahead),
-		max(busyRetryAfter, wait-r.firstByteDeadline.Sub(s.now)))
+		max(busyRetryAfter, wait-r.waitDeadline().Sub(s.now)))
 }
 
 // refuseIfExpired refuses a request that is still in the queue when its time is
@@ -306,15 +306,19 @@
 // timeoutDetail is the detail of the refusal of a request whose time is up.
 const timeoutDetail = "The deadline or the caller's time limit for the first event has passed."
 
-// hasExpired reports whether the caller of a waiting request would be gone
-// before another attempt could get a response. firstByteDeadline applies only
-// until the response has started.
-func (s *State) hasExpired(r *request) bool {
-	end := r.firstByteDeadline
+// waitDeadline returns how long the caller waits for the next part of the response:
+// firstByteDeadline applies only until the response has started.
+func (r *request) waitDeadline() time.Time {
 	if r.responseStarted {
-		end = r.responseDeadline
+		return r.responseDeadline
 	}
-	return !s.now.Add(responseMargin).Before(end)
+	return r.firstByteDeadline
+}
+
+// hasExpired reports whether the caller of a waiting request would be gone
+// before another attempt could get a response.
+func (s *State) hasExpired(r *request) bool {
+	return !s.now.Add(responseMargin).Before(r.waitDeadline())
 }
 
 // unansweredRefusal returns the refusal of a request that got no complete
