Don't claim that a refused request has not run after an attempt that may have

Only requests that may be repeated get there.

Cause: the refusal of a request that can't be served in time did not look at the attempts before it.

Result: 502, or stream_broken for a started stream, with the same Retry-After; the demand for the model is kept up as before.

--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -225,6 +225,9 @@
 		return
 	}
 	if refusal := s.unservableRefusal(r); refusal != nil {
+		if r.possibleRuns > 0 {
+			refusal.Code, refusal.Verdict = s.brokenCode(r), rpverdict.MayHaveRun
+		}
 		s.refuseRequest(r, refusal)
 		return
 	}
@@ -342,7 +345,7 @@
 		Field{"adapter", r.Adapter}, Field{"waited", s.now.Sub(r.arrivedAt)}, Field{"attempts", r.attemptCount},
 		Field{"last_failure", r.lastFailure}, Field{"retry_after", refusal.RetryAfter},
 		Field{"config_version", s.configVersion()}, Field{"placement_age", s.now.Sub(s.demand.placementAsOf)})
-	if refusal.Verdict == rpverdict.NotRun && refusal.Code != rpverdict.CodePromptQuarantined {
+	if refusal.Code != rpverdict.CodePromptQuarantined {
 		s.keepDemandForRetry(r, refusal.RetryAfter)
 	}
 	s.finishRequest(r)
--- a/pkg/rpfleet/started_test.go
+++ b/pkg/rpfleet/started_test.go
@@ -38,3 +38,24 @@
 	g.Expect(h.lastAttempt("a").Endpoint).To(BeEquivalentTo("e2"))
 	g.Expect(h.lastAttempt("a").ResumeAfter).To(Equal("7"))
 }
+
+// Guards against a refusal that claims that a request has not run, although an
+// attempt before may have run it. It comes about when the model is unloaded or out
+// of reach after that attempt.
+func TestRefusalAfterAttemptDoesNotPromise(t *testing.T) {
+	g := NewWithT(t)
+	h := withHarness(t)
+	h.configure(testEndpoint("e1", testService, homeDomain, "m0"), testEndpoint("e2", testService, homeDomain, "m1"))
+	h.arriveRequest("a", "/suggest/1", "m0")
+	first := h.lastAttempt("a")
+	h.apply(rpfleet.PlacementReceived{Stamp: h.stamp(), AskedAt: h.now, Placement: rpfleet.Placement{
+		IsPlanner: true, Instances: 3, Expected: []rpfleet.ExpectedModel{{Service: testService, Model: "m0", ReadyIn: 10 * time.Second}},
+	}})
+	h.apply(rpfleet.EndpointsRead{Stamp: h.stamp(), Complete: true, Entries: []rpfleet.Endpoint{testEndpoint("e2", testService, homeDomain, "m1")}})
+	h.endAttempt(first, rpcore.AttemptBroken, rpverdict.MayHaveRun)
+	h.advance(100 * time.Millisecond)
+	refused := effectsOf[rpfleet.RefuseRequest](h)
+	g.Expect(refused).To(HaveLen(1))
+	g.Expect(refused[0].Refusal.Verdict).To(Equal(rpverdict.MayHaveRun))
+	g.Expect(refused[0].Refusal.Status()).To(Equal(502))
+}
