Don't claim at the end of a planned stop that a request has not run after an attempt

Requests that still waited at the end of a planned stop were refused with 503 and the code draining, also after an attempt that may have run them (TestRefusalAfterARunPromisesNothing).

--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -226,6 +226,7 @@
 	}
 	if refusal := s.unservableRefusal(r); refusal != nil {
 		if r.possibleRuns > 0 {
+			// The code of the refusal would promise that the request has not run.
 			refusal.Code, refusal.Verdict = s.brokenCode(r), rpverdict.MayHaveRun
 		}
 		s.refuseRequest(r, refusal)
@@ -379,7 +380,11 @@
 func (s *State) refuseWaitingRequests() {
 	for _, service := range sortedKeys(s.queues) {
 		for _, r := range slices.Clone(s.queues[service]) {
-			s.refuseRequest(r, s.unansweredRefusal(r, rpverdict.CodeDraining, "This instance is stopping."))
+			code := rpverdict.CodeDraining
+			if r.possibleRuns > 0 {
+				code = s.brokenCode(r)
+			}
+			s.refuseRequest(r, s.unansweredRefusal(r, code, "This instance is stopping."))
 		}
 	}
 }
