Let only as many requests leave a silent endpoint as others can take

Streams of one engine fall silent at the same time. All of them left it for the same free slot elsewhere, because a request counts at its next endpoint only once its attempt has ended (TestSilentStreamsDoNotShareOneSlot: 6 cancellations for one slot). Requests that are leaving now count against the room elsewhere.

--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -75,6 +75,9 @@
 	e := r.endpoint
 	e.inFlight--
 	s.releasePrefill(r)
+	if r.retryReserved {
+		s.movingRequests[r.service]--
+	}
 	if r.engineSpec != nil {
 		e.inFlightModels[r.weights()]--
 		if e.inFlightModels[r.weights()] <= 0 {
--- a/pkg/rpfleet/routing.go
+++ b/pkg/rpfleet/routing.go
@@ -41,7 +41,11 @@
 
 // hasCapacity reports whether an endpoint has room for one more request, given
 // the requests of all instances at it.
-func (s *State) hasCapacity(r *request, e *endpoint) bool {
+func (s *State) hasCapacity(r *request, e *endpoint) bool { return s.freeCapacity(r, e) > 0 }
+
+// freeCapacity returns how many more requests an endpoint may get. A part of one
+// counts as room for one.
+func (s *State) freeCapacity(r *request, e *endpoint) float64 {
 	limit := float64(max(1, e.Slots))
 	switch {
 	case r.engineSpec == nil:
@@ -49,7 +53,7 @@
 	case r.route.Rank == 0:
 		limit *= urgentQueueFactor
 	}
-	return float64(e.inFlight+e.inFlightElsewhere) < limit
+	return limit - float64(e.inFlight+e.inFlightElsewhere)
 }
 
 // chooseEndpoint returns the endpoint with the lowest cost for a request, or
--- a/pkg/rpfleet/silence.go
+++ b/pkg/rpfleet/silence.go
@@ -1,6 +1,9 @@
 package rpfleet
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// firstByteStallFactor is the multiple of the service's usual time to the
@@ -72,6 +75,7 @@
 	// could use up the budget in between, and this one would be refused.
 	s.countBudgetRetry(r.service)
 	r.retryReserved = true
+	s.movingRequests[r.service]++
 	s.noteRequest(r, "cancels an attempt at a silent endpoint", s.silenceFields(r)...)
 	s.emit(CancelAttempt{Request: r.ID, Attempt: r.attemptID})
 }
@@ -85,12 +89,25 @@
 		return timeoutDetail
 	case !s.retryBudgetAllows(r.service):
 		return budgetUsedUpDetail
-	case !s.hasOtherEndpoint(r, r.endpoint, true):
+	case s.roomElsewhere(r) <= s.movingRequests[r.service]:
 		return "No other endpoint can take the request now."
 	}
 	return ""
 }
 
+// roomElsewhere returns how many requests like r the healthy endpoints other than
+// its own can take now. Many requests leave a silent endpoint at the same time, and
+// none of them counts at its next endpoint before its attempt has ended.
+func (s *State) roomElsewhere(r *request) int {
+	room := 0
+	for _, other := range s.endpointsOf(r.service) {
+		if other != r.endpoint && s.canServe(r, other) && !other.health.isEjected(s.now) {
+			room += int(math.Ceil(s.freeCapacity(r, other)))
+		}
+	}
+	return room
+}
+
 // noteStay logs only the first reason of an attempt, because the runtime reports
 // silence again and again.
 func (s *State) noteStay(r *request, reason string) {
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -111,8 +111,11 @@
 
 	requests map[rpcore.RequestID]*request
 	// queues holds the waiting requests of each service, most urgent first.
-	queues         map[string][]*request
-	budgets        map[string]*retryBudget
+	queues  map[string][]*request
+	budgets map[string]*retryBudget
+	// movingRequests is the number of requests of each service that leave a silent
+	// endpoint and whose attempt has not ended yet.
+	movingRequests map[string]int
 	statsByService map[string]*serviceStats
 	demand         demandState
 	lease          leaseState
@@ -196,6 +199,7 @@
 	s.requests = map[rpcore.RequestID]*request{}
 	s.queues = map[string][]*request{}
 	s.budgets = map[string]*retryBudget{}
+	s.movingRequests = map[string]int{}
 	s.statsByService = map[string]*serviceStats{}
 	s.updateReadiness()
 	s.initQuarantine()
