Keep a stream that left a silent engine when the next one is busy

A stream left a silent engine, the next one rejected it, and the retry budget was used up by then: the stream was cut, although the engine that it left would have completed it. It now waits for the budget until its response deadline.

--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -23,6 +23,10 @@
 // startAttempt sends a waiting request to an endpoint.
 func (s *State) startAttempt(r *request, e *endpoint) {
 	s.dequeue(r)
+	if r.awaitsBudget {
+		r.awaitsBudget = false
+		s.countBudgetRetry(r.service)
+	}
 	r.phase = phaseRunning
 	r.attemptCount++
 	r.endpoint = e
@@ -216,8 +220,12 @@
 	switch {
 	case !mayHaveReachedEndpoint(ev):
 		r.failedConnects++
-	case !r.retryReserved:
+	case r.retryReserved:
+		r.leftSilent = true
+	case s.retryBudgetAllows(r.service):
 		s.countBudgetRetry(r.service)
+	default:
+		r.awaitsBudget = true
 	}
 	s.enqueue(r)
 	if checking {
@@ -275,7 +283,7 @@
 		return timeoutDetail
 	case !mayHaveReachedEndpoint(ev) && r.failedConnects >= maxFailedConnects:
 		return "No endpoint could be reached."
-	case mayHaveReachedEndpoint(ev) && !r.retryReserved && !s.retryBudgetAllows(r.service):
+	case mayHaveReachedEndpoint(ev) && !r.retryReserved && !s.retryBudgetAllows(r.service) && !r.mayAwaitBudget(ev):
 		return budgetUsedUpDetail
 	case ev.Reason == rpcore.AttemptCanceled:
 		return "The attempt was canceled."
@@ -283,6 +291,13 @@
 	return ""
 }
 
+// mayAwaitBudget reports whether a request waits for the retry budget rather than be
+// refused: a stream that left a silent endpoint, which may have been sound, and that
+// the next one rejected.
+func (r *request) mayAwaitBudget(ev AttemptEnded) bool {
+	return r.leftSilent && r.responseStarted && ev.Verdict == rpverdict.NotRun
+}
+
 // budgetUsedUpDetail says in refusals and in the log why a request is not sent
 // again.
 const budgetUsedUpDetail = "The retry budget of the service is used up."
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -52,6 +52,9 @@
 	// at its silent endpoint.
 	retryReserved bool
 	stayNoted     bool
+	// leftSilent says that the request left a silent endpoint, and awaitsBudget
+	// that it waits until the retry budget allows another attempt.
+	leftSilent, awaitsBudget bool
 	// lastEvent is the id of the last event that the caller has, and
 	// weightsVersion the version that a resumed stream needs.
 	lastEvent      string
@@ -214,6 +217,10 @@
 	if s.now.Before(r.retryNotBefore) {
 		return
 	}
+	if r.awaitsBudget && !s.retryBudgetAllows(r.service) {
+		s.delayRetry(r, maxBusyRetryDelay)
+		return
+	}
 	if e := s.chooseEndpoint(r); e != nil {
 		s.startAttempt(r, e)
 		return
--- a/pkg/rpfleet/silence_move_test.go
+++ b/pkg/rpfleet/silence_move_test.go
@@ -84,7 +84,17 @@
 	h.useUpRetryBudget()
 	h.discardEffects()
 	h.endAttempt(next, rpcore.AttemptBusy, rpverdict.NotRun)
+	h.advance(time.Second)
 	g.Expect(effectsOf[rpfleet.RefuseRequest](h)).To(BeEmpty())
+	g.Expect(effectsOf[rpfleet.StartAttempt](h)).To(BeEmpty(), "the budget is used up")
+	// New requests extend the budget.
+	for i := range 10 {
+		id := fmt.Sprintf("sound-%d", i)
+		h.arriveRequest(id, "/suggest/1", "m0")
+		h.endAttempt(h.lastAttempt(id), rpcore.AttemptComplete, rpverdict.Ran)
+	}
+	h.advance(time.Second)
+	g.Expect(h.lastAttempt("a").ResumeAfter).To(Equal("7"))
 }
 
 // Guards against a refusal that says that a request has not run although an engine may
