Count no silence of an endpoint while the caller reads slowly

The time in which a write to the caller blocked counted as silence of the engine, so a stream could leave a sound engine whose events waited in the socket (TestSlowCallerIsNoSilence: 2 reports instead of none). The timeout between events now starts when an event has been passed on.

--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -395,15 +395,20 @@
 				r.ended.LongestPause = max(r.ended.LongestPause, now.Sub(last))
 			}
 			last = now
-			if hasData(part) {
-				// An endpoint that only sends comments does not work on the
-				// request.
-				r.silence.reset(r.request.Command.EventTimeout)
+			// An endpoint that only sends comments does not work on the request.
+			working := hasData(part)
+			if working {
+				// The time in which the caller does not read is not silence of
+				// the endpoint.
+				r.silence.reset(0)
 			}
 			if relayErr := r.relayEvents(resp, part, lastID, &started); relayErr != nil {
 				r.finish(relayErr)
 				return
 			}
+			if working {
+				r.silence.reset(r.request.Command.EventTimeout)
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			r.finishStream(resp, &started)
