Let endpoints read long bodies late

A request with a body that does not fit into the endpoint's receive window broke off with 'connection timed out' after 1.5 s if the endpoint did not read, e.g. while it was silent (TestEndpointMayReadLongBodyLate). Cause: Linux counts TCP_USER_TIMEOUT also while the window is closed, although the other side acknowledges all probes.

Requests with bodies of more than 32 KiB now have no such timeout. Their attempts still end at the deadline, or for silence if they can move.

--- a/internal/rpendpoint/conn.go
+++ b/internal/rpendpoint/conn.go
@@ -4,8 +4,14 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
+	"time"
 )
 
+// maxWindowBody is the length of a body that fits into the receive window of an
+// endpoint that does not read yet.
+const maxWindowBody = 32 << 10
+
 var errWriteBlocked = errors.New("the request was given up; writes to its connection are blocked")
 
 // trackedConn counts the bytes of the current request that were written. A
@@ -26,6 +32,34 @@
 	idle, retired bool
 	// onClose is called once, when the connection is closed; nil means nothing.
 	onClose func()
+	// ackTimeout is the AckTimeout of the limits; 0 means that none is set.
+	ackTimeout time.Duration
+	// unlimitedAck says that the connection has no AckTimeout now.
+	unlimitedAck bool
+}
+
+// limitAck applies the AckTimeout, or removes it for a request with a long body: a
+// sound endpoint may read it late, and the kernel counts the time in which the receive
+// window is closed although the endpoint's host acknowledges all probes. After the
+// body, keep-alive probes still detect a host that is down.
+func (c *trackedConn) limitAck(bodyLength int64) error {
+	unlimited := bodyLength > maxWindowBody
+	conn, ok := c.Conn.(syscall.Conn)
+	c.mu.Lock()
+	unchanged := unlimited == c.unlimitedAck
+	c.unlimitedAck = unlimited
+	c.mu.Unlock()
+	if !ok || unchanged || c.ackTimeout == 0 {
+		return nil
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	if unlimited {
+		return setAckTimeout(raw, 0)
+	}
+	return setAckTimeout(raw, c.ackTimeout)
 }
 
 // Close closes the connection.
--- a/internal/rpendpoint/dialer_linux.go
+++ b/internal/rpendpoint/dialer_linux.go
@@ -23,14 +23,20 @@
 			Count: max(1, int(l.AckTimeout/probeInterval)),
 		},
 		Control: func(_, _ string, conn syscall.RawConn) error {
-			var optionErr error
-			err := conn.Control(func(fd uintptr) {
-				optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(l.AckTimeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return optionErr
+			return setAckTimeout(conn, l.AckTimeout)
 		},
 	}
 }
+
+// setAckTimeout sets the time within which the other side must acknowledge data and
+// accept it into its receive window; 0 means no limit.
+func setAckTimeout(conn syscall.RawConn, d time.Duration) error {
+	var optionErr error
+	err := conn.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return optionErr
+}
--- a/internal/rpendpoint/transport.go
+++ b/internal/rpendpoint/transport.go
@@ -29,6 +29,8 @@
 	// mayWrite is called before the first byte is written and reports whether the
 	// request may still be sent; nil means always.
 	mayWrite func() bool
+	// bodyLength is the length of the request's body.
+	bodyLength int64
 }
 
 // trace returns a copy of the request that reports its connections to the tracker.
@@ -39,6 +41,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn, PutIdleConn: t.putIdleConn})
 	req = req.WithContext(ctx)
 	req.GetBody = nil
+	t.bodyLength = req.ContentLength
 	return req
 }
 
@@ -56,6 +59,10 @@
 		t.wroteEarlier = true
 	}
 	t.request = conn.startRequest(t.mayWrite)
+	if err := conn.limitAck(t.bodyLength); err != nil {
+		// The connection is closed already, or a write fails next.
+		t.cancel(err)
+	}
 	t.conn = conn
 	t.reused = info.Reused
 	if t.wroteEarlier {
@@ -116,7 +123,7 @@
 					return nil, errors.Join(err, conn.Close())
 				}
 			}
-			return &trackedConn{Conn: conn}, nil
+			return &trackedConn{Conn: conn, ackTimeout: l.AckTimeout}, nil
 		},
 		DisableKeepAlives:      !keepAlive,
 		DisableCompression:     true,
