Release a part whose earlier use becomes known after the decision

Callers saw: requests with a sound part were refused for ten minutes.

Cause: the planner puts a part that no request is known to have had into quarantine after two crashes. The instances report an earlier use only with their next demand. The part then lacked the evidence that a part in use needs, but stayed in quarantine because nothing else explained its crashes.

Evidence: TestPartServedElsewhereIsReleased failed before: two crashes on prompts with two deadly parts and one sound part, whose use another instance reports afterwards.

Change: the planner remembers that it knew no use when it decided, and releases such a part when a use becomes known and the rest of the evidence does not suffice. Parts that it adopted stay, since it knows only some of their crashes.

--- a/pkg/rpfleet/quarantine.go
+++ b/pkg/rpfleet/quarantine.go
@@ -100,6 +100,9 @@
 	crashes    map[crashID]*crash
 	// parts holds the end of the quarantine of each part.
 	parts map[string]time.Time
+	// unusedWhenFound says of parts in quarantine that this instance knew no use of
+	// them when it decided. It may learn of an earlier use only later.
+	unusedWhenFound map[string]bool
 	// watched are the parts that may have caused a crash. The value says that no
 	// request with it is known to have had a first event. watchedAt is when a part
 	// was last added.
@@ -115,7 +118,7 @@
 	s.quarantine = quarantineState{
 		usedAt: map[string]time.Time{}, usedElsewhereAt: map[string]time.Time{},
 		ownCrashes: map[crashID]*crash{}, crashes: map[crashID]*crash{},
-		parts: map[string]time.Time{}, watched: map[string]bool{},
+		parts: map[string]time.Time{}, unusedWhenFound: map[string]bool{}, watched: map[string]bool{},
 	}
 }
 
@@ -279,13 +282,18 @@
 				Field{"crashes", q.countCrashes(part)}, Field{"known_crashes", len(q.crashes)}, Field{"for", quarantineTime})
 		}
 		q.parts[part] = s.now.Add(quarantineTime)
+		q.unusedWhenFound[part] = q.lastUse(part).IsZero()
 	}
 	for _, part := range sortedKeys(q.parts) {
-		if _, unexplained := watched[part]; unexplained || slices.Contains(found, part) || q.countCrashes(part) == 0 {
+		if slices.Contains(found, part) || q.countCrashes(part) == 0 {
+			continue
+		}
+		if _, unexplained := watched[part]; unexplained && !(q.unusedWhenFound[part] && !q.lastUse(part).IsZero()) {
 			continue
 		}
 		changed = true
 		delete(q.parts, part)
+		delete(q.unusedWhenFound, part)
 		s.note("requests", "a prompt part is released from quarantine", Field{"prompt_part", part}, Field{"crashes", q.countCrashes(part)})
 	}
 	if !s.isPlanner() {
@@ -330,6 +338,7 @@
 	maps.DeleteFunc(q.ownCrashes, func(_ crashID, c *crash) bool { return old(c.at) })
 	maps.DeleteFunc(q.usedElsewhereAt, func(_ string, at time.Time) bool { return old(at) })
 	maps.DeleteFunc(q.parts, func(_ string, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(q.unusedWhenFound, func(part string, _ bool) bool { return q.parts[part].IsZero() })
 }
 
 func (c *crash) has(part string) bool {
