Do not prolong a quarantine by the copies of it that instances report

Cause: each instance reports the parts in quarantine with its demands, so that a new planner knows them. A copy ends later than the original, by the time of the planner's answer, and the planner took the later end. With demands back to back and 100 ms for each message, the quarantine did not end at all.

Evidence: TestReportedQuarantineDoesNotProlongItself failed before.

Change: a part that is in quarantine already keeps its end, and one that ends within 10 s is not adopted.

--- a/pkg/rpfleet/quarantine.go
+++ b/pkg/rpfleet/quarantine.go
@@ -30,6 +30,10 @@
 	// quarantineTime is how long a part stays in quarantine, and how long a crash
 	// and the use of a part are remembered.
 	quarantineTime = 10 * time.Minute
+	// minAdoptedTime is the least time left at which an instance adopts a quarantine
+	// that another one reports. Copies end later than the original, by the time that
+	// messages take, and must not prolong it.
+	minAdoptedTime = 10 * time.Second
 	// maxCrashes and maxUsedParts bound the memory for crashes and for parts in
 	// use.
 	maxCrashes   = 64
@@ -595,18 +599,16 @@
 	}
 }
 
-// adoptParts adds parts that another instance has in quarantine and reports whether
-// one is new.
+// adoptParts adds parts that another instance has in quarantine and that are not in
+// quarantine here. It reports whether it added one.
 func (q *quarantineState) adoptParts(parts []PartTime, now time.Time) bool {
 	added := false
 	for _, p := range parts {
-		if p.Time <= 0 {
+		if p.Time < minAdoptedTime || q.parts[p.Part].After(now) {
 			continue
 		}
-		if _, ok := q.parts[p.Part]; !ok {
-			added = true
-		}
-		q.parts[p.Part] = maxTime(q.parts[p.Part], now.Add(min(p.Time, quarantineTime)))
+		q.parts[p.Part] = now.Add(min(p.Time, quarantineTime))
+		added = true
 	}
 	return added
 }
