Follow and repeat evidence wherever no planner decides

Callers saw: requests with a deadly part still reached engines at an instance whose own lease had ended, at all instances while the planner was of an earlier version, and at instances whose evidence the store refused.

Cause: evidence was shared through the store only after a demand had failed. A former planner sends no demand to itself, and a planner of an earlier version answers without a decision. Evidence was written once, and a failed write was not repeated.

Evidence: TestFormerPlannerFollowsEvidence, TestPlannerWithoutQuarantineDoesNotStopEvidence and TestEvidenceIsWrittenAgainWithoutPlanner failed before.

Change: in these cases the instance counts as without a planner, and writes its evidence again every 2 s. The second test now expects the refusal after one crash, as without any planner; it failed before as well.

--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -349,8 +349,11 @@
 		s.applyOtherLoad(p.OtherLoad)
 	}
 	s.applyExpectedModels(p.Expected)
+	s.quarantine.plannerLacksQuarantine = p.Quarantine == nil
 	if p.Quarantine != nil {
 		s.applyQuarantine(p.Quarantine)
+	} else {
+		s.postEvidence()
 	}
 	s.dispatchAll()
 	if s.demand.resend {
--- a/pkg/rpfleet/quarantine.go
+++ b/pkg/rpfleet/quarantine.go
@@ -113,6 +113,9 @@
 	watched   map[string]bool
 	watchedAt time.Time
 	// postedAt is when evidence was last written to the store, and unposted says
+	// plannerLacksQuarantine says that the planner's last answer had no decision on
+	// parts: its version is an earlier one.
+	plannerLacksQuarantine bool
 	// that there is newer evidence.
 	postedAt time.Time
 	unposted bool
@@ -263,9 +266,11 @@
 	}
 }
 
-// withoutPlanner reports whether the planner does not answer this instance.
+// withoutPlanner reports whether no planner decides on parts for this instance: the
+// planner does not answer it, its own lease has ended, or the planner is of an
+// earlier version.
 func (s *State) withoutPlanner() bool {
-	return !s.isPlanner() && s.lease.holderUnavailable
+	return !s.isPlanner() && (s.lease.holderUnavailable || s.lease.row.Holder == s.self.Instance || s.quarantine.plannerLacksQuarantine)
 }
 
 // FollowsEvidence reports whether this instance follows the evidence in the store:
@@ -646,15 +651,23 @@
 // postEvidence writes the evidence to the store if the planner does not answer.
 func (s *State) postEvidence() {
 	q := &s.quarantine
-	if !q.unposted || !s.withoutPlanner() || s.now.Sub(q.postedAt) < postEvidenceInterval {
+	if !s.withoutPlanner() || s.now.Sub(q.postedAt) < postEvidenceInterval {
+		return
+	}
+	if !q.unposted && (len(q.ownCrashes) == 0 || s.now.Sub(q.postedAt) < repostEvidenceInterval) {
 		return
 	}
 	q.unposted, q.postedAt = false, s.now
 	s.emit(PostEvidence{Instance: s.self.Instance, Evidence: s.ownEvidence()})
 }
 
-// postEvidenceInterval is the time between two writes of evidence to the store.
-const postEvidenceInterval = 100 * time.Millisecond
+const (
+	// postEvidenceInterval is the time between two writes of evidence to the store.
+	postEvidenceInterval = 100 * time.Millisecond
+	// repostEvidenceInterval is the time after which evidence is written again while
+	// the planner does not answer: the write before may have failed.
+	repostEvidenceInterval = 2 * time.Second
+)
 
 // handleEvidenceRead pools the evidence that instances wrote to the store because
 // the planner did not answer them.
