Forget watched parts with the crashes that they were in

Cause: evidence expires only when other evidence is evaluated, so a part of one crash stayed watched for ever, and instances without a planner refused it. An instance also reported again the crashes that the planner had dropped for newer ones, which the planner took as new each time.

Evidence: TestWatchedPartsExpire failed before.

--- a/pkg/rpfleet/quarantine.go
+++ b/pkg/rpfleet/quarantine.go
@@ -219,7 +219,9 @@
 	s.note("members", "an engine crashed as it began to answer a request", Field{"request_id", string(check.request.ID)},
 		Field{"endpoint", string(check.endpoint)}, Field{"prompt_parts", strings.Join(prompt, ",")})
 	addCrash(q.ownCrashes, check.crashID, check.at, prompt)
-	addCrash(q.crashes, check.crashID, check.at, prompt)
+	if addCrash(q.crashes, check.crashID, check.at, prompt) {
+		s.expireEvidenceLater()
+	}
 	q.unposted = true
 	s.evaluateOwnEvidence()
 	s.reportNeed()
@@ -238,7 +240,12 @@
 	if c == nil {
 		if len(crashes) >= maxCrashes {
 			ids := newestCrashes(crashes)
-			delete(crashes, ids[len(ids)-1])
+			oldest := ids[len(ids)-1]
+			if at.Before(crashes[oldest].at) {
+				// It was forgotten before, and its instance reports it again.
+				return false
+			}
+			delete(crashes, oldest)
 		}
 		c = &crash{at: at}
 		crashes[id] = c
@@ -324,6 +331,12 @@
 }
 
 // setWatched replaces the watched parts.
+// expireEvidenceLater evaluates the evidence again when the present evidence is too
+// old, so that its parts are no longer watched.
+func (s *State) expireEvidenceLater() {
+	s.runAfter(quarantineTime+time.Second, (*State).evaluateOwnEvidence)
+}
+
 func (s *State) setWatched(watched map[string]bool) {
 	q := &s.quarantine
 	for part := range watched {
@@ -585,8 +598,10 @@
 	changed := q.adoptParts(evidence.Quarantined, s.now)
 	for _, report := range evidence.Crashes {
 		for _, prompt := range report.Prompts {
-			added := addCrash(q.crashes, crashID{report.Endpoint, report.Incarnation}, s.now.Add(-report.Age), reportedPrompt(prompt))
-			changed = changed || added
+			if addCrash(q.crashes, crashID{report.Endpoint, report.Incarnation}, s.now.Add(-report.Age), reportedPrompt(prompt)) {
+				s.expireEvidenceLater()
+				changed = true
+			}
 		}
 	}
 	for _, used := range evidence.Used {
