Keep the deadly prompt among many prompts and many parts of a crash

Cause: only four prompts of a crash and the last eight parts of a prompt were kept, so the deadly part could be missing.

Change: 16 prompts and 32 parts.

--- a/pkg/rpfleet/quarantine.go
+++ b/pkg/rpfleet/quarantine.go
@@ -41,10 +41,11 @@
 	// maxPartBytes and maxCrashParts bound one prompt in a report. The most
 	// specific parts are at the end of a prompt.
 	maxPartBytes  = 128
-	maxCrashParts = 8
+	maxCrashParts = 32
 	// maxCrashPrompts bounds the prompts of one crash, maxReportedCrashes the
-	// crashes of one report, the newest ones.
-	maxCrashPrompts    = 4
+	// crashes of one report, the newest ones. An engine may begin to answer a whole
+	// batch of requests when it crashes.
+	maxCrashPrompts    = 16
 	maxReportedCrashes = 16
 	// crashCheckTime is how long a request waits at most for the answer whether its
 	// engine has crashed.
@@ -112,10 +113,10 @@
 	// was last added.
 	watched   map[string]bool
 	watchedAt time.Time
-	// postedAt is when evidence was last written to the store, and unposted says
 	// plannerLacksQuarantine says that the planner's last answer had no decision on
 	// parts: its version is an earlier one.
 	plannerLacksQuarantine bool
+	// postedAt is when evidence was last written to the store, and unposted says
 	// that there is newer evidence.
 	postedAt time.Time
 	unposted bool
@@ -330,13 +331,13 @@
 	s.dispatchAll()
 }
 
-// setWatched replaces the watched parts.
 // expireEvidenceLater evaluates the evidence again when the present evidence is too
 // old, so that its parts are no longer watched.
 func (s *State) expireEvidenceLater() {
 	s.runAfter(quarantineTime+time.Second, (*State).evaluateOwnEvidence)
 }
 
+// setWatched replaces the watched parts.
 func (s *State) setWatched(watched map[string]bool) {
 	q := &s.quarantine
 	for part := range watched {
