--- a/internal/rpgateway/orders.go
+++ b/internal/rpgateway/orders.go
@@ -114,14 +114,20 @@
 // checkEngine asks an engine for its report to find out whether the incarnation still
 // runs.
 func (s *orderSender) checkEngine(cmd rpfleet.CheckEngine) {
+	event := s.askEngine(cmd)
+	event.Stamp = s.loop.stamp()
+	s.loop.apply(event)
+}
+
+// askEngine returns the answer to a check, without its time.
+func (s *orderSender) askEngine(cmd rpfleet.CheckEngine) rpfleet.EngineChecked {
 	event := rpfleet.EngineChecked{Endpoint: cmd.Endpoint, Incarnation: cmd.Incarnation}
 	report, err := s.fetchReport(rpfleet.ReadReport{Endpoint: cmd.Endpoint, Incarnation: cmd.Incarnation, Address: cmd.Address})
 	if err != nil {
 		s.log.Info().Err(err).Str("endpoint", string(cmd.Endpoint)).Msg("an engine does not answer after it broke a stream off")
 	}
 	event.Alive = err == nil && (report.Incarnation == "" || report.Incarnation == cmd.Incarnation)
-	event.Stamp = s.loop.stamp()
-	s.loop.apply(event)
+	return event
 }
 
 func (s *orderSender) fetchReport(cmd rpfleet.ReadReport) (rpfleet.EngineReport, error) {
