--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -223,9 +223,9 @@
 	case rpfleet.CheckEngine:
 		go c.orders.checkEngine(effect)
 	case rpfleet.PostEvidence:
-		go c.storeEvidence.post(string(effect.Instance), effect.Evidence)
+		c.storeEvidence.post(string(effect.Instance), effect.Evidence)
 	case rpfleet.PostQuarantine:
-		go c.storeEvidence.post(rpwire.KeyQuarantine, rpfleet.CrashEvidence{Quarantined: effect.Parts})
+		c.storeEvidence.post(rpwire.KeyQuarantine, rpfleet.CrashEvidence{Quarantined: effect.Parts})
 	case rpfleet.CloseIdleConnections:
 		go c.forwarder.CloseIdle(effect.Address)
 	case rpfleet.ReportReady:
