Count an engine that answers a check as alive

Cause: any failed read of the report counted as a crash, also a 503 or 429 of a busy engine, and an incarnation that the entry in the list lacks. Two such engines could put a sound part into quarantine.

Evidence: TestAnsweringEngineHasNotCrashed failed before.

Change: only no answer, 421 and another known incarnation mean a crash.

--- a/internal/rpgateway/orders.go
+++ b/internal/rpgateway/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -125,8 +126,13 @@
 	report, err := s.fetchReport(rpfleet.ReadReport{Endpoint: cmd.Endpoint, Incarnation: cmd.Incarnation, Address: cmd.Address})
 	if err != nil {
 		s.log.Info().Err(err).Str("endpoint", string(cmd.Endpoint)).Msg("an engine does not answer after it broke a stream off")
+		// A busy engine rejects the call. 421 means that another engine has the
+		// address.
+		var status rpwire.ReportStatusError
+		event.Alive = errors.As(err, &status) && status.Status != http.StatusMisdirectedRequest
+		return event
 	}
-	event.Alive = err == nil && (report.Incarnation == "" || report.Incarnation == cmd.Incarnation)
+	event.Alive = report.Incarnation == "" || cmd.Incarnation == "" || report.Incarnation == cmd.Incarnation
 	return event
 }
 
