Treat a resumed stream without length, chunks and events as broken off too

Found in review: the engine of a resumed stream may also crash after its head, and the caller got the cut stream as complete. A stream that was resumed after its last event is now cut visibly instead; only the end of an unframed response can't tell the two apart, and an answer that ends early must not look complete. The test expected 'complete' before.

--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -456,7 +456,7 @@
 		r.finish(nil)
 		return
 	}
-	if isUnframed(resp) && r.request.Command.ResumeAfter == "" {
+	if isUnframed(resp) {
 		r.ended.StoppedAtStart = true
 		r.setResult(rpcore.AttemptBroken, rpverdict.MayHaveRun, errNoEvents.Error())
 		return
--- a/internal/rpgateway/stream_end_test.go
+++ b/internal/rpgateway/stream_end_test.go
@@ -49,5 +49,5 @@
 	g.Expect(ended.Reason).To(Equal(rpcore.AttemptBroken))
 	g.Expect(ended.StoppedAtStart).To(BeTrue())
 	g.Expect(ended.ResponseStarted).To(BeFalse(), "the request may be retried")
-	g.Expect(run("12", "1").Reason).To(Equal(rpcore.AttemptComplete), "a stream resumed after its last event has none")
+	g.Expect(run("12", "1").Reason).To(Equal(rpcore.AttemptBroken), "a resumed stream that crashed looks like one that had no event left")
 }
