Send no request again that may have crashed its engine

Found in review: a request whose parts had all been served before was sent to the next engine after a crash.

--- a/pkg/rpfleet/quarantine.go
+++ b/pkg/rpfleet/quarantine.go
@@ -185,13 +185,13 @@
 }
 
 // resumeAfterCheck sends a request again whose engine lives, and refuses one that
-// may have crashed its engine.
+// may have crashed its engine: it could crash the next one too.
 func (s *State) resumeAfterCheck(check crashCheck, crashed bool) {
 	r := check.request
 	if r.phase != phaseWaiting {
 		return
 	}
-	if crashed && s.mayHaveCrashed(r) {
+	if crashed {
 		s.refuseRequest(r, s.unansweredRefusal(r, s.brokenCode(r), "The engine crashed as it began to answer the request."))
 		return
 	}
@@ -207,12 +207,6 @@
 	return rpverdict.CodeAttemptFailed
 }
 
-// mayHaveCrashed reports whether a request has a part that no other request is known
-// to have had without a crash.
-func (s *State) mayHaveCrashed(r *request) bool {
-	return slices.ContainsFunc(r.sharedParts(), func(part string) bool { return s.quarantine.lastUse(part).IsZero() })
-}
-
 // recordCrash records a crash that this instance has seen.
 func (s *State) recordCrash(check crashCheck) {
 	q := &s.quarantine
--- a/pkg/rpfleet/quarantine_test.go
+++ b/pkg/rpfleet/quarantine_test.go
@@ -127,9 +127,15 @@
 
 // Guards against a request that crashes one engine and is sent to the next one.
 func TestRequestThatCrashedItsEngineIsNotRetried(t *testing.T) {
+	for _, part := range []string{"deadly", "used"} {
+		t.Run(part, func(t *testing.T) { testCrashedRequestIsNotRetried(t, part) })
+	}
+}
+
+func testCrashedRequestIsNotRetried(t *testing.T, part string) {
 	g := NewWithT(t)
 	h := withCrashPlanner(t)
-	h.arrivePrompt("a", "head", "deadly")
+	h.arrivePrompt("a", "head", part)
 	attempt := h.lastAttempt("a")
 	h.discardEffects()
 	h.stopAtStart(attempt)
