Don't count a comment as the first event of a stream

Found in review: an engine that sends a comment after its head and then crashes gave no evidence, and the parts of the prompt counted as served. TestUnframedStreamWithoutEventsIsBroken got 'complete' for it before.

--- a/internal/rpendpoint/attempt.go
+++ b/internal/rpendpoint/attempt.go
@@ -42,7 +42,7 @@
 	// Write sends and flushes a part of the body.
 	Write func(p []byte) error
 	// OnFirstWrite is called after the first part of an attempt's response was
-	// sent.
+	// sent; a Forwarder calls it after the first event with data.
 	OnFirstWrite func()
 	// OnSilence is called by a Forwarder when the endpoint has sent no data for
 	// the command's FirstTimeout or EventTimeout, and again after each further
--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -165,6 +165,8 @@
 	silence    silenceTimer
 	ended      rpfleet.AttemptEnded
 	callerGone bool
+	// answering says that an event with data was relayed in this attempt.
+	answering bool
 	// reused says that the connection carried another request before.
 	reused bool
 }
@@ -407,6 +409,7 @@
 				return
 			}
 			if working {
+				r.noteAnswering()
 				r.silence.reset(r.request.Command.EventTimeout)
 			}
 		}
@@ -415,7 +418,7 @@
 			return
 		}
 		if err != nil {
-			r.ended.StoppedAtStart = !started && ctx.Err() == nil
+			r.ended.StoppedAtStart = !r.answering && ctx.Err() == nil
 			r.setFailure(ctx, rpcore.AttemptBroken, rpverdict.MayHaveRun, err)
 			return
 		}
@@ -435,11 +438,16 @@
 	if lastID != "" {
 		r.ended.LastEvent = lastID
 	}
-	if !*started {
-		*started = true
+	*started = true
+	return nil
+}
+
+// noteAnswering is called after each event with data.
+func (r *forwardAttempt) noteAnswering() {
+	if !r.answering {
+		r.answering = true
 		r.relay.OnFirstWrite()
 	}
-	return nil
 }
 
 // isUnframed reports whether a response has neither a length nor chunks, so that only
@@ -452,15 +460,15 @@
 // without events still gets its header sent to the caller, unless only the end of the
 // connection ended it: the engine may have crashed.
 func (r *forwardAttempt) finishStream(resp *http.Response, started *bool) {
-	if *started {
-		r.finish(nil)
-		return
-	}
-	if isUnframed(resp) {
+	if isUnframed(resp) && !r.answering {
 		r.ended.StoppedAtStart = true
 		r.setResult(rpcore.AttemptBroken, rpverdict.MayHaveRun, errNoEvents.Error())
 		return
 	}
+	if *started {
+		r.finish(nil)
+		return
+	}
 	err := r.relay.SendHeader(resp.StatusCode, forwardedHeader(resp.Header))
 	r.ended.ResponseStarted = true
 	r.finish(err)
--- a/internal/rpgateway/stream_end_test.go
+++ b/internal/rpgateway/stream_end_test.go
@@ -19,7 +19,7 @@
 // engine ended after the head of a response without a length.
 func TestUnframedStreamWithoutEventsIsBroken(t *testing.T) {
 	const unframedHead = streamHead + "\r\n"
-	run := func(resumeAfter, version string) rpfleet.AttemptEnded {
+	run := func(body, resumeAfter, version string) (rpfleet.AttemptEnded, bool) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		NewWithT(t).Expect(err).NotTo(HaveOccurred())
 		t.Cleanup(func() { _ = listener.Close() })
@@ -29,10 +29,11 @@
 				return
 			}
 			if _, err := conn.Read(make([]byte, 2048)); err == nil {
-				_, _ = io.WriteString(conn, unframedHead)
+				_, _ = io.WriteString(conn, unframedHead+body)
 			}
 			_ = conn.Close()
 		}()
+		began := false
 		ended, _ := newTestForwarder(endpointLimits).Run(context.Background(), rpendpoint.ForwardRequest{
 			Method: http.MethodPost, Target: "/x", Header: http.Header{},
 			Command: rpfleet.StartAttempt{
@@ -40,14 +41,19 @@
 				Deadline: time.Now().Add(10 * time.Second), ResumeAfter: resumeAfter, Version: version,
 			},
 		}, rpendpoint.Relay{
-			SendHeader: func(int, http.Header) error { return nil }, Write: func([]byte) error { return nil }, OnFirstWrite: func() {},
+			SendHeader: func(int, http.Header) error { return nil }, Write: func([]byte) error { return nil }, OnFirstWrite: func() { began = true },
 		})
-		return ended
+		return ended, began
 	}
 	g := NewWithT(t)
-	ended := run("", "")
+	ended, _ := run("", "", "")
 	g.Expect(ended.Reason).To(Equal(rpcore.AttemptBroken))
 	g.Expect(ended.StoppedAtStart).To(BeTrue())
 	g.Expect(ended.ResponseStarted).To(BeFalse(), "the request may be retried")
-	g.Expect(run("12", "1").Reason).To(Equal(rpcore.AttemptBroken), "a resumed stream that crashed looks like one that had no event left")
+	ended, _ = run("", "12", "1")
+	g.Expect(ended.Reason).To(Equal(rpcore.AttemptBroken), "a resumed stream that crashed looks like one that had no event left")
+	ended, began := run(": hello\n\n", "", "")
+	g.Expect(ended.Reason).To(Equal(rpcore.AttemptBroken), "a comment is no event")
+	g.Expect(ended.StoppedAtStart).To(BeTrue())
+	g.Expect(began).To(BeFalse(), "nor the beginning of an answer")
 }
