--- a/pkg/rpfleet/quarantine.go
+++ b/pkg/rpfleet/quarantine.go
@@ -27,8 +27,8 @@
 	// time. Engines that crash together for another reason don't count.
 	minCrashesAfterUse = 3
 	minCrashSpan       = 1500 * time.Millisecond
-	// quarantineTime is how long a part stays in quarantine, and how long a crash
-	// and the use of a part are remembered.
+	// quarantineTime is how long a part stays in quarantine after its last crash, and
+	// how long a crash and the use of a part by other instances are remembered.
 	quarantineTime = 10 * time.Minute
 	// minAdoptedTime is the least time left at which an instance adopts a quarantine
 	// that another one reports. Copies end later than the original, by the time that
@@ -292,7 +292,7 @@
 			s.note("requests", "a prompt part that crashes engines is put into quarantine", Field{"prompt_part", part},
 				Field{"crashes", q.countCrashes(part)}, Field{"known_crashes", len(q.crashes)}, Field{"for", quarantineTime})
 		}
-		q.parts[part] = s.now.Add(quarantineTime)
+		q.parts[part] = q.lastCrash(part).Add(quarantineTime)
 		q.unusedWhenFound[part] = q.lastUse(part).IsZero()
 	}
 	for _, part := range sortedKeys(q.parts) {
@@ -362,98 +362,25 @@
 	return slices.ContainsFunc(c.prompts, func(prompt []string) bool { return slices.Contains(prompt, part) })
 }
 
-func (q *quarantineState) countCrashes(part string) int {
-	n := 0
+// lastCrash returns the time of the last known crash with a part.
+func (q *quarantineState) lastCrash(part string) time.Time {
+	var last time.Time
 	for _, c := range q.crashes {
 		if c.has(part) {
-			n++
+			last = maxTime(last, c.at)
 		}
 	}
-	return n
-}
-
-// partEvidence is the evidence against one part.
-type partEvidence struct {
-	part string
-	// crashes are the times of the crashes, latest is the one added last.
-	crashes []time.Time
-	latest  crashID
-	// depth is the position of the part in its prompts. Of several parts that are
-	// always together, the last one is the most specific.
-	depth int
-	used  bool
-}
-
-// suffices reports whether the evidence puts the part into quarantine.
-func (p *partEvidence) suffices() bool {
-	if !p.used {
-		return len(p.crashes) >= minCrashes
-	}
-	if len(p.crashes) < minCrashesAfterUse {
-		return false
-	}
-	return slices.MaxFunc(p.crashes, time.Time.Compare).Sub(slices.MinFunc(p.crashes, time.Time.Compare)) >= minCrashSpan
+	return last
 }
 
-// stronger orders evidence: parts that were never used come first, then those with
-// more crashes, then the more specific ones.
-func (p *partEvidence) stronger(other *partEvidence) int {
-	if p.used != other.used {
-		if other.used {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Or(len(other.crashes)-len(p.crashes), other.depth-p.depth, strings.Compare(p.part, other.part))
-}
-
-// explainCrashes returns the parts that explain the crashes, and the parts of the
-// crashes that they don't explain.
-func (q *quarantineState) explainCrashes() (found []string, watched map[string]bool) {
-	left := maps.Clone(q.crashes)
-	for {
-		evidence := q.collectEvidence(left)
-		i := slices.IndexFunc(evidence, func(p *partEvidence) bool { return p.suffices() })
-		if i < 0 {
-			watched = make(map[string]bool, len(evidence))
-			for _, p := range evidence {
-				watched[p.part] = !p.used
-			}
-			return found, watched
-		}
-		part := evidence[i].part
-		found = append(found, part)
-		maps.DeleteFunc(left, func(_ crashID, c *crash) bool { return c.has(part) })
-	}
-}
-
-// collectEvidence returns the evidence of crashes against each part, the strongest
-// first.
-func (q *quarantineState) collectEvidence(crashes map[crashID]*crash) []*partEvidence {
-	byPart := map[string]*partEvidence{}
-	for _, id := range slices.SortedFunc(maps.Keys(crashes), crashID.compare) {
-		c := crashes[id]
-		for _, prompt := range c.prompts {
-			for depth, part := range prompt {
-				lastUse := q.lastUse(part)
-				if lastUse.After(c.at) {
-					continue
-				}
-				p := byPart[part]
-				if p == nil {
-					p = &partEvidence{part: part, used: !lastUse.IsZero()}
-					byPart[part] = p
-				}
-				p.depth = max(p.depth, depth)
-				if p.latest != id {
-					// Several prompts of a crash may have the part.
-					p.latest = id
-					p.crashes = append(p.crashes, c.at)
-				}
-			}
+func (q *quarantineState) countCrashes(part string) int {
+	n := 0
+	for _, c := range q.crashes {
+		if c.has(part) {
+			n++
 		}
 	}
-	return slices.SortedFunc(maps.Values(byPart), (*partEvidence).stronger)
+	return n
 }
 
 // quarantineRefusal returns the refusal of a request with a part in quarantine, or
@@ -481,216 +408,3 @@
 	}
 	return newRefusal(rpverdict.CodePromptQuarantined, detail, retryAfter)
 }
-
-// CrashReport is a crash that an instance has seen.
-type CrashReport struct {
-	_ struct{} `cbor:",toarray"`
-
-	Endpoint    rpcore.EndpointID
-	Incarnation rpcore.Incarnation
-	Age         time.Duration
-	// Prompts are the prompts of the streams that stopped at their start, without
-	// their last parts.
-	Prompts [][]string
-}
-
-// PartTime is a part of a prompt with a time: how long ago a request with it had its
-// first event, or how much longer it is in quarantine.
-type PartTime struct {
-	_ struct{} `cbor:",toarray"`
-
-	Part string
-	Time time.Duration
-}
-
-// CrashEvidence is what an instance knows of crashes and of the parts in question.
-type CrashEvidence struct {
-	_ struct{} `cbor:",toarray"`
-
-	Crashes []CrashReport
-	// Used is when requests of the instance with a part in question had a first
-	// event.
-	Used []PartTime
-	// Quarantined are the parts that the instance knows to be in quarantine. A new
-	// planner adopts them.
-	Quarantined []PartTime
-}
-
-// IsEmpty reports whether there is no evidence.
-func (v *CrashEvidence) IsEmpty() bool {
-	return len(v.Crashes) == 0 && len(v.Used) == 0 && len(v.Quarantined) == 0
-}
-
-// AddAge makes the evidence older by d.
-func (v *CrashEvidence) AddAge(d time.Duration) {
-	for i := range v.Crashes {
-		v.Crashes[i].Age += d
-	}
-	for i := range v.Used {
-		v.Used[i].Time += d
-	}
-	for i := range v.Quarantined {
-		v.Quarantined[i].Time -= d
-	}
-}
-
-// Quarantine is the planner's decision on parts of prompts.
-type Quarantine struct {
-	_ struct{} `cbor:",toarray"`
-
-	Quarantined []PartTime
-	// Watched are the parts that may have caused a crash, Unused those of them that
-	// no request is known to have had without a crash.
-	Watched []string
-	Unused  []string
-}
-
-func (q *quarantineState) describeParts(now time.Time) []PartTime {
-	var parts []PartTime
-	for _, part := range sortedKeys(q.parts) {
-		parts = append(parts, PartTime{Part: part, Time: q.parts[part].Sub(now)})
-	}
-	return parts
-}
-
-// ownEvidence returns what other instances need to know.
-func (s *State) ownEvidence() CrashEvidence {
-	q := &s.quarantine
-	evidence := CrashEvidence{Quarantined: q.describeParts(s.now)}
-	asked := map[string]bool{}
-	for part := range q.watched {
-		asked[part] = true
-	}
-	for part := range q.parts {
-		asked[part] = true
-	}
-	ids := newestCrashes(q.ownCrashes)
-	for _, id := range ids[:min(len(ids), maxReportedCrashes)] {
-		c := q.ownCrashes[id]
-		evidence.Crashes = append(evidence.Crashes, CrashReport{
-			Endpoint: id.endpoint, Incarnation: id.incarnation, Age: s.now.Sub(c.at), Prompts: c.prompts,
-		})
-		for _, prompt := range c.prompts {
-			for _, part := range prompt {
-				asked[part] = true
-			}
-		}
-	}
-	for _, part := range sortedKeys(asked) {
-		if at, ok := q.usedAt[part]; ok {
-			evidence.Used = append(evidence.Used, PartTime{Part: part, Time: s.now.Sub(at)})
-		}
-	}
-	return evidence
-}
-
-// poolEvidence adds the evidence of another instance.
-func (s *State) poolEvidence(evidence *CrashEvidence) {
-	if evidence.IsEmpty() {
-		return
-	}
-	q := &s.quarantine
-	changed := q.adoptParts(evidence.Quarantined, s.now)
-	for _, report := range evidence.Crashes {
-		for _, prompt := range report.Prompts {
-			if addCrash(q.crashes, crashID{report.Endpoint, report.Incarnation}, s.now.Add(-report.Age), reportedPrompt(prompt)) {
-				s.expireEvidenceLater()
-				changed = true
-			}
-		}
-	}
-	for _, used := range evidence.Used {
-		at := s.now.Add(-used.Time)
-		if !at.After(q.usedElsewhereAt[used.Part]) {
-			continue
-		}
-		q.usedElsewhereAt[used.Part] = at
-		_, watched := q.watched[used.Part]
-		_, quarantined := q.parts[used.Part]
-		changed = changed || watched || quarantined
-	}
-	if changed {
-		s.evaluateEvidence()
-	}
-}
-
-// adoptParts adds parts that another instance has in quarantine and that are not in
-// quarantine here. It reports whether it added one.
-func (q *quarantineState) adoptParts(parts []PartTime, now time.Time) bool {
-	added := false
-	for _, p := range parts {
-		if p.Time < minAdoptedTime || q.parts[p.Part].After(now) {
-			continue
-		}
-		q.parts[p.Part] = now.Add(min(p.Time, quarantineTime))
-		added = true
-	}
-	return added
-}
-
-// describeQuarantine returns the decision for the answer to a demand.
-func (s *State) describeQuarantine() Quarantine {
-	q := &s.quarantine
-	decision := Quarantine{Quarantined: q.describeParts(s.now)}
-	for _, part := range sortedKeys(q.watched) {
-		decision.Watched = append(decision.Watched, part)
-		if q.watched[part] {
-			decision.Unused = append(decision.Unused, part)
-		}
-	}
-	return decision
-}
-
-// applyQuarantine replaces what this instance knows by the planner's decision.
-func (s *State) applyQuarantine(decision *Quarantine) {
-	q := &s.quarantine
-	before := sortedKeys(q.parts)
-	clear(q.parts)
-	q.adoptParts(decision.Quarantined, s.now)
-	watched := make(map[string]bool, len(decision.Watched))
-	for _, part := range decision.Watched {
-		watched[part] = slices.Contains(decision.Unused, part)
-	}
-	s.setWatched(watched)
-	if after := sortedKeys(q.parts); !slices.Equal(before, after) {
-		s.note("requests", "the planner's quarantine of prompt parts changed", Field{"prompt_parts", strings.Join(after, ",")})
-		s.dispatchAll()
-	}
-}
-
-// postEvidence writes the evidence to the store if the planner does not answer.
-func (s *State) postEvidence() {
-	q := &s.quarantine
-	if !s.withoutPlanner() || s.now.Sub(q.postedAt) < postEvidenceInterval {
-		return
-	}
-	if !q.unposted && (len(q.ownCrashes) == 0 || s.now.Sub(q.postedAt) < repostEvidenceInterval) {
-		return
-	}
-	q.unposted, q.postedAt = false, s.now
-	s.emit(PostEvidence{Instance: s.self.Instance, Evidence: s.ownEvidence()})
-}
-
-const (
-	// postEvidenceInterval is the time between two writes of evidence to the store.
-	postEvidenceInterval = 100 * time.Millisecond
-	// repostEvidenceInterval is the time after which evidence is written again while
-	// the planner does not answer: the write before may have failed.
-	repostEvidenceInterval = 2 * time.Second
-)
-
-// handleEvidenceRead pools the evidence that instances wrote to the store because
-// the planner did not answer them.
-func (s *State) handleEvidenceRead(ev EvidenceRead) {
-	if !s.FollowsEvidence() {
-		return
-	}
-	added := s.quarantine.adoptParts(ev.Quarantined, s.now)
-	for i := range ev.Evidence {
-		s.poolEvidence(&ev.Evidence[i])
-	}
-	if added {
-		s.evaluateEvidence()
-		s.dispatchAll()
-	}
-}
