--- a/pkg/rpfleet/crash_causes.go
+++ b/pkg/rpfleet/crash_causes.go
@@ -91,3 +91,28 @@
 	}
 	return slices.SortedFunc(maps.Values(byPart), (*partEvidence).compare)
 }
+
+func (c *crash) has(part string) bool {
+	return slices.ContainsFunc(c.prompts, func(prompt []string) bool { return slices.Contains(prompt, part) })
+}
+
+// lastCrash returns the time of the last known crash with a part.
+func (q *quarantineState) lastCrash(part string) time.Time {
+	var last time.Time
+	for _, c := range q.crashes {
+		if c.has(part) {
+			last = maxTime(last, c.at)
+		}
+	}
+	return last
+}
+
+func (q *quarantineState) countCrashes(part string) int {
+	n := 0
+	for _, c := range q.crashes {
+		if c.has(part) {
+			n++
+		}
+	}
+	return n
+}
--- a/pkg/rpfleet/quarantine.go
+++ b/pkg/rpfleet/quarantine.go
@@ -358,31 +358,6 @@
 	maps.DeleteFunc(q.unusedWhenFound, func(part string, _ bool) bool { return q.parts[part].IsZero() })
 }
 
-func (c *crash) has(part string) bool {
-	return slices.ContainsFunc(c.prompts, func(prompt []string) bool { return slices.Contains(prompt, part) })
-}
-
-// lastCrash returns the time of the last known crash with a part.
-func (q *quarantineState) lastCrash(part string) time.Time {
-	var last time.Time
-	for _, c := range q.crashes {
-		if c.has(part) {
-			last = maxTime(last, c.at)
-		}
-	}
-	return last
-}
-
-func (q *quarantineState) countCrashes(part string) int {
-	n := 0
-	for _, c := range q.crashes {
-		if c.has(part) {
-			n++
-		}
-	}
-	return n
-}
-
 // quarantineRefusal returns the refusal of a request with a part in quarantine, or
 // nil. Without the planner's knowledge, a part that one engine crashed on counts
 // too.
