--- a/pkg/rpfleet/silence_move_test.go
+++ b/pkg/rpfleet/silence_move_test.go
@@ -133,3 +133,32 @@
 		})
 	}
 }
+
+// Guards against requests that keep going to an engine that hangs: while the retry
+// budget is used up, its attempts stay, so none of them ends as a failure.
+func TestSilentEngineIsEjectedWithoutRetryBudget(t *testing.T) {
+	g := NewWithT(t)
+	h := withHarness(t)
+	h.configure(testEndpoint("e1", testService, homeDomain, "m0"))
+	var silent []rpfleet.StartAttempt
+	for i := range 2 {
+		id := fmt.Sprintf("silent-%d", i)
+		h.arriveRequest(id, "/suggest/1", "m0")
+		silent = append(silent, h.lastAttempt(id))
+	}
+	h.apply(rpfleet.EndpointsRead{Stamp: h.stamp(), Entries: []rpfleet.Endpoint{testEndpoint("e2", testService, homeDomain, "m0")}})
+	for i := range 5 {
+		h.startStream(fmt.Sprintf("other-%d", i), "/suggest/1")
+	}
+	h.useUpRetryBudget()
+	h.discardEffects()
+	for range 3 {
+		for _, attempt := range silent {
+			h.stall(attempt)
+		}
+	}
+	g.Expect(effectsOf[rpfleet.CancelAttempt](h)).To(BeEmpty())
+	h.arriveRequest("next", "/suggest/1", "m0")
+	g.Expect(h.lastAttempt("next").Endpoint).To(Equal(rpcore.EndpointID("e2")))
+	g.Expect(notesOf(h, "an endpoint was ejected after failures")).To(HaveLen(1))
+}
