Record the silence of an endpoint without a first byte as its failure

While the retry budget was used up, attempts at a hanging engine stayed and ended only at their deadline, so requests kept going to it (TestSilentEngineIsEjectedWithoutRetryBudget: no ejection).

--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -32,7 +32,7 @@
 	r.endpoint = e
 	r.sentAt = s.now
 	r.attemptID = rpcore.AttemptID(fmt.Sprintf("%s#%d", r.ID, r.attemptCount))
-	r.retryReserved, r.stayNoted = false, false
+	r.retryReserved, r.stayNoted, r.silenceRecorded = false, false, false
 	e.inFlight++
 	r.pendingPrefill = r.prefillTokens()
 	e.pendingPrefill += r.pendingPrefill
@@ -172,7 +172,7 @@
 		s.serviceStats(r.service).recordOutcome(true)
 		s.recordEndpointFailure(e, false, ev.Detail)
 	case rpcore.AttemptTimedOut:
-		if !r.responseStarted {
+		if !r.responseStarted && !r.silenceRecorded {
 			s.serviceStats(r.service).recordOutcome(true)
 			s.recordEndpointFailure(e, false, "no answer in time")
 		}
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -52,6 +52,9 @@
 	// at its silent endpoint.
 	retryReserved bool
 	stayNoted     bool
+	// silenceRecorded says that the silence of the running attempt was recorded as a
+	// failure of its endpoint.
+	silenceRecorded bool
 	// leftSilent says that the request left a silent endpoint, and awaitsBudget
 	// that it waits until the retry budget allows another attempt.
 	leftSilent, awaitsBudget bool
--- a/pkg/rpfleet/silence.go
+++ b/pkg/rpfleet/silence.go
@@ -68,6 +68,9 @@
 		return
 	}
 	if reason := s.stayReason(r); reason != "" {
+		if reason == budgetUsedUpDetail {
+			s.recordSilence(r)
+		}
 		s.noteStay(r, reason)
 		return
 	}
@@ -80,6 +83,18 @@
 	s.emit(CancelAttempt{Request: r.ID, Attempt: r.attemptID})
 }
 
+// recordSilence records the silence of an endpoint without a first byte as a failure,
+// once for each attempt, so that other requests avoid it. The last endpoint of a
+// service is not ejected for it.
+func (s *State) recordSilence(r *request) {
+	if r.silenceRecorded || r.responseStarted || !s.hasOtherEndpoint(r, r.endpoint, true) {
+		return
+	}
+	r.silenceRecorded = true
+	s.serviceStats(r.service).recordOutcome(true)
+	s.recordEndpointFailure(r.endpoint, false, "no answer in time")
+}
+
 // stayReason returns why a request must stay at its silent endpoint, or "".
 func (s *State) stayReason(r *request) string {
 	switch {
