--- a/internal/rpendpoint/conn_test.go
+++ b/internal/rpendpoint/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"testing"
@@ -87,3 +88,22 @@
 func TestTransportUsesNoProxy(t *testing.T) {
 	NewWithT(t).Expect(newTransport(Limits{}.withDefaults(), true, nil).Proxy).To(BeNil())
 }
+
+// Guards against a connection that is closed under a request: the transport takes an
+// idle connection just as it is retired, and the request may have run.
+func TestRetiredConnectionTakesNoRequest(t *testing.T) {
+	g := NewWithT(t)
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	conn := &trackedConn{Conn: near}
+	conn.setIdle(conn.startRequest(nil))
+	// onClose runs between the decision to close and the close.
+	conn.onClose = func() {
+		conn.startRequest(nil)
+		_, err := conn.Write([]byte("POST"))
+		g.Expect(err).To(MatchError(errWriteBlocked))
+	}
+	conn.retire()
+	g.Expect(conn.hasWritten()).To(BeFalse())
+}
