Block writes to a kept connection before it is closed

A kept connection is closed when its endpoint leaves. The transport could give it to a request between the check that it is idle and the close, so the request broke off with the verdict may_have_run. It now fails before its first byte and is sent on another connection.

--- a/internal/rpendpoint/conn.go
+++ b/internal/rpendpoint/conn.go
@@ -85,6 +85,7 @@
 	}
 	c.idle = true
 	retired := c.retired
+	c.blocked = c.blocked || retired
 	c.mu.Unlock()
 	if retired {
 		_ = c.Close()
@@ -97,6 +98,8 @@
 	c.mu.Lock()
 	c.retired = true
 	idle := c.idle
+	// The transport may take the connection before it is closed.
+	c.blocked = c.blocked || idle
 	c.mu.Unlock()
 	if idle {
 		_ = c.Close()
