Receive SIGHUP before the instance listens

A SIGHUP between the start of the process and the first read of its channel, after the listeners had opened, ended the process with the requests that it had. Found by reading; TestHangupDuringStart, without the early call, ends with 'signal: hangup'.

--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -138,6 +138,9 @@
 	forwarder     *rpendpoint.Forwarder
 	// configReads requests an immediate read of the configuration.
 	configReads chan struct{}
+	// hangups receives SIGHUP from the start on: without a receiver, the signal ends
+	// the process.
+	hangups chan os.Signal
 	// ready is the readiness reported to the balancer.
 	ready atomic.Bool
 	// policy is the policy in force. Only startReducer and watchSettings use it.
@@ -157,7 +160,9 @@
 		failed:   make(chan error, 1),
 
 		configReads: make(chan struct{}, 1),
+		hangups:     make(chan os.Signal, 1),
 	}
+	signal.Notify(c.hangups, syscall.SIGHUP)
 	c.loop = &loop{clock: c.clock, execute: c.executeEffect}
 	c.forwarder = &rpendpoint.Forwarder{
 		Limits: endpointLimits, SetHeaders: rpwire.SetAttemptHeaders, ReadHead: rpwire.ReadResponseHead,
@@ -379,9 +384,7 @@
 
 // watchSettings reloads the settings on SIGHUP and when the file changes.
 func (c *components) watchSettings(ctx context.Context) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+	defer signal.Stop(c.hangups)
 	ticker := time.NewTicker(settingsCheckInterval)
 	defer ticker.Stop()
 	last := c.statSettings()
@@ -389,7 +392,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangup:
+		case <-c.hangups:
 			last = c.statSettings()
 			c.reloadSettings("signal")
 		case <-ticker.C:
