--- a/pkg/rpfleet/quarantine.go
+++ b/pkg/rpfleet/quarantine.go
@@ -133,7 +133,7 @@
 // recordPartsUsed records that a request had its first event.
 func (s *State) recordPartsUsed(r *request) {
 	q := &s.quarantine
-	for _, part := range r.sharedParts() {
+	for _, part := range reportedPrompt(r.sharedParts()) {
 		q.usedAt[part] = s.now
 		if _, ok := q.watched[part]; ok {
 			s.evaluateOwnEvidence()
@@ -161,7 +161,7 @@
 	check := crashCheck{crashID: crashID{e.ID, e.Incarnation}, request: r, at: s.now}
 	s.quarantine.checks = append(s.quarantine.checks, check)
 	s.note("members", "a stream stopped between its head and its first event", Field{"request_id", string(r.ID)},
-		Field{"endpoint", string(e.ID)}, Field{"prompt_parts", strings.Join(r.sharedParts(), ",")})
+		Field{"endpoint", string(e.ID)}, Field{"prompt_parts", strings.Join(reportedPrompt(r.sharedParts()), ",")})
 	s.emit(CheckEngine{Endpoint: e.ID, Incarnation: e.Incarnation, Address: e.Address})
 	return true
 }
@@ -223,7 +223,8 @@
 	s.postEvidence()
 }
 
-// reportedPrompt returns the parts of a prompt that are reported.
+// reportedPrompt returns the parts of a prompt that are reported, remembered and
+// logged. Callers choose their names and number.
 func reportedPrompt(parts []string) []string {
 	parts = slices.DeleteFunc(slices.Clone(parts), func(part string) bool { return len(part) > maxPartBytes })
 	return parts[max(0, len(parts)-maxCrashParts):]
--- a/pkg/rpfleet/quarantine_test.go
+++ b/pkg/rpfleet/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -309,3 +310,23 @@
 	}
 	g.Expect(h.isQuarantined("a", "deadly")).To(BeTrue())
 }
+
+// Guards against a caller that fills the memory and the log with the names of parts.
+func TestLongPartsAreNotKept(t *testing.T) {
+	g := NewWithT(t)
+	h := withCrashPlanner(t)
+	h.discardEffects()
+	long := strings.Repeat("x", 10_000)
+	h.complete("a", long, "short")
+	h.crashOn("b", long, "short")
+	logged := 0
+	for _, note := range effectsOf[rpfleet.Note](h) {
+		for _, field := range note.Fields {
+			if field.Name == "prompt_parts" {
+				logged++
+				g.Expect(field.Value).To(Equal("short"))
+			}
+		}
+	}
+	g.Expect(logged).To(BeNumerically(">=", 3))
+}
