--- a/review/drill/path.go
+++ b/review/drill/path.go
@@ -17,16 +17,17 @@
 	if err := d.putConfig(1, []route{{"/", "non_idempotent", "orders", 1, false, 100, 2000}}, nil, "orders"); err != nil {
 		return false, err
 	}
-	target := "//place/2f?n=1"
+	path, query := "//place/2f", "n=1"
 	if !d.trouble {
-		target = "/place//2f?n=1"
+		path = "/place//2f"
 	}
+	target := path + "?" + query
 	var mu sync.Mutex
 	ran, changed := 0, 0
 	e := &engine{drill: d, id: "e1", service: "orders", answer: func(w http.ResponseWriter, r *http.Request, _ []byte) {
 		mu.Lock()
 		ran++
-		if r.RequestURI != target {
+		if r.URL.Path != path || r.URL.RawQuery != query {
 			changed++
 			d.notef("UNASKED: the client sent %s %s, the engine runs %s %s: path %s of host %s", r.Method, target, r.Method, r.RequestURI, r.URL.Path, r.Host)
 		}
