--- a/review/drill/handover.go
+++ b/review/drill/handover.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -12,27 +13,40 @@
 
 func init() { cases["handover"] = playHandover }
 
-// callerInterval is the time between two requests of the clients.
-const callerInterval = 60 * time.Millisecond
+const (
+	// callerInterval is the time between two requests of the clients.
+	callerInterval = 30 * time.Millisecond
+	// handoverEngines is the number of engines: one of them is a share of 0.2. Each
+	// holds one model at a time, so that the models take turns.
+	handoverEngines = 5
+	handoverModels  = 12
+)
 
-// playHandover cuts an engine off from the store until its entry is removed. The entry
+// playHandover cuts one engine of five off from the store until its entry is removed. The entry
 // is back a second later. Between the two, the planner gets SIGTERM. The engine takes
 // orders all the while. Without trouble, the engine is not cut off.
 func playHandover(d *drill) (bool, error) {
-	models := []string{"m0", "m1", "m2"}
+	var models []string
+	for i := range handoverModels {
+		models = append(models, fmt.Sprintf("m%d", i))
+	}
 	if err := d.putConfig(1, []route{{"/tips/", "stream", "engines", 2, true, 500, 8000}}, models); err != nil {
 		return false, err
 	}
-	e := &engine{
-		drill: d, id: "e1", service: "engines", models: []string{"m0"}, onDisk: models, loadTime: 300 * time.Millisecond,
-		answer: func(w http.ResponseWriter, r *http.Request, _ []byte) {
-			w.Header().Set("Content-Type", "text/event-stream")
-			writeEvents(w, r, 1, 3, 10*time.Millisecond)
-		},
-	}
-	if err := e.start(); err != nil {
-		return false, err
+	engines := make([]*engine, handoverEngines)
+	for i := range engines {
+		engines[i] = &engine{
+			drill: d, id: fmt.Sprintf("e%d", i+1), service: "engines", models: []string{models[i]}, onDisk: slices.Clone(models), loadTime: 300 * time.Millisecond,
+			answer: func(w http.ResponseWriter, r *http.Request, _ []byte) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				writeEvents(w, r, 1, 3, 10*time.Millisecond)
+			},
+		}
+		if err := engines[i].start(); err != nil {
+			return false, err
+		}
 	}
+	e := engines[0]
 	var fronts [2]*gateway
 	for i := range fronts {
 		g, err := d.startGateway(fmt.Sprintf("front-%d", i+1))
@@ -73,7 +87,11 @@
 	}
 	time.Sleep(6 * time.Second)
 	stop()
-	return e.checkTurns(), nil
+	broken := false
+	for _, checked := range engines {
+		broken = checked.checkTurns() || broken
+	}
+	return broken, nil
 }
 
 // sendModelRequests sends requests for the models in turn until the returned function
@@ -127,7 +145,7 @@
 			continue
 		}
 		gap := order.at.Sub(before.at)
-		e.drill.notef("holder %s, token %d, follows holder %s, token %d, after %d ms", order.holder, order.fence, before.holder, before.fence, gap.Milliseconds())
+		e.drill.notef("engine %s: holder %s, token %d, follows holder %s, token %d, after %d ms", e.id, order.holder, order.fence, before.holder, before.fence, gap.Milliseconds())
 		broken = broken || gap < leaseGap
 	}
 	return broken
