Refuse requests that return to the queue late in a planned stop

Cause: refuseWaitingRequests refused what was in the queues when DrainTimeoutNear came, once. A request that was running then and came back (busy, not loaded, no connection, leaving) waited as if the instance went on, until the end of the stop closed all connections. The same holds for a request whose body arrives after that moment.

Change: from DrainTimeoutNear on, the queues are emptied after each event. The check is at the one place that all ways into a queue pass, so no way is left out.

--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -315,7 +315,7 @@
 }
 
 // DrainTimeoutNear says that a planned stop is about to end. All waiting
-// requests are refused.
+// requests are refused, and so are later ones that would have to wait.
 type DrainTimeoutNear struct {
 	Stamp
 }
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -385,20 +385,6 @@
 	s.finishRequest(r)
 }
 
-// refuseWaitingRequests refuses all requests in the queues when a planned stop has
-// no time left.
-func (s *State) refuseWaitingRequests() {
-	for _, service := range sortedKeys(s.queues) {
-		for _, r := range slices.Clone(s.queues[service]) {
-			code := rpverdict.CodeDraining
-			if r.possibleRuns > 0 {
-				code = s.brokenCode(r)
-			}
-			s.refuseRequest(r, s.unansweredRefusal(r, code, "This instance is stopping."))
-		}
-	}
-}
-
 // dispatchAndSchedulePlan starts waiting requests and plans again after a change of the
 // endpoints.
 func (s *State) dispatchAndSchedulePlan() {
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -81,10 +81,13 @@
 	effects []Effect
 	alarms  rpreducer.Alarms[State]
 	// ready and readyReason are the values last reported to the balancer.
-	ready           bool
-	readyReason     string
-	draining        bool
-	lastOrderNumber uint64
+	ready       bool
+	readyReason string
+	draining    bool
+	// drainTimeoutNear says that a planned stop has no time left for requests to
+	// wait in a queue.
+	drainTimeoutNear bool
+	lastOrderNumber  uint64
 
 	config   *Config
 	configAt time.Time
@@ -133,6 +136,9 @@
 	}
 	s.handleEvent(ev)
 	s.alarms.Fire(s.now, s)
+	if s.drainTimeoutNear {
+		s.refuseWaitingRequests()
+	}
 	s.announceNextAlarm()
 	return s.effects
 }
@@ -186,7 +192,7 @@
 	case DrainRequested:
 		s.handleDrainRequested()
 	case DrainTimeoutNear:
-		s.refuseWaitingRequests()
+		s.drainTimeoutNear = true
 	}
 }
 
@@ -245,12 +251,6 @@
 	s.emit(ReportReady{Ready: ready, Reason: reason})
 }
 
-func (s *State) handleDrainRequested() {
-	s.draining = true
-	s.updateReadiness()
-	s.releaseLease()
-}
-
 func (s *State) emit(effect Effect) { s.effects = append(s.effects, effect) }
 
 func (s *State) note(part, text string, fields ...Field) {
