Append only events to a stream that has begun

The response ended as a complete 200 with a part of the stream missing.

Cause: relayBuffered told a stream that this gateway resumes from one that the caller resumes by the version of weights, which only model engines name. For other services every failure that the route allows no further run for was relayed; sendHeader does nothing once the header is out, so that only the body arrived. By the same gap, 2xx responses without events (204, an empty 200, a page) ended a stream as complete, with a version too.

Change: the reducer says in the command whether a part of the response has reached the caller. If so, the forwarder accepts a 200 with events only; all else ends the attempt as failed, and the request is resumed elsewhere or its connection is broken off.

--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -275,6 +275,8 @@
 		r.setResult(rpcore.AttemptFailed, rpverdict.MayHaveRun, detail)
 	case resp.Header.Get("Content-Encoding") != "":
 		r.setResult(rpcore.AttemptBroken, rpverdict.MayHaveRun, errContentEncoding.Error())
+	case r.request.Command.ResponseStarted && !continuesStream(resp):
+		r.setResult(rpcore.AttemptFailed, rpverdict.MayHaveRun, "the endpoint did not resume the stream: "+detail)
 	case resp.StatusCode >= 500 && r.request.Command.RetryFailure:
 		r.setResult(rpcore.AttemptFailed, rpverdict.MayHaveRun, detail)
 	case success && r.request.Command.Kind == rpfleet.KindStream:
@@ -285,6 +287,13 @@
 	}
 }
 
+// continuesStream reports whether a response consists of events, which may follow those
+// that the caller already has. Any other response would end the stream as if it were
+// complete.
+func continuesStream(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusOK && mediaType(resp.Header) == typeEventStream
+}
+
 // isForThisRequest reports whether a response answers this request. An endpoint may
 // send a second copy of its last response late, so that it arrives on a kept
 // connection after the next request was written. On such a connection, a response
@@ -322,10 +331,6 @@
 		r.setFailure(ctx, rpcore.AttemptBroken, rpverdict.MayHaveRun, err)
 		return
 	}
-	if r.ended.LastEvent != "" || r.request.Command.ResumeAfter != "" && r.request.Command.Version != "" {
-		r.setResult(rpcore.AttemptFailed, rpverdict.MayHaveRun, fmt.Sprintf("the endpoint did not resume the stream: status %d", resp.StatusCode))
-		return
-	}
 	r.silence.reset(0)
 	if err == nil && errors.Is(context.Cause(ctx), ErrEndpointSilent) {
 		// The rest could not be read, and a response that has started can't be
--- /dev/null
+++ b/internal/rpendpoint/resume_test.go
@@ -0,0 +1,98 @@
+package rpendpoint
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
+)
+
+// Guards against a response that is appended to a stream which has begun in an earlier
+// attempt although it does not continue the stream: an error page of the next engine
+// ended the stream as a complete success.
+func TestOnlyEventsContinueStream(t *testing.T) {
+	for _, c := range []struct {
+		name, contentType, body string
+		status                  int
+	}{
+		{"error page", "application/json", `{"error":"out of memory"}`, http.StatusInternalServerError},
+		{"error page with events", "text/event-stream", "data: error\n\n", http.StatusInternalServerError},
+		{"not found", "text/plain", "no such stream", http.StatusNotFound},
+		{"redirect", "text/plain", "", http.StatusSeeOther},
+		{"no content", "", "", http.StatusNoContent},
+		{"empty page", "text/plain", "", http.StatusOK},
+		{"page", "text/html", "<p>\n\n</p>\n\n", http.StatusOK},
+	} {
+		for _, version := range []string{"", "1"} {
+			t.Run(fmt.Sprintf("%s, version %q", c.name, version), func(t *testing.T) {
+				g := NewWithT(t)
+				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					w.Header().Set("Content-Type", c.contentType)
+					w.WriteHeader(c.status)
+					_, _ = io.WriteString(w, c.body)
+				}))
+				t.Cleanup(server.Close)
+				relayed := 0
+				ended, _ := withForwarder(t).Run(t.Context(), ForwardRequest{
+					Method: http.MethodPost, Target: "/", Header: http.Header{},
+					Command: rpfleet.StartAttempt{
+						Request: "r", Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Kind: rpfleet.KindStream,
+						Repeatable: true, Deadline: time.Now().Add(time.Minute), ResumeAfter: "5", Version: version, ResponseStarted: true,
+					},
+				}, Relay{
+					SendHeader: func(int, http.Header) error { return nil },
+					Write: func(p []byte) error {
+						relayed += len(p)
+						return nil
+					},
+					OnFirstWrite: func() {},
+				})
+				g.Expect(relayed).To(BeZero())
+				g.Expect(ended.Reason).To(Equal(rpcore.AttemptFailed), ended.Detail)
+				g.Expect(ended.Verdict).To(Equal(rpverdict.MayHaveRun))
+			})
+		}
+	}
+}
+
+// Guards against a failure that is withheld from a caller who resumes a stream: nothing
+// of this response has reached the caller yet.
+func TestFailureOfCallerResumedStreamIsRelayed(t *testing.T) {
+	g := NewWithT(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "out of memory", http.StatusInternalServerError)
+	}))
+	t.Cleanup(server.Close)
+	status, body := 0, strings.Builder{}
+	ended, _ := withForwarder(t).Run(context.Background(), ForwardRequest{
+		Method: http.MethodPost, Target: "/", Header: http.Header{},
+		Command: rpfleet.StartAttempt{
+			Request: "r", Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Kind: rpfleet.KindStream,
+			Repeatable: true, Deadline: time.Now().Add(time.Minute), ResumeAfter: "5", Version: "1",
+		},
+	}, Relay{
+		SendHeader: func(code int, _ http.Header) error {
+			status = code
+			return nil
+		},
+		Write: func(p []byte) error {
+			_, err := body.Write(p)
+			return err
+		},
+		OnFirstWrite: func() {},
+	})
+	g.Expect(ended.Reason).To(Equal(rpcore.AttemptComplete), ended.Detail)
+	g.Expect(status).To(Equal(http.StatusInternalServerError))
+	g.Expect(body.String()).To(Equal("out of memory\n"))
+}
--- a/internal/rpgateway/gateway_test.go
+++ b/internal/rpgateway/gateway_test.go
@@ -146,6 +146,33 @@
 	g.Expect(engines[1].Runs("r1")).To(Equal(1))
 }
 
+// Guards against an error page of one engine that is appended to the stream of another
+// one, which has crashed: the caller took the stream for complete.
+func TestErrorPageDoesNotEndResumedStream(t *testing.T) {
+	g := NewWithT(t)
+	p := withPlatform(t)
+	p.writeConfig(2, rpfake.Route{
+		Name: "tips", Kind: "stream", Service: plainService, MaxAttempts: 2, Resumable: true, TargetMs: 500, TimeoutMs: 8000,
+	})
+	var runs atomic.Int32
+	for _, id := range []string{"s1", "s2"} {
+		// Engines of a plain service name no version of weights.
+		e := p.startEndpoint(&rpfake.Endpoint{ID: id, Service: plainService, Models: []string{"m0"}, Events: 12})
+		e.Fault = func(*http.Request) rpfake.EndpointFault {
+			if runs.Add(1) == 1 {
+				return rpfake.EndpointFault{TruncateAfter: 5}
+			}
+			return rpfake.EndpointFault{Status: http.StatusInternalServerError}
+		}
+	}
+	gw := p.startGateway("front-1")
+	got := gw.send(rpfake.CallerRequest{ID: "r1", Path: "/tips/1", Model: "m0"})
+	g.Expect(runs.Load()).To(Equal(int32(2)))
+	g.Expect(got.Status).To(Equal(http.StatusOK))
+	g.Expect(got.EventIDs()).To(Equal(eventIDsUpTo(5)))
+	g.Expect(got.Complete).To(BeFalse())
+}
+
 // Guards against a truncated stream that looks complete to its caller.
 func TestTruncatedStreamIsNotComplete(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/rpfleet/effect.go
+++ b/pkg/rpfleet/effect.go
@@ -39,6 +39,9 @@
 	Repeatable bool
 	// ResumeAfter is the id of the last event that the caller has, or "".
 	ResumeAfter string
+	// ResponseStarted says that a part of the response of an earlier attempt reached
+	// the caller. Only further events of the same stream may follow it.
+	ResponseStarted bool
 	// Version is the version of the weights that a resumed stream needs, or "".
 	Version string
 	// Deadline is when the response must be complete.
