Read the list once after a gap in the planner's news

Cause: an instance follows the list through the planner's answers and reads it itself once a minute. A planner names the removals that it has seen. One that has just started never saw the entry, so it names no removal, and its fresh answers kept the others from reading the list. The same gap opens while a planner that knew the list is out of contact: it passes changes on for 20 s only, and nothing said that some were missed.

The four cases of TestPlannerReplacesReadsOnlyWithoutGap failed before.

Change: the planner's answers replace own reads only after the instance has read the list once itself, by a call that began after the first answer of a new epoch, or after the first one behind a gap. By then the planner has read the list, so every entry of that read is one that it knows and will see removed. Nothing changes on the wire; the price is one read for each instance and gap.

--- a/internal/rpgateway/follower.go
+++ b/internal/rpgateway/follower.go
@@ -53,8 +53,10 @@
 	onOutage func()
 	log      zerolog.Logger
 
-	revision       uint64
-	synced         bool
+	revision uint64
+	synced   bool
+	// calledAt is when the last call began, by the clock of the loop.
+	calledAt       time.Time
 	lastReadAt     time.Time
 	failingSince   time.Time
 	outageReported bool
@@ -136,6 +138,7 @@
 // poll makes one call, for the whole table or for its changes, and applies the
 // rows.
 func (f *follower) poll(ctx context.Context) error {
+	f.calledAt = f.loop.clock.Now()
 	if f.snapshotAfter > 0 && time.Since(f.lastReadAt) > f.snapshotAfter {
 		f.synced = false
 	}
--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -347,21 +347,22 @@
 
 func (c *components) endpointFollower() *follower {
 	log := c.instance.Log.Part("members")
-	return &follower{
+	f := &follower{
 		store: c.store, table: rpwire.TableEndpoints, loop: c.loop, log: log,
 		pollWait:      c.loop.listWait,
 		minInterval:   c.loop.listInterval,
 		onOutage:      func() { c.loop.apply(rpfleet.StoreLost{Stamp: c.loop.stamp()}) },
 		snapshotAfter: endpointSnapshotAfter,
-		apply: func(rows []rpwire.Row, asOf uint64, complete bool) {
-			event := rpfleet.EndpointsRead{Complete: complete, AsOf: asOf}
-			for _, row := range rows {
-				addEndpointRow(&event, row, log)
-			}
-			event.Stamp = c.loop.stamp()
-			c.loop.apply(event)
-		},
 	}
+	f.apply = func(rows []rpwire.Row, asOf uint64, complete bool) {
+		event := rpfleet.EndpointsRead{AskedAt: f.calledAt, Complete: complete, AsOf: asOf}
+		for _, row := range rows {
+			addEndpointRow(&event, row, log)
+		}
+		event.Stamp = c.loop.stamp()
+		c.loop.apply(event)
+	}
+	return f
 }
 
 // addEndpointRow adds a row of the endpoint list to the event. Other programs also
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -335,8 +335,9 @@
 	p := &ev.Placement
 	s.updateInstanceCount(p.Instances)
 	s.demand.placementAsOf = ev.AskedAt
+	newPlanner := p.Epoch != s.demand.seenEpoch
 	s.demand.seenEpoch, s.demand.seenChange, s.demand.seenListChange = p.Epoch, p.Change, p.List.Change
-	s.applyListChanges(&p.List, ev.AskedAt)
+	s.applyListChanges(&p.List, ev.AskedAt, newPlanner)
 	s.checkConfigVersion(p.ConfigVersion, ev.AskedAt)
 	s.applyWeightLimit(p.WeightLimit)
 	if p.CheckStore {
--- a/pkg/rpfleet/endpoint.go
+++ b/pkg/rpfleet/endpoint.go
@@ -104,6 +104,7 @@
 	}
 	s.endpointsKnown = true
 	s.listReadAt = s.now
+	s.listChanges.ownReadBeganAt = ev.AskedAt
 	for i := range ev.Entries {
 		s.updateEndpoint(ev.Entries[i])
 	}
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -59,6 +59,8 @@
 // EndpointsRead carries entries of the platform's list of endpoints.
 type EndpointsRead struct {
 	Stamp
+	// AskedAt is when the call to the store began.
+	AskedAt time.Time
 	// Complete says that Entries is the whole list, so endpoints that it lacks
 	// are removed.
 	Complete bool
--- a/pkg/rpfleet/freshness.go
+++ b/pkg/rpfleet/freshness.go
@@ -8,7 +8,8 @@
 // file divide the bounds among the steps from a change to its effect here:
 //
 //   - While the planner answers, it names what is new, and its answers may be
-//     plannerAgeShare old. A change takes that long at most.
+//     plannerAgeShare old. A change takes that long at most. After a new planner's
+//     first answer, the instance reads the list once itself.
 //   - Without the planner, the instance asks the store itself, at once and then
 //     every readIntervalShare.
 //   - While the store can't be reached, a call is given up after callTimeoutShare
@@ -63,12 +64,19 @@
 // shorterBound returns the bound that applies to calls for either table.
 func (s *State) shorterBound() time.Duration { return min(s.policy.LeavingBound, s.policy.ConfigBound) }
 
-// plannerListFresh reports whether the planner's list changes are recent enough
-// to replace reads by this instance.
-func (s *State) plannerListFresh() bool {
+// plannerListRecent reports whether the planner's last answer is recent.
+func (s *State) plannerListRecent() bool {
 	return s.now.Sub(s.listChanges.plannerListAsOf) < shareOf(s.policy.LeavingBound, plannerAgeShare)
 }
 
+// plannerListFresh reports whether the planner's list changes replace reads by this
+// instance. The planner can't name a removal that it has not seen, from before it read
+// the list for the first time or while it was out of contact. So the instance first
+// reads the list once itself, after the first answer behind such a gap.
+func (s *State) plannerListFresh() bool {
+	return s.plannerListRecent() && !s.listChanges.ownReadBeganAt.Before(s.listChanges.followedSince)
+}
+
 // ListInterval returns the time between two reads of the list. It is long for
 // an instance that gets the changes from the planner.
 func (s *State) ListInterval() time.Duration {
--- a/pkg/rpfleet/harness_test.go
+++ b/pkg/rpfleet/harness_test.go
@@ -143,7 +143,7 @@
 // configure puts testConfig and a list of endpoints in force.
 func (h *harness) configure(endpoints ...rpfleet.Endpoint) {
 	h.apply(rpfleet.ConfigRead{Stamp: h.stamp(), Config: testConfig(1)})
-	h.apply(rpfleet.EndpointsRead{Stamp: h.stamp(), Complete: true, Entries: endpoints})
+	h.apply(rpfleet.EndpointsRead{Stamp: h.stamp(), AskedAt: h.now, Complete: true, Entries: endpoints})
 	// Without a placement of a planner, an instance assumes that it shares the
 	// slack of the retry budget with many others.
 	h.apply(rpfleet.PlacementReceived{Stamp: h.stamp(), AskedAt: h.now, Placement: rpfleet.Placement{IsPlanner: true, Instances: 3}})
--- a/pkg/rpfleet/list_changes.go
+++ b/pkg/rpfleet/list_changes.go
@@ -20,6 +20,10 @@
 	// plannerListAsOf is the time up to which the planner has reported all
 	// changes.
 	plannerListAsOf time.Time
+	// followedSince is when the planner's answers began to follow each other without
+	// a gap. ownReadBeganAt is when the last read by this instance began.
+	followedSince  time.Time
+	ownReadBeganAt time.Time
 }
 
 // listRemoval is a removed entry with the number and time of the change.
@@ -95,8 +99,12 @@
 	return changes
 }
 
-// applyListChanges applies the changes that the planner read.
-func (s *State) applyListChanges(changes *ListChanges, askedAt time.Time) {
+// applyListChanges applies the changes that the planner read. newPlanner says that the
+// answer before came from another planner, or from an earlier process of this one.
+func (s *State) applyListChanges(changes *ListChanges, askedAt time.Time, newPlanner bool) {
+	if newPlanner || !s.plannerListRecent() {
+		s.listChanges.followedSince = s.now
+	}
 	for i := range changes.Entries {
 		entry := changes.Entries[i]
 		if known := s.endpoints[entry.ID]; known != nil {
--- a/pkg/rpfleet/list_changes_test.go
+++ b/pkg/rpfleet/list_changes_test.go
@@ -83,3 +83,78 @@
 	g.Expect(effectsOf[rpfleet.StartAttempt](h)).To(HaveLen(1))
 	g.Expect(effectsOf[rpfleet.StartAttempt](h)[0].Endpoint).To(Equal(entry.ID))
 }
+
+// placementOf applies an answer of the planner of an epoch, with changes of the list that
+// it read the given time ago.
+func (h *harness) placementOf(epoch uint64, age time.Duration) {
+	h.apply(rpfleet.PlacementReceived{Stamp: h.stamp(), AskedAt: h.now, Placement: rpfleet.Placement{
+		IsPlanner: true, Instances: 3, Epoch: epoch, List: rpfleet.ListChanges{Age: age},
+	}})
+}
+
+// readList applies a read of the list that began the given time ago.
+func (h *harness) readList(age time.Duration, removed ...rpfleet.RemovedEntry) {
+	h.apply(rpfleet.EndpointsRead{Stamp: h.stamp(), AskedAt: h.now.Add(-age), Removed: removed})
+}
+
+// Guards against requests to an endpoint that has left because a new planner, or one
+// that was out of contact, can't name the removal of an entry that it has never seen.
+// Its answers kept the instance from reading the list itself.
+func TestPlannerReplacesReadsOnlyWithoutGap(t *testing.T) {
+	const step, latency = 100 * time.Millisecond, 20 * time.Millisecond
+	setup := func(t *testing.T) (*WithT, *harness, func() bool) {
+		h := withHarness(t)
+		h.configure(plainEndpoints()...)
+		readsList := func() bool { return h.state.ListInterval() < rpfleet.DefaultLeavingBound }
+		h.placementOf(1, 0)
+		h.advance(step)
+		h.readList(latency)
+		g := NewWithT(t)
+		g.Expect(readsList()).To(BeFalse())
+		return g, h, readsList
+	}
+	t.Run("new planner", func(t *testing.T) {
+		g, h, readsList := setup(t)
+		h.advance(step)
+		h.placementOf(2, 0)
+		g.Expect(readsList()).To(BeTrue())
+		h.advance(step)
+		h.placementOf(2, 0)
+		g.Expect(readsList()).To(BeTrue(), "later answers of the same planner do not name it either")
+		h.readList(latency, rpfleet.RemovedEntry{ID: "s1"})
+		g.Expect(readsList()).To(BeFalse())
+		for _, id := range []string{"a", "b", "c", "d"} {
+			h.arriveRequest(id, "/stock/1", "")
+			g.Expect(h.lastAttempt(id).Endpoint).To(Equal(rpcore.EndpointID("s2")))
+		}
+	})
+	t.Run("read that began before the answer", func(t *testing.T) {
+		g, h, readsList := setup(t)
+		h.advance(step)
+		h.placementOf(2, 0)
+		h.advance(latency)
+		h.readList(2 * latency)
+		g.Expect(readsList()).To(BeTrue(), "the planner may have read the list after that read")
+	})
+	t.Run("planner that has not read the list", func(t *testing.T) {
+		g, h, readsList := setup(t)
+		h.advance(step)
+		h.placementOf(2, time.Hour)
+		h.advance(step)
+		h.readList(latency)
+		h.advance(step)
+		h.placementOf(2, 0)
+		g.Expect(readsList()).To(BeTrue(), "the planner read the list after this instance did")
+	})
+	t.Run("planner out of contact", func(t *testing.T) {
+		g, h, readsList := setup(t)
+		h.advance(rpfleet.DefaultLeavingBound)
+		h.readList(latency)
+		h.advance(step)
+		h.placementOf(1, 0)
+		g.Expect(readsList()).To(BeTrue(), "the planner passes on changes for a limited time only")
+		h.advance(step)
+		h.readList(latency)
+		g.Expect(readsList()).To(BeFalse())
+	})
+}
