Refuse the requests that still run at the end of a planned stop

Seen by callers: a request that had been sent to an engine and had no first byte at the end of a planned stop, for example because it waited for a slot there, lost its connection without a response. A stream of an HTTP/1.0 caller was closed like a complete one.

Cause: the end of a planned stop closed the connections instead of ending the requests. The reducer was not told, and http.Server.Close ends an HTTP/1.0 response as if it were complete.

Evidence: TestEndOfPlannedStopAnswersRequests and TestEndOfPlannedStopResetsStreams failed before (no response; no error at the end of the stream), as did TestEndOfPlannedStopRefusesRunningRequests.

Change: at the end, DrainTimeoutPassed makes the reducer cancel all attempts; each request is refused by its verdict (503 if it has not run, else 502), and responses that have begun are broken off. This takes up to 200 ms of the 500 ms that are reserved for the exit, so no request gets less time. An attempt whose long response can't be read to its end any more is not begun.

TestPlannedStopLogsRequestsItCutsOff cut off a request without a response, which now gets one. The test cuts a stream that has begun instead and expects the same log line and an incomplete response; TestEndOfPlannedStopAnswersRequests expects that line for the request of before.

--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -332,10 +332,10 @@
 		return
 	}
 	r.silence.reset(0)
-	if err == nil && errors.Is(context.Cause(ctx), ErrEndpointSilent) {
+	if err == nil && ctx.Err() != nil {
 		// The rest could not be read, and a response that has started can't be
-		// retried.
-		r.setFailure(ctx, rpcore.AttemptBroken, rpverdict.MayHaveRun, ErrEndpointSilent)
+		// retried or refused.
+		r.setFailure(ctx, rpcore.AttemptBroken, rpverdict.MayHaveRun, ctx.Err())
 		return
 	}
 	relayErr := r.relay.SendHeader(resp.StatusCode, forwardedHeader(resp.Header))
--- a/internal/rpgateway/caller_server.go
+++ b/internal/rpgateway/caller_server.go
@@ -46,9 +46,17 @@
 	draining   atomic.Bool
 	server     *http.Server
 	conns      callerConns
+	// attempts ends when cancelAttempts cancels all attempts.
+	attempts       context.Context
+	cancelAttempts context.CancelCauseFunc
 }
 
+// errStopping is the cause of the cancellation of attempts at the end of a planned
+// stop.
+var errStopping = errors.New("the instance is stopping")
+
 func (c *callerServer) init() {
+	c.attempts, c.cancelAttempts = context.WithCancelCause(context.Background())
 	c.server = &http.Server{
 		Handler:           c,
 		ReadHeaderTimeout: headerTimeout,
@@ -70,13 +78,28 @@
 	c.log.Info().Int("closed", closed).Int("incomplete_headers", incomplete).Msg("closed the idle connections of callers")
 	err := c.server.Shutdown(ctx)
 	if err != nil {
-		for _, id := range c.inProgress.ids() {
-			c.log.Warn().Str("request_id", string(id)).Msg("the end of the planned stop cuts off a request in progress")
-		}
+		c.warnInProgress("the end of the planned stop cuts off a request in progress")
 	}
 	return err
 }
 
+// warnInProgress logs a warning for each request in progress.
+func (c *callerServer) warnInProgress(text string) {
+	for _, id := range c.inProgress.ids() {
+		c.log.Warn().Str("request_id", string(id)).Msg(text)
+	}
+}
+
+// awaitRefusals waits until the canceled requests have their responses, at most
+// lastRefusalTimeout. The connections that are still open then are closed as they are.
+func (c *callerServer) awaitRefusals() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastRefusalTimeout)
+	defer cancel()
+	if err := c.server.Shutdown(ctx); err != nil {
+		c.warnInProgress("a request in progress was not refused in time")
+	}
+}
+
 // ServeHTTP forwards one request of a caller to an endpoint.
 func (c *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	at := c.loop.clock.Now()
@@ -194,6 +217,7 @@
 	x.forward.Command = cmd
 	x.forward.Command.Deadline = x.loop.clock.runtimeTime(cmd.Deadline)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer context.AfterFunc(x.attempts, func() { cancel(errStopping) })()
 	x.queue.attemptStarted(cmd.Attempt, func() { cancel(rpendpoint.ErrEndpointSilent) })
 	ended, callerGone := x.callerServer.forwarder.Run(attemptCtx, x.forward, rpendpoint.Relay{
 		SendHeader: x.response.sendHeader,
--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -32,6 +32,9 @@
 	// stopMargin is the end of the drain timeout that is reserved for the exit of
 	// the process.
 	stopMargin = 500 * time.Millisecond
+	// lastRefusalTimeout is the part of stopMargin in which the requests that are
+	// still in progress are refused.
+	lastRefusalTimeout = 200 * time.Millisecond
 	// queueRefusalMargin is how long before the end of the drain queued requests
 	// are refused.
 	queueRefusalMargin = 1500 * time.Millisecond
@@ -204,6 +207,8 @@
 		c.callers.inProgress.deliver(effect.Request, effect)
 	case rpfleet.CancelAttempt:
 		c.callers.inProgress.cancelAttempt(effect.Request, effect.Attempt)
+	case rpfleet.CancelAllAttempts:
+		c.callers.cancelAttempts(errStopping)
 	case rpfleet.ReadLease:
 		go c.leases.read()
 	case rpfleet.WriteLease:
@@ -438,7 +443,7 @@
 
 // onStop performs a planned stop: it waits until the balancer sends no more
 // requests, completes requests in progress, and refuses those that are still
-// queued near the end of the drain timeout.
+// queued near the end of the drain timeout. At its end, it refuses the rest.
 func (c *components) onStop(context.Context) error {
 	begin := time.Now()
 	timeout := time.Duration(c.settings.Drain.Timeout) - stopMargin
@@ -454,6 +459,8 @@
 	defer cancel()
 	err := c.callers.shutdown(ctx)
 	if err != nil {
+		c.loop.apply(rpfleet.DrainTimeoutPassed{Stamp: c.loop.stamp()})
+		c.callers.awaitRefusals()
 		err = trace.NewAggregate(trace.Wrap(err, "requests were still in progress"), c.callers.server.Close())
 	}
 	c.stop()
--- a/internal/rpgateway/stop_test.go
+++ b/internal/rpgateway/stop_test.go
@@ -3,12 +3,13 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -169,27 +170,74 @@
 	}
 }
 
+// endStop starts an instance, sends it a request that outlasts the planned stop, and
+// returns the response and the log.
+func (p *platform) endStop(send func(*gateway) rpfake.CallerResponse, arrivals func() int) (rpfake.CallerResponse, string) {
+	p.t.Helper()
+	g := NewWithT(p.t)
+	gw := p.startGateway("front-1")
+	answered := make(chan rpfake.CallerResponse, 1)
+	go func() { answered <- send(gw) }()
+	g.Eventually(arrivals, eventTimeout).Should(Equal(1))
+	gw.stop()
+	got := <-answered
+	err := <-gw.done
+	gw.done <- err
+	g.Expect(err).To(HaveOccurred())
+	return got, gw.log.String()
+}
+
+// stopTimeout is the setting drain.timeout of the instances.
+const stopTimeout = 6 * time.Second
+
 // Guards against a request that is cut off at the end of a planned stop and whose
 // log says only that its caller has disconnected.
 func TestPlannedStopLogsRequestsItCutsOff(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := withPlatform(t)
+	engine := p.startEngine("e1", "m0")
+	engine.EventDelay = stopTimeout / 4
+	got, log := p.endStop(func(gw *gateway) rpfake.CallerResponse {
+		return gw.send(rpfake.CallerRequest{ID: "r1", Path: "/later/1", Model: "m0", Deadline: 15 * time.Second})
+	}, func() int { return len(engine.Arrivals()) })
+	g.Expect(got.Status).To(Equal(http.StatusOK), "the stream has begun")
+	g.Expect(got.Complete).To(BeFalse())
+	g.Expect(log).To(MatchRegexp(`"request_id":"r1".*the end of the planned stop cuts off a request in progress`))
+}
+
+// Guards against a request without a first byte whose connection is closed at the end of
+// a planned stop. Its caller must learn that it may have run.
+func TestEndOfPlannedStopAnswersRequests(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
 	p := withPlatform(t)
 	p.writeConfig(2, rpfake.Route{Name: "slow", Kind: "non_idempotent", Service: plainService, MaxAttempts: 1, TargetMs: 100, TimeoutMs: 20_000})
 	service := p.startPlain("s1")
-	service.ResponseDelay = 8 * time.Second // the instance stops within 6 s
-	gw := p.startGateway("front-1")
-	answered := make(chan rpfake.CallerResponse, 1)
-	go func() {
-		// The error is that the connection was closed.
-		got, _ := rpfake.CallerRequest{ID: "r1", Path: "/slow/1", Body: "x"}.Do(context.Background(), http.DefaultClient, gw.callerAddress)
-		answered <- got
-	}()
-	g.Eventually(func() int { return len(service.Arrivals()) }, eventTimeout).Should(Equal(1))
-	gw.stop()
-	g.Expect((<-answered).Complete).To(BeFalse())
-	err := <-gw.done
-	gw.done <- err
-	g.Expect(err).To(HaveOccurred())
-	g.Expect(gw.log.String()).To(MatchRegexp(`"request_id":"r1".*the end of the planned stop cuts off a request in progress`))
+	service.ResponseDelay = stopTimeout + 2*time.Second
+	got, log := p.endStop(func(gw *gateway) rpfake.CallerResponse {
+		return gw.send(rpfake.CallerRequest{ID: "r1", Path: "/slow/1", Body: "x"})
+	}, func() int { return len(service.Arrivals()) })
+	g.Expect(got.Complete).To(BeTrue())
+	g.Expect(got.Status).To(Equal(http.StatusBadGateway))
+	g.Expect(got.Body).To(ContainSubstring("may_have_run"))
+	g.Expect(log).To(MatchRegexp(`"request_id":"r1".*the end of the planned stop cuts off a request in progress`))
+}
+
+// Guards against a stream that is cut at the end of a planned stop and looks complete to
+// an HTTP/1.0 caller, for whom the end of the connection ends it.
+func TestEndOfPlannedStopResetsStreams(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := withPlatform(t)
+	engine := p.startEngine("e1", "m0")
+	engine.EventDelay = stopTimeout / 4
+	var end error
+	got, _ := p.endStop(func(gw *gateway) rpfake.CallerResponse {
+		var body []byte
+		body, end = sendHTTP10(t, gw, rpfake.CallerRequest{ID: "r1", Path: "/later/1", Model: "m0", Deadline: 15 * time.Second})
+		return rpfake.CallerResponse{Body: string(body)}
+	}, func() int { return len(engine.Arrivals()) })
+	g.Expect(got.EventIDs()).NotTo(BeEmpty())
+	g.Expect(errors.Is(end, syscall.ECONNRESET)).To(BeTrue(), "%v", end)
 }
--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -274,6 +274,8 @@
 // retryForbiddenReason returns why a request must not be sent again, or "".
 func (s *State) retryForbiddenReason(r *request, ev AttemptEnded) string {
 	switch {
+	case s.drainTimeoutPassed:
+		return stoppingDetail
 	case r.possibleRuns > 0 && !r.route.Repeatable():
 		return "The endpoint failed to answer, and the request may have run."
 	case r.responseStarted && r.route.Kind != KindStream:
--- a/pkg/rpfleet/effect.go
+++ b/pkg/rpfleet/effect.go
@@ -64,6 +64,12 @@
 	Attempt rpcore.AttemptID
 }
 
+// CancelAllAttempts stops all attempts at the end of a planned stop. AttemptEnded
+// still follows for each.
+type CancelAllAttempts struct {
+	effectMark
+}
+
 // RefuseRequest ends a request without a complete response. If a part of the
 // response was sent to the caller, the runtime closes the connection.
 type RefuseRequest struct {
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -321,3 +321,9 @@
 type DrainTimeoutNear struct {
 	Stamp
 }
+
+// DrainTimeoutPassed ends a planned stop. All attempts are canceled, and their
+// requests are refused.
+type DrainTimeoutPassed struct {
+	Stamp
+}
--- a/pkg/rpfleet/planned_stop.go
+++ b/pkg/rpfleet/planned_stop.go
@@ -12,6 +12,16 @@
 	s.releaseLease()
 }
 
+// handleDrainTimeoutPassed ends all requests. Those without a response get a refusal,
+// which says whether they may have run, rather than a closed connection.
+func (s *State) handleDrainTimeoutPassed() {
+	s.drainTimeoutNear, s.drainTimeoutPassed = true, true
+	s.emit(CancelAllAttempts{})
+}
+
+// stoppingDetail is the detail of refusals at the end of a planned stop.
+const stoppingDetail = "This instance is stopping."
+
 // refuseWaitingRequests refuses all requests in the queues when a planned stop has
 // no time left. It runs after each later event too: requests still arrive, and those
 // in progress may return to a queue.
@@ -22,7 +32,7 @@
 			if r.possibleRuns > 0 {
 				code = s.brokenCode(r)
 			}
-			s.refuseRequest(r, s.unansweredRefusal(r, code, "This instance is stopping."))
+			s.refuseRequest(r, s.unansweredRefusal(r, code, stoppingDetail))
 		}
 	}
 }
--- a/pkg/rpfleet/planned_stop_test.go
+++ b/pkg/rpfleet/planned_stop_test.go
@@ -83,3 +83,37 @@
 	g.Expect(h.lastAttempt("a").Endpoint).NotTo(Equal(first.Endpoint))
 	g.Expect(effectsOf[rpfleet.RefuseRequest](h)).To(BeEmpty())
 }
+
+// Guards against a request that still runs at the end of a planned stop and whose
+// connection is closed without a response, for example because it waits at its engine.
+// Its caller must learn that it may have run, or that it has not.
+func TestEndOfPlannedStopRefusesRunningRequests(t *testing.T) {
+	for _, c := range []struct {
+		verdict rpverdict.Verdict
+		status  int
+	}{
+		{rpverdict.NotRun, 503},
+		{rpverdict.MayHaveRun, 502},
+	} {
+		t.Run(c.verdict.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			h := withHarness(t)
+			h.configure(plainEndpoints()...)
+			h.arriveRequest("a", "/stock/1", "")
+			attempt := h.lastAttempt("a")
+			h.apply(rpfleet.DrainRequested{Stamp: h.stamp()})
+			h.apply(rpfleet.DrainTimeoutNear{Stamp: h.stamp()})
+			h.discardEffects()
+			h.apply(rpfleet.DrainTimeoutPassed{Stamp: h.stamp()})
+			g.Expect(effectsOf[rpfleet.CancelAllAttempts](h)).To(HaveLen(1))
+			h.endAttempt(attempt, rpcore.AttemptCanceled, c.verdict)
+			h.arriveRequest("b", "/stock/1", "")
+			g.Expect(effectsOf[rpfleet.StartAttempt](h)).To(BeEmpty(), "no time is left for an attempt")
+			refused := effectsOf[rpfleet.RefuseRequest](h)
+			g.Expect(refused).To(HaveLen(2))
+			g.Expect(refused[0].Refusal.Status()).To(Equal(c.status))
+			g.Expect(refused[0].Refusal.Verdict).To(Equal(c.verdict))
+			g.Expect(refused[1].Refusal.Status()).To(Equal(503))
+		})
+	}
+}
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -217,7 +217,7 @@
 		s.refuseRequest(r, refusal)
 		return
 	}
-	if s.now.Before(r.retryNotBefore) {
+	if s.now.Before(r.retryNotBefore) || s.drainTimeoutPassed {
 		return
 	}
 	if r.awaitsBudget && !s.retryBudgetAllows(r.service) {
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -85,9 +85,10 @@
 	readyReason string
 	draining    bool
 	// drainTimeoutNear says that a planned stop has no time left for requests to
-	// wait in a queue.
-	drainTimeoutNear bool
-	lastOrderNumber  uint64
+	// wait in a queue, and drainTimeoutPassed that it has none left for attempts.
+	drainTimeoutNear   bool
+	drainTimeoutPassed bool
+	lastOrderNumber    uint64
 
 	config   *Config
 	configAt time.Time
@@ -193,6 +194,8 @@
 		s.handleDrainRequested()
 	case DrainTimeoutNear:
 		s.drainTimeoutNear = true
+	case DrainTimeoutPassed:
+		s.handleDrainTimeoutPassed()
 	}
 }
 
