Don't resume a stream whose events have no ids

Seen by callers: a resumable stream whose engine crashed or fell silent was sent again from its start if its events had no ids, and the caller got the first events twice in one response. The users' engines number their events; other services may not.

Cause: without the id of an event, the next attempt carries no Last-Event-Id (or that of an earlier attempt), and nothing kept the reducer from starting it.

Change: the forwarder says that events without an id reached the caller. Such a stream is broken off when its engine fails, and stays at its engine while that is silent.

--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -415,7 +415,8 @@
 			}
 			if working {
 				r.noteAnswering()
-				r.silence.reset(r.request.Command.EventTimeout)
+				r.ended.Unresumable = r.ended.LastEvent == ""
+				r.resetEventTimeout()
 			}
 		}
 		if errors.Is(err, io.EOF) {
@@ -447,6 +448,16 @@
 	return nil
 }
 
+// resetEventTimeout starts the timeout of the next event, unless the stream can go on
+// at this endpoint only.
+func (r *forwardAttempt) resetEventTimeout() {
+	if r.ended.Unresumable {
+		r.silence.reset(0)
+		return
+	}
+	r.silence.reset(r.request.Command.EventTimeout)
+}
+
 // noteAnswering is called after each event with data.
 func (r *forwardAttempt) noteAnswering() {
 	if !r.answering {
--- a/internal/rpendpoint/resume_test.go
+++ b/internal/rpendpoint/resume_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,3 +97,47 @@
 	g.Expect(status).To(Equal(http.StatusInternalServerError))
 	g.Expect(body.String()).To(Equal("out of memory\n"))
 }
+
+// Guards against a stream without ids that leaves its engine, crashed or silent, although
+// no other one can resume it. Comments are no events, and ids of an earlier attempt don't
+// count.
+func TestStreamWithoutEventIDsIsUnresumable(t *testing.T) {
+	for body, unresumable := range map[string]bool{
+		"data: a\n\n":                   true,
+		": hello\n\ndata: a\n\n":        true,
+		"id: 6\ndata: a\n\n":            false,
+		"data: a\n\nid: 7\ndata: b\n\n": false,
+		": hello\n\n":                   false,
+	} {
+		t.Run(body, func(t *testing.T) {
+			g := NewWithT(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", typeEventStream)
+				w.Header().Set("Content-Length", "4096")
+				_, _ = io.WriteString(w, body)
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(200 * time.Millisecond)
+			}))
+			t.Cleanup(server.Close)
+			var silences atomic.Int32
+			ended, _ := withForwarder(t).Run(t.Context(), ForwardRequest{
+				Method: http.MethodPost, Target: "/", Header: http.Header{},
+				Command: rpfleet.StartAttempt{
+					Request: "r", Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Kind: rpfleet.KindStream,
+					Repeatable: true, Deadline: time.Now().Add(time.Minute),
+					ResumeAfter: "5", ResponseStarted: true, EventTimeout: 20 * time.Millisecond,
+				},
+			}, Relay{
+				SendHeader: func(int, http.Header) error { return nil }, Write: func([]byte) error { return nil },
+				OnFirstWrite: func() {}, OnSilence: func() { silences.Add(1) },
+			})
+			g.Expect(ended.Reason).To(Equal(rpcore.AttemptBroken), ended.Detail)
+			g.Expect(ended.Unresumable).To(Equal(unresumable))
+			if unresumable {
+				g.Expect(silences.Load()).To(BeZero())
+			} else if body != ": hello\n\n" {
+				g.Expect(silences.Load()).To(BeNumerically(">", 0))
+			}
+		})
+	}
+}
--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -280,6 +280,8 @@
 		return "The endpoint failed to answer, and the request may have run."
 	case r.responseStarted && r.route.Kind != KindStream:
 		return "The answer ended before it was complete."
+	case ev.Unresumable:
+		return "The events of the stream have no ids, so it can't be resumed."
 	case r.possibleRuns >= r.route.MaxEndpoints:
 		return "The request ran at as many endpoints as its route allows."
 	case s.hasExpired(r):
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -154,6 +154,9 @@
 	StoppedAtStart bool
 	// LastEvent is the id of the last event that reached the caller.
 	LastEvent string
+	// Unresumable says that events without an id reached the caller, so that no
+	// endpoint can tell where the stream goes on.
+	Unresumable bool
 	// LongestPause is the longest time between two events of the stream.
 	LongestPause time.Duration
 	// Version is the version of the weights that produced the response, or
--- a/pkg/rpfleet/request_test.go
+++ b/pkg/rpfleet/request_test.go
@@ -185,6 +185,25 @@
 	g.Expect(retries).To(BeNumerically("<=", rpfleet.DefaultRetryRatio*requests+rpfleet.DefaultRetrySlack/74.0))
 }
 
+// Guards against a stream whose events have no ids and which is sent again from its start
+// after its engine has crashed: the caller got the first events twice.
+func TestStreamWithoutEventIDsIsNotResumed(t *testing.T) {
+	g := NewWithT(t)
+	h := withHarness(t)
+	h.configure(testEndpoint("e1", testService, homeDomain, "m0"), testEndpoint("e2", testService, homeDomain, "m0"))
+	h.arriveRequest("a", "/suggest/1", "m0")
+	first := h.lastAttempt("a")
+	h.apply(rpfleet.AttemptStarted{Stamp: h.stamp(), Request: "a", Attempt: first.Attempt})
+	h.apply(rpfleet.AttemptEnded{
+		Stamp: h.stamp(), Request: "a", Attempt: first.Attempt, Reason: rpcore.AttemptBroken,
+		Verdict: rpverdict.MayHaveRun, ResponseStarted: true, Unresumable: true,
+	})
+	g.Expect(effectsOf[rpfleet.StartAttempt](h)).To(HaveLen(1))
+	refused := effectsOf[rpfleet.RefuseRequest](h)
+	g.Expect(refused).To(HaveLen(1))
+	g.Expect(refused[0].Refusal.Code).To(Equal(rpverdict.CodeStreamBroken))
+}
+
 // Guards against a resumed stream that starts from its beginning or continues
 // with other weights.
 func TestStreamResumesElsewhere(t *testing.T) {
