Don't append a stream that starts over to the one before

Seen by callers: a stream whose next endpoint ignored Last-Event-Id and sent it from its start held the first events twice and ended as complete.

Cause: any event of a resumed attempt was relayed.

Evidence: TestRepeatedEventsDoNotContinueStream failed before in its two cases with repeated events.

Change: if the first event of a resumed attempt has a numeric id that the caller has already, the attempt ends as failed and nothing of it is relayed. A stream that the caller resumes is relayed as it comes.

--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"strconv"
 	"sync"
 	"time"
 
@@ -396,6 +397,10 @@
 	last := time.Now()
 	for {
 		part, lastID, err := events.next()
+		if !started && r.repeatsEvents(part) {
+			r.setResult(rpcore.AttemptFailed, rpverdict.MayHaveRun, "the endpoint did not resume the stream: it sent event "+firstEventID(part)+" again")
+			return
+		}
 		if len(part) > 0 {
 			now := time.Now()
 			if started {
@@ -431,6 +436,20 @@
 	}
 }
 
+// repeatsEvents reports whether the caller has the first of the events from an earlier
+// attempt. Only numeric ids can be compared.
+func (r *forwardAttempt) repeatsEvents(events []byte) bool {
+	if !r.request.Command.ResponseStarted {
+		return false
+	}
+	last, err := strconv.ParseUint(r.request.Command.ResumeAfter, 10, 64)
+	if err != nil {
+		return false
+	}
+	first, err := strconv.ParseUint(firstEventID(events), 10, 64)
+	return err == nil && first <= last
+}
+
 func (r *forwardAttempt) relayEvents(resp *http.Response, part []byte, lastID string, started *bool) error {
 	if !*started {
 		if err := r.relay.SendHeader(resp.StatusCode, forwardedHeader(resp.Header)); err != nil {
--- a/internal/rpendpoint/rawevents.go
+++ b/internal/rpendpoint/rawevents.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"iter"
 )
 
 // rawEvents splits a stream of server-sent events into groups of complete events.
@@ -72,15 +73,32 @@
 
 var idField = []byte("id:")
 
+// eventIDs yields the ids of the events that have one.
+func eventIDs(events []byte) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for line := range bytes.Lines(events) {
+			if rest, ok := bytes.CutPrefix(line, idField); ok && !yield(string(bytes.TrimSpace(rest))) {
+				return
+			}
+		}
+	}
+}
+
+// firstEventID returns the id of the first event that has one, or "".
+func firstEventID(events []byte) string {
+	for id := range eventIDs(events) {
+		return id
+	}
+	return ""
+}
+
 // lastEventID returns the id of the last event that has one, or "".
 func lastEventID(events []byte) string {
-	id := ""
-	for line := range bytes.Lines(events) {
-		if rest, ok := bytes.CutPrefix(line, idField); ok {
-			id = string(bytes.TrimSpace(rest))
-		}
+	last := ""
+	for id := range eventIDs(events) {
+		last = id
 	}
-	return id
+	return last
 }
 
 var dataField = []byte("data:")
--- a/internal/rpendpoint/resume_test.go
+++ b/internal/rpendpoint/resume_test.go
@@ -141,3 +141,51 @@
 		})
 	}
 }
+
+// Guards against an endpoint that sends a resumed stream from its start: the caller has
+// these events already.
+func TestRepeatedEventsDoNotContinueStream(t *testing.T) {
+	for _, c := range []struct {
+		name, body string
+		started    bool
+		reason     rpcore.AttemptReason
+	}{
+		{"from the start", "id: 1\ndata: a\n\n", true, rpcore.AttemptFailed},
+		{"last event again", ": hello\n\nid: 12\ndata: a\n\nid: 13\ndata: b\n\n", true, rpcore.AttemptFailed},
+		{"next event", "id: 13\ndata: a\n\n", true, rpcore.AttemptComplete},
+		{"ids without order", "id: a1\ndata: a\n\n", true, rpcore.AttemptComplete},
+		{"resumed by the caller", "id: 1\ndata: a\n\n", false, rpcore.AttemptComplete},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", typeEventStream)
+				_, _ = io.WriteString(w, c.body)
+			}))
+			t.Cleanup(server.Close)
+			var relayed strings.Builder
+			ended, _ := withForwarder(t).Run(t.Context(), ForwardRequest{
+				Method: http.MethodPost, Target: "/", Header: http.Header{},
+				Command: rpfleet.StartAttempt{
+					Request: "r", Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Kind: rpfleet.KindStream,
+					Repeatable: true, Deadline: time.Now().Add(time.Minute), ResumeAfter: "12", ResponseStarted: c.started,
+				},
+			}, Relay{
+				SendHeader: func(int, http.Header) error { return nil },
+				Write: func(p []byte) error {
+					_, err := relayed.Write(p)
+					return err
+				},
+				OnFirstWrite: func() {},
+			})
+			g.Expect(ended.Reason).To(Equal(c.reason), ended.Detail)
+			if c.reason == rpcore.AttemptComplete {
+				g.Expect(relayed.String()).To(Equal(c.body))
+				return
+			}
+			g.Expect(relayed.String()).To(BeEmpty())
+			g.Expect(ended.Verdict).To(Equal(rpverdict.MayHaveRun))
+			g.Expect(ended.ResponseStarted).To(BeFalse(), "by this attempt")
+		})
+	}
+}
