Check the first event of a resumed stream also behind a comment

A comment before the first event hid a stream that starts over: only the first bytes of an attempt were checked. The case "from the start, after a comment" of TestRepeatedEventsDoNotContinueStream failed before. The first event with data is checked now.

--- a/internal/rpendpoint/forward_stream.go
+++ b/internal/rpendpoint/forward_stream.go
@@ -26,7 +26,7 @@
 	last := time.Now()
 	for {
 		part, lastID, err := events.next()
-		if !started && r.repeatsEvents(part) {
+		if !r.answering && r.repeatsEvents(part) {
 			r.setResult(rpcore.AttemptFailed, rpverdict.MayHaveRun, "the endpoint did not resume the stream: it sent event "+firstEventID(part)+" again")
 			return
 		}
