Decide in the reducer that a stream without event ids stays at its engine

The forwarder no longer reported the silence of such a stream, so that a caller of the forwarder who leaves the decision to it waited until the deadline.

The forwarder reports silence as before and says whether the stream can be resumed. The reducer keeps the attempt then, and the log says why.

--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -147,9 +147,10 @@
 	defer cancel(nil)
 	attempt := &forwardAttempt{Forwarder: f, request: request, relay: relay}
 	attempt.ended = rpfleet.AttemptEnded{Request: request.Command.Request, Attempt: request.Command.Attempt}
-	attempt.silence.onSilence = relay.OnSilence
-	if relay.OnSilence == nil {
-		attempt.silence.onSilence = func() { cancel(ErrEndpointSilent) }
+	attempt.silence.onSilence = func() { cancel(ErrEndpointSilent) }
+	if relay.OnSilence != nil {
+		// Unresumable changes only while the timer is stopped.
+		attempt.silence.onSilence = func() { relay.OnSilence(attempt.ended.Unresumable) }
 	}
 	attempt.silence.reset(request.Command.FirstTimeout)
 	defer attempt.silence.reset(0)
--- a/internal/rpendpoint/forward_stream.go
+++ b/internal/rpendpoint/forward_stream.go
@@ -50,7 +50,7 @@
 			if working {
 				r.noteAnswering()
 				r.ended.Unresumable = r.ended.LastEvent == ""
-				r.resetEventTimeout()
+				r.silence.reset(r.request.Command.EventTimeout)
 			}
 		}
 		if errors.Is(err, io.EOF) {
@@ -96,16 +96,6 @@
 	return nil
 }
 
-// resetEventTimeout starts the timeout of the next event, unless the stream can go on
-// at this endpoint only.
-func (r *forwardAttempt) resetEventTimeout() {
-	if r.ended.Unresumable {
-		r.silence.reset(0)
-		return
-	}
-	r.silence.reset(r.request.Command.EventTimeout)
-}
-
 // noteAnswering is called after each event with data.
 func (r *forwardAttempt) noteAnswering() {
 	if !r.answering {
--- a/internal/rpgateway/caller_server.go
+++ b/internal/rpgateway/caller_server.go
@@ -226,8 +226,8 @@
 			x.loop.apply(rpfleet.AttemptStarted{Stamp: x.loop.stamp(), Request: cmd.Request, Attempt: cmd.Attempt})
 			x.observer.firstEvent(cmd.Rank, x.loop.clock.Now().Sub(x.arrivedAt))
 		},
-		OnSilence: func() {
-			x.loop.apply(rpfleet.AttemptStalled{Stamp: x.loop.stamp(), Request: cmd.Request, Attempt: cmd.Attempt})
+		OnSilence: func(unresumable bool) {
+			x.loop.apply(rpfleet.AttemptStalled{Stamp: x.loop.stamp(), Request: cmd.Request, Attempt: cmd.Attempt, Unresumable: unresumable})
 		},
 	})
 	x.queue.attemptEnded()
--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -281,7 +281,7 @@
 	case r.responseStarted && r.route.Kind != KindStream:
 		return "The answer ended before it was complete."
 	case ev.Unresumable:
-		return "The events of the stream have no ids, so it can't be resumed."
+		return unresumableDetail
 	case r.possibleRuns >= r.route.MaxEndpoints:
 		return "The request ran at as many endpoints as its route allows."
 	case s.hasExpired(r):
@@ -307,6 +307,9 @@
 // again.
 const budgetUsedUpDetail = "The retry budget of the service is used up."
 
+// unresumableDetail says in refusals and in the log why a stream is not sent again.
+const unresumableDetail = "The events of the stream have no ids, so it can't be resumed."
+
 // mayHaveReachedEndpoint reports whether an attempt may have reached its
 // endpoint. An attempt without a connection costs endpoints nothing, so the
 // retry budget does not count it.
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -138,6 +138,8 @@
 	Stamp
 	Request rpcore.RequestID
 	Attempt rpcore.AttemptID
+	// Unresumable is as in AttemptEnded.
+	Unresumable bool
 }
 
 // AttemptEnded is the last event of an attempt.
--- a/pkg/rpfleet/request_test.go
+++ b/pkg/rpfleet/request_test.go
@@ -186,7 +186,7 @@
 }
 
 // Guards against a stream whose events have no ids and which is sent again from its start
-// after its engine has crashed: the caller got the first events twice.
+// after its engine has crashed or fallen silent: the caller got the first events twice.
 func TestStreamWithoutEventIDsIsNotResumed(t *testing.T) {
 	g := NewWithT(t)
 	h := withHarness(t)
@@ -194,6 +194,9 @@
 	h.arriveRequest("a", "/suggest/1", "m0")
 	first := h.lastAttempt("a")
 	h.apply(rpfleet.AttemptStarted{Stamp: h.stamp(), Request: "a", Attempt: first.Attempt})
+	h.advance(3 * time.Second)
+	h.apply(rpfleet.AttemptStalled{Stamp: h.stamp(), Request: "a", Attempt: first.Attempt, Unresumable: true})
+	g.Expect(effectsOf[rpfleet.CancelAttempt](h)).To(BeEmpty(), "the engine may go on")
 	h.apply(rpfleet.AttemptEnded{
 		Stamp: h.stamp(), Request: "a", Attempt: first.Attempt, Reason: rpcore.AttemptBroken,
 		Verdict: rpverdict.MayHaveRun, ResponseStarted: true, Unresumable: true,
--- a/pkg/rpfleet/silence.go
+++ b/pkg/rpfleet/silence.go
@@ -67,7 +67,7 @@
 	if r == nil || r.attemptID != ev.Attempt || r.phase != phaseRunning || r.retryReserved {
 		return
 	}
-	if reason := s.stayReason(r); reason != "" {
+	if reason := s.stayReason(r, ev.Unresumable); reason != "" {
 		if reason == budgetUsedUpDetail {
 			s.recordSilence(r)
 		}
@@ -96,8 +96,10 @@
 }
 
 // stayReason returns why a request must stay at its silent endpoint, or "".
-func (s *State) stayReason(r *request) string {
+func (s *State) stayReason(r *request, unresumable bool) string {
 	switch {
+	case unresumable:
+		return unresumableDetail
 	case !r.mayRunAgain():
 		return "The route allows no other run."
 	case s.hasExpired(r):
