--- a/internal/rpgateway/gateway_test.go
+++ b/internal/rpgateway/gateway_test.go
@@ -151,6 +151,8 @@
 func TestErrorPageDoesNotEndResumedStream(t *testing.T) {
 	g := NewWithT(t)
 	p := withPlatform(t)
+	// Allows a retry before the planner has told the number of instances.
+	p.retrySlack = 500
 	p.writeConfig(2, rpfake.Route{
 		Name: "tips", Kind: "stream", Service: plainService, MaxAttempts: 2, Resumable: true, TargetMs: 500, TimeoutMs: 8000,
 	})
@@ -370,6 +372,8 @@
 	p.startGateway("front-1")
 	other := p.startGateway("front-2")
 	g.Eventually(other.log.String, eventTimeout).Should(ContainSubstring("another instance is the planner"))
+	// It reads the list once itself after the planner's first answer.
+	time.Sleep(time.Second)
 	const seconds = 3
 	before := p.store.FeedCalls()
 	for range seconds * 5 {
