Share the set-up of the tests of resumed streams; rewrap a comment

Four tests built the same server, attempt and relay; runStream does now. Checks and cases are the same: with the three checks of the forwarder taken out, they fail as before. No code changes but the wrapping of the comment of OnSilence.

--- a/internal/rpendpoint/attempt.go
+++ b/internal/rpendpoint/attempt.go
@@ -46,10 +46,11 @@
 	OnFirstWrite func()
 	// OnSilence is called by a Forwarder when the endpoint has sent no data for
 	// the command's FirstTimeout or EventTimeout, and again after each further
-	// timeout without data. unresumable is as in rpfleet.AttemptEnded. To end the attempt, it cancels the context of the
-	// attempt with ErrEndpointSilent. nil ends the attempt at the first timeout.
-	// Data that arrives meanwhile is passed on only after OnSilence has returned,
-	// and Run returns only after that, so OnSilence must not block.
+	// timeout without data; unresumable is that of rpfleet.AttemptEnded. To end
+	// the attempt, it cancels the context of the attempt with ErrEndpointSilent.
+	// nil ends the attempt at the first timeout. Data that arrives meanwhile is
+	// passed on only after OnSilence has returned, and Run returns only after
+	// that, so OnSilence must not block.
 	OnSilence func(unresumable bool)
 }
 
--- a/internal/rpendpoint/resume_test.go
+++ b/internal/rpendpoint/resume_test.go
@@ -1,7 +1,6 @@
 package rpendpoint
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -19,6 +18,40 @@
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
+// streamResult is the result of runStream: what the caller got, and how the attempt ended.
+type streamResult struct {
+	rpfleet.AttemptEnded
+	status int
+	body   string
+}
+
+// runStream runs an attempt at a stream that handler answers. onSilence may be nil.
+func runStream(t *testing.T, handler http.HandlerFunc, cmd rpfleet.StartAttempt, onSilence func(bool)) streamResult {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	cmd.Request, cmd.Address, cmd.Kind = "r", netip.MustParseAddrPort(server.Listener.Addr().String()), rpfleet.KindStream
+	cmd.Repeatable, cmd.Deadline = true, time.Now().Add(time.Minute)
+	var result streamResult
+	var body strings.Builder
+	result.AttemptEnded, _ = withForwarder(t).Run(t.Context(), ForwardRequest{
+		Method: http.MethodPost, Target: "/", Header: http.Header{}, Command: cmd,
+	}, Relay{
+		SendHeader: func(status int, _ http.Header) error {
+			result.status = status
+			return nil
+		},
+		Write: func(p []byte) error {
+			_, err := body.Write(p)
+			return err
+		},
+		OnFirstWrite: func() {},
+		OnSilence:    onSilence,
+	})
+	result.body = body.String()
+	return result
+}
+
 // Guards against a response that is appended to a stream which has begun in an earlier
 // attempt although it does not continue the stream: an error page of the next engine
 // ended the stream as a complete success.
@@ -38,28 +71,12 @@
 		for _, version := range []string{"", "1"} {
 			t.Run(fmt.Sprintf("%s, version %q", c.name, version), func(t *testing.T) {
 				g := NewWithT(t)
-				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				ended := runStream(t, func(w http.ResponseWriter, _ *http.Request) {
 					w.Header().Set("Content-Type", c.contentType)
 					w.WriteHeader(c.status)
 					_, _ = io.WriteString(w, c.body)
-				}))
-				t.Cleanup(server.Close)
-				relayed := 0
-				ended, _ := withForwarder(t).Run(t.Context(), ForwardRequest{
-					Method: http.MethodPost, Target: "/", Header: http.Header{},
-					Command: rpfleet.StartAttempt{
-						Request: "r", Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Kind: rpfleet.KindStream,
-						Repeatable: true, Deadline: time.Now().Add(time.Minute), ResumeAfter: "5", Version: version, ResponseStarted: true,
-					},
-				}, Relay{
-					SendHeader: func(int, http.Header) error { return nil },
-					Write: func(p []byte) error {
-						relayed += len(p)
-						return nil
-					},
-					OnFirstWrite: func() {},
-				})
-				g.Expect(relayed).To(BeZero())
+				}, rpfleet.StartAttempt{ResumeAfter: "5", Version: version, ResponseStarted: true}, nil)
+				g.Expect(ended.body).To(BeEmpty())
 				g.Expect(ended.Reason).To(Equal(rpcore.AttemptFailed), ended.Detail)
 				g.Expect(ended.Verdict).To(Equal(rpverdict.MayHaveRun))
 			})
@@ -71,31 +88,12 @@
 // of this response has reached the caller yet.
 func TestFailureOfCallerResumedStreamIsRelayed(t *testing.T) {
 	g := NewWithT(t)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	ended := runStream(t, func(w http.ResponseWriter, _ *http.Request) {
 		http.Error(w, "out of memory", http.StatusInternalServerError)
-	}))
-	t.Cleanup(server.Close)
-	status, body := 0, strings.Builder{}
-	ended, _ := withForwarder(t).Run(context.Background(), ForwardRequest{
-		Method: http.MethodPost, Target: "/", Header: http.Header{},
-		Command: rpfleet.StartAttempt{
-			Request: "r", Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Kind: rpfleet.KindStream,
-			Repeatable: true, Deadline: time.Now().Add(time.Minute), ResumeAfter: "5", Version: "1",
-		},
-	}, Relay{
-		SendHeader: func(code int, _ http.Header) error {
-			status = code
-			return nil
-		},
-		Write: func(p []byte) error {
-			_, err := body.Write(p)
-			return err
-		},
-		OnFirstWrite: func() {},
-	})
+	}, rpfleet.StartAttempt{ResumeAfter: "5", Version: "1"}, nil)
 	g.Expect(ended.Reason).To(Equal(rpcore.AttemptComplete), ended.Detail)
-	g.Expect(status).To(Equal(http.StatusInternalServerError))
-	g.Expect(body.String()).To(Equal("out of memory\n"))
+	g.Expect(ended.status).To(Equal(http.StatusInternalServerError))
+	g.Expect(ended.body).To(Equal("out of memory\n"))
 }
 
 // Guards against a stream without ids that leaves its engine, crashed or silent, although
@@ -111,28 +109,16 @@
 	} {
 		t.Run(body, func(t *testing.T) {
 			g := NewWithT(t)
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			var silences atomic.Int32
+			ended := runStream(t, func(w http.ResponseWriter, _ *http.Request) {
 				w.Header().Set("Content-Type", typeEventStream)
 				w.Header().Set("Content-Length", "4096")
 				_, _ = io.WriteString(w, body)
 				_ = http.NewResponseController(w).Flush()
 				time.Sleep(200 * time.Millisecond)
-			}))
-			t.Cleanup(server.Close)
-			var silences atomic.Int32
-			ended, _ := withForwarder(t).Run(t.Context(), ForwardRequest{
-				Method: http.MethodPost, Target: "/", Header: http.Header{},
-				Command: rpfleet.StartAttempt{
-					Request: "r", Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Kind: rpfleet.KindStream,
-					Repeatable: true, Deadline: time.Now().Add(time.Minute),
-					ResumeAfter: "5", ResponseStarted: true, EventTimeout: 20 * time.Millisecond,
-				},
-			}, Relay{
-				SendHeader: func(int, http.Header) error { return nil }, Write: func([]byte) error { return nil },
-				OnFirstWrite: func() {}, OnSilence: func(reported bool) {
-					silences.Add(1)
-					g.Expect(reported).To(Equal(unresumable))
-				},
+			}, rpfleet.StartAttempt{ResumeAfter: "5", ResponseStarted: true, EventTimeout: 20 * time.Millisecond}, func(reported bool) {
+				silences.Add(1)
+				g.Expect(reported).To(Equal(unresumable))
 			})
 			g.Expect(ended.Reason).To(Equal(rpcore.AttemptBroken), ended.Detail)
 			g.Expect(ended.Unresumable).To(Equal(unresumable))
@@ -160,36 +146,20 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			ended := runStream(t, func(w http.ResponseWriter, _ *http.Request) {
 				w.Header().Set("Content-Type", typeEventStream)
 				for event := range strings.SplitAfterSeq(c.body, "\n\n") {
 					_, _ = io.WriteString(w, event)
 					_ = http.NewResponseController(w).Flush()
 					time.Sleep(20 * time.Millisecond)
 				}
-			}))
-			t.Cleanup(server.Close)
-			var relayed strings.Builder
-			ended, _ := withForwarder(t).Run(t.Context(), ForwardRequest{
-				Method: http.MethodPost, Target: "/", Header: http.Header{},
-				Command: rpfleet.StartAttempt{
-					Request: "r", Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Kind: rpfleet.KindStream,
-					Repeatable: true, Deadline: time.Now().Add(time.Minute), ResumeAfter: "12", ResponseStarted: c.started,
-				},
-			}, Relay{
-				SendHeader: func(int, http.Header) error { return nil },
-				Write: func(p []byte) error {
-					_, err := relayed.Write(p)
-					return err
-				},
-				OnFirstWrite: func() {},
-			})
+			}, rpfleet.StartAttempt{ResumeAfter: "12", ResponseStarted: c.started}, nil)
 			g.Expect(ended.Reason).To(Equal(c.reason), ended.Detail)
 			if c.reason == rpcore.AttemptComplete {
-				g.Expect(relayed.String()).To(Equal(c.body))
+				g.Expect(ended.body).To(Equal(c.body))
 				return
 			}
-			g.Expect(relayed.String()).NotTo(ContainSubstring("data:"))
+			g.Expect(ended.body).NotTo(ContainSubstring("data:"))
 			g.Expect(ended.Verdict).To(Equal(rpverdict.MayHaveRun))
 		})
 	}
