--- /dev/null
+++ b/internal/rpgateway/account_test.go
@@ -0,0 +1,93 @@
+package rpgateway_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/platform/rpfake"
+)
+
+const (
+	testKey    = "k-shop-4711"
+	testTenant = "shop"
+)
+
+// writeAccounts writes a configuration with the standard routes, an anonymous one and
+// the given accounts.
+func (p *platform) writeAccounts(version int, accounts ...rpfake.Account) {
+	p.t.Helper()
+	config := &rpfake.Config{
+		Version: version, ModelService: modelService, PlainService: plainService, Models: 6, RemoteLoad: 6, Accounts: accounts,
+	}
+	config.Routes = append(config.StandardRoutes(), rpfake.Route{
+		Name: "open", Kind: "idempotent", Service: plainService, MaxAttempts: 2, TargetMs: 2000, TimeoutMs: 4000, Anonymous: true,
+	})
+	NewWithT(p.t).Expect(p.store.PutConfig(config)).To(Succeed())
+}
+
+// sendAuthorization sends a request with the given Authorization headers and a forged
+// account.
+func (gw *gateway) sendAuthorization(id, path string, values ...string) *http.Response {
+	gw.t.Helper()
+	g := NewWithT(gw.t)
+	req, err := rpfake.CallerRequest{ID: id, Path: path}.HTTPRequest(context.Background(), gw.callerAddress)
+	g.Expect(err).NotTo(HaveOccurred())
+	if len(values) > 0 {
+		req.Header["Authorization"] = values
+	}
+	req.Header.Set(rpfake.HeaderTenant, "forged")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.Body.Close()).To(Succeed())
+	return resp
+}
+
+// Guards against a request that runs without a known key, against keys in the log or
+// at endpoints, and against an account that the caller chooses.
+func TestIdentifiesCallers(t *testing.T) {
+	g := NewWithT(t)
+	p := withPlatform(t)
+	service := p.startPlain("s1")
+	p.writeAccounts(2, rpfake.Account{Name: testTenant, Keys: []string{testKey}})
+	gw := p.startGateway("front-1")
+	for name, values := range map[string][]string{
+		"missing": nil, "empty": {""}, "no key": {"Bearer "}, "other scheme": {"Basic " + testKey},
+		"twice": {"Bearer " + testKey, "Bearer " + testKey}, "unknown": {"Bearer k-other-0815"},
+		"very long": {"Bearer " + strings.Repeat("k", 64<<10)},
+	} {
+		resp := gw.sendAuthorization("refused "+name, "/place/1", values...)
+		g.Expect(resp.StatusCode).To(Equal(http.StatusUnauthorized), name)
+		g.Expect(resp.Header.Get("WWW-Authenticate")).To(Equal("Bearer"), name)
+		g.Expect(service.Runs("refused "+name)).To(BeZero(), name)
+		g.Expect(gw.sendAuthorization("open "+name, "/open/1", values...).StatusCode).To(Equal(http.StatusOK), name)
+	}
+	g.Expect(gw.sendAuthorization("known", "/place/1", "Bearer "+testKey).StatusCode).To(Equal(http.StatusOK))
+	g.Expect(gw.sendAuthorization("no route", "/nowhere/1", "Bearer "+testKey).StatusCode).To(Equal(http.StatusNotFound))
+	for _, arrival := range service.Arrivals() {
+		want := ""
+		if arrival.ID == "known" {
+			want = testTenant
+		}
+		g.Expect(arrival.Header.Get(rpfake.HeaderTenant)).To(Equal(want), arrival.ID)
+		g.Expect(arrival.Header).NotTo(HaveKey("Authorization"), arrival.ID)
+	}
+	g.Expect(gw.log.String()).NotTo(ContainSubstring(testKey))
+	g.Expect(gw.log.String()).NotTo(ContainSubstring("k-other-0815"))
+}
+
+// Guards against a gateway that hides or interprets keys where the configuration has
+// no accounts.
+func TestForwardsKeysWithoutAccounts(t *testing.T) {
+	g := NewWithT(t)
+	p := withPlatform(t)
+	service := p.startPlain("s1")
+	gw := p.startGateway("front-1")
+	g.Expect(gw.sendAuthorization("r1", "/place/1", "Bearer "+testKey).StatusCode).To(Equal(http.StatusOK))
+	arrival := service.Arrivals()[0]
+	g.Expect(arrival.Header.Get("Authorization")).To(Equal("Bearer " + testKey))
+	g.Expect(arrival.Header.Get(rpfake.HeaderTenant)).To(Equal("forged"))
+}
--- a/internal/rpgateway/caller_response.go
+++ b/internal/rpgateway/caller_response.go
@@ -74,6 +74,9 @@
 	if refusal.RetryAfter > 0 {
 		header.Set("Retry-After", formatRetryAfter(refusal.RetryAfter))
 	}
+	if refusal.Status() == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
 	body := rpfront.EncodeProblem(id, refusal)
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	if r.sendHeader(refusal.Status(), header) == nil {
--- a/internal/rpmetric/metric.go
+++ b/internal/rpmetric/metric.go
@@ -204,7 +204,7 @@
 // RoutedFirstEvent records the time from the arrival of a request on a route of
 // a platform to the first event of its stream.
 func (m *Metrics) RoutedFirstEvent(rank int, d time.Duration) {
-	m.observe(nameRoutedFirst, d, strconv.Itoa(rank))
+	m.observe(nameRoutedFirst, d, strconv.Itoa(min(rank, len(rpdocument.Ranks)-1)))
 }
 
 // OrderEnded counts an order to an engine of a platform that ended.
--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -44,7 +44,7 @@
 	}
 	first, event := s.silenceTimeouts(r)
 	s.noteRequest(r, "sends a request to an endpoint", Field{"attempt", r.attemptCount}, Field{"endpoint", string(e.ID)},
-		Field{"route", r.route.Name}, Field{"service", r.service}, Field{"model", r.Model}, Field{"adapter", r.Adapter},
+		Field{"route", r.route.Name}, Field{"service", r.service}, Field{"model", r.Model}, Field{"adapter", r.Adapter}, Field{"account", r.account},
 		Field{"waited", s.now.Sub(r.arrivedAt)}, Field{"in_flight", e.inFlight}, Field{"in_flight_others", e.inFlightElsewhere},
 		Field{"others_age", s.now.Sub(s.demand.placementAsOf)}, Field{"entry_age", s.now.Sub(e.entrySeenAt)},
 		Field{"config_version", s.configVersion()}, Field{"prompt_parts", strings.Join(reportedPrompt(r.sharedParts()), ",")})
@@ -56,6 +56,8 @@
 		Address:         e.Address,
 		Rank:            r.route.Rank,
 		Kind:            r.route.Kind,
+		Account:         r.account,
+		HideCredential:  r.hideCredential,
 		Repeatable:      r.route.Repeatable(),
 		ResumeAfter:     r.lastEvent,
 		ResponseStarted: r.responseStarted,
--- a/pkg/rpfleet/config.go
+++ b/pkg/rpfleet/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpaccount"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
 )
@@ -43,8 +44,11 @@
 	// Resumable streams may continue at another endpoint after the last event
 	// that the caller has.
 	Resumable bool
-	// Rank is 0 for the most urgent requests.
+	// Rank is 0 for the most urgent requests. The rank of the caller's account takes
+	// precedence.
 	Rank int
+	// Anonymous routes also serve callers without a key of an account.
+	Anonymous bool
 	// Timeout bounds the time until the response is complete.
 	Timeout time.Duration
 	// Target is the operator's target for the time to the response, or to the
@@ -128,6 +132,9 @@
 	Routes   []Route
 	Services map[string]*Service
 	Limits   CallerLimits
+	// Accounts holds the client accounts; nil if the configuration has none. Then
+	// callers are not identified.
+	Accounts *rpaccount.Directory
 
 	byHost map[string][]*Route
 }
--- a/pkg/rpfleet/effect.go
+++ b/pkg/rpfleet/effect.go
@@ -35,6 +35,10 @@
 	Address     netip.AddrPort
 	Rank        int
 	Kind        RouteKind
+	// Account is the name of the caller's account, or "". HideCredential says that
+	// the caller's key must not reach the endpoint.
+	Account        string
+	HideCredential bool
 	// Repeatable says that the request may run again at another endpoint.
 	Repeatable bool
 	// ResumeAfter is the id of the last event that the caller has, or "".
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpaccount"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
@@ -106,6 +107,10 @@
 	Prompt       []PromptPart
 	PromptTokens int
 	MaxTokens    int
+	// TokensCounted says that the caller stated PromptTokens and MaxTokens.
+	TokensCounted bool
+	// Credential is the digest of the caller's key.
+	Credential rpaccount.Credential
 	// ResumeAfter is the id of the last event that the caller has, or "".
 	ResumeAfter string
 }
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -20,6 +20,7 @@
 // request is a caller's request from its arrival to its end.
 type request struct {
 	Request
+	accountState
 	route   *Route
 	service string
 	// engineSpec describes the engines of the service; nil if the request names
@@ -105,7 +106,7 @@
 	r := &request{Request: arrived, arrivedAt: s.now, excludedEndpoints: map[rpcore.EndpointID]bool{}, lastEvent: arrived.ResumeAfter}
 	if refusal := s.resolveRoute(r); refusal != nil {
 		s.noteRequest(r, "refused a request", Field{"refusal", string(refusal.Code)}, Field{"detail", refusal.Detail},
-			Field{"config_version", s.configVersion()}, Field{"config_age", s.now.Sub(s.configAt)},
+			Field{"account", r.account}, Field{"key", r.keyForLog()}, Field{"config_version", s.configVersion()}, Field{"config_age", s.now.Sub(s.configAt)},
 			Field{"retry_after", refusal.RetryAfter})
 		s.emit(RefuseRequest{Request: r.ID, Refusal: *refusal})
 		return
@@ -138,6 +139,9 @@
 	if r.route == nil {
 		return newRefusal(rpverdict.CodeUnknownRoute, "No route matches the host and path.", 0)
 	}
+	if refusal := s.identify(r); refusal != nil {
+		return refusal
+	}
 	r.service = r.route.service(r.ID)
 	service := s.config.Services[r.service]
 	if service == nil {
@@ -352,7 +356,7 @@
 
 func (s *State) refuseRequest(r *request, refusal *rpverdict.Refusal) {
 	s.noteRequest(r, "refused a request", Field{"refusal", string(refusal.Code)}, Field{"verdict", refusal.Verdict.String()},
-		Field{"detail", refusal.Detail}, Field{"route", r.route.Name}, Field{"service", r.service}, Field{"model", r.Model},
+		Field{"detail", refusal.Detail}, Field{"account", r.account}, Field{"route", r.route.Name}, Field{"service", r.service}, Field{"model", r.Model},
 		Field{"adapter", r.Adapter}, Field{"waited", s.now.Sub(r.arrivedAt)}, Field{"attempts", r.attemptCount},
 		Field{"last_failure", r.lastFailure}, Field{"retry_after", refusal.RetryAfter},
 		Field{"config_version", s.configVersion()}, Field{"placement_age", s.now.Sub(s.demand.placementAsOf)})
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -231,6 +231,7 @@
 	s.note("documents", "a new configuration is in force", Field{"config_version", config.Version},
 		Field{"version_before", before}, Field{"routes", len(config.Routes)}, Field{"services", len(config.Services)})
 	s.updateReadiness()
+	s.identifyWaiting()
 	s.dispatchAll()
 	s.schedulePlan()
 }
--- a/pkg/rpverdict/refusal.go
+++ b/pkg/rpverdict/refusal.go
@@ -36,6 +36,9 @@
 	CodeOutcomeNotKept         Code = "outcome_not_kept"
 	CodeTooManyStreams         Code = "too_many_streams"
 	CodePromptQuarantined      Code = "prompt_quarantined"
+	CodeUnknownKey             Code = "unknown_key"
+	CodeAccountsUnconfirmed    Code = "accounts_unconfirmed"
+	CodeQuotaExceeded          Code = "quota_exceeded"
 )
 
 type codeInfo struct {
@@ -68,6 +71,9 @@
 	CodeOutcomeNotKept:         {http.StatusConflict, "An earlier request with this idempotency key ran. Its answer was too large to keep."},
 	CodeTooManyStreams:         {http.StatusServiceUnavailable, "This instance has reached its limit of requests in progress."},
 	CodePromptQuarantined:      {http.StatusServiceUnavailable, "Engines crashed on a part of the prompt, so the request is kept away from them."},
+	CodeUnknownKey:             {http.StatusUnauthorized, "The request has no key of a client account."},
+	CodeAccountsUnconfirmed:    {http.StatusServiceUnavailable, "This instance can't confirm that the key was not withdrawn."},
+	CodeQuotaExceeded:          {http.StatusTooManyRequests, "The client account has used its quota."},
 }
 
 // CodeCount returns the number of codes.
