--- /dev/null
+++ b/pkg/rpaccount/meter_test.go
@@ -0,0 +1,50 @@
+package rpaccount_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpaccount"
+)
+
+var begin = time.Unix(1_800_000_000, 0)
+
+// Guards against a limit without effect: one instance that is its own planner
+// admits the rate and no more.
+func TestMeterAloneKeepsTheRate(t *testing.T) {
+	g := NewWithT(t)
+	account := rpaccount.Account{Name: "a", Quota: rpaccount.Quota{Rate: 1000, Burst: 500, Unit: rpaccount.UnitTokens}}
+	limits := rpaccount.Limits{Window: 8 * time.Second}
+	d := rpaccount.NewDirectory([]rpaccount.Account{account}, nil)
+	m, p := rpaccount.Meter{Limits: limits}, rpaccount.Pool{Limits: limits}
+	m.SetInstances(1)
+	m.SetDirectory(begin, d)
+	p.SetDirectory(begin, d)
+	admitted := 0.0
+	for now := begin; now.Before(begin.Add(20 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		if ok, retryAfter := m.Admit(now, &account, 50); ok {
+			admitted += 50
+		} else {
+			g.Expect(retryAfter).To(BeNumerically(">=", 200*time.Millisecond))
+		}
+		if now.Sub(begin)%(500*time.Millisecond) == 0 {
+			usages := m.Report(now)
+			p.Record(now, "i", 1, usages)
+			m.Apply(now, now, p.Summarize(now, usages))
+		}
+	}
+	g.Expect(admitted).To(BeNumerically("<=", 20*1000+500))
+	g.Expect(admitted).To(BeNumerically(">", 18_000))
+}
+
+// Guards against a quota for an account that has none.
+func TestMeterWithoutLimit(t *testing.T) {
+	g := NewWithT(t)
+	var m rpaccount.Meter
+	for range 100 {
+		ok, _ := m.Admit(begin, &rpaccount.Account{Name: "a"}, 1e9)
+		g.Expect(ok).To(BeTrue())
+	}
+}
