--- a/pkg/rpaccount/directory.go
+++ b/pkg/rpaccount/directory.go
@@ -1,22 +1,27 @@
 package rpaccount
 
-// Credential is the digest of a caller's key.
-type Credential [32]byte
-
-// Directory is the set of accounts of one configuration. It is immutable after
-// NewDirectory.
+// Directory is the set of accounts of one version of the configuration. It does not
+// change after NewDirectory. A nil or zero Directory has no accounts.
 type Directory struct {
 	accounts map[string]*Account
-	keys     map[Credential]string
+	keys     map[Credential]*Account
 }
 
-// NewDirectory returns the directory of the accounts. keys maps the digests of
-// keys to names of accounts.
+// NewDirectory returns the directory of the given accounts. keys maps the digest of
+// each key to the name of its account; keys of other names identify no account.
 func NewDirectory(accounts []Account, keys map[Credential]string) *Directory {
-	d := &Directory{accounts: make(map[string]*Account, len(accounts)), keys: keys}
+	d := &Directory{
+		accounts: make(map[string]*Account, len(accounts)),
+		keys:     make(map[Credential]*Account, len(keys)),
+	}
 	for i := range accounts {
-		a := accounts[i]
-		d.accounts[a.Name] = &a
+		account := accounts[i]
+		d.accounts[account.Name] = &account
+	}
+	for credential, name := range keys {
+		if account := d.accounts[name]; account != nil && !credential.IsZero() {
+			d.keys[credential] = account
+		}
 	}
 	return d
 }
@@ -26,14 +31,23 @@
 	if d == nil {
 		return nil, false
 	}
-	return d.Account(d.keys[c])
+	account, ok := d.keys[c]
+	return account, ok
 }
 
-// Account returns the account with a name.
+// Account returns the account with the given name.
 func (d *Directory) Account(name string) (*Account, bool) {
 	if d == nil {
 		return nil, false
 	}
-	a, ok := d.accounts[name]
-	return a, ok
+	account, ok := d.accounts[name]
+	return account, ok
+}
+
+// Len returns the number of accounts.
+func (d *Directory) Len() int {
+	if d == nil {
+		return 0
+	}
+	return len(d.accounts)
 }
--- a/pkg/rpaccount/doc.go
+++ b/pkg/rpaccount/doc.go
@@ -1,15 +1,24 @@
-// Package rpaccount holds what a deployment with client accounts decides about
-// them: which account a caller's key belongs to, and what an account may use.
-// It is pure: it does no I/O and reads no clock.
+// Package rpaccount identifies client accounts by their keys, says how long a
+// configuration may be trusted with respect to withdrawn keys, and enforces the
+// accounts' quotas over all instances. It is pure: it has no I/O and no clock.
 //
-// # Usage of quotas
+// # Usage
 //
-// Each instance has a Meter, the planner has a Pool. The instance reports with
-// its demand, and earlier if ReportDue says so; the planner answers with
-// summaries:
+// A Directory is built once for each version of the configuration:
 //
-//	ok, retryAfter := meter.Admit(now, account, account.Quota.Cost(prompt, output, true))
-//	usages := meter.Report(now)                      // at asOf, in a demand
-//	pool.Record(now, instance, process, usages)      // at the planner
-//	meter.Apply(now, asOf, pool.Summarize(now, usages))
+//	keys := map[rpaccount.Credential]string{rpaccount.NewCredential("k-4711"): "shop"}
+//	directory := rpaccount.NewDirectory([]rpaccount.Account{{Name: "shop"}}, keys)
+//
+// A request is identified by the digest of its key:
+//
+//	account, ok := directory.Lookup(rpaccount.NewCredential(key))
+//
+// Currency tells whether the instance may still accept keys. It is confirmed with
+// the time before the call that found the configuration to be the newest one:
+//
+//	currency := rpaccount.Currency{Bound: 5 * time.Second, Strict: true}
+//	currency.Confirm(callBegan)
+//	if !currency.Accepts(now) {
+//		// The key may have been withdrawn: refuse the request.
+//	}
 package rpaccount
--- a/pkg/rpaccount/meter.go
+++ b/pkg/rpaccount/meter.go
@@ -148,7 +148,7 @@
 // Admit charges the cost of a request and reports whether it may run. If not,
 // it returns when to try again; the caller spreads that time.
 func (m *Meter) Admit(now time.Time, a *Account, cost float64) (ok bool, retryAfter time.Duration) {
-	if !a.Quota.limited() || cost <= 0 {
+	if a.Quota.IsZero() || cost <= 0 {
 		return true, 0
 	}
 	s := m.account(now, a)
--- a/pkg/rpaccount/pool.go
+++ b/pkg/rpaccount/pool.go
@@ -39,7 +39,7 @@
 	p.directory = d
 	for name, a := range p.accounts {
 		account, ok := d.Account(name)
-		if !ok || !account.Quota.limited() {
+		if !ok || account.Quota.IsZero() {
 			delete(p.accounts, name)
 			continue
 		}
@@ -57,7 +57,7 @@
 		return a
 	}
 	account, ok := p.directory.Account(name)
-	if !ok || !account.Quota.limited() {
+	if !ok || account.Quota.IsZero() {
 		return nil
 	}
 	if p.accounts == nil {
--- a/pkg/rpaccount/quota.go
+++ b/pkg/rpaccount/quota.go
@@ -84,14 +84,14 @@
 	case q.Unit != UnitTokens:
 		return 1
 	case !counted:
-		return q.PlainCost
+		return max(0, q.PlainCost)
 	default:
 		return float64(max(promptTokens, 0)) + float64(max(outputTokens, 0))
 	}
 }
 
-// limited reports whether the quota is a limit.
-func (q Quota) limited() bool { return q.Rate > 0 || q.Burst > 0 }
+// IsZero reports whether the quota is no limit.
+func (q Quota) IsZero() bool { return q.Rate <= 0 && q.Burst <= 0 }
 
 // margin returns how much more than Rate x Window + Burst may be used in a
 // window.
