--- a/pkg/rpaccount/directory_test.go
+++ b/pkg/rpaccount/directory_test.go
@@ -56,7 +56,7 @@
 
 // Guards against a request that gives credit to its account, and against counting
 // tokens where the quota counts requests.
-func TestQuotaCost(t *testing.T) {
+func TestCostGivesNoCredit(t *testing.T) {
 	g := NewWithT(t)
 	tokens := rpaccount.Quota{Unit: rpaccount.UnitTokens, PlainCost: 300}
 	g.Expect(tokens.Cost(1000, 48, true)).To(BeEquivalentTo(1048))
