--- a/internal/rpgateway/account_test.go
+++ b/internal/rpgateway/account_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -91,3 +92,59 @@
 	g.Expect(arrival.Header.Get("Authorization")).To(Equal("Bearer " + testKey))
 	g.Expect(arrival.Header.Get(rpfake.HeaderTenant)).To(Equal("forged"))
 }
+
+// strictSettings are settings with a short bound, so that tests end soon.
+const strictSettings = `
+[accounts]
+strict_withdrawal = true
+withdrawal_bound = "3s"
+`
+
+func (gw *gateway) statusOfKey(key string) func() int {
+	return func() int {
+		return gw.send(rpfake.CallerRequest{ID: rpfake.NewID(), Path: "/place/1", Key: key}).Status
+	}
+}
+
+// Guards against an instance that accepts keys while neither the planner nor the store
+// confirms the configuration, and against one that does not accept them again.
+func TestRefusesKeysWithoutStore(t *testing.T) {
+	g := NewWithT(t)
+	p := withPlatform(t)
+	p.settings = strictSettings
+	down := p.withStoreSwitch()
+	p.startPlain("s1")
+	p.writeAccounts(2, rpfake.Account{Name: testTenant, Keys: []string{testKey}})
+	gw := p.startGateway("front-1")
+	g.Eventually(gw.statusOfKey(testKey), eventTimeout).Should(Equal(http.StatusOK))
+	down.Store(true)
+	begin := time.Now()
+	g.Eventually(gw.statusOfKey(testKey), eventTimeout).Should(Equal(http.StatusServiceUnavailable))
+	t.Logf("refused %s after the begin of the outage", time.Since(begin))
+	g.Expect(gw.send(rpfake.CallerRequest{ID: "refused", Path: "/place/1", Key: testKey}).Body).To(ContainSubstring("accounts_unconfirmed"))
+	g.Expect(gw.send(rpfake.CallerRequest{ID: "open", Path: "/open/1", Key: testKey}).Status).To(Equal(http.StatusOK))
+	down.Store(false)
+	g.Eventually(gw.statusOfKey(testKey), eventTimeout).Should(Equal(http.StatusOK))
+	g.Expect(gw.log.String()).To(ContainSubstring("this instance no longer accepts keys"))
+	g.Expect(gw.log.String()).To(ContainSubstring("this instance accepts keys again"))
+}
+
+// Guards against a withdrawn key that keeps working at the planner or at another
+// instance, also if the store has lost its history.
+func TestWithdrawnKeyStopsWorking(t *testing.T) {
+	g := NewWithT(t)
+	p := withPlatform(t)
+	p.settings = strictSettings
+	p.startPlain("s1")
+	p.writeAccounts(2, rpfake.Account{Name: testTenant, Keys: []string{testKey, "k-2"}})
+	gateways := []*gateway{p.startGateway("front-1"), p.startGateway("front-2")}
+	for _, gw := range gateways {
+		g.Eventually(gw.statusOfKey(testKey), eventTimeout).Should(Equal(http.StatusOK))
+	}
+	p.writeAccounts(3, rpfake.Account{Name: testTenant, Keys: []string{"k-2"}})
+	p.store.Compact()
+	for _, gw := range gateways {
+		g.Eventually(gw.statusOfKey(testKey), eventTimeout).Should(Equal(http.StatusUnauthorized))
+		g.Eventually(gw.statusOfKey("k-2"), eventTimeout).Should(Equal(http.StatusOK))
+	}
+}
--- a/internal/rpgateway/caller_server.go
+++ b/internal/rpgateway/caller_server.go
@@ -181,7 +181,9 @@
 // run executes the reducer's commands for the request until one of them ends it
 // or the caller disconnects.
 func (x *exchange) run(ctx context.Context) {
-	x.loop.apply(rpfleet.RequestArrived{Stamp: x.loop.stamp(), Request: x.request})
+	// The exact time decides whether the caller's key may still be accepted.
+	arrived := rpfleet.Stamp{At: x.loop.clock.ExactNow()}
+	x.loop.apply(rpfleet.RequestArrived{Stamp: arrived, Request: x.request})
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/rpgateway/clock.go
+++ b/internal/rpgateway/clock.go
@@ -41,6 +41,20 @@
 	return now.Add(c.suspended)
 }
 
+// ExactNow returns the current time like Now, but counts a suspension that has just
+// ended, too. Callers' requests that were sent during a suspension are read in the
+// first milliseconds after it.
+func (c *clock) ExactNow() time.Time {
+	now := time.Now()
+	if c.Suspended == nil {
+		return now
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.updateSuspended(now)
+	return now.Add(c.suspended)
+}
+
 func (c *clock) updateSuspended(now time.Time) {
 	since, err := c.Suspended()
 	switch {
--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -329,25 +329,30 @@
 
 func (c *components) configFollower() *follower {
 	log := c.instance.Log.Part("documents")
-	return &follower{
+	f := &follower{
 		store: c.store, table: rpwire.TableConfig, loop: c.loop, pollWait: c.loop.configWait, idle: c.loop.configFollowed, resumes: true,
 		snapshotRequests: c.configReads, log: log,
-		apply: func(rows []rpwire.Row, _ uint64, _ bool) {
-			for _, row := range rows {
-				if row.Key != rpwire.KeyConfig || row.Removed {
-					continue
-				}
-				config, err := rpwire.DecodeConfig(row)
-				if err != nil {
-					log.Error().Err(err).Msg("can't decode the configuration; keeping the current one")
-					continue
-				}
-				c.callers.limits.Store(&config.Limits)
-				c.loop.apply(rpfleet.ConfigRead{Stamp: c.loop.stamp(), Config: config})
+	}
+	// undecoded stays set while the store's last version can't be decoded: later calls
+	// don't return it again.
+	undecoded := false
+	f.apply = func(rows []rpwire.Row, _ uint64, _ bool) {
+		for _, row := range rows {
+			if row.Key != rpwire.KeyConfig || row.Removed {
+				continue
 			}
-			c.loop.apply(rpfleet.ConfigChecked{Stamp: c.loop.stamp()})
-		},
+			config, err := rpwire.DecodeConfig(row)
+			undecoded = err != nil
+			if err != nil {
+				log.Error().Err(err).Msg("can't decode the configuration; keeping the current one")
+				continue
+			}
+			c.callers.limits.Store(&config.Limits)
+			c.loop.apply(rpfleet.ConfigRead{Stamp: c.loop.stamp(), Config: config})
+		}
+		c.loop.apply(rpfleet.ConfigChecked{Stamp: c.loop.stamp(), AskedAt: f.calledAt, Undecoded: undecoded})
 	}
+	return f
 }
 
 func (c *components) endpointFollower() *follower {
--- a/internal/rpgateway/peers.go
+++ b/internal/rpgateway/peers.go
@@ -135,36 +135,43 @@
 	return decodePlacement(resp.Body)
 }
 
-// encodeDemand encodes a demand, its extension and its evidence as CBOR items.
-// Earlier versions of the program read only the first one or two.
+// encodeDemand encodes a demand, its extension, its evidence and its load report as
+// CBOR items. Earlier versions of the program read only the first ones.
 func encodeDemand(demand *rpfleet.Demand) ([]byte, error) {
-	if demand.Evidence.IsEmpty() {
+	switch {
+	case demand.Load != nil:
+		return encodeItems(demand, &demand.Extension, &demand.Evidence, demand.Load)
+	case demand.Evidence.IsEmpty():
 		return encodeItems(demand, &demand.Extension)
 	}
 	return encodeItems(demand, &demand.Extension, &demand.Evidence)
 }
 
-// decodeDemand decodes a demand with its extension and evidence, which earlier
-// versions of the program don't send.
+// decodeDemand decodes a demand with its extension, evidence and load report, which
+// earlier versions of the program don't send.
 func decodeDemand(r io.Reader) (rpfleet.Demand, error) {
 	var demand rpfleet.Demand
-	return demand, decodeItems(r, &demand, &demand.Extension, &demand.Evidence)
+	return demand, decodeItems(r, &demand, &demand.Extension, &demand.Evidence, &demand.Load)
 }
 
-// encodePlacement encodes a placement and its quarantine as CBOR items. Earlier
-// versions of the program read only the first one.
+// encodePlacement encodes a placement, its quarantine and its load summary as CBOR
+// items. Earlier versions of the program read only the first ones. A quarantine that is
+// missing before a summary is encoded as null.
 func encodePlacement(placement *rpfleet.Placement) ([]byte, error) {
-	if placement.Quarantine == nil {
+	switch {
+	case placement.Load != nil:
+		return encodeItems(placement, placement.Quarantine, placement.Load)
+	case placement.Quarantine == nil:
 		return encodeItems(placement)
 	}
 	return encodeItems(placement, placement.Quarantine)
 }
 
-// decodePlacement decodes a placement and its quarantine, which earlier versions of
-// the program don't send.
+// decodePlacement decodes a placement, its quarantine and its load summary, which
+// earlier versions of the program don't send.
 func decodePlacement(r io.Reader) (rpfleet.Placement, error) {
 	var placement rpfleet.Placement
-	return placement, decodeItems(r, &placement, &placement.Quarantine)
+	return placement, decodeItems(r, &placement, &placement.Quarantine, &placement.Load)
 }
 
 func encodeItems(items ...any) ([]byte, error) {
--- a/internal/rpgateway/peers_test.go
+++ b/internal/rpgateway/peers_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpaccount"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
 )
@@ -63,3 +65,78 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(decoded.Quarantine).To(BeNil())
 }
+
+// Guards against load reports and summaries that an earlier or a later version of the
+// program can't read, and against a summary that is taken for a quarantine.
+func TestLoadItemsAreOptional(t *testing.T) {
+	g := NewWithT(t)
+	demand := rpfleet.Demand{Instance: "front-1", Full: true, Load: &rpfleet.LoadReport{
+		Process:  7,
+		Accounts: []rpaccount.Usage{{Account: "shop", Used: -5, Offered: 12}},
+		Engines:  []rpfleet.EngineObservation{{Endpoint: "e1", Samples: 3, Speed: 900, Prefill: 4000}},
+	}}
+	body, err := encodeDemand(&demand)
+	g.Expect(err).NotTo(HaveOccurred())
+	decodedDemand, err := decodeDemand(bytes.NewReader(body))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(decodedDemand).To(Equal(demand))
+	// An earlier version reads the first three items.
+	decoder := cbor.NewDecoder(bytes.NewReader(body))
+	var first rpfleet.Demand
+	var extension rpfleet.DemandExtension
+	var evidence rpfleet.CrashEvidence
+	g.Expect(decoder.Decode(&first)).To(Succeed())
+	g.Expect(decoder.Decode(&extension)).To(Succeed())
+	g.Expect(decoder.Decode(&evidence)).To(Succeed())
+	g.Expect(evidence.IsEmpty()).To(BeTrue())
+
+	summary := &rpfleet.LoadSummary{
+		ConfigAge: 300 * time.Millisecond,
+		Accounts:  []rpaccount.Summary{{Account: "shop", Offered: 40, Level: -100}},
+		Engines:   []rpfleet.EngineSummary{{Endpoint: "e1", Speed: 900, Prefill: 4000}},
+	}
+	for _, quarantine := range []*rpfleet.Quarantine{nil, {Watched: []string{"a"}}} {
+		placement := rpfleet.Placement{IsPlanner: true, Epoch: 3, Quarantine: quarantine, Load: summary}
+		body, err = encodePlacement(&placement)
+		g.Expect(err).NotTo(HaveOccurred())
+		decoded, err := decodePlacement(bytes.NewReader(body))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(decoded).To(Equal(placement))
+		placement.Load = nil
+		body, err = encodePlacement(&placement)
+		g.Expect(err).NotTo(HaveOccurred())
+		decoded, err = decodePlacement(bytes.NewReader(body))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(decoded.Load).To(BeNil())
+	}
+}
+
+// Guards against load reports and summaries that are too large for the links between
+// failure domains. 16 accounts and 89 engines are in use at 75 instances.
+func TestLoadItemSizes(t *testing.T) {
+	g := NewWithT(t)
+	report, summary := &rpfleet.LoadReport{Process: 1 << 63}, &rpfleet.LoadSummary{ConfigAge: time.Second}
+	size := func(item any) int {
+		body, err := cbor.Marshal(item)
+		g.Expect(err).NotTo(HaveOccurred())
+		return len(body)
+	}
+	for i := range 16 {
+		name := fmt.Sprintf("account-%02d", i)
+		report.Accounts = append(report.Accounts, rpaccount.Usage{Account: name, Used: 1e6, Offered: 5000})
+		summary.Accounts = append(summary.Accounts, rpaccount.Summary{Account: name, Offered: 1e5, Level: -1e5})
+	}
+	t.Logf("16 accounts: report %d bytes, summary %d bytes", size(report), size(summary))
+	// An exchange comes every 0.75 s, so this is less than 1 KB/s in both directions
+	// together.
+	g.Expect(size(report) + size(summary)).To(BeNumerically("<", 750))
+	report.Accounts, summary.Accounts = nil, nil
+	for i := range 89 {
+		id := rpcore.EndpointID(fmt.Sprintf("engine-%03d", i))
+		report.Engines = append(report.Engines, rpfleet.EngineObservation{Endpoint: id, Samples: 9, Speed: 900, Prefill: 40000})
+		summary.Engines = append(summary.Engines, rpfleet.EngineSummary{Endpoint: id, Speed: 900, Prefill: 40000})
+	}
+	t.Logf("89 engines: report %d bytes, summary %d bytes", size(report), size(summary))
+	g.Expect(size(report)).To(BeNumerically("<", 25*len(report.Engines)))
+	g.Expect(size(summary)).To(BeNumerically("<", 25*len(summary.Engines)))
+}
--- a/internal/rpgateway/platform_test.go
+++ b/internal/rpgateway/platform_test.go
@@ -37,6 +37,8 @@
 	balancerDelay time.Duration
 	// retrySlack is the setting retries.slack of the instances.
 	retrySlack int
+	// settings is appended to the settings of the instances.
+	settings string
 	// wrapCallers wraps the listeners for callers of the instances; nil means not
 	// to.
 	wrapCallers func(net.Listener) net.Listener
@@ -178,7 +180,7 @@
 [drain]
 balancer_delay = %q
 timeout = "6s"
-`, name, gw.callerAddress, gw.readinessAddress, listeners.open(p.t), listeners.open(p.t), p.address, p.retrySlack, p.balancerDelay)
+`, name, gw.callerAddress, gw.readinessAddress, listeners.open(p.t), listeners.open(p.t), p.address, p.retrySlack, p.balancerDelay) + p.settings
 	settings, problems := rpgateway.ParseSettings("test.toml", []byte(text))
 	g.Expect(problems).To(BeEmpty())
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/rpgateway/settings.go
+++ b/internal/rpgateway/settings.go
@@ -21,6 +21,7 @@
 	Retries  Retries             `toml:"retries"`
 	Planner  Planner             `toml:"planner"`
 	Members  Members             `toml:"members"`
+	Accounts Accounts            `toml:"accounts"`
 	Drain    Drain               `toml:"drain"`
 	Log      rpsettings.Log      `toml:"log"`
 }
@@ -69,6 +70,20 @@
 	ConfigBound rpsettings.Duration `toml:"config_bound"`
 }
 
+// Accounts limits what client accounts may do. It has an effect only if the
+// configuration has accounts.
+type Accounts struct {
+	// StrictWithdrawal refuses keys while the configuration is not confirmed, so that
+	// a withdrawn key is not accepted later than WithdrawalBound.
+	StrictWithdrawal bool                `toml:"strict_withdrawal"`
+	WithdrawalBound  rpsettings.Duration `toml:"withdrawal_bound"`
+	// In any QuotaWindow, an account may use (rate x window + burst) x (1 +
+	// QuotaOverage) + QuotaSlack. QuotaSlack is in tokens.
+	QuotaWindow  rpsettings.Duration `toml:"quota_window"`
+	QuotaOverage float64             `toml:"quota_overage"`
+	QuotaSlack   float64             `toml:"quota_slack"`
+}
+
 // Drain limits a planned stop.
 type Drain struct {
 	// BalancerDelay is how long the balancer takes to notice that the instance
@@ -84,6 +99,8 @@
 	maxSlack       = 100000
 	maxTime        = rpsettings.Duration(10 * time.Minute)
 	maxWeightLoads = 1000
+	maxOverage     = 10
+	maxQuotaSlack  = 1e12
 	minCPUShare    = 0.001
 	maxCPUShare    = 1024
 )
@@ -140,6 +157,10 @@
 	rptoml.CheckRange(r, "planner.weight_loads", s.Planner.WeightLoads, 1, maxWeightLoads)
 	rptoml.CheckRange(r, "members.leaving_bound", s.Members.LeavingBound, 0, maxTime)
 	rptoml.CheckRange(r, "members.config_bound", s.Members.ConfigBound, 0, maxTime)
+	rptoml.CheckRange(r, "accounts.withdrawal_bound", s.Accounts.WithdrawalBound, 0, maxTime)
+	rptoml.CheckRange(r, "accounts.quota_window", s.Accounts.QuotaWindow, 0, maxTime)
+	rptoml.CheckRange(r, "accounts.quota_overage", s.Accounts.QuotaOverage, 0, maxOverage)
+	rptoml.CheckRange(r, "accounts.quota_slack", s.Accounts.QuotaSlack, 0, maxQuotaSlack)
 	rptoml.CheckRange(r, "drain.balancer_delay", s.Drain.BalancerDelay, 0, maxTime)
 	rptoml.CheckRange(r, "drain.timeout", s.Drain.Timeout, 0, maxTime)
 	if s.Drain.Timeout > 0 && s.Drain.BalancerDelay >= s.Drain.Timeout {
@@ -158,6 +179,9 @@
 		ConfigBound:  time.Duration(s.Members.ConfigBound),
 		CPUShare:     s.Planner.CPUShare,
 		WeightLoads:  s.Planner.WeightLoads,
+
+		StrictWithdrawal: s.Accounts.StrictWithdrawal,
+		WithdrawalBound:  time.Duration(s.Accounts.WithdrawalBound),
 	}
 }
 
--- a/internal/rplog/part.go
+++ b/internal/rplog/part.go
@@ -13,6 +13,7 @@
 	{"replicas", "loads and unloads of models and adapters"},
 	{"documents", "service documents: accepted, received, in force"},
 	{"members", "instances and endpoints that join, leave or fail"},
+	{"accounts", "client accounts: keys and quotas"},
 	{"claims", "requests that may run only once"},
 	{"front", "the HTTP interface for callers"},
 	{"operator", "the HTTP interface for operators"},
--- a/pkg/rpfleet/account.go
+++ b/pkg/rpfleet/account.go
@@ -16,6 +16,21 @@
 	hideCredential bool
 }
 
+// admitKey identifies a request that arrives. Besides the refusals of identify, it
+// refuses a request whose key may have been withdrawn. On an anonymous route, such a
+// request is served without an account.
+func (s *State) admitKey(r *request) *rpverdict.Refusal {
+	route := r.route
+	if refusal := s.identify(r); refusal != nil || r.account == "" || s.currency.Accepts(s.now) {
+		return refusal
+	}
+	if r.route.Anonymous {
+		r.account, r.route = "", route
+		return nil
+	}
+	return s.unconfirmedRefusal()
+}
+
 // identify sets the account of a request by its key, and its rank if the account has
 // one. It returns a refusal if the route requires an account and the key has none.
 func (s *State) identify(r *request) *rpverdict.Refusal {
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -235,7 +235,7 @@
 	d := Demand{
 		Instance: s.self.Instance, Epoch: s.demand.seenEpoch, SeenChange: s.demand.seenChange, SeenListChange: s.demand.seenListChange, Needs: s.currentNeeds(),
 		StoreAge: s.now.Sub(maxTime(s.listReadAt, s.demand.leaseReadAt)),
-		Evidence: s.ownEvidence(),
+		Evidence: s.ownEvidence(), Load: s.loadReport(),
 	}
 	if s.now.Sub(s.demand.fullSentAt) < demandInterval-minDemandInterval {
 		return d
@@ -339,6 +339,7 @@
 	s.demand.seenEpoch, s.demand.seenChange, s.demand.seenListChange = p.Epoch, p.Change, p.List.Change
 	s.applyListChanges(&p.List, ev.AskedAt, newPlanner)
 	s.checkConfigVersion(p.ConfigVersion, ev.AskedAt)
+	s.applyLoadSummary(p, ev.AskedAt)
 	s.applyWeightLimit(p.WeightLimit)
 	if p.CheckStore {
 		s.readLease()
--- a/pkg/rpfleet/demand_answers.go
+++ b/pkg/rpfleet/demand_answers.go
@@ -38,6 +38,7 @@
 	}
 	quarantine := s.describeQuarantine()
 	placement.Quarantine = &quarantine
+	placement.Load = s.loadSummary(d)
 	if d.Full {
 		placement.HasOtherLoad = true
 		placement.OtherLoad = s.inFlightOfOthers(d.Instance)
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -55,6 +55,11 @@
 // all versions in the answer were applied.
 type ConfigChecked struct {
 	Stamp
+	// AskedAt is when the call to the store began.
+	AskedAt time.Time
+	// Undecoded says that the newest version in the store can't be decoded, so that
+	// the version in force may not be the newest one.
+	Undecoded bool
 }
 
 // EndpointsRead carries entries of the platform's list of endpoints.
--- a/pkg/rpfleet/freshness.go
+++ b/pkg/rpfleet/freshness.go
@@ -95,16 +95,22 @@
 // ConfigFollowed reports whether the planner confirmed the version of the
 // configuration so recently that this instance need not ask the store for changes.
 func (s *State) ConfigFollowed() bool {
-	return !s.isPlanner() && s.config != nil && s.now.Sub(s.configConfirmedAt) < shareOf(s.policy.ConfigBound, plannerAgeShare)
+	return !s.isPlanner() && s.config != nil && s.now.Sub(s.configConfirmedAt) < shareOf(s.policy.ConfigBound, plannerAgeShare) &&
+		!s.needsOwnConfirmation()
 }
 
 // ConfigWait returns how long a call may wait for a change of the
 // configuration.
 func (s *State) ConfigWait() time.Duration {
+	share := readIntervalShare
 	if s.isPlanner() {
-		return shareOf(s.policy.ConfigBound, plannerConfigWaitShare)
+		share = plannerConfigWaitShare
 	}
-	return shareOf(s.policy.ConfigBound, readIntervalShare)
+	wait := shareOf(s.policy.ConfigBound, share)
+	if s.confirmsKeys() {
+		wait = min(wait, s.confirmationWait())
+	}
+	return wait
 }
 
 // PollMargin returns how much later than its wait time the response of a call may
@@ -127,7 +133,13 @@
 
 // handleConfigChecked records that the store has no newer configuration than this
 // instance.
-func (s *State) handleConfigChecked() { s.configConfirmedAt = s.now }
+func (s *State) handleConfigChecked(ev ConfigChecked) {
+	s.configConfirmedAt = s.now
+	s.configAskedAt, s.configUndecoded = ev.AskedAt, ev.Undecoded
+	if s.config != nil && !ev.Undecoded && !ev.AskedAt.IsZero() {
+		s.confirmConfig(ev.AskedAt)
+	}
+}
 
 // confirmedConfigVersion returns the version that the planner names to other
 // instances, or 0 if it has not asked the store recently.
--- a/pkg/rpfleet/message.go
+++ b/pkg/rpfleet/message.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpaccount"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 )
 
@@ -37,6 +38,8 @@
 	Extension DemandExtension `cbor:"-"`
 	// Evidence follows Extension in the same way.
 	Evidence CrashEvidence `cbor:"-"`
+	// Load follows Evidence in the same way. It is nil if the instance sent none.
+	Load *LoadReport `cbor:"-"`
 }
 
 // DemandExtension is the part of a full demand that earlier versions of the program
@@ -141,6 +144,8 @@
 	// Quarantine follows the placement on the wire as an item of its own, which
 	// earlier versions of the program skip. It is nil if the planner sent none.
 	Quarantine *Quarantine `cbor:"-"`
+	// Load follows Quarantine in the same way. It is nil if the planner sent none.
+	Load *LoadSummary `cbor:"-"`
 }
 
 // EngineContent is what an engine holds after it has accepted Sequence orders.
@@ -175,3 +180,52 @@
 	Model   string
 	ReadyIn time.Duration
 }
+
+// LoadReport is what an instance reports of its load. Earlier versions of the program
+// don't send it; then nothing is known.
+type LoadReport struct {
+	_ struct{} `cbor:",toarray"`
+
+	// Process identifies the process of the instance, whose counters start at zero.
+	Process uint64
+	// Accounts contains the accounts in use.
+	Accounts []rpaccount.Usage
+	Engines  []EngineObservation
+}
+
+// EngineObservation describes an instance's attempts at an engine since its last
+// report.
+type EngineObservation struct {
+	_ struct{} `cbor:",toarray"`
+
+	Endpoint rpcore.EndpointID
+	Samples  int
+	// Speed is 1000 for an engine as fast as its service.
+	Speed int
+	// Prefill is the number of prompt tokens that were sent and are not read yet.
+	Prefill int
+}
+
+// LoadSummary is the planner's answer to a LoadReport.
+type LoadSummary struct {
+	_ struct{} `cbor:",toarray"`
+
+	// ConfigAge is the time since Placement.ConfigVersion was known to be the newest
+	// version. It is negative if that is not known.
+	ConfigAge time.Duration
+	// Accounts contains the accounts of the report.
+	Accounts []rpaccount.Summary
+	Engines  []EngineSummary
+}
+
+// EngineSummary is what all instances observed of an engine.
+type EngineSummary struct {
+	_ struct{} `cbor:",toarray"`
+
+	Endpoint rpcore.EndpointID
+	// Speed is 1000 for an engine as fast as its service.
+	Speed int
+	// Prefill is the number of prompt tokens that the other instances sent and that
+	// are not read yet.
+	Prefill int
+}
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -139,7 +139,7 @@
 	if r.route == nil {
 		return newRefusal(rpverdict.CodeUnknownRoute, "No route matches the host and path.", 0)
 	}
-	if refusal := s.identify(r); refusal != nil {
+	if refusal := s.admitKey(r); refusal != nil {
 		return refusal
 	}
 	r.service = r.route.service(r.ID)
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpaccount"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpreducer"
 )
@@ -40,6 +41,11 @@
 	// store. The planner then learns from load times how many run at full
 	// speed.
 	WeightLoads int
+	// StrictWithdrawal says that keys of accounts are accepted only while the
+	// configuration is confirmed. WithdrawalBound is the time after which a withdrawn
+	// key must not be accepted.
+	StrictWithdrawal bool
+	WithdrawalBound  time.Duration
 }
 
 // Defaults of Policy. The users' deployments state all of these values except
@@ -53,6 +59,8 @@
 	DefaultLeavingBound = 2 * time.Second
 	DefaultConfigBound  = 2 * time.Second
 	DefaultWeightLoads  = 4
+
+	DefaultWithdrawalBound = rpaccount.DefaultBound
 )
 
 func (p Policy) withDefaults() Policy {
@@ -65,13 +73,16 @@
 	p.LeavingBound = cmp.Or(p.LeavingBound, DefaultLeavingBound)
 	p.ConfigBound = cmp.Or(p.ConfigBound, DefaultConfigBound)
 	p.WeightLoads = cmp.Or(p.WeightLoads, DefaultWeightLoads)
+	p.WithdrawalBound = cmp.Or(p.WithdrawalBound, DefaultWithdrawalBound)
 	return p
 }
 
 // State is one instance's view of the fleet. Call Reduce with a Start event
 // before any other event.
 type State struct {
-	self        rpcore.Identity
+	self rpcore.Identity
+	// process identifies this process in load reports.
+	process     uint64
 	peerAddress netip.AddrPort
 	policy      Policy
 	rng         *rand.Rand
@@ -96,7 +107,15 @@
 	// one. configReadScheduled says that an alarm will read a newer one.
 	configConfirmedAt   time.Time
 	configReadScheduled bool
-	endpoints           map[rpcore.EndpointID]*endpoint
+	// currency tells as of when the configuration was the newest one. configAskedAt is
+	// the begin of the last call for it that the store answered. configUndecoded says
+	// that a newer version can't be decoded.
+	currency        rpaccount.Currency
+	configAskedAt   time.Time
+	configUndecoded bool
+	// keysRefusedSince is when this instance began to refuse keys, or zero.
+	keysRefusedSince time.Time
+	endpoints        map[rpcore.EndpointID]*endpoint
 	// endpointsByService and endpointsByID are sorted by id. They are caches,
 	// nil after a change of the endpoints.
 	endpointsByService map[string][]*endpoint
@@ -150,12 +169,13 @@
 		s.handleStart(ev)
 	case PolicyChanged:
 		s.policy = ev.Policy.withDefaults()
+		s.applyCurrencyPolicy()
 	case Tick:
 		s.alarms.ClearAnnounced()
 	case ConfigRead:
 		s.handleConfigRead(ev.Config)
 	case ConfigChecked:
-		s.handleConfigChecked()
+		s.handleConfigChecked(ev)
 	case EndpointsRead:
 		s.handleEndpointsRead(ev)
 	case StoreLost:
@@ -201,8 +221,10 @@
 
 func (s *State) handleStart(ev Start) {
 	s.self = ev.Self
+	s.process = ev.Seed ^ uint64(ev.At.UnixNano())
 	s.peerAddress = ev.PeerAddress
 	s.policy = ev.Policy.withDefaults()
+	s.applyCurrencyPolicy()
 	s.rng = rand.New(rand.NewPCG(ev.Seed, ev.Seed^0x9e3779b97f4a7c15))
 	s.endpoints = map[rpcore.EndpointID]*endpoint{}
 	s.requests = map[rpcore.RequestID]*request{}
