--- a/internal/rpgateway/gateway_test.go
+++ b/internal/rpgateway/gateway_test.go
@@ -151,8 +151,6 @@
 func TestErrorPageDoesNotEndResumedStream(t *testing.T) {
 	g := NewWithT(t)
 	p := withPlatform(t)
-	// Allows a retry before the planner has told the number of instances.
-	p.retrySlack = 500
 	p.writeConfig(2, rpfake.Route{
 		Name: "tips", Kind: "stream", Service: plainService, MaxAttempts: 2, Resumable: true, TargetMs: 500, TimeoutMs: 8000,
 	})
--- a/internal/rpgateway/lease.go
+++ b/internal/rpgateway/lease.go
@@ -41,6 +41,9 @@
 	// time since its last order to each engine.
 	Released    bool                        `json:"given,omitempty"`
 	OrderAgesMs map[rpcore.EndpointID]int64 `json:"order_ages_ms,omitempty"`
+	// Instances is the number of instances that the holder knows. Earlier versions
+	// of the program neither write nor read it.
+	Instances int `json:"instances,omitempty"`
 }
 
 func encodeLease(row rpfleet.LeaseRow) ([]byte, error) {
@@ -52,6 +55,7 @@
 		Released: row.Released, OrderAgesMs: ages,
 		Holder: row.Holder, Address: row.Address, Epoch: row.Epoch, Renewals: row.Renewals,
 		ValidUntilMs: milliseconds(row.ValidUntil), OrdersFromMs: milliseconds(row.OrdersFrom),
+		Instances: row.Instances,
 	})
 }
 
@@ -73,6 +77,7 @@
 	lease.Holder, lease.Address, lease.Epoch, lease.Renewals = body.Holder, body.Address, body.Epoch, body.Renewals
 	lease.OrdersFrom = rpfleet.StoreTime(time.Duration(body.OrdersFromMs) * time.Millisecond)
 	lease.Released = body.Released
+	lease.Instances = max(0, body.Instances)
 	for _, id := range slices.Sorted(maps.Keys(body.OrderAgesMs)) {
 		age := time.Duration(body.OrderAgesMs[id]) * time.Millisecond
 		lease.RecentOrders = append(lease.RecentOrders, rpfleet.RecentOrder{Endpoint: id, Age: age})
--- a/internal/rpgateway/platform_test.go
+++ b/internal/rpgateway/platform_test.go
@@ -17,6 +17,7 @@
 	"github.com/rattanpaddle/rattanpaddle/internal/rpgateway"
 	"github.com/rattanpaddle/rattanpaddle/internal/rplog"
 	"github.com/rattanpaddle/rattanpaddle/internal/rpmetric"
+	rpwire "github.com/rattanpaddle/rattanpaddle/platform"
 	"github.com/rattanpaddle/rattanpaddle/platform/rpfake"
 )
 
@@ -50,9 +51,33 @@
 	t.Cleanup(stop)
 	p.address = address
 	p.writeConfig(1)
+	p.writeReleasedLease(1)
 	return p
 }
 
+// writeReleasedLease writes the row of a lease that its holder gave up, with the
+// number of instances that share the retry budget. Without it, the first requests
+// could be retried only once a planner has known the number for a while.
+func (p *platform) writeReleasedLease(instances int) {
+	p.t.Helper()
+	NewWithT(p.t).Expect(p.store.Put(string(rpwire.TablePlanner), "planner", map[string]any{
+		"epoch": 1, "given": true, "instances": instances,
+	})).To(Succeed())
+}
+
+// writeHeldLease writes the row of a lease whose holder does not answer and stays
+// the planner for an hour.
+func (p *platform) writeHeldLease(instances int) {
+	p.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(p.t).Expect(err).NotTo(HaveOccurred())
+	p.t.Cleanup(func() { _ = listener.Close() })
+	NewWithT(p.t).Expect(p.store.Put(string(rpwire.TablePlanner), "planner", map[string]any{
+		"holder": "front-9", "address": listener.Addr().String(), "epoch": 1, "renewals": 1,
+		"valid_until_ms": time.Now().Add(time.Hour).UnixMilli(), "instances": instances,
+	})).To(Succeed())
+}
+
 // withStoreSwitch returns a switch that makes the store answer all calls with 503.
 func (p *platform) withStoreSwitch() *atomic.Bool {
 	var down atomic.Bool
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -88,6 +88,10 @@
 	placementAsOf   time.Time
 	instanceCount   int
 	instanceCountAt time.Time
+	// instanceCountProvisionalUntil is when the number of instances is complete,
+	// and instanceCountFromLease says that the lease row had one at the start.
+	instanceCountProvisionalUntil time.Time
+	instanceCountFromLease        bool
 	// expectedRetries holds the models whose refused requests are expected back
 	// because they got a Retry-After.
 	expectedRetries map[modelID]expectedRetry
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -203,6 +203,9 @@
 	// once.
 	Released     bool
 	RecentOrders []RecentOrder
+	// Instances is the number of instances that the holder knows, or 0 if it
+	// does not know all of them yet.
+	Instances int
 }
 
 // RecentOrder says how long ago an engine may have got its last order.
--- a/pkg/rpfleet/lease.go
+++ b/pkg/rpfleet/lease.go
@@ -86,7 +86,9 @@
 	peerRecentOrders   []RecentOrder
 	peerRecentOrdersAt time.Time
 	reading            bool
-	writing            bool
+	// answered says that a read of the row has ended, even if it failed.
+	answered bool
+	writing  bool
 	// writeBeganAt is when the write in flight was emitted.
 	writeBeganAt time.Time
 	// readScheduled says that an alarm will read the row.
@@ -171,6 +173,8 @@
 
 func (s *State) handleLeaseRead(ev LeaseRead) {
 	s.lease.reading = false
+	s.lease.answered = true
+	s.updateReadiness()
 	if ev.Failed {
 		s.scheduleLeaseRead(leaseReadInterval, maxFailedLeaseReadsPerSecond)
 		return
@@ -194,6 +198,7 @@
 	row := l.row
 	row.Renewals++
 	row.ValidUntil = s.latestStoreTime(s.now) + StoreTime(leaseDuration)
+	row.Instances = s.instanceCountForLease()
 	s.emit(WriteLease{Expected: l.row.Revision, Row: row})
 }
 
@@ -301,11 +306,12 @@
 	l.held = false
 	l.releasedEpoch = l.row.Epoch
 	l.writing = true
-	orders := s.recentOrders()
+	orders, instances := s.recentOrders(), s.instanceCountForLease()
 	s.endPlanning()
 	s.note("replicas", "this instance releases the planner's lease", Field{"epoch", l.row.Epoch}, Field{"engines_ordered", len(orders)})
 	s.emit(WriteLease{Expected: l.row.Revision, Row: LeaseRow{
 		Epoch: l.row.Epoch, Renewals: l.row.Renewals + 1, ValidUntil: s.latestStoreTime(s.now), Released: true, RecentOrders: orders,
+		Instances: instances,
 	}})
 }
 
--- a/pkg/rpfleet/request_test.go
+++ b/pkg/rpfleet/request_test.go
@@ -30,7 +30,12 @@
 	g.Expect(refused[0].Refusal.RetryAfter).To(BeNumerically(">", 0))
 	g.Expect(effectsOf[rpfleet.ReportReady](h)[0].Ready).To(BeFalse())
 	h.configure(plainEndpoints()...)
+	// The lease row says how many instances share the retry budget. A read that
+	// fails counts too, so that an outage does not keep callers away.
 	ready := effectsOf[rpfleet.ReportReady](h)
+	g.Expect(ready[len(ready)-1].Ready).To(BeFalse())
+	h.apply(rpfleet.LeaseRead{Stamp: h.stamp(), AskedAt: h.now, Failed: true})
+	ready = effectsOf[rpfleet.ReportReady](h)
 	g.Expect(ready[len(ready)-1].Ready).To(BeTrue())
 }
 
--- a/pkg/rpfleet/retry_budget.go
+++ b/pkg/rpfleet/retry_budget.go
@@ -1,6 +1,9 @@
 package rpfleet
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// budgetBuckets is the number of buckets of the retry window.
@@ -20,16 +23,81 @@
 	// after a smaller one was reported: a new planner learns of the instances
 	// one by one.
 	instanceCountTTL = 10 * time.Second
+	// instanceCountSettleTime is how long a number of instances is provisional
+	// if the lease row had none at the start. The instances of a deployment
+	// start within 0.3 s of each other, and each sends a demand every 0.5 s.
+	instanceCountSettleTime = 2 * time.Second
+	// maxProvisionalRetries is the number of retries of a service that an
+	// instance may take from the slack while its number of instances is
+	// provisional. The i-th instance that the planner counts is told at least i,
+	// so with at most one retry each the first instances stay within the slack.
+	maxProvisionalRetries = 1.0
 )
 
 // updateInstanceCount stores the number of instances that the planner knows.
 func (s *State) updateInstanceCount(n int) {
 	d := &s.demand
+	if d.instanceCountFromLease {
+		// The planner counts on from the number in the row.
+		d.instanceCountProvisionalUntil = time.Time{}
+	}
 	if n >= d.instanceCount || s.now.Sub(d.instanceCountAt) > instanceCountTTL {
 		d.instanceCount, d.instanceCountAt = n, s.now
 	}
 }
 
+// recordLeaseInstances stores the number of instances in the lease row; 0 means
+// that the row has none. A smaller number than the known one is ignored: only an
+// answer of the planner lowers the number.
+func (s *State) recordLeaseInstances(n int) {
+	d := &s.demand
+	if d.instanceCount == 0 {
+		d.instanceCountProvisionalUntil = s.now.Add(instanceCountSettleTime)
+		d.instanceCountFromLease = n > 0
+	}
+	if n > d.instanceCount {
+		d.instanceCount, d.instanceCountAt = n, s.now
+	}
+}
+
+// instanceCountProvisional reports whether the number of instances may lack many
+// of them because this instance, or the whole deployment, has just started.
+func (s *State) instanceCountProvisional() bool {
+	return s.now.Before(s.demand.instanceCountProvisionalUntil)
+}
+
+// instanceCountForLease returns the number of instances for the lease row, or 0
+// while it is not known. Instances that start later trust it.
+func (s *State) instanceCountForLease() int {
+	if s.instanceCountProvisional() && !s.demand.instanceCountFromLease {
+		return 0
+	}
+	return max(len(s.plan.demands), s.demand.instanceCount)
+}
+
+// sharingInstances returns the number of instances that share a budget of the
+// whole deployment, with some more for those that the planner does not know yet.
+// It returns at least defaultInstanceCount while the number is not known or a
+// planner has just begun to count.
+func (s *State) sharingInstances() int {
+	d := &s.demand
+	switch {
+	case d.instanceCount == 0:
+		return defaultInstanceCount
+	case s.instanceCountProvisional() && !d.instanceCountFromLease:
+		return max(defaultInstanceCount, d.instanceCount+unknownInstances)
+	}
+	return d.instanceCount + unknownInstances
+}
+
+// retrySlackShare returns this instance's part of RetrySlack.
+func (s *State) retrySlackShare() float64 {
+	if n := s.demand.instanceCount; n > 0 && s.instanceCountProvisional() {
+		return math.Floor(min(maxProvisionalRetries, s.policy.RetrySlack/float64(n+unknownInstances)))
+	}
+	return s.policy.RetrySlack / float64(s.sharingInstances())
+}
+
 // retryBudget counts the requests for a service and their retries, in buckets
 // of the retry window.
 type retryBudget struct {
@@ -75,11 +143,7 @@
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
-	instances := defaultInstanceCount
-	if s.demand.instanceCount > 0 {
-		instances = s.demand.instanceCount + unknownInstances
-	}
-	allowed := budgetShare*s.policy.RetryRatio*float64(requests) + s.policy.RetrySlack/float64(instances)
+	allowed := budgetShare*s.policy.RetryRatio*float64(requests) + s.retrySlackShare()
 	return float64(retries)+1 <= allowed
 }
 
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -246,6 +246,9 @@
 		ready, reason = false, "no configuration was read yet"
 	case !s.endpointsKnown:
 		ready, reason = false, "the endpoints were not read yet"
+	case !s.lease.answered:
+		// The row says how many instances share the retry budget.
+		ready, reason = false, "the planner's lease was not read yet"
 	}
 	if ready == s.ready && reason == s.readyReason {
 		return
--- a/pkg/rpfleet/takeover.go
+++ b/pkg/rpfleet/takeover.go
@@ -10,6 +10,7 @@
 // records who holds it.
 func (s *State) handleLeaseRow(row LeaseRow, storeNow StoreTime) {
 	l := &s.lease
+	s.recordLeaseInstances(row.Instances)
 	changed := row.Revision != l.row.Revision || l.rowSeenAt.IsZero()
 	holderBefore := l.row.Holder
 	l.row = row
@@ -107,6 +108,7 @@
 	row := LeaseRow{
 		Holder: s.self.Instance, Address: s.peerAddress, Epoch: l.row.Epoch + 1, Renewals: 1,
 		ValidUntil: s.latestStoreTime(s.now) + StoreTime(leaseDuration), OrdersFrom: s.latestStoreTime(s.latestFirstOrderTime()),
+		Instances: s.instanceCountForLease(),
 	}
 	s.emit(WriteLease{Expected: l.row.Revision, Row: row})
 }
