--- a/pkg/rpfleet/loads.go
+++ b/pkg/rpfleet/loads.go
@@ -90,7 +90,8 @@
 // orderLoads orders the wanted loads, at most one at each engine.
 func (p *servicePlan) orderLoads() {
 	s := p.state
-	ahead := 0
+	// queued is the total load time of the models that wait for the weight store.
+	queued := time.Duration(0)
 	for _, m := range p.models {
 		s.estimateReadyAt(m)
 	}
@@ -99,9 +100,9 @@
 	for _, w := range wanted {
 		best := p.cheapestLoad(w)
 		if best.engine == nil {
-			if w.waiting && p.allVerified() && !p.hasLocalCheckpoint(w.model) {
-				ahead++
-				s.plan.expectedReadyAt[w.model.id] = s.now.Add(p.estimateQueuedLoad(ahead))
+			if w.waiting && !s.hasCopy(w.model.id) {
+				queued += p.weightLoadTime(w.model)
+				s.plan.expectedReadyAt[w.model.id] = s.now.Add(s.estimateQueuedLoad(queued, p.weightLoadTime(w.model)))
 			}
 			continue
 		}
@@ -122,10 +123,15 @@
 	}
 }
 
-// allVerified reports whether the planner knows the content of all engines.
-// Before, the time of a load can't be estimated.
-func (p *servicePlan) allVerified() bool {
-	return !slices.ContainsFunc(p.engines, func(e *endpoint) bool { return !e.engine.verified })
+// hasCopy reports whether an endpoint holds a model or its checkpoint, as far as the
+// list and the orders show. An endpoint that is ejected or not verified counts: it may
+// serve the model long before a load from the weight store ends.
+func (s *State) hasCopy(id modelID) bool {
+	return slices.ContainsFunc(s.endpointsOf(id.service), func(e *endpoint) bool {
+		place := e.Cached[id.model]
+		return !e.Leaving && (e.engine.models[id.model] != nil || e.engine.content[id.model] != nil ||
+			place == rpcore.PlaceMemory || place == rpcore.PlaceDisk)
+	})
 }
 
 // estimateReadyAt sets when a model with replicas, loaded or loading, is ready.
@@ -135,7 +141,7 @@
 		if r := e.engine.models[m.id.model]; r != nil {
 			readyAt = r.readyAt
 			if readyAt.After(s.now) && !r.dueAt.IsZero() {
-				readyAt = maxTime(r.dueAt, s.now)
+				readyAt = maxTime(maxTime(r.dueAt, s.weightLoadEnd(e.ID, m.id.model)), s.now)
 			}
 		}
 		if known, ok := s.plan.expectedReadyAt[m.id]; !ok || readyAt.Before(known) {
--- a/pkg/rpfleet/weightstore.go
+++ b/pkg/rpfleet/weightstore.go
@@ -1,6 +1,7 @@
 package rpfleet
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -156,8 +157,36 @@
 	}
 }
 
-// estimateQueuedLoad estimates the duration of a load that has to wait for the
-// weight store behind others.
-func (p *servicePlan) estimateQueuedLoad(ahead int) time.Duration {
-	return defaultLoadTime * time.Duration(1+math.Ceil(float64(ahead)/p.state.weightLimit()))
+// weightLoadTime returns the time of a load of a model from the weight store at full
+// speed.
+func (p *servicePlan) weightLoadTime(m *modelDemand) time.Duration {
+	return cmp.Or(m.spec.LoadTimes[rpcore.PlaceRemote], defaultLoadTime)
+}
+
+// duration returns how long a load should take with as many loads beside it as there
+// were at most, of which limit run at full speed.
+func (l *weightLoad) duration(limit float64) time.Duration {
+	return time.Duration(float64(l.usualTime) * max(1, float64(l.maxConcurrent)/limit))
+}
+
+// weightLoadEnd returns when a load from the weight store should be complete, or the
+// zero time if none is in progress.
+func (s *State) weightLoadEnd(engine rpcore.EndpointID, model string) time.Time {
+	w := &s.plan.weightStore
+	i := w.findLoad(engine, model)
+	if i < 0 {
+		return time.Time{}
+	}
+	return w.loads[i].beganAt.Add(w.loads[i].duration(s.weightLimit()))
+}
+
+// estimateQueuedLoad estimates when a load from the weight store ends that can't begin
+// yet. queued is the total time of all loads up to this one, and loadTime that of this
+// one.
+func (s *State) estimateQueuedLoad(queued, loadTime time.Duration) time.Duration {
+	work := queued
+	for _, load := range s.plan.weightStore.loads {
+		work += max(0, load.usualTime-s.now.Sub(load.beganAt))
+	}
+	return max(loadTime, time.Duration(float64(work)/s.weightLimit()))
 }
--- a/pkg/rpfleet/weightstore_test.go
+++ b/pkg/rpfleet/weightstore_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
 // weightStoreSim simulates engines and a weight store that serves a number of
@@ -166,3 +167,29 @@
 	h.advanceRenewingLease(200 * time.Millisecond)
 	g.Expect(effectsOf[rpfleet.SendOrder](h)).To(HaveLen(1))
 }
+
+// Guards against requests that wait until their deadline for a model that no engine
+// has a copy of, while the weight store has other loads ahead: one engine whose content
+// is not known kept the time of the load from being estimated.
+func TestModelWithoutCopyIsRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	h := withHarness(t)
+	first, second := testEndpoint("e1", testService, homeDomain), testEndpoint("e2", testService, homeDomain)
+	h.configure(first, second)
+	h.apply(rpfleet.PolicyChanged{Stamp: h.stamp(), Policy: rpfleet.Policy{WeightLoads: 1}})
+	h.becomePlanner(first)
+	h.arriveRequest("a", "/later/1", "m4")
+	h.advanceRenewingLease(100 * time.Millisecond)
+	orders := effectsOf[rpfleet.SendOrder](h)
+	g.Expect(orders).To(HaveLen(1))
+	h.answerOrder(orders[0], rpfleet.OrderAccepted)
+	h.advanceRenewingLease(time.Second)
+	h.arriveRequest("b", "/suggest/1", "m5")
+	h.advanceRenewingLease(200 * time.Millisecond)
+	refusals := effectsOf[rpfleet.RefuseRequest](h)
+	g.Expect(refusals).To(HaveLen(1))
+	g.Expect(refusals[0].Request).To(Equal(rpcore.RequestID("b")))
+	g.Expect(refusals[0].Refusal.Code).To(Equal(rpverdict.CodeDeadlineUnreachable))
+	// 5 s are left of the first load, and the second takes 6 s.
+	g.Expect(refusals[0].Refusal.RetryAfter).To(BeNumerically("~", 11*time.Second, time.Second))
+}
