--- a/pkg/rpfleet/eviction.go
+++ b/pkg/rpfleet/eviction.go
@@ -21,6 +21,9 @@
 	// shared says that other engines hold the model or that its request rate is
 	// high.
 	shared bool
+	// needed says that the other replicas of the model could not take its requests at
+	// the next peak.
+	needed bool
 }
 
 func (p *servicePlan) enginePlanFor(e *endpoint) *enginePlan {
@@ -40,7 +43,8 @@
 // chooseEviction returns the cheapest model to unload at an engine so that
 // another one fits, with its cost. The model is "" if there is room already.
 // The result is false if no model may be unloaded. A preload evicts no shared
-// model.
+// model. A model with few requests evicts none whose replicas are all needed: one
+// request would then make many others late, also urgent ones.
 func (p *servicePlan) chooseEviction(w wantedReplica, e *endpoint) (string, float64, bool) {
 	need := w.model.spec.Memory
 	plan := p.enginePlanFor(e)
@@ -53,6 +57,9 @@
 		if plan.freeMemory+candidate.memory < need || w.preload && candidate.shared {
 			continue
 		}
+		if candidate.needed && w.model.rate < p.replicaRateCapacity()/2 {
+			continue
+		}
 		if best == nil || candidate.cost < best.cost {
 			best = candidate
 		}
@@ -81,6 +88,7 @@
 		return candidate, false
 	}
 	candidate.shared = have > 1 || m.rate > p.replicaRateCapacity()/2
+	candidate.needed = have > 1 && m.peak > float64(have-1)*p.replicaRateCapacity()
 	if left := float64(have - 1); have <= p.desiredReplicas(m) || left == 0 || m.rate/left > surplusRateShare*p.replicaRateCapacity() {
 		candidate.cost = evictionCostPerRate * m.rate / float64(have)
 	}
--- a/pkg/rpfleet/loads_test.go
+++ b/pkg/rpfleet/loads_test.go
@@ -106,3 +106,52 @@
 	g.Expect(loads).To(HaveKey("m5"))
 	g.Expect(unloads).NotTo(HaveKey("m0"))
 }
+
+// busyFleet is a planner with three engines that all hold m0, m1 and m2, and no room
+// for other models.
+func busyFleet(t *testing.T) *harness {
+	t.Helper()
+	h := withHarness(t)
+	var engines []rpfleet.Endpoint
+	for _, domain := range []string{"a", "b", "c"} {
+		engines = append(engines, withCheckpoints(testEndpoint(domain+"1", testService, rpcore.FailureDomain("zone-"+domain), "m0", "m1", "m2")))
+	}
+	h.configure(engines...)
+	h.becomePlanner(engines...)
+	return h
+}
+
+// busyModels is a demand for m0, m1 and m2 at the same rate, beside one request of
+// rank 0 for m5.
+func busyModels(perSecond int) rpfleet.Demand {
+	demand := busyDemand("m0", perSecond)
+	for _, model := range []string{"m1", "m2"} {
+		demand.Rates = append(demand.Rates, busyDemand(model, perSecond).Rates...)
+	}
+	demand.Needs = []rpfleet.Need{{Service: testService, Model: "m5", Waiting: 1, Rank: 0}}
+	return demand
+}
+
+// Guards against one urgent request for a rare model that evicts a replica without
+// which the others of a busy model are overloaded.
+func TestNeededReplicaIsNotEvicted(t *testing.T) {
+	g := NewWithT(t)
+	h := busyFleet(t)
+	_, unloads := h.runWithDemand(5*time.Second, busyModels(20))
+	g.Expect(unloads).To(BeEmpty())
+}
+
+// Guards against the eviction of a replica in a short trough of the demand, after
+// which it is missing at the next peak.
+func TestReplicaStaysThroughTrough(t *testing.T) {
+	g := NewWithT(t)
+	h := busyFleet(t)
+	peak := busyModels(20)
+	peak.Needs = nil
+	h.runWithDemand(2*time.Second, peak)
+	_, unloads := h.runWithDemand(3*time.Second, busyModels(3))
+	g.Expect(unloads).To(BeEmpty())
+	// A lower demand that lasts frees the place.
+	_, unloads = h.runWithDemand(20*time.Second, busyModels(3))
+	g.Expect(unloads).NotTo(BeEmpty())
+}
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -114,12 +114,15 @@
 	// initialReplicas holds the number of replicas of each model when this
 	// instance became the planner.
 	initialReplicas map[modelID]int
+	// peakRates holds the highest recent rate of each model with demand.
+	peakRates map[modelID]peakRate
 }
 
 func (s *State) initPlan() {
 	s.plan.demands = map[rpcore.InstanceID]*receivedDemand{}
 	s.plan.orders = map[rpcore.OrderID]*order{}
 	s.plan.expectedReadyAt = map[modelID]time.Time{}
+	s.plan.peakRates = map[modelID]peakRate{}
 	s.runAfter(planInterval, (*State).runPeriodicPlan)
 }
 
@@ -177,8 +180,9 @@
 type modelDemand struct {
 	id   modelID
 	spec ModelSpec
-	// rate is in requests per second.
+	// rate is in requests per second, and peak the highest recent rate.
 	rate    float64
+	peak    float64
 	running int
 	waiting int
 	// waited is the total time that the waiting requests have waited.
@@ -197,7 +201,7 @@
 	if d.rate == 0 && d.waiting == 0 {
 		return 0
 	}
-	byRate := math.Ceil(d.rate / p.replicaRateCapacity())
+	byRate := math.Ceil(d.peak / p.replicaRateCapacity())
 	byLoad := math.Ceil(float64(d.running) / p.replicaLoadCapacity())
 	n := max(1, int(max(byRate, byLoad)))
 	if d.rate >= domainSpreadRate {
@@ -371,6 +375,7 @@
 		}
 	}
 	p.addInitialDemand()
+	p.holdPeaks()
 }
 
 // addInitialDemand assumes demand for models that the platform placed on
