--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -33,6 +33,7 @@
 	r.sentAt = s.now
 	r.attemptID = rpcore.AttemptID(fmt.Sprintf("%s#%d", r.ID, r.attemptCount))
 	r.retryReserved, r.stayNoted, r.silenceRecorded = false, false, false
+	r.sentToBusy = r.engineSpec != nil && s.isBusy(e)
 	e.inFlight++
 	r.pendingPrefill = r.prefillTokens()
 	e.pendingPrefill += r.pendingPrefill
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -85,7 +85,9 @@
 	// placementAsOf is when the call of the last placement began. instanceCount
 	// is the number of instances that the planner knows, set at
 	// instanceCountAt.
-	placementAsOf   time.Time
+	placementAsOf time.Time
+	// otherLoadAt is when the load of the other instances was last received.
+	otherLoadAt     time.Time
 	instanceCount   int
 	instanceCountAt time.Time
 	// instanceCountProvisionalUntil is when the number of instances is complete,
@@ -222,7 +224,7 @@
 		s.applyExpectedModels(s.expectedModels(demand.Needs))
 		s.updateInstanceCount(len(s.plan.demands))
 		s.demand.placementAsOf = s.now
-		s.applyOtherLoad(s.inFlightOfOthers(s.self.Instance))
+		s.recordOtherLoad(s.inFlightOfOthers(s.self.Instance))
 		s.dispatchAll()
 		return
 	}
@@ -352,7 +354,7 @@
 		s.applyEngineContent(&p.Engines[i], ev.AskedAt)
 	}
 	if p.HasOtherLoad {
-		s.applyOtherLoad(p.OtherLoad)
+		s.recordOtherLoad(p.OtherLoad)
 	}
 	s.applyExpectedModels(p.Expected)
 	s.quarantine.plannerLacksQuarantine = p.Quarantine == nil
@@ -420,17 +422,6 @@
 	}
 }
 
-func (s *State) applyOtherLoad(others []EndpointLoad) {
-	for _, e := range s.endpoints {
-		e.inFlightElsewhere = 0
-	}
-	for _, load := range others {
-		if e := s.endpoints[load.Endpoint]; e != nil {
-			e.inFlightElsewhere += load.Count
-		}
-	}
-}
-
 func (s *State) applyExpectedModels(expected []ExpectedModel) {
 	clear(s.demand.expectedReadyAt)
 	for _, model := range expected {
--- a/pkg/rpfleet/endpoint.go
+++ b/pkg/rpfleet/endpoint.go
@@ -85,6 +85,8 @@
 	// of all other instances, as reported by the planner.
 	inFlight          int
 	inFlightElsewhere int
+	// loadElsewhere is inFlightElsewhere, smoothed over the last reports.
+	loadElsewhere float64
 	// pendingPrefill counts the prompt tokens of this instance's attempts that
 	// have no first event yet.
 	pendingPrefill int
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -56,6 +56,9 @@
 	// silenceRecorded says that the silence of the running attempt was recorded as a
 	// failure of its endpoint.
 	silenceRecorded bool
+	// sentToBusy says that the engine of the running attempt was busy when it got the
+	// request.
+	sentToBusy bool
 	// leftSilent says that the request left a silent endpoint, and awaitsBudget
 	// that it waits until the retry budget allows another attempt.
 	leftSilent, awaitsBudget bool
--- a/pkg/rpfleet/routing.go
+++ b/pkg/rpfleet/routing.go
@@ -53,15 +53,16 @@
 	case r.route.Rank == 0:
 		limit *= urgentQueueFactor
 	}
-	return limit - float64(e.inFlight+e.inFlightElsewhere)
+	return limit - s.load(e)
 }
 
-// chooseEndpoint returns the endpoint with the lowest cost for a request, or
-// nil if the request has to wait. Ejected endpoints are used only if no other
-// one can take the request; see ejectedFallback.
+// chooseEndpoint returns the endpoint with the lowest cost for a request, or one of
+// the cheaper ones at random (see spreads), or nil if the request has to wait. Ejected
+// endpoints are used only if no other one can take the request; see ejectedFallback.
 func (s *State) chooseEndpoint(r *request) *endpoint {
 	var best, ejected *endpoint
-	bestCost := 0.0
+	bestCost, totalWeight := 0.0, 0.0
+	spreads := s.spreads(r)
 	preferred := s.prefixCacheEngine(r)
 	for _, e := range s.endpointsOf(r.service) {
 		if !s.canServe(r, e) {
@@ -74,6 +75,14 @@
 			continue
 		}
 		cost := s.routingCost(r, e) - s.prefixCacheGain(r, e, preferred)
+		if spreads {
+			weight := spreadWeight(cost, e)
+			totalWeight += weight
+			if s.rng.Float64()*totalWeight < weight {
+				best = e
+			}
+			continue
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -98,7 +107,7 @@
 // requests in progress. A random part keeps instances from all choosing the
 // same one of several equal endpoints.
 func (s *State) routingCost(r *request, e *endpoint) float64 {
-	cost := float64(e.inFlight+e.inFlightElsewhere+1) * e.health.slownessFactor(s.serviceStats(r.service).latency, s.now)
+	cost := (s.load(e) + 1) * e.health.slownessFactor(s.serviceStats(r.service).latency, s.now)
 	if e.FailureDomain != s.self.FailureDomain {
 		cost += crossDomainCost
 	}
--- a/pkg/rpfleet/silence.go
+++ b/pkg/rpfleet/silence.go
@@ -15,6 +15,10 @@
 	// streamStallTargetShare is the share of the route's target that an attempt
 	// of a stream may use before the request may go to another endpoint.
 	streamStallTargetShare = 0.75
+	// busyStallTargetShare is the same if the engine was busy when it got the request.
+	// Its silence then means that it queues the request, and three of four requests
+	// that leave it within the target are late at the next engine, too.
+	busyStallTargetShare = 1.5
 	// plainStallTargetShare is the same for routes without streams, whose
 	// responses start only after the whole work.
 	plainStallTargetShare = 0.8
@@ -41,6 +45,9 @@
 	share := plainStallTargetShare
 	if r.route.Kind == KindStream {
 		share = streamStallTargetShare
+		if r.sentToBusy {
+			share = busyStallTargetShare
+		}
 		event = r.route.eventTimeout()
 	}
 	usual := firstByteStallFactor * s.serviceStats(r.service).latency
