--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -228,6 +228,11 @@
 		s.dispatchAll()
 		return
 	}
+	if s.poolsLoad() {
+		s.storeDemand(s.currentDemand())
+		s.recordOtherLoad(s.inFlightOfOthers(s.self.Instance))
+		return
+	}
 	if holder := s.lease.row.Holder; holder == "" || holder == s.self.Instance || !s.lease.row.Address.IsValid() {
 		return
 	}
@@ -332,6 +337,9 @@
 	if ev.Failed {
 		s.postDemand()
 	}
+	if !ev.Failed && !ev.Placement.IsPlanner {
+		s.applyPooledLoad(&ev.Placement)
+	}
 	if ev.Failed || !ev.Placement.IsPlanner {
 		s.recordHolderUnavailable(&ev)
 		s.postEvidence()
--- a/pkg/rpfleet/demand_answers.go
+++ b/pkg/rpfleet/demand_answers.go
@@ -13,9 +13,9 @@
 		s.dropLeaseIfCutOff()
 	}
 	if !s.isPlanner() {
-		s.emit(AnswerDemand{Call: ev.Call, Placement: Placement{
-			ReleasedEpoch: s.lease.releasedEpoch, RecentOrders: s.recentOrders(),
-		}})
+		placement := Placement{ReleasedEpoch: s.lease.releasedEpoch, RecentOrders: s.recentOrders()}
+		s.addPooledLoad(&placement, ev.Demand)
+		s.emit(AnswerDemand{Call: ev.Call, Placement: placement})
 		return
 	}
 	s.runOrSchedulePlan()
@@ -53,14 +53,19 @@
 	if d.Instance != s.self.Instance {
 		s.poolEvidence(&d.Evidence)
 	}
+	s.storeDemand(d)
+	if len(d.Rates) > 0 && s.plan.firstArrivalAt.IsZero() {
+		s.plan.firstArrivalAt = s.now
+	}
+}
+
+// storeDemand keeps the latest demand of an instance.
+func (s *State) storeDemand(d Demand) {
 	known := s.plan.demands[d.Instance]
 	if known != nil && !d.Full {
 		d.Rates, d.InFlight, d.Ejected, d.Extension = known.Rates, known.InFlight, known.Ejected, known.Extension
 	}
 	s.plan.demands[d.Instance] = &receivedDemand{Demand: d, at: s.now}
-	if len(d.Rates) > 0 && s.plan.firstArrivalAt.IsZero() {
-		s.plan.firstArrivalAt = s.now
-	}
 }
 
 // inFlightOfOthers returns the attempts of all instances but self, by endpoint.
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -143,7 +143,6 @@
 	if len(s.plan.orders) > 0 {
 		s.emit(CancelOrders{})
 	}
-	clear(s.plan.demands)
 	clear(s.plan.orders)
 	clear(s.plan.expectedReadyAt)
 	s.plan.weightStore.loads = nil
@@ -280,11 +279,7 @@
 }
 
 func (s *State) dropOutdatedPlanInput() {
-	for name, d := range s.plan.demands {
-		if s.now.Sub(d.at) > demandTTL {
-			delete(s.plan.demands, name)
-		}
-	}
+	s.dropOutdatedDemands()
 	s.dropOutdatedWeightLoads()
 }
 
