--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"sync"
 	"time"
 
@@ -236,7 +235,7 @@
 	}
 	req := &http.Request{
 		Method:        a.Method,
-		URL:           &url.URL{Scheme: "http", Host: a.Command.Address.String(), Opaque: a.Target},
+		URL:           targetURL(a.Command.Address, a.Host, a.Target),
 		Host:          a.Host,
 		Header:        header,
 		ContentLength: int64(len(a.Body)),
