--- a/pkg/rpfleet/engine_content.go
+++ b/pkg/rpfleet/engine_content.go
@@ -51,9 +51,6 @@
 	// lastAcceptedAt is when the engine last accepted an order, and
 	// nextReportAt the earliest time of the next report request.
 	lastAcceptedAt time.Time
-	// lastSentAt is the latest time at which this instance's last order may
-	// have been sent.
-	lastSentAt time.Time
 	// lastChange is the number of the planner's last change of the engine, made
 	// at lastChangeAt.
 	lastChange   uint64
--- a/pkg/rpfleet/lease.go
+++ b/pkg/rpfleet/lease.go
@@ -79,8 +79,16 @@
 	ordersFrom time.Time
 	// engineOrdersFrom replaces ordersFrom if the previous holder listed the
 	// engines that may have got an order lately. Engines that it does not
-	// contain may get an order at once. It is nil without such a list.
+	// contain may get an order at once, or at the time under otherEngines. It is
+	// nil without such a list.
 	engineOrdersFrom map[rpcore.EndpointID]time.Time
+	// lastOrderAt is the latest time at which this instance's last order to an
+	// engine may have been sent. It is not part of the engine's entry, because
+	// the entry may be removed and return.
+	lastOrderAt map[rpcore.EndpointID]time.Time
+	// earlierProcessUntil is the latest time at which an earlier process of this
+	// instance may have sent an order.
+	earlierProcessUntil time.Time
 	// peerRecentOrders are the recent orders in the answer that contained
 	// peerReleasedEpoch. Their ages are as of peerRecentOrdersAt.
 	peerRecentOrders   []RecentOrder
@@ -135,7 +143,10 @@
 	return s.lease.storeClock + StoreTime(at.Sub(s.lease.storeClockAt))
 }
 
-func (s *State) initLease() { s.readLease() }
+func (s *State) initLease() {
+	s.lease.lastOrderAt = map[rpcore.EndpointID]time.Time{}
+	s.readLease()
+}
 
 // isPlanner reports whether this instance is the planner now.
 func (s *State) isPlanner() bool { return s.lease.held && s.now.Before(s.lease.validUntil) }
--- a/pkg/rpfleet/order.go
+++ b/pkg/rpfleet/order.go
@@ -133,7 +133,7 @@
 	g := &o.engine.engine
 	o.id = rpcore.OrderID(fmt.Sprintf("%s-%d-%d", s.self.Instance, s.lease.row.Epoch, s.nextOrderNumber()))
 	o.sentAt = s.now
-	g.lastSentAt = s.now
+	s.recordOrderTime(o.engine.ID, s.now)
 	g.order = o
 	s.plan.orders[o.id] = o
 	s.emit(SendOrder{
@@ -157,7 +157,7 @@
 	}
 	delete(s.plan.orders, ev.Order)
 	g := &o.engine.engine
-	g.lastSentAt = s.now
+	s.recordOrderTime(o.engine.ID, s.now)
 	g.order = nil
 	s.note("replicas", "an engine answered an order", Field{"order", string(o.kind)}, Field{"endpoint", string(o.engine.ID)},
 		Field{"model", o.model}, Field{"adapter", o.adapter}, Field{"outcome", string(ev.Outcome)},
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -140,14 +140,14 @@
 	if len(s.plan.orders) > 0 {
 		s.emit(CancelOrders{})
 	}
+	for _, o := range s.plan.orders {
+		s.recordOrderTime(o.engine.ID, s.now.Add(maxOrderDelay))
+	}
 	clear(s.plan.demands)
 	clear(s.plan.orders)
 	clear(s.plan.expectedReadyAt)
 	s.plan.weightStore.loads = nil
 	for _, e := range s.endpoints {
-		if e.engine.order != nil {
-			e.engine.lastSentAt = s.now.Add(maxOrderDelay)
-		}
 		e.engine.order = nil
 		e.engine.verified = false
 		e.engine.foreignOrder = false
--- a/pkg/rpfleet/takeover.go
+++ b/pkg/rpfleet/takeover.go
@@ -105,6 +105,7 @@
 	l.writeBeganAt = s.now
 	l.ordersFrom = s.firstOrderTime(l.row, storeNow)
 	l.engineOrdersFrom = s.firstOrderTimes(l.row, storeNow)
+	s.recordEarlierProcess(l.row, storeNow)
 	row := LeaseRow{
 		Holder: s.self.Instance, Address: s.peerAddress, Epoch: l.row.Epoch + 1, Renewals: 1,
 		ValidUntil: s.latestStoreTime(s.now) + StoreTime(leaseDuration), OrdersFrom: s.latestStoreTime(s.latestFirstOrderTime()),
@@ -113,18 +114,9 @@
 	s.emit(WriteLease{Expected: l.row.Revision, Row: row})
 }
 
-// holderGapElapsed reports whether HolderGap has passed since the last order
-// that the previous holder may have sent to an engine.
-func (s *State) holderGapElapsed(e *endpoint) bool {
-	if s.lease.engineOrdersFrom != nil {
-		return !s.now.Before(s.lease.engineOrdersFrom[e.ID])
-	}
-	return !s.now.Before(s.lease.ordersFrom)
-}
-
 // firstOrderTimes returns when each engine may get its first order, or nil if
 // the previous holder did not list its recent orders. Engines that are not in
-// the map may get an order at once.
+// the map may get an order at the time under otherEngines, or at once without it.
 func (s *State) firstOrderTimes(before LeaseRow, storeNow StoreTime) map[rpcore.EndpointID]time.Time {
 	l := &s.lease
 	orders, asOf := before.RecentOrders, s.now.Add(time.Duration(before.ValidUntil-storeNow))
@@ -136,7 +128,7 @@
 	}
 	from := make(map[rpcore.EndpointID]time.Time, len(orders))
 	for _, order := range orders {
-		from[order.Endpoint] = asOf.Add(s.policy.HolderGap + holderGapMargin - order.Age)
+		from[order.Endpoint] = asOf.Add(s.holderGap() - order.Age)
 	}
 	return from
 }
@@ -153,31 +145,10 @@
 	return latest
 }
 
-// recentOrders returns the engines that may have got an order within HolderGap,
-// from this instance or from the previous holder.
-func (s *State) recentOrders() []RecentOrder {
-	gap := s.policy.HolderGap + holderGapMargin
-	var orders []RecentOrder
-	for _, e := range s.sortedEndpoints() {
-		g := &e.engine
-		last := maxTime(g.lastSentAt, s.lease.ordersFrom.Add(-gap))
-		if s.lease.engineOrdersFrom != nil {
-			last = maxTime(g.lastSentAt, s.lease.engineOrdersFrom[e.ID].Add(-gap))
-		}
-		if g.order != nil {
-			last = s.now.Add(maxOrderDelay)
-		}
-		if age := s.now.Sub(last); age < gap {
-			orders = append(orders, RecentOrder{Endpoint: e.ID, Age: age})
-		}
-	}
-	return orders
-}
-
 // firstOrderTime returns the time from which engines may get orders, given the
 // previous row of the lease. An earlier process of this instance counts as the same holder.
 func (s *State) firstOrderTime(before LeaseRow, storeNow StoreTime) time.Time {
-	gap := s.policy.HolderGap + holderGapMargin
+	gap := s.holderGap()
 	switch {
 	case before.Revision == 0:
 		return s.now
