--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -28,6 +28,9 @@
 		s.countBudgetRetry(r.service)
 	}
 	r.phase = phaseRunning
+	if r.attemptCount == 0 {
+		s.orderOf(r.service).RecordStart(s.now, &r.queued.Request)
+	}
 	r.attemptCount++
 	r.endpoint = e
 	r.sentAt = s.now
@@ -55,6 +58,7 @@
 		Incarnation:     e.Incarnation,
 		Address:         e.Address,
 		Rank:            r.route.Rank,
+		Priority:        s.enginePriority(r),
 		Kind:            r.route.Kind,
 		Repeatable:      r.route.Repeatable(),
 		ResumeAfter:     r.lastEvent,
--- a/pkg/rpfleet/effect.go
+++ b/pkg/rpfleet/effect.go
@@ -34,7 +34,9 @@
 	Incarnation rpcore.Incarnation
 	Address     netip.AddrPort
 	Rank        int
-	Kind        RouteKind
+	// Priority is sent to an engine, from 0 (first) to 9.
+	Priority int
+	Kind     RouteKind
 	// Repeatable says that the request may run again at another endpoint.
 	Repeatable bool
 	// ResumeAfter is the id of the last event that the caller has, or "".
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpqueue"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
@@ -26,7 +27,9 @@
 	// no model or the service is a plain one.
 	engineSpec *EngineSpec
 	phase      phase
-	arrivedAt  time.Time
+	// queued is the request's place in the order of its service.
+	queued    rpqueue.Entry
+	arrivedAt time.Time
 	// responseDeadline is when the caller must have the complete response.
 	// firstByteDeadline is when the caller stops waiting for the first byte.
 	responseDeadline  time.Time
@@ -168,22 +171,12 @@
 	return &refusal
 }
 
-// enqueue inserts a request by its rank and its time of arrival.
+// enqueue inserts a request by the order of its service.
 func (s *State) enqueue(r *request) {
 	r.phase = phaseWaiting
-	queue := s.queues[r.service]
-	at, _ := slices.BinarySearchFunc(queue, r, compareQueued)
-	s.queues[r.service] = slices.Insert(queue, at, r)
-}
-
-func compareQueued(a, b *request) int {
-	if a.route.Rank != b.route.Rank {
-		return a.route.Rank - b.route.Rank
-	}
-	if c := a.arrivedAt.Compare(b.arrivedAt); c != 0 {
-		return c
-	}
-	return slices.Compare([]byte(a.ID), []byte(b.ID))
+	s.queueRequest(r)
+	s.queues[r.service] = append(s.queues[r.service], r)
+	s.sortQueue(r.service)
 }
 
 func (s *State) dequeue(r *request) {
@@ -203,6 +196,7 @@
 // dispatchService tries to start the waiting requests of a service in queue
 // order.
 func (s *State) dispatchService(service string) {
+	s.sortQueue(service)
 	for _, r := range slices.Clone(s.queues[service]) {
 		if r.phase == phaseWaiting {
 			s.dispatch(r)
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -114,8 +114,10 @@
 	storeRestoredAt time.Time
 
 	requests map[rpcore.RequestID]*request
-	// queues holds the waiting requests of each service, most urgent first.
+	// queues holds the waiting requests of each service, most urgent first, and
+	// orders what the order of a service depends on.
 	queues  map[string][]*request
+	orders  map[string]*serviceOrder
 	budgets map[string]*retryBudget
 	// movingRequests is the number of requests of each service that leave a silent
 	// endpoint and whose attempt has not ended yet.
