--- a/pkg/rpfleet/queue_order.go
+++ b/pkg/rpfleet/queue_order.go
@@ -1,6 +1,7 @@
 package rpfleet
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -24,6 +25,8 @@
 	// uniform says that all routes of the service have the same rank and target.
 	// Its requests are then ordered by arrival.
 	uniform bool
+	// seenRoutes holds the last request of each route.
+	seenRoutes map[string]seenRoute
 }
 
 // orderOf returns the order of a service under the configuration in force.
@@ -38,6 +41,7 @@
 	}
 	if version := s.configVersion(); o.configVersion != version {
 		o.configVersion = version
+		maps.DeleteFunc(o.seenRoutes, func(_ string, seen seenRoute) bool { return !seen.isRecent(s.now) })
 		o.Margin, o.uniform = s.routeTargets(service)
 	}
 	return o
@@ -80,6 +84,7 @@
 	}
 	if r.attemptCount == 0 {
 		o.RecordArrival(s.now, &r.queued.Request)
+		o.recordRoute(r.route, s.now)
 	}
 }
 
--- a/pkg/rpfleet/routing.go
+++ b/pkg/rpfleet/routing.go
@@ -64,7 +64,7 @@
 	bestCost := 0.0
 	preferred := s.prefixCacheEngine(r)
 	for _, e := range s.endpointsOf(r.service) {
-		if !s.canServe(r, e) {
+		if !s.canServe(r, e) || !s.longPromptAllowed(r, e) {
 			continue
 		}
 		if e.health.isEjected(s.now) {
