--- a/pkg/rpfleet/effect.go
+++ b/pkg/rpfleet/effect.go
@@ -34,7 +34,9 @@
 	Incarnation rpcore.Incarnation
 	Address     netip.AddrPort
 	Rank        int
-	Kind        RouteKind
+	// Priority is sent to an engine, from 0 (first) to 9.
+	Priority int
+	Kind     RouteKind
 	// Account is the name of the caller's account, or "". HideCredential says that
 	// the caller's key must not reach the endpoint.
 	Account        string
