--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -28,9 +28,6 @@
 		s.countBudgetRetry(r.service)
 	}
 	r.phase = phaseRunning
-	if r.attemptCount == 0 {
-		s.orderOf(r.service).RecordStart(s.now, &r.queued.Request)
-	}
 	r.attemptCount++
 	r.endpoint = e
 	r.sentAt = s.now
@@ -111,6 +108,7 @@
 	}
 	if !r.responseStarted {
 		r.firstByteAt = s.now
+		s.orderOf(r.service).RecordServed(s.now, &r.queued.Request)
 	}
 	r.responseStarted = true
 	s.releasePrefill(r)
@@ -131,6 +129,7 @@
 	}
 	e := r.endpoint
 	if ev.Reason == rpcore.AttemptComplete && !r.responseStarted {
+		s.orderOf(r.service).RecordServed(s.now, &r.queued.Request)
 		s.recordLatency(r)
 	}
 	s.releaseAttempt(r)
--- a/pkg/rpfleet/queue_order.go
+++ b/pkg/rpfleet/queue_order.go
@@ -97,6 +97,12 @@
 	rpqueue.Sort(&s.orderOf(service).Order, s.now, queue, func(r *request) *rpqueue.Entry { return &r.queued })
 }
 
+// goesFirst reports whether a request goes before all others at the instance and at
+// engines, because its route or account got too little.
+func (s *State) goesFirst(r *request) bool {
+	return s.orderOf(r.service).Starved(s.now, &r.queued.Request)
+}
+
 // enginePriority returns the priority that an engine gets with a request.
 func (s *State) enginePriority(r *request) int {
 	return s.orderOf(r.service).Priority(s.now, &r.queued.Request)
--- a/pkg/rpfleet/queue_order_test.go
+++ b/pkg/rpfleet/queue_order_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -102,3 +104,29 @@
 	h.arriveRequest("relaxed", "/later/1", "m0")
 	g.Expect(h.lastAttempt("relaxed").Priority).To(Equal(6 + 1))
 }
+
+// Guards against requests of a less urgent rank that never start because those of
+// rank 0 keep an engine above the number of requests that others may add to.
+func TestStarvedRouteGetsRoomAtBusyEngine(t *testing.T) {
+	g := NewWithT(t)
+	h := withHarness(t)
+	h.configure(testEndpoint("e1", testService, homeDomain, "m0"))
+	for i := range 6 {
+		h.arriveRequest(fmt.Sprintf("first-%d", i), "/suggest/1", "m0")
+	}
+	for i := range 4 {
+		h.arriveRequest(fmt.Sprintf("later-%d", i), "/later/1", "m0")
+	}
+	// The engine always has six requests, and later ones press after 5.5 s.
+	for i := range 95 {
+		ended := effectsOf[rpfleet.StartAttempt](h)[i]
+		h.apply(rpfleet.AttemptStarted{Stamp: h.stamp(), Request: ended.Request, Attempt: ended.Attempt})
+		h.endAttempt(ended, rpcore.AttemptComplete, rpverdict.Ran)
+		h.arriveRequest(fmt.Sprintf("next-%d", i), "/suggest/1", "m0")
+		h.advance(60 * time.Millisecond)
+	}
+	started := effectsOf[rpfleet.StartAttempt](h)
+	later := slices.IndexFunc(started, func(a rpfleet.StartAttempt) bool { return strings.HasPrefix(string(a.Request), "later-") })
+	g.Expect(later).To(BeNumerically(">", 90))
+	g.Expect(started[later].Priority).To(BeZero())
+}
--- a/pkg/rpfleet/routing.go
+++ b/pkg/rpfleet/routing.go
@@ -22,8 +22,8 @@
 	// queues the rest.
 	plainQueueFactor = 3
 	// urgentQueueFactor is the limit of requests at an engine for requests of
-	// rank 0, as a multiple of its slots. Engines admit these ahead of all
-	// others.
+	// rank 0 and starved ones, as a multiple of its slots. Engines admit these
+	// ahead of all others.
 	urgentQueueFactor = 1.5
 )
 
@@ -50,7 +50,7 @@
 	switch {
 	case r.engineSpec == nil:
 		limit *= plainQueueFactor
-	case r.route.Rank == 0:
+	case r.route.Rank == 0 || s.goesFirst(r):
 		limit *= urgentQueueFactor
 	}
 	return limit - float64(e.inFlight+e.inFlightElsewhere)
--- a/pkg/rpqueue/doc.go
+++ b/pkg/rpqueue/doc.go
@@ -13,7 +13,7 @@
 //	}}
 //	order.RecordArrival(now, &entry.Request)
 //	rpqueue.Sort(&order, now, waiting, func(w *waitingRequest) *rpqueue.Entry { return &w.entry })
-//	order.RecordStart(now, &entry.Request)
+//	order.RecordServed(now, &entry.Request)
 //	number := order.Priority(now, &entry.Request)
 //
 // # Order
--- a/pkg/rpqueue/engine_player_test.go
+++ b/pkg/rpqueue/engine_player_test.go
@@ -81,6 +81,7 @@
 		if r.first == 0 {
 			r.first, r.lastAt = p.now, p.now
 			r.instance.prefill[r.engine] -= r.unread0()
+			r.instance.order.RecordServed(p.clock(p.now), &r.entry.Request)
 			p.dispatch(r.instance)
 		} else if r.output%p.eventTokens == 0 {
 			r.longestGap = max(r.longestGap, p.now-r.lastAt)
--- a/pkg/rpqueue/load_player_test.go
+++ b/pkg/rpqueue/load_player_test.go
@@ -40,7 +40,9 @@
 	models, places      int
 	zipf                float64
 	duration            time.Duration
-	seed                uint64
+	// countUntil is the end of the arrivals that count, or 0 for all.
+	countUntil time.Duration
+	seed       uint64
 	// prefillByPriority makes engines prefill admitted prompts by priority
 	// instead of in the order of their admission.
 	prefillByPriority bool
@@ -55,6 +57,11 @@
 	priority func(p *player, i *playerInstance, r *playerRequest) int
 	// allowed is the rule for long prompts; nil allows all.
 	allowed func(p *player, i *playerInstance, r *playerRequest, e int) bool
+	// starvedQueue allows starved requests the room at engines that those of rank 0
+	// have.
+	starvedQueue bool
+	// tagged sets the tags of fair queueing between kinds.
+	tagged bool
 }
 
 type playerRequest struct {
@@ -77,6 +84,8 @@
 type playerInstance struct {
 	index             int
 	inFlight, prefill []int
+	virtual           float64
+	finished          []float64
 	waiting           []*playerRequest
 	order             rpqueue.Order
 }
@@ -154,7 +163,7 @@
 	p.rng.Shuffle(len(p.engines), func(i, j int) { p.engines[i], p.engines[j] = p.engines[j], p.engines[i] })
 	for index := range load.instances {
 		p.instances = append(p.instances, &playerInstance{
-			index: index, inFlight: make([]int, load.engines), prefill: make([]int, load.engines), order: rpqueue.Order{Margin: p.shortestTarget()},
+			index: index, finished: make([]float64, len(load.kinds)), inFlight: make([]int, load.engines), prefill: make([]int, load.engines), order: rpqueue.Order{Margin: p.shortestTarget()},
 		})
 	}
 	p.placeModels()
@@ -212,6 +221,11 @@
 		ID: fmt.Sprintf("r%07d", len(p.requests)), Rank: k.rank, Kind: k.name, Arrived: p.clock(p.now), Target: p.clock(p.now + k.target),
 		Deadline: p.clock(p.now + k.deadline), Work: p.prefillTime(tokens),
 	}
+	if p.policy.tagged {
+		i := r.instance
+		r.entry.Tag = max(i.virtual, i.finished[kind])
+		i.finished[kind] = r.entry.Tag + float64(tokens)
+	}
 	p.requests = append(p.requests, r)
 	i := r.instance
 	i.order.RecordArrival(p.clock(p.now), &r.entry.Request)
@@ -312,7 +326,8 @@
 	for _, e := range p.replicas[r.model] {
 		others, _ := p.elsewhere(i, e)
 		limit := float64(p.slots)
-		if r.entry.Rank == 0 {
+		now := p.clock(p.now)
+		if r.entry.Rank == 0 || p.policy.starvedQueue && i.order.Starved(now, &r.entry.Request) {
 			limit *= 1.5
 		}
 		if float64(i.inFlight[e]+others) >= limit || p.policy.allowed != nil && !p.policy.allowed(p, i, r, e) {
@@ -349,7 +364,7 @@
 }
 
 func (p *player) send(i *playerInstance, r *playerRequest, e int) {
-	i.order.RecordStart(p.clock(p.now), &r.entry.Request)
+	i.virtual = max(i.virtual, r.entry.Tag)
 	r.engine, r.started, r.unread = e, p.now, r.tokens
 	r.priority = p.policy.priority(p, i, r)
 	i.inFlight[e]++
@@ -360,33 +375,3 @@
 		p.step(engine)
 	}
 }
-
-// playResult is what the callers of one kind got.
-type playResult struct {
-	count, served, inTime, smooth int
-}
-
-func (v playResult) share(n int) float64 { return float64(n) / float64(max(1, v.count)) }
-
-// results counts the requests of each kind: served, in time, and in time with no
-// gap above the limit of the kind.
-func (p *player) results() []playResult {
-	results := make([]playResult, len(p.kinds))
-	for _, r := range p.requests {
-		if r.arrived < playWarmup {
-			continue
-		}
-		v, k := &results[r.kind], p.kinds[r.kind]
-		v.count++
-		if r.first > 0 && !r.gone {
-			v.served++
-		}
-		if r.first > 0 && r.first-r.arrived <= k.target {
-			v.inTime++
-			if r.longestGap <= k.gap {
-				v.smooth++
-			}
-		}
-	}
-	return results
-}
--- a/pkg/rpqueue/order.go
+++ b/pkg/rpqueue/order.go
@@ -103,13 +103,14 @@
 }
 
 // Sort sorts waiting requests, the first to start first. The cost is that of
-// sorting a nearly sorted slice if little has changed since the last call.
+// sorting a nearly sorted slice if little has changed since the last call. Late
+// requests don't yield to those of a kind that already gets more than they do.
 func Sort[T any](o *Order, now time.Time, waiting []T, entry func(T) *Entry) {
 	var last *Entry
 	for _, w := range waiting {
 		e := entry(w)
 		e.urgency = o.Urgency(now, &e.Request)
-		if e.urgency == Pressing && (last == nil || last.compareInGroup(e) < 0) {
+		if e.urgency == Pressing && !o.favored(now, &e.Request) && (last == nil || last.compareInGroup(e) < 0) {
 			last = e
 		}
 	}
@@ -125,11 +126,11 @@
 // decides among requests that can meet their targets; late requests come after it.
 func (o *Order) group(now time.Time, e, lastPressing *Entry) group {
 	switch {
-	case e.urgency != Relaxed && o.starved(now, &e.Request):
+	case o.Starved(now, &e.Request):
 		return groupStarved
-	case e.urgency == Expiring:
+	case e.urgency == Expiring && !o.favored(now, &e.Request):
 		return groupExpiring
-	case e.urgency != Late && lastPressing != nil && e.compareInGroup(lastPressing) <= 0:
+	case e.urgency < Late && lastPressing != nil && e.compareInGroup(lastPressing) <= 0:
 		return groupInTime
 	}
 	return groupOther
@@ -162,17 +163,23 @@
 
 // Priority returns the priority from 0 (first) to 9 that an engine gets with a
 // request which is sent now. Ranks keep their order, except that an expiring
-// request gets the priority of the rank before its own: otherwise it would miss
-// its deadline. An expiring request of rank 0 goes before the late ones of its
-// rank.
+// request gets the priority of the rank before its own, and a starved one that of
+// pressing requests of rank 0: otherwise they would miss their deadlines. An
+// expiring request of rank 0 goes before the late ones of its rank.
 func (o *Order) Priority(now time.Time, r *Request) int {
 	first := max(0, r.Rank) * prioritiesPerRank
+	if o.Starved(now, r) {
+		return 0
+	}
 	switch o.Urgency(now, r) {
 	case Pressing:
 		return min(first, maxPriority)
 	case Late:
 		return min(first+2, maxPriority)
 	case Expiring:
+		if o.favored(now, r) {
+			return min(first+2, maxPriority)
+		}
 		return min(max(first+2-prioritiesPerRank, 1), maxPriority-1)
 	}
 	return min(first+1, maxPriority)
--- a/pkg/rpqueue/order_test.go
+++ b/pkg/rpqueue/order_test.go
@@ -177,7 +177,7 @@
 	common := waitingRequest("common", 0, 100*time.Millisecond, 3*time.Second)
 	for range 100 {
 		o.RecordArrival(testStart, &common.Request)
-		o.RecordStart(testStart, &common.Request)
+		o.RecordServed(testStart, &common.Request)
 	}
 	o.RecordArrival(testStart, &rare.Request)
 	g.Expect(sortedIDs(o, rare, common)).To(Equal([]string{"common", "rare"}))
@@ -185,10 +185,34 @@
 		o.RecordArrival(testStart, &rare.Request)
 	}
 	g.Expect(sortedIDs(o, common, rare)).To(Equal([]string{"rare", "common"}))
-	o.RecordStart(testStart, &rare.Request)
+	for range 2 {
+		o.RecordServed(testStart, &rare.Request)
+	}
 	g.Expect(sortedIDs(o, rare, common)).To(Equal([]string{"common", "rare"}))
 }
 
+// Guards against late requests of an urgent rank that yield to a less urgent one
+// although that is already served better.
+func TestLateDoesNotYieldToKindServedBetter(t *testing.T) {
+	g := NewWithT(t)
+	o := &rpqueue.Order{Margin: testMargin}
+	late := waitingRequest("late-0", 0, -50*time.Millisecond, 3*time.Second)
+	pressing := waitingRequest("pressing-2", 2, 100*time.Millisecond, 9*time.Second)
+	for range 20 {
+		o.RecordArrival(testStart, &late.Request)
+		o.RecordArrival(testStart, &pressing.Request)
+	}
+	for range 16 {
+		o.RecordServed(testStart, &late.Request)
+		o.RecordServed(testStart, &pressing.Request)
+	}
+	g.Expect(sortedIDs(o, late, pressing)).To(Equal([]string{"pressing-2", "late-0"}))
+	for range 2 {
+		o.RecordServed(testStart, &pressing.Request)
+	}
+	g.Expect(sortedIDs(o, pressing, late)).To(Equal([]string{"late-0", "pressing-2"}))
+}
+
 // Guards against counts of accounts and routes that are kept forever although
 // their names change with the configuration.
 func TestIdleGroupsAreForgotten(t *testing.T) {
@@ -235,7 +259,7 @@
 		e := waitingRequest(fmt.Sprintf("r%d", i), rng.IntN(3), time.Duration(rng.IntN(3000)-1500)*time.Millisecond, 3*time.Second)
 		e.Kind = fmt.Sprintf("kind-%d", i%5)
 		o.RecordArrival(testStart, &e.Request)
-		o.RecordStart(testStart, &e.Request)
+		o.RecordServed(testStart, &e.Request)
 		entries = append(entries, e)
 	}
 	rpqueue.Sort(o, testStart, entries, itself)
