--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -270,7 +270,7 @@
 	c.serveListener(listeners[1], http.HandlerFunc(c.serveReadiness))
 	c.serveListener(listeners[2], c.peers.handler())
 	if listeners[3] != nil {
-		c.serveListener(listeners[3], c.instance.Metrics.Handler())
+		c.serveListener(listeners[3], c.observer.metricsHandler(c.loop))
 	}
 	c.running.Go(func() { c.configFollower().run(background) })
 	c.running.Go(func() { c.endpointFollower().run(background) })
--- a/internal/rpgateway/loop.go
+++ b/internal/rpgateway/loop.go
@@ -106,6 +106,14 @@
 	return l.query(func(s *rpfleet.State) time.Duration { return s.StoreRetry(answered) })
 }
 
+// accountStatus returns the state of the accounts for the metrics.
+func (l *loop) accountStatus() rpfleet.AccountStatus {
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.AccountStatus(now)
+}
+
 // configFollowed reports whether the planner keeps the configuration current.
 func (l *loop) configFollowed() bool {
 	l.mu.Lock()
--- a/internal/rpgateway/observer.go
+++ b/internal/rpgateway/observer.go
@@ -28,6 +28,16 @@
 	return o
 }
 
+// metricsHandler serves the metrics and reads those of the accounts from the loop.
+func (o *observer) metricsHandler(l *loop) http.Handler {
+	handler := o.metrics.Handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		status := l.accountStatus()
+		o.metrics.Accounts(status.Accounts, status.ConfigAge, status.KeysAccepted)
+		handler.ServeHTTP(w, r)
+	})
+}
+
 func (o *observer) requestEnded(took time.Duration, code string) {
 	o.metrics.RoutedRequestEnded(code, took)
 }
--- a/internal/rpmetric/metric.go
+++ b/internal/rpmetric/metric.go
@@ -204,11 +204,23 @@
 // RoutedFirstEvent records the time from the arrival of a request on a route of
 // a platform to the first event of its stream.
 func (m *Metrics) RoutedFirstEvent(rank int, d time.Duration) {
-	m.observe(nameRoutedFirst, d, strconv.Itoa(min(rank, len(rpdocument.Ranks)-1)))
+	m.observe(nameRoutedFirst, d, strconv.Itoa(rank))
 }
 
 // OrderEnded counts an order to an engine of a platform that ended.
 func (m *Metrics) OrderEnded(kind, outcome string) { m.add(nameOrders, 1, kind, outcome) }
 
+// Accounts records the number of client accounts, the time since the configuration was
+// last confirmed (negative if it never was), and whether keys are accepted.
+func (m *Metrics) Accounts(accounts int, confirmedAge time.Duration, keysAccepted bool) {
+	accepted := 0.0
+	if keysAccepted {
+		accepted = 1
+	}
+	m.set(nameAccounts, float64(accounts))
+	m.set(nameConfigAge, max(-1, confirmedAge.Seconds()))
+	m.set(nameKeysAccepted, accepted)
+}
+
 // LogDropped counts log lines that were dropped.
 func (m *Metrics) LogDropped(lines int) { m.add(nameLogDropped, float64(lines)) }
--- a/internal/rpmetric/metric_test.go
+++ b/internal/rpmetric/metric_test.go
@@ -52,10 +52,16 @@
 	m.ReducerEvent(time.Millisecond)
 	m.SubmissionEnded(rpcore.SubmissionConflict)
 	m.SetDocumentsInForce(2)
+	m.Accounts(16, 700*time.Millisecond, true)
+	m.RoutedFirstEvent(12, time.Second)
 	answer := httptest.NewRecorder()
 	m.Handler().ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
 	for _, line := range []string{
 		`rattanpaddle_requests_total{code="other",rank="other"} 1`,
+		`rattanpaddle_accounts_in_force 16`,
+		`rattanpaddle_config_confirmed_age_seconds 0.7`,
+		`rattanpaddle_keys_accepted 1`,
+		`rattanpaddle_routed_first_event_seconds_count{rank="other"} 1`,
 		`rattanpaddle_requests_total{code="ok",rank="urgent"} 1`,
 		`rattanpaddle_first_token_seconds_bucket{rank="urgent",le="0.56"} 1`,
 		`rattanpaddle_first_token_seconds_bucket{rank="urgent",le="0.4"} 0`,
--- a/internal/rpmetric/table.go
+++ b/internal/rpmetric/table.go
@@ -62,6 +62,9 @@
 	nameRoutedSeconds  = "rattanpaddle_routed_request_seconds"
 	nameRoutedFirst    = "rattanpaddle_routed_first_event_seconds"
 	nameOrders         = "rattanpaddle_engine_orders_total"
+	nameAccounts       = "rattanpaddle_accounts_in_force"
+	nameConfigAge      = "rattanpaddle_config_confirmed_age_seconds"
+	nameKeysAccepted   = "rattanpaddle_keys_accepted"
 	nameLogDropped     = "rattanpaddle_log_lines_dropped_total"
 )
 
@@ -96,6 +99,9 @@
 	{name: nameRoutedSeconds, kind: kindHistogram, unit: "seconds", help: "Time from the arrival of such a request to its end, by code.", labels: []label{{"code", codeNames()}}, buckets: firstTokenBuckets},
 	{name: nameRoutedFirst, kind: kindHistogram, unit: "seconds", help: "Time from the arrival of such a request to the first event of its stream, by rank (0 is the most urgent).", labels: []label{{"rank", []string{"0", "1", "2", "3"}}}, buckets: firstTokenBuckets},
 	{name: nameOrders, kind: kindCounter, unit: "orders", help: "Orders to the engines of a platform, by kind and outcome.", labels: []label{{"kind", stringValues(rpfleet.OrderLoad, rpfleet.OrderUnload)}, {"outcome", stringValues(rpfleet.OrderAccepted, rpfleet.OrderHolds, rpfleet.OrderConflict, rpfleet.OrderRejected, rpfleet.OrderNotSent, rpfleet.OrderUnknown)}}},
+	{name: nameAccounts, kind: kindGauge, unit: "accounts", help: "Client accounts of the configuration in force."},
+	{name: nameConfigAge, kind: kindGauge, unit: "seconds", help: "Time since the configuration in force was last known to be the newest one, or -1 if it never was."},
+	{name: nameKeysAccepted, kind: kindGauge, unit: "0 or 1", help: "1 if the instance accepts keys of client accounts, 0 if the configuration was not confirmed for too long."},
 	{name: nameLogDropped, kind: kindCounter, unit: "lines", help: "Lines of the log that were dropped because standard output was not read fast enough."},
 	{name: nameDocuments, kind: kindGauge, unit: "documents", help: "Documents in force at this instance."},
 }
--- a/pkg/rpaccount/directory_test.go
+++ b/pkg/rpaccount/directory_test.go
@@ -15,18 +15,18 @@
 func TestDirectoryLookup(t *testing.T) {
 	g := NewWithT(t)
 	directory := rpaccount.NewDirectory(
-		[]rpaccount.Account{{Name: "shop", Rank: 2, HasRank: true}, {Name: "lab"}},
+		[]rpaccount.Account{{Name: "shop", Rank: 2, HasRank: true}, {Name: "lab"}, {}},
 		map[rpaccount.Credential]string{
 			rpaccount.NewCredential("k1"): "shop", rpaccount.NewCredential("k2"): "shop",
 			rpaccount.NewCredential("k3"): "lab", rpaccount.NewCredential("k4"): "nobody",
-			rpaccount.NewCredential(""): "lab",
+			rpaccount.NewCredential(""): "lab", rpaccount.NewCredential("k5"): "",
 		})
 	for key, name := range map[string]string{"k1": "shop", "k2": "shop", "k3": "lab"} {
 		account, ok := directory.Lookup(rpaccount.NewCredential(key))
 		g.Expect(ok).To(BeTrue(), key)
 		g.Expect(account.Name).To(Equal(name), key)
 	}
-	for _, key := range []string{"", "k4", "K1", "k1 ", "k11", strings.Repeat("k", 64<<10)} {
+	for _, key := range []string{"", "k4", "k5", "K1", "k1 ", "k11", strings.Repeat("k", 64<<10)} {
 		_, ok := directory.Lookup(rpaccount.NewCredential(key))
 		g.Expect(ok).To(BeFalse(), key)
 	}
--- a/pkg/rpfleet/withdrawal.go
+++ b/pkg/rpfleet/withdrawal.go
@@ -76,6 +76,23 @@
 	return age
 }
 
+// AccountStatus is the state of the accounts at an instance, for its metrics.
+type AccountStatus struct {
+	Accounts int
+	// ConfigAge is as in State.ConfigAge.
+	ConfigAge    time.Duration
+	KeysAccepted bool
+}
+
+// AccountStatus returns the state of the accounts at the given time.
+func (s *State) AccountStatus(now time.Time) AccountStatus {
+	age := s.currency.Age(now)
+	if age > maxConfigAge {
+		age = -time.Second
+	}
+	return AccountStatus{Accounts: s.accounts().Len(), ConfigAge: age, KeysAccepted: s.currency.Accepts(now)}
+}
+
 // maxConfigAge is the age from which a confirmation says no more than none.
 const maxConfigAge = time.Hour
 
