--- a/pkg/rpaccount/pool.go
+++ b/pkg/rpaccount/pool.go
@@ -3,11 +3,28 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 )
 
+const (
+	// lostAfter is how long an instance has not reported, at least, until its
+	// use is presumed.
+	lostAfter = 2 * time.Second
+	// reservedFor is how long the part of an instance that does not report
+	// stays reserved: it may be cut off and still admit requests. Instances
+	// refuse keys without contact after the bound of withdrawals (5 s), where
+	// that is strict.
+	reservedFor = 10 * time.Second
+	// counterTTL is how long the counters of an instance are kept, so that only
+	// its use since its last report is charged when it returns.
+	counterTTL = 2 * time.Minute
+	// presumeInterval is the time between two calculations of presumed use.
+	presumeInterval = 250 * time.Millisecond
+)
+
 // Pool is the planner's side of the quotas. The zero value works. It is not
 // safe for concurrent use.
 type Pool struct {
@@ -15,27 +32,48 @@
 	directory *Directory
 	startedAt time.Time
 	accounts  map[string]*pooledAccount
+	// reportedAt is when each instance last reported.
+	reportedAt map[rpcore.InstanceID]time.Time
+	presumedAt time.Time
 }
 
 // pooledAccount is the token bucket of an account and the counters of the
 // instances.
 type pooledAccount struct {
+	bucket
 	quota     Quota
 	level     float64 // at settledAt
 	settledAt time.Time
-	offered   int
+	// offered is the sum over the instances and unseen.
+	offered   float64
 	instances map[rpcore.InstanceID]*instanceUse
+	// unseen is the part of the offered cost that the previous planner knew and
+	// whose instances have not reported to this one.
+	unseen instanceUse
+	// adopted says that unseen came from the previous planner, with the
+	// offered cost and the number of instances that it knew. seen is the number
+	// of instances that have reported.
+	adopted                          bool
+	adoptedOffered, adoptedInstances float64
+	seen                             int
 }
 
+// instanceUse is the last report of an instance. presumed is the use that was
+// charged since then without a report, until presumedTo.
 type instanceUse struct {
-	process uint64
-	used    int64
-	offered int
-	at      time.Time
+	process    uint64
+	used       int64
+	offered    float64
+	share      float64 // of the offered cost of all instances
+	allowance  float64 // share of the level
+	lost       bool
+	presumed   float64
+	presumedTo time.Time
 }
 
 // SetDirectory sets the accounts in force.
 func (p *Pool) SetDirectory(now time.Time, d *Directory) {
+	p.start(now)
 	p.directory = d
 	for name, a := range p.accounts {
 		account, ok := d.Account(name)
@@ -43,16 +81,22 @@
 			delete(p.accounts, name)
 			continue
 		}
-		a.settle(now, p.Limits, 0)
-		a.quota = account.Quota
-		a.settle(now, p.Limits, 0)
+		a.settle(now, 0)
+		a.quota, a.bucket = account.Quota, p.Limits.bucket(account.Quota)
+		a.settle(now, 0)
 	}
 }
 
-func (p *Pool) account(now time.Time, name string) *pooledAccount {
+func (p *Pool) start(now time.Time) {
 	if p.startedAt.IsZero() {
 		p.startedAt = now
 	}
+}
+
+// account returns the state of an account. An account that becomes known within
+// the first window may have been used before.
+func (p *Pool) account(now time.Time, name string) *pooledAccount {
+	p.start(now)
 	if a := p.accounts[name]; a != nil {
 		return a
 	}
@@ -63,59 +107,151 @@
 	if p.accounts == nil {
 		p.accounts = map[string]*pooledAccount{}
 	}
-	a := &pooledAccount{quota: account.Quota, settledAt: now, instances: map[rpcore.InstanceID]*instanceUse{}}
-	if now.Sub(p.startedAt) >= p.Limits.Window {
+	a := &pooledAccount{
+		quota: account.Quota, bucket: p.Limits.bucket(account.Quota),
+		settledAt: p.startedAt, instances: map[rpcore.InstanceID]*instanceUse{},
+	}
+	a.level = a.startLevel()
+	if !p.isYoung(now) {
 		a.level = a.quota.Burst
-	} else {
-		extra, _ := p.Limits.extra(a.quota)
-		a.level = min(-extra+a.quota.Rate*now.Sub(p.startedAt).Seconds(), a.quota.Burst)
 	}
 	p.accounts[name] = a
 	return a
 }
 
+// isYoung reports whether the use of a whole window is not known yet.
+func (p *Pool) isYoung(now time.Time) bool { return now.Sub(p.startedAt) < p.Limits.window() }
+
 // settle adds the rate since the last call and subtracts what was used in that
-// time. Debt is bounded by what the rate repays within the window.
-func (a *pooledAccount) settle(now time.Time, limits Limits, used float64) {
+// time.
+func (a *pooledAccount) settle(now time.Time, used float64) {
 	elapsed := max(now.Sub(a.settledAt).Seconds(), 0)
-	extra, _ := limits.extra(a.quota)
-	least := -extra - a.quota.Rate*limits.Window.Seconds()
-	a.level = max(min(a.level+a.quota.Rate*elapsed-used, a.quota.Burst), least)
+	a.level = max(min(a.level+a.quota.Rate*elapsed-used, a.quota.Burst), a.leastLevel)
 	a.settledAt = now
 }
 
 // Record charges what an instance has used since its last report.
 func (p *Pool) Record(now time.Time, instance rpcore.InstanceID, process uint64, usages []Usage) {
+	if p.reportedAt == nil {
+		p.reportedAt = map[rpcore.InstanceID]time.Time{}
+	}
+	p.reportedAt[instance] = now
 	for i := range usages {
 		if a := p.account(now, usages[i].Account); a != nil {
-			a.settle(now, p.Limits, p.recordUse(now, a, instance, process, &usages[i]))
+			used := p.record(now, a, instance, process, &usages[i])
+			a.settle(now, used)
 		}
 	}
 }
 
-// recordUse replaces an instance's counter and returns what was used since the
-// last one.
-func (p *Pool) recordUse(now time.Time, a *pooledAccount, instance rpcore.InstanceID, process uint64, u *Usage) float64 {
+// record replaces an instance's counter and returns what was used since the last
+// one and not presumed.
+func (p *Pool) record(now time.Time, a *pooledAccount, instance rpcore.InstanceID, process uint64, u *Usage) float64 {
+	offered := float64(max(u.Offered, 0))
 	known := a.instances[instance]
 	if known == nil {
 		known = &instanceUse{}
 		a.instances[instance] = known
+		a.takeUnseen(now, offered, p.startedAt.Add(reservedFor))
 	}
-	used := u.Used - known.used
-	if known.at.IsZero() || known.process != process {
+	used := float64(u.Used - known.used)
+	first := known.presumedTo.IsZero()
+	if first || known.process != process {
 		// The counter may be hours old; the offered cost bounds the recent use.
-		used = min(u.Used, int64(math.Ceil(float64(u.Offered)*shareWindow.Seconds())))
-		if now.Sub(p.startedAt) < p.Limits.Window {
-			used = 0
+		used = min(float64(max(u.Used, 0)), offered*min(shareWindow, now.Sub(p.startedAt)).Seconds())
+		if first && a.adopted && p.isYoung(now) {
+			used = 0 // It was presumed.
 		}
 	}
-	a.offered += u.Offered - known.offered
-	*known = instanceUse{process: process, used: u.Used, offered: u.Offered, at: now}
-	return float64(used)
+	a.offered += offered - known.offered
+	presumed := known.presumed
+	*known = instanceUse{process: process, used: u.Used, offered: offered, presumedTo: now}
+	if a.offered > 0 {
+		known.share = min(offered/a.offered, 1)
+		known.allowance = known.share * max(a.level+a.extra, 0)
+	}
+	return used - presumed
 }
 
-// Forget forgets an instance.
-func (p *Pool) Forget(instance rpcore.InstanceID) {
+// takeUnseen reduces the unseen part by that of an instance that reports for the
+// first time.
+func (a *pooledAccount) takeUnseen(now time.Time, offered float64, until time.Time) {
+	a.presumeUse(now, &a.unseen, until)
+	taken := min(offered, a.unseen.offered)
+	a.unseen.offered -= taken
+	a.offered -= taken
+	a.seen++
+	a.unseen.share = 0
+	if a.adopted {
+		a.unseen.share = max(1-float64(a.seen)/a.adoptedInstances, a.unseen.offered/max(a.adoptedOffered, 1))
+	}
+}
+
+// presume charges the use of instances that do not report: they may be cut off
+// and still admit requests. The presumed use is replaced by the counter when they
+// return.
+func (p *Pool) presume(now time.Time) {
+	if now.Sub(p.presumedAt) < presumeInterval {
+		return
+	}
+	p.presumedAt = now
+	// As many regular reports as there are instances share reportsPerSecond.
+	lost := max(lostAfter, time.Duration(2*float64(len(p.reportedAt))/reportsPerSecond*float64(time.Second)))
+	for _, instance := range slices.Sorted(maps.Keys(p.reportedAt)) {
+		at := p.reportedAt[instance]
+		switch silent := now.Sub(at); {
+		case silent > counterTTL:
+			p.drop(instance)
+		case silent > lost:
+			p.presumeInstance(now, instance, at.Add(reservedFor))
+		}
+	}
+	for name, a := range p.accounts {
+		a.presumeUse(now, &a.unseen, p.startedAt.Add(reservedFor))
+		if len(a.instances) == 0 && now.Sub(a.settledAt) > counterTTL {
+			delete(p.accounts, name)
+		}
+	}
+}
+
+func (p *Pool) presumeInstance(now time.Time, instance rpcore.InstanceID, until time.Time) {
+	for _, a := range p.accounts {
+		if u := a.instances[instance]; u != nil {
+			a.presumeUse(now, u, until)
+		}
+	}
+}
+
+// presumeUse charges an instance's use since presumedTo: the share of the rate
+// that it had when it last reported. After until, its part is no longer reserved.
+func (a *pooledAccount) presumeUse(now time.Time, u *instanceUse, until time.Time) {
+	if u.share <= 0 {
+		return
+	}
+	if !u.lost {
+		// It may also use its share of the level.
+		u.lost = true
+		u.presumed += u.allowance
+		a.settle(now, u.allowance)
+	}
+	end := now
+	if end.After(until) {
+		end = until
+	}
+	rate := a.quota.Rate * u.share
+	if elapsed := end.Sub(u.presumedTo).Seconds(); elapsed > 0 {
+		u.presumed += rate * elapsed
+		u.presumedTo = end
+		a.settle(now, rate*elapsed)
+	}
+	if now.After(until) {
+		a.offered -= u.offered
+		u.offered, u.share = 0, 0
+	}
+}
+
+func (p *Pool) drop(instance rpcore.InstanceID) {
+	delete(p.reportedAt, instance)
 	for _, a := range p.accounts {
 		if u := a.instances[instance]; u != nil {
 			a.offered -= u.offered
@@ -124,23 +260,53 @@
 	}
 }
 
+// Forget says that an instance does not report any more. Its part of the quotas
+// stays reserved for a while, because it may be cut off from the planner and
+// still admit requests.
+func (p *Pool) Forget(instance rpcore.InstanceID) {
+	at, ok := p.reportedAt[instance]
+	if !ok {
+		return
+	}
+	p.presumeInstance(at, instance, at.Add(reservedFor))
+}
+
 // Summarize returns the summaries of the accounts that an instance reported.
 func (p *Pool) Summarize(now time.Time, reported []Usage) []Summary {
+	p.presume(now)
 	summaries := make([]Summary, 0, len(reported))
 	for i := range reported {
 		if a := p.account(now, reported[i].Account); a != nil {
-			a.settle(now, p.Limits, 0)
-			summaries = append(summaries, Summary{Account: reported[i].Account, Offered: a.offered, Level: int64(math.Floor(a.level))})
+			a.settle(now, 0)
+			summaries = append(summaries, Summary{
+				Account: reported[i].Account, Offered: wholeUnits(max(a.offered, 0)), Level: int64(math.Floor(a.level)),
+			})
 		}
 	}
 	return summaries
 }
 
 // Adopt takes over what the instance knew from the previous planner. It is
-// called when the instance becomes the planner.
+// called when the instance becomes the planner, and discards what the pool knew
+// before.
 func (p *Pool) Adopt(now time.Time, m *Meter) {
-	p.startedAt = now
-	p.directory = m.directory
-	p.accounts = maps.Clone(p.accounts)
-	clear(p.accounts)
+	*p = Pool{Limits: p.Limits, directory: m.directory, startedAt: now}
+	for _, name := range slices.Sorted(maps.Keys(m.accounts)) {
+		s := m.accounts[name]
+		if !s.known {
+			continue
+		}
+		a := p.account(now, name)
+		if a == nil {
+			continue
+		}
+		// Without a planner, the instances use at most their parts of a positive
+		// level and of the rate, so the bucket is not emptier than it was, or
+		// than empty.
+		elapsed := now.Sub(s.appliedAt).Seconds()
+		a.level = max(min(s.level+a.quota.Rate*elapsed, a.startLevel(), a.quota.Burst), a.leastLevel)
+		a.unseen = instanceUse{offered: s.total, share: 1, presumedTo: now}
+		a.offered, a.adopted = s.total, true
+		a.adoptedOffered, a.adoptedInstances = s.total, m.instanceCount()
+	}
 }
--- a/pkg/rpaccount/quota.go
+++ b/pkg/rpaccount/quota.go
@@ -27,9 +27,13 @@
 	// times their rate.
 	lagReserve = 1.2
 	// extraShare is the part of the overage and slack above lagReserve that is
-	// added to the burst. Without it an account with a burst of less than a few
+	// added to the burst, and leastExtraShare the part of all of it that is
+	// added in any case. Without it an account with a burst of less than a few
 	// large requests is refused although its window is almost empty.
-	extraShare = 0.5
+	extraShare      = 0.5
+	leastExtraShare = 0.15
+	// defaultWindow is used if the limits have no window.
+	defaultWindow = 8 * time.Second
 )
 
 // Quota is the limit of one account. The zero value is no limit.
@@ -93,24 +97,53 @@
 // IsZero reports whether the quota is no limit.
 func (q Quota) IsZero() bool { return q.Rate <= 0 && q.Burst <= 0 }
 
+func (l Limits) window() time.Duration {
+	if l.Window <= 0 {
+		return defaultWindow
+	}
+	return l.Window
+}
+
 // margin returns how much more than Rate x Window + Burst may be used in a
 // window.
 func (l Limits) margin(q Quota) float64 {
-	margin := l.Overage * (q.Rate*l.Window.Seconds() + q.Burst)
+	margin := l.Overage * (q.Rate*l.window().Seconds() + q.Burst)
 	if q.Unit == UnitTokens {
 		margin += l.Slack
 	}
 	return margin
 }
 
-// extra returns the part of the margin that is added to the burst, and reserve
-// the part that is kept for use that is not known yet.
-func (l Limits) extra(q Quota) (extra, reserve float64) {
-	margin := l.margin(q)
-	extra = extraShare * max(margin-lagReserve*q.Rate, 0)
-	return extra, margin - extra
+// bucket holds the sizes that follow from a quota and the limits.
+type bucket struct {
+	// depth is the burst and the part of the margin that is added to it. A
+	// level of -extra is an empty bucket.
+	depth, extra float64
+	// reserve is the part of the margin that is kept for use that is not known
+	// yet.
+	reserve float64
+	// most is the largest cost that a window can hold.
+	most float64
+	// leastLevel bounds the debt to what the rate repays within the window.
+	leastLevel float64
+}
+
+func (l Limits) bucket(q Quota) bucket {
+	margin, perWindow := l.margin(q), q.Rate*l.window().Seconds()
+	extra := max(extraShare*(margin-lagReserve*q.Rate), leastExtraShare*margin)
+	return bucket{
+		depth: q.Burst + extra, extra: extra, reserve: margin - extra,
+		most: perWindow + q.Burst + margin, leastLevel: -extra - perWindow,
+	}
 }
 
-// wholeUnits rounds to whole units. It rounds up so that a small rate does not
-// become none.
+// startLevel is the level that is assumed if nothing is known of the use so far:
+// an empty bucket and a part of the reserve.
+func (b *bucket) startLevel() float64 { return startReserve*b.reserve - b.extra }
+
+// startReserve is the part of the reserve that a new planner without any
+// knowledge hands out, so that accounts below their limit are served.
+const startReserve = 0.125
+
+// wholeUnits rounds up to whole units, so that a small rate does not become none.
 func wholeUnits(rate float64) int { return int(math.Ceil(rate)) }
--- /dev/null
+++ b/pkg/rpaccount/scenario_test.go
@@ -0,0 +1,168 @@
+package rpaccount_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpaccount"
+)
+
+const (
+	// simFailAt is when the fault of a scenario begins, and simEnd its end.
+	simFailAt = 15 * time.Second
+	simEnd    = 40 * time.Second
+	// simSettled is when the first second after the start is over, in which
+	// nothing is known of the account.
+	simSettled = 3 * time.Second
+	// simUsual is the usual load as a part of the quota's rate: quotas are 1.8
+	// times the usual load.
+	simUsual = 1 / 1.8
+	// simInstances is the number of instances of the accounts deployment.
+	simInstances = 75
+)
+
+// scenario is a fault. reports says that all instances remain in contact with a
+// planner, so that accounts below their limit are served.
+type scenario struct {
+	name    string
+	reports bool
+	faults  []simEvent
+}
+
+func after(d time.Duration, run func(s *simulation)) simEvent { return simEvent{simFailAt + d, run} }
+
+// withPlanner makes another instance the planner, as after the end of the lease.
+func withPlanner(next int) func(*simulation) {
+	return func(s *simulation) {
+		if s.planner >= 0 {
+			s.instances[s.planner].isPlanner = false
+			s.instances[s.planner].pool = nil
+		}
+		s.become(next)
+	}
+}
+
+func withDomain(domain int, cutOff bool) func(*simulation) {
+	return func(s *simulation) {
+		for i := domain; i < len(s.instances); i += simDomains {
+			s.instances[i].cutOff = cutOff
+		}
+	}
+}
+
+func withPlannerCutOff(cutOff bool) func(*simulation) {
+	return func(s *simulation) { s.instances[0].cutOff = cutOff }
+}
+
+func withPlannerFrozen(frozen bool) func(*simulation) {
+	return func(s *simulation) { s.instances[0].frozen = frozen }
+}
+
+func withPlannerDead(s *simulation) {
+	s.restart(0)
+	s.planner = -1
+}
+
+func withAllRestarted(s *simulation) {
+	for i := range s.instances {
+		s.restart(i)
+	}
+	s.planner = -1
+}
+
+func withDomainMoved(s *simulation) {
+	for i := 0; i+1 < len(s.instances); i += simDomains {
+		s.instances[i+1].weight += s.instances[i].weight
+		s.instances[i].weight = 0
+	}
+}
+
+func scenarios() []scenario {
+	return []scenario{
+		{"no fault", true, nil},
+		{"planner dies", false, []simEvent{after(0, withPlannerDead), after(4*time.Second, withPlanner(3))}},
+		{"planner is cut off", false, []simEvent{
+			after(0, withPlannerCutOff(true)), after(4*time.Second, withPlanner(3)), after(9*time.Second, withPlannerCutOff(false)),
+		}},
+		{"planner is frozen", false, []simEvent{after(0, withPlannerFrozen(true)), after(2*time.Second, withPlannerFrozen(false))}},
+		{"planner is frozen and loses the lease", false, []simEvent{
+			after(0, withPlannerFrozen(true)), after(4*time.Second, withPlanner(3)), after(6*time.Second, withPlannerFrozen(false)),
+		}},
+		{"domain is cut off", false, []simEvent{after(0, withDomain(1, true)), after(9*time.Second, withDomain(1, false))}},
+		{"domain is cut off with the planner", false, []simEvent{
+			after(0, withDomain(0, true)), after(4*time.Second, withPlanner(4)), after(9*time.Second, withDomain(0, false)),
+		}},
+		{"all instances restart", false, []simEvent{after(0, withAllRestarted), after(100*time.Millisecond, withPlanner(5))}},
+		{"all instances restart, planner is late", false, []simEvent{after(0, withAllRestarted), after(4*time.Second, withPlanner(5))}},
+		{"account moves to another domain", true, []simEvent{after(0, withDomainMoved)}},
+	}
+}
+
+// simLoad is the offered cost before and after simFailAt as parts of the rate.
+type simLoad struct{ before, after float64 }
+
+// simSize is an account: requests per second and instance in usual times, and
+// seconds of the quota's rate in its burst.
+type simSize struct{ perInstance, burst float64 }
+
+func (z simSize) quota() rpaccount.Quota {
+	_, mean := logUniform(simLeastCost, simMostCost)
+	rate := simInstances * z.perInstance * mean / simUsual
+	return rpaccount.Quota{Rate: rate, Burst: rate * z.burst, Unit: rpaccount.UnitTokens}
+}
+
+func (z simSize) simulate(seed uint64, load simLoad, faults []simEvent) *simulation {
+	s := newSimulation(seed, simInstances, z.quota())
+	s.load = func(elapsed time.Duration) float64 {
+		if elapsed >= simFailAt {
+			return load.after * s.account.Quota.Rate
+		}
+		return load.before * s.account.Quota.Rate
+	}
+	s.events = faults
+	return s
+}
+
+// Guards against an account that exceeds its limit when instances do not know of
+// each other's use, and against refusals below the limit.
+func TestScenarios(t *testing.T) {
+	loads := []simLoad{{simUsual, simUsual}, {simUsual, 2.6}, {simUsual, 7.5 * simUsual}, {4.2, 4.2}}
+	sizes := []simSize{{0.3, 1}, {4, 1}}
+	seeds := uint64(1)
+	if os.Getenv("RP_QUOTA_TABLE") != "" {
+		loads = append(loads, simLoad{0.9, 0.9}, simLoad{2.6, 2.6}, simLoad{simUsual, 2.6 * simUsual})
+		sizes = []simSize{{0.01, 0.25}, {0.01, 1}, {0.05, 1}, {0.3, 0.25}, {0.3, 1}, {0.3, 4}, {1, 1}, {4, 0.25}, {4, 1}, {4, 4}}
+		seeds = 3
+	}
+	for _, sc := range scenarios() {
+		t.Run(sc.name, func(t *testing.T) {
+			for _, load := range loads {
+				for _, size := range sizes {
+					for seed := range seeds {
+						checkScenario(t, sc, load, size, seed)
+					}
+				}
+			}
+		})
+	}
+}
+
+func checkScenario(t *testing.T, sc scenario, load simLoad, size simSize, seed uint64) {
+	g := NewWithT(t)
+	s := size.simulate(seed, load, sc.faults)
+	s.run(simEnd)
+	worst := s.worstWindow(0, simEnd) / allowed(s.account.Quota)
+	below := s.refusedBelow(simSettled, simEnd)
+	served, _ := total(s.admitted, simFailAt+10*time.Second, simEnd)
+	line := fmt.Sprintf("load %.2f to %.2f, %.2f requests/s, burst %.2f s, seed %d: window %.3f, refused below %.4f, served %.3f",
+		load.before, load.after, size.perInstance, size.burst, seed, worst, below, served/(simEnd-simFailAt-10*time.Second).Seconds()/s.account.Quota.Rate)
+	t.Log(line)
+	g.Expect(worst).To(BeNumerically("<=", 1), line)
+	if sc.reports && load.after == simUsual && size.perInstance >= 0.3 && size.burst >= 1 {
+		g.Expect(below).To(BeNumerically("<", 0.005), line)
+	}
+}
