--- a/pkg/rpfleet/eviction.go
+++ b/pkg/rpfleet/eviction.go
@@ -1,6 +1,8 @@
 package rpfleet
 
 import (
+	"math/bits"
+
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpdocument"
 )
@@ -40,34 +42,61 @@
 	return plan
 }
 
-// chooseEviction returns the cheapest model to unload at an engine so that
-// another one fits, with its cost. The model is "" if there is room already.
-// The result is false if no model may be unloaded. A preload evicts no shared
-// model. A model with few requests evicts none whose replicas are all needed: one
-// request would then make many others late, also urgent ones.
-func (p *servicePlan) chooseEviction(w wantedReplica, e *endpoint) (string, float64, bool) {
+// chooseEviction returns the cheapest models to unload at an engine so that another
+// one fits, with their cost. There are none if there is room already. The result is
+// false if no models may be unloaded.
+func (p *servicePlan) chooseEviction(w wantedReplica, e *endpoint) ([]string, float64, bool) {
 	need := w.model.spec.Memory
 	plan := p.enginePlanFor(e)
 	if plan.freeMemory >= need {
-		return "", 0, true
+		return nil, 0, true
+	}
+	var usable []evictionCandidate
+	for _, candidate := range plan.candidates {
+		if p.mayEvict(w, &candidate) {
+			usable = append(usable, candidate)
+		}
 	}
-	var best *evictionCandidate
-	for i := range plan.candidates {
-		candidate := &plan.candidates[i]
-		if plan.freeMemory+candidate.memory < need || w.preload && candidate.shared {
-			continue
+	best, bestCost := 0, 0.0
+	// An engine has a handful of models, so all sets of them can be tried.
+	usable = usable[:min(len(usable), maxEvictionCandidates)]
+	for set := 1; set < 1<<len(usable); set++ {
+		free, cost := plan.freeMemory, float64(bits.OnesCount(uint(set))-1)*furtherUnloadCost
+		for i := range usable {
+			if set&(1<<i) != 0 {
+				free += usable[i].memory
+				cost += usable[i].cost
+			}
 		}
-		if candidate.needed && w.model.rate < p.replicaRateCapacity()/2 {
-			continue
+		if free >= need && (best == 0 || cost < bestCost) {
+			best, bestCost = set, cost
 		}
-		if best == nil || candidate.cost < best.cost {
-			best = candidate
+	}
+	var names []string
+	for i := range usable {
+		if best&(1<<i) != 0 {
+			names = append(names, usable[i].name)
 		}
 	}
-	if best == nil {
-		return "", 0, false
+	return names, bestCost, len(names) > 0
+}
+
+const (
+	// maxEvictionCandidates bounds the sets of models that are tried for an eviction.
+	maxEvictionCandidates = 8
+	// furtherUnloadCost is the cost, in seconds, of each unload after the first one: the
+	// time of an order and of its answer.
+	furtherUnloadCost = 0.1
+)
+
+// mayEvict reports whether a model may be unloaded for a wanted one. A preload evicts
+// no shared model. A model with few requests evicts none whose replicas are all needed:
+// one request would then make many others late, also urgent ones.
+func (p *servicePlan) mayEvict(w wantedReplica, candidate *evictionCandidate) bool {
+	if w.preload {
+		return !candidate.shared
 	}
-	return best.name, best.cost, true
+	return !candidate.needed || w.model.rate >= p.replicaRateCapacity()/2
 }
 
 // evictionCandidate returns a model at an engine with the cost of unloading it.
--- a/pkg/rpfleet/loads.go
+++ b/pkg/rpfleet/loads.go
@@ -153,8 +153,8 @@
 // loadChoice is a way to load a model.
 type loadChoice struct {
 	engine *endpoint
-	// victim is the model to unload first, or "".
-	victim string
+	// victims are the models to unload first.
+	victims []string
 	place  rpcore.CheckpointPlace
 	// waitTime is the time until the engine can take the order.
 	waitTime time.Duration
@@ -202,11 +202,11 @@
 	}
 	choice.loadTime = cmp.Or(m.spec.LoadTimes[choice.place], defaultLoadTime)
 	choice.waitTime = e.timeUntilFree(s.now)
-	victim, evictionCost, ok := p.chooseEviction(w, e)
+	victims, evictionCost, ok := p.chooseEviction(w, e)
 	if !ok || evictionCost > maxEvictionCost && (w.model.rank > 0 || !w.waiting) {
 		return loadChoice{}, false
 	}
-	choice.victim = victim
+	choice.victims = victims
 	choice.cost = (choice.waitTime + choice.loadTime).Seconds() + evictionCost
 	for _, holder := range m.replicaEngines {
 		if holder.FailureDomain == e.FailureDomain {
--- a/pkg/rpfleet/loads_test.go
+++ b/pkg/rpfleet/loads_test.go
@@ -155,3 +155,19 @@
 	_, unloads = h.runWithDemand(20*time.Second, busyModels(3))
 	g.Expect(unloads).NotTo(BeEmpty())
 }
+
+// Guards against a model that is never loaded because no single smaller model leaves
+// enough room for it: requests for it waited until their deadlines.
+func TestSeveralSmallModelsMakeRoom(t *testing.T) {
+	g := NewWithT(t)
+	h, _ := withPlannerHarness(t, "m0", "m1", "m2")
+	config := testConfig(2)
+	large := config.Services[testService].Engine.Models["m7"]
+	large.Memory = 140 * testGB
+	config.Services[testService].Engine.Models["m7"] = large
+	h.apply(rpfleet.ConfigRead{Stamp: h.stamp(), Config: config})
+	demand := rpfleet.Demand{Instance: "front-2", Full: true, Needs: []rpfleet.Need{{Service: testService, Model: "m7", Waiting: 1}}}
+	loads, unloads := h.runWithDemand(2*time.Second, demand)
+	g.Expect(unloads).To(HaveLen(2))
+	g.Expect(loads).To(HaveKey("m7"))
+}
--- a/pkg/rpfleet/order.go
+++ b/pkg/rpfleet/order.go
@@ -69,8 +69,8 @@
 	}
 	e.engine.reservedFor = w.model.id.model
 	o := &order{engine: e, kind: OrderLoad, model: w.model.id.model, loadTime: choice.loadTime, place: choice.place}
-	if choice.victim != "" {
-		o.kind, o.model = OrderUnload, choice.victim
+	if len(choice.victims) > 0 {
+		o.kind, o.model = OrderUnload, choice.victims[0]
 	}
 	s.note("replicas", "orders an engine to load or unload a model", Field{"order", string(o.kind)}, Field{"endpoint", string(e.ID)},
 		Field{"model", o.model}, Field{"for_model", w.model.id.model}, Field{"place", string(choice.place)},
