--- a/pkg/rpfleet/loads.go
+++ b/pkg/rpfleet/loads.go
@@ -155,7 +155,7 @@
 	engine *endpoint
 	// victims are the models to unload first.
 	victims []string
-	place  rpcore.CheckpointPlace
+	place   rpcore.CheckpointPlace
 	// waitTime is the time until the engine can take the order.
 	waitTime time.Duration
 	loadTime time.Duration
--- a/pkg/rpqueue/order.go
+++ b/pkg/rpqueue/order.go
@@ -9,8 +9,9 @@
 const (
 	// maxPriority is the least urgent priority that engines know.
 	maxPriority = 9
-	// prioritiesPerRank is how many priorities each of the ranks 0 to 2 has:
-	// pressing, relaxed and late. Further ranks share maxPriority.
+	// prioritiesPerRank is the distance between the priorities of two of the ranks 0
+	// to 2. Late requests get the last of those of their rank. Further ranks share
+	// maxPriority.
 	prioritiesPerRank = 3
 )
 
@@ -165,15 +166,15 @@
 // request which is sent now. Ranks keep their order, except that an expiring
 // request gets the priority of the rank before its own, and a starved one that of
 // pressing requests of rank 0: otherwise they would miss their deadlines. An
-// expiring request of rank 0 goes before the late ones of its rank.
+// expiring request of rank 0 goes before the late ones of its rank. Relaxed requests
+// get the same priority as pressing ones: it can't change while they are queued in the
+// engine, and a lower one would keep them behind new requests past their own targets.
 func (o *Order) Priority(now time.Time, r *Request) int {
 	first := max(0, r.Rank) * prioritiesPerRank
 	if o.Starved(now, r) {
 		return 0
 	}
 	switch o.Urgency(now, r) {
-	case Pressing:
-		return min(first, maxPriority)
 	case Late:
 		return min(first+2, maxPriority)
 	case Expiring:
@@ -182,5 +183,5 @@
 		}
 		return min(max(first+2-prioritiesPerRank, 1), maxPriority-1)
 	}
-	return min(first+1, maxPriority)
+	return min(first, maxPriority)
 }
