--- a/pkg/rpfleet/loads.go
+++ b/pkg/rpfleet/loads.go
@@ -13,6 +13,8 @@
 	model *modelDemand
 	// waiting says that requests wait for the model and no engine holds it.
 	waiting bool
+	// cold says that the model can only be loaded from the weight store.
+	cold bool
 	// preload says that nobody asks for the model yet.
 	preload bool
 }
@@ -24,7 +26,7 @@
 		m := p.models[name]
 		switch have := len(m.replicaEngines); {
 		case have == 0 && m.waiting > 0:
-			list = append(list, wantedReplica{model: m, waiting: true})
+			list = append(list, wantedReplica{model: m, waiting: true, cold: !p.state.hasCopy(m.id)})
 		case have > 0 && have < p.desiredReplicas(m):
 			list = append(list, wantedReplica{model: m})
 		case have == 0 && p.state.now.Sub(p.state.lastJoinAt) >= listSettleTime && !p.hasLocalCheckpoint(m):
@@ -39,8 +41,9 @@
 	return cmp.Or(
 		compareBool(a.preload, b.preload),
 		cmp.Compare(a.urgency(), b.urgency()),
+		compareBool(b.cold, a.cold),
 		cmp.Compare(b.pressure(), a.pressure()),
-		cmp.Compare(b.model.rate, a.model.rate),
+		cmp.Compare(b.model.peak, a.model.peak),
 		cmp.Compare(b.model.spec.Adapters, a.model.spec.Adapters),
 	)
 }
@@ -56,9 +59,10 @@
 
 // pressure is the number of waiting requests times the square of their mean
 // waiting time, so that no request waits forever behind models with more
-// requests.
+// requests. A cold model has none: its load takes longer than most requests wait, so
+// the number of later requests counts.
 func (w wantedReplica) pressure() float64 {
-	if w.model.waiting == 0 {
+	if w.model.waiting == 0 || w.cold {
 		return 0
 	}
 	n := float64(w.model.waiting)
@@ -100,7 +104,7 @@
 	for _, w := range wanted {
 		best := p.cheapestLoad(w)
 		if best.engine == nil {
-			if w.waiting && !s.hasCopy(w.model.id) {
+			if w.cold {
 				queued += p.weightLoadTime(w.model)
 				s.plan.expectedReadyAt[w.model.id] = s.now.Add(s.estimateQueuedLoad(queued, p.weightLoadTime(w.model)))
 			}
--- a/pkg/rpfleet/weightstore.go
+++ b/pkg/rpfleet/weightstore.go
@@ -14,10 +14,11 @@
 	// that the weight store had more concurrent loads than it serves at full
 	// speed.
 	slowLoadFactor = 1.15
-	// limitDecreaseWeight is the weight of a slow load in the learned limit.
+	// limitDecreaseWeight is the weight of a slow load in the learned limit. A load
+	// takes 6 to 13 s or longer, so a limit that is too high must fall with the first.
 	// limitIncrease is what a load at full speed adds to the limit if the limit
 	// was reached.
-	limitDecreaseWeight = 0.5
+	limitDecreaseWeight = 0.8
 	limitIncrease       = 0.5
 	// maxWeightLoads bounds the learned limit.
 	maxWeightLoads = 16.0
--- a/pkg/rpfleet/weightstore_test.go
+++ b/pkg/rpfleet/weightstore_test.go
@@ -193,3 +193,28 @@
 	// 5 s are left of the first load, and the second takes 6 s.
 	g.Expect(refusals[0].Refusal.RetryAfter).To(BeNumerically("~", 11*time.Second, time.Second))
 }
+
+// Guards against a load from the weight store for a model with one long wait instead of
+// one that is asked for often, whose requests are refused at once and so don't wait.
+func TestWeightStoreServesFrequentModelFirst(t *testing.T) {
+	g := NewWithT(t)
+	h := withHarness(t)
+	engine := testEndpoint("e1", testService, homeDomain)
+	h.configure(engine)
+	h.apply(rpfleet.PolicyChanged{Stamp: h.stamp(), Policy: rpfleet.Policy{WeightLoads: 1}})
+	h.becomePlanner(engine)
+	h.discardEffects()
+	h.apply(rpfleet.DemandReceived{Stamp: h.stamp(), Call: 1, Demand: rpfleet.Demand{
+		Instance: "front-2", Full: true,
+		Rates: []rpfleet.ModelRate{
+			{Service: testService, Model: "m4", Fast: 100, Slow: 100}, {Service: testService, Model: "m5", Fast: 700, Slow: 700},
+		},
+		Needs: []rpfleet.Need{
+			{Service: testService, Model: "m4", Waiting: 1, Waited: 4 * time.Second}, {Service: testService, Model: "m5", Waiting: 1},
+		},
+	}})
+	h.advanceRenewingLease(100 * time.Millisecond)
+	orders := effectsOf[rpfleet.SendOrder](h)
+	g.Expect(orders).To(HaveLen(1))
+	g.Expect(orders[0].Model).To(Equal("m5"))
+}
