--- a/internal/rpgateway/account_test.go
+++ b/internal/rpgateway/account_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -148,3 +149,35 @@
 		g.Eventually(gw.statusOfKey("k-2"), eventTimeout).Should(Equal(http.StatusOK))
 	}
 }
+
+// Guards against quotas that are not enforced on the whole path, and against refusals
+// over a quota that don't say when to come back or that run.
+func TestRefusesOverQuota(t *testing.T) {
+	g := NewWithT(t)
+	p := withPlatform(t)
+	p.settings = "[accounts]\nquota_window = \"4s\"\nquota_overage = 0.1\nquota_slack = 3000\n"
+	service := p.startPlain("s1")
+	p.writeAccounts(2, rpfake.Account{Name: testTenant, Keys: []string{testKey}, Tokens: true, PlainTokens: 100, Rate: 100, Burst: 500})
+	gw := p.startGateway("front-1")
+	// The limit of a window is 990 + 3000 tokens.
+	served := 0
+	var refused rpfake.CallerResponse
+	id := ""
+	for range 60 {
+		id = rpfake.NewID()
+		refused = gw.send(rpfake.CallerRequest{ID: id, Path: "/place/1", Key: testKey})
+		if refused.Status == http.StatusTooManyRequests {
+			break
+		}
+		g.Expect(refused.Status).To(Equal(http.StatusOK))
+		served++
+	}
+	t.Logf("%d requests were served before the first refusal", served)
+	g.Expect(refused.Status).To(Equal(http.StatusTooManyRequests))
+	g.Expect(refused.Body).To(ContainSubstring("quota_exceeded"))
+	seconds, err := strconv.ParseFloat(refused.Header.Get("Retry-After"), 64)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(seconds).To(BeNumerically(">", 0))
+	g.Expect(service.Runs(id)).To(BeZero())
+	g.Expect(gw.log.String()).To(ContainSubstring("an account is over its quota"))
+}
--- a/internal/rpgateway/settings.go
+++ b/internal/rpgateway/settings.go
@@ -182,6 +182,9 @@
 
 		StrictWithdrawal: s.Accounts.StrictWithdrawal,
 		WithdrawalBound:  time.Duration(s.Accounts.WithdrawalBound),
+		QuotaWindow:      time.Duration(s.Accounts.QuotaWindow),
+		QuotaOverage:     s.Accounts.QuotaOverage,
+		QuotaSlack:       s.Accounts.QuotaSlack,
 	}
 }
 
--- a/pkg/rpfleet/account.go
+++ b/pkg/rpfleet/account.go
@@ -14,6 +14,7 @@
 	account string
 	// hideCredential says that the caller's key must not reach an endpoint.
 	hideCredential bool
+	charged        charge
 }
 
 // admitKey identifies a request that arrives. Besides the refusals of identify, it
@@ -34,7 +35,7 @@
 // identify sets the account of a request by its key, and its rank if the account has
 // one. It returns a refusal if the route requires an account and the key has none.
 func (s *State) identify(r *request) *rpverdict.Refusal {
-	r.accountState = accountState{}
+	r.account, r.hideCredential = "", false
 	if s.config.Accounts == nil {
 		return nil
 	}
@@ -65,6 +66,17 @@
 	return newRefusal(rpverdict.CodeUnknownKey, detail, 0)
 }
 
+// noteArrivalRefused logs the refusal of a request at its arrival. Refusals over a quota
+// are logged by account, because there may be hundreds a second.
+func (s *State) noteArrivalRefused(r *request, refusal *rpverdict.Refusal) {
+	if refusal.Code == rpverdict.CodeQuotaExceeded {
+		return
+	}
+	s.noteRequest(r, "refused a request", Field{"refusal", string(refusal.Code)}, Field{"detail", refusal.Detail},
+		Field{"account", r.account}, Field{"key", r.keyForLog()}, Field{"config_version", s.configVersion()},
+		Field{"config_age", s.now.Sub(s.configAt)}, Field{"retry_after", refusal.RetryAfter})
+}
+
 // keyForLog returns the digits of the caller's key that may be logged, or "" if
 // callers are not identified.
 func (r *request) keyForLog() string {
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -214,6 +214,7 @@
 	if s.isPlanner() {
 		demand := s.currentDemand()
 		s.recordDemand(demand)
+		s.applyOwnUse(&demand)
 		s.runOrSchedulePlan()
 		s.applyExpectedModels(s.expectedModels(demand.Needs))
 		s.updateInstanceCount(len(s.plan.demands))
--- a/pkg/rpfleet/demand_answers.go
+++ b/pkg/rpfleet/demand_answers.go
@@ -53,6 +53,7 @@
 	if d.Instance != s.self.Instance {
 		s.poolEvidence(&d.Evidence)
 	}
+	s.recordUse(&d)
 	known := s.plan.demands[d.Instance]
 	if known != nil && !d.Full {
 		d.Rates, d.InFlight, d.Ejected, d.Extension = known.Rates, known.InFlight, known.Ejected, known.Extension
--- a/pkg/rpfleet/freshness.go
+++ b/pkg/rpfleet/freshness.go
@@ -141,6 +141,13 @@
 	}
 }
 
+func (s *State) configVersion() uint64 {
+	if s.config == nil {
+		return 0
+	}
+	return s.config.Version
+}
+
 // confirmedConfigVersion returns the version that the planner names to other
 // instances, or 0 if it has not asked the store recently.
 func (s *State) confirmedConfigVersion() uint64 {
--- a/pkg/rpfleet/lease.go
+++ b/pkg/rpfleet/lease.go
@@ -227,6 +227,7 @@
 		l.holderUnavailable = false
 		s.note("replicas", "this instance is now the planner", Field{"epoch", ev.Row.Epoch}, Field{"holder_before", string(before.Holder)},
 			Field{"orders_in", max(0, l.ordersFrom.Sub(s.now))})
+		s.adoptQuotas()
 		s.beginPlanning()
 	}
 	if s.draining {
--- a/pkg/rpfleet/load_exchange.go
+++ b/pkg/rpfleet/load_exchange.go
@@ -11,15 +11,19 @@
 	if !s.exchangesLoad() {
 		return nil
 	}
-	return &LoadReport{Process: s.process}
+	return &LoadReport{Process: s.process, Accounts: s.quota.meter.Report(s.now)}
 }
 
 // loadSummary returns the answer to the load report of a demand, or nil.
-func (s *State) loadSummary(*Demand) *LoadSummary {
+func (s *State) loadSummary(d *Demand) *LoadSummary {
 	if !s.exchangesLoad() {
 		return nil
 	}
-	return &LoadSummary{ConfigAge: s.ConfigAge()}
+	summary := &LoadSummary{ConfigAge: s.ConfigAge()}
+	if d.Load != nil {
+		summary.Accounts = s.quota.pool.Summarize(s.now, d.Load.Accounts)
+	}
+	return summary
 }
 
 // applyLoadSummary applies the answer to the load report that was sent at asOf.
@@ -33,4 +37,7 @@
 	if summary.ConfigAge >= 0 && p.ConfigVersion != 0 && p.ConfigVersion == s.configVersion() {
 		s.confirmConfig(asOf.Add(-summary.ConfigAge))
 	}
+	if s.accounts() != nil {
+		s.quota.meter.Apply(s.now, asOf, summary.Accounts)
+	}
 }
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -104,10 +104,12 @@
 
 func (s *State) handleRequestArrived(arrived Request) {
 	r := &request{Request: arrived, arrivedAt: s.now, excludedEndpoints: map[rpcore.EndpointID]bool{}, lastEvent: arrived.ResumeAfter}
-	if refusal := s.resolveRoute(r); refusal != nil {
-		s.noteRequest(r, "refused a request", Field{"refusal", string(refusal.Code)}, Field{"detail", refusal.Detail},
-			Field{"account", r.account}, Field{"key", r.keyForLog()}, Field{"config_version", s.configVersion()}, Field{"config_age", s.now.Sub(s.configAt)},
-			Field{"retry_after", refusal.RetryAfter})
+	refusal := s.resolveRoute(r)
+	if refusal == nil {
+		refusal = s.chargeQuota(r)
+	}
+	if refusal != nil {
+		s.noteArrivalRefused(r, refusal)
 		s.emit(RefuseRequest{Request: r.ID, Refusal: *refusal})
 		return
 	}
@@ -122,13 +124,6 @@
 	s.dispatch(r)
 }
 
-func (s *State) configVersion() uint64 {
-	if s.config == nil {
-		return 0
-	}
-	return s.config.Version
-}
-
 // resolveRoute sets the route, the service and the deadlines of a request, or
 // returns why it can't be served.
 func (s *State) resolveRoute(r *request) *rpverdict.Refusal {
@@ -363,6 +358,7 @@
 	if refusal.Code != rpverdict.CodePromptQuarantined {
 		s.keepDemandForRetry(r, refusal.RetryAfter)
 	}
+	s.refundUnlessRun(r)
 	s.finishRequest(r)
 	s.emit(RefuseRequest{Request: r.ID, Refusal: *refusal})
 }
@@ -382,6 +378,7 @@
 	}
 	s.noteRequest(r, "the caller closed the connection", Field{"route", r.route.Name}, Field{"after", s.now.Sub(r.arrivedAt)},
 		Field{"attempts", r.attemptCount}, Field{"answer_started", r.responseStarted})
+	s.refundUnlessRun(r)
 	if r.phase == phaseRunning {
 		s.emit(CancelAttempt{Request: r.ID, Attempt: r.attemptID})
 		s.releaseAttempt(r)
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -46,6 +46,11 @@
 	// key must not be accepted.
 	StrictWithdrawal bool
 	WithdrawalBound  time.Duration
+	// In any QuotaWindow, an account may use (rate x window + burst) x (1 +
+	// QuotaOverage) + QuotaSlack, which is in tokens.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
 }
 
 // Defaults of Policy. The users' deployments state all of these values except
@@ -61,6 +66,8 @@
 	DefaultWeightLoads  = 4
 
 	DefaultWithdrawalBound = rpaccount.DefaultBound
+	DefaultQuotaWindow     = 8 * time.Second
+	DefaultQuotaOverage    = 0.1
 )
 
 func (p Policy) withDefaults() Policy {
@@ -74,6 +81,8 @@
 	p.ConfigBound = cmp.Or(p.ConfigBound, DefaultConfigBound)
 	p.WeightLoads = cmp.Or(p.WeightLoads, DefaultWeightLoads)
 	p.WithdrawalBound = cmp.Or(p.WithdrawalBound, DefaultWithdrawalBound)
+	p.QuotaWindow = cmp.Or(p.QuotaWindow, DefaultQuotaWindow)
+	p.QuotaOverage = cmp.Or(p.QuotaOverage, DefaultQuotaOverage)
 	return p
 }
 
@@ -143,6 +152,7 @@
 	demand         demandState
 	lease          leaseState
 	quarantine     quarantineState
+	quota          quotaState
 	plan           planState
 }
 
@@ -170,6 +180,7 @@
 	case PolicyChanged:
 		s.policy = ev.Policy.withDefaults()
 		s.applyCurrencyPolicy()
+		s.applyQuotaPolicy()
 	case Tick:
 		s.alarms.ClearAnnounced()
 	case ConfigRead:
@@ -225,6 +236,7 @@
 	s.peerAddress = ev.PeerAddress
 	s.policy = ev.Policy.withDefaults()
 	s.applyCurrencyPolicy()
+	s.applyQuotaPolicy()
 	s.rng = rand.New(rand.NewPCG(ev.Seed, ev.Seed^0x9e3779b97f4a7c15))
 	s.endpoints = map[rpcore.EndpointID]*endpoint{}
 	s.requests = map[rpcore.RequestID]*request{}
@@ -244,15 +256,14 @@
 	if s.config != nil && config.Version <= s.config.Version {
 		return
 	}
-	before := uint64(0)
-	if s.config != nil {
-		before = s.config.Version
-	}
+	before, old := s.configVersion(), s.config
 	s.config = config
 	s.configAt = s.now
 	s.note("documents", "a new configuration is in force", Field{"config_version", config.Version},
 		Field{"version_before", before}, Field{"routes", len(config.Routes)}, Field{"services", len(config.Services)})
 	s.updateReadiness()
+	s.applyQuotaDirectory()
+	s.noteLoweredQuotas(old)
 	s.identifyWaiting()
 	s.dispatchAll()
 	s.schedulePlan()
