--- a/internal/rpsoak/environment_test.go
+++ b/internal/rpsoak/environment_test.go
@@ -58,6 +58,10 @@
 	// retryRatio and retrySlack are the retry budget of a service, if they are not
 	// 0.
 	retryRatio, retrySlack float64
+	// accounts are the client accounts; nil means none.
+	accounts []rpfake.Account
+	// settings is appended to the settings of the instances.
+	settings string
 }
 
 // environment holds the gateway processes, the stand-ins of the platform and the
@@ -188,6 +192,7 @@
 	env.configVersion++
 	config := &rpfake.Config{
 		Version: env.configVersion, ModelService: modelService, PlainService: plainService, Models: env.shape.models, RemoteLoad: 1,
+		Accounts: env.shape.accounts,
 	}
 	config.Routes = append(config.StandardRoutes(), rpfake.Route{
 		Name: fmt.Sprintf("version-%d", env.configVersion), Kind: "idempotent", Service: plainService,
@@ -253,7 +258,7 @@
 balancer_delay = "300ms"
 timeout = "5s"
 `, p.name, string("abc"[i%3]), p.callerAddress, p.readinessAddress, freeAddress(env.t), env.storeLink.address(),
-		env.shape.retryRatio, env.shape.retrySlack, holderGap)
+		env.shape.retryRatio, env.shape.retrySlack, holderGap) + env.shape.settings
 	env.requireNoError(os.WriteFile(p.settingsFile, []byte(text), 0o600))
 	log, err := os.Create(filepath.Join(env.dir, p.name+".log"))
 	env.requireNoError(err)
--- a/internal/rpsoak/load_test.go
+++ b/internal/rpsoak/load_test.go
@@ -24,6 +24,8 @@
 	prompt  []rpfake.PromptPart
 	// deadlyPart is the part of the prompt that crashes engines, or "".
 	deadlyPart string
+	// account and key are the account of the caller and the key that it sent.
+	account, key string
 	// target is the name of the process that the request was sent to.
 	target string
 }
@@ -49,6 +51,8 @@
 	// choosePrompt returns the prompt of a request with a model; nil chooses the
 	// default one.
 	choosePrompt func(*rand.Rand) []rpfake.PromptPart
+	// chooseKey returns the account and the key of a request; nil sends none.
+	chooseKey func(*rand.Rand) (account, key string)
 }
 
 const (
@@ -78,6 +82,9 @@
 			if g.choosePrompt != nil {
 				o.prompt = g.choosePrompt(g.rng)
 			}
+			if g.chooseKey != nil {
+				o.account, o.key = g.chooseKey(g.rng)
+			}
 			target := g.env.processes[g.rng.IntN(len(g.env.processes))]
 			if g.chooseTarget != nil {
 				target = g.chooseTarget(g.rng)
@@ -94,7 +101,7 @@
 	if disconnects {
 		time.AfterFunc(100*time.Millisecond, cancel)
 	}
-	request := rpfake.CallerRequest{ID: o.id, Path: "/" + o.route + "/x", Body: o.body, Deadline: requestDeadline}
+	request := rpfake.CallerRequest{ID: o.id, Path: "/" + o.route + "/x", Body: o.body, Deadline: requestDeadline, Key: o.key}
 	if o.stream() {
 		request.Model, request.Prompt = o.model, o.prompt
 	}
