--- a/pkg/rpfleet/withdrawal_test.go
+++ b/pkg/rpfleet/withdrawal_test.go
@@ -368,3 +368,29 @@
 	f.run(10 * time.Second)
 	g.Expect(f.instance.calls - calls).To(BeNumerically("<=", 15))
 }
+
+// Guards against an instance that accepts keys after its start before it has read the
+// configuration and knows that it is the newest one.
+func TestNoKeysBeforeFirstReading(t *testing.T) {
+	g := NewWithT(t)
+	h := withHarness(t)
+	h.apply(rpfleet.PolicyChanged{Stamp: h.stamp(), Policy: strictPolicy})
+	confirm := func() {
+		h.apply(rpfleet.PlacementReceived{Stamp: h.stamp(), AskedAt: h.now, Placement: rpfleet.Placement{
+			IsPlanner: true, Instances: 3, ConfigVersion: 2, Load: &rpfleet.LoadSummary{},
+		}})
+	}
+	h.apply(rpfleet.EndpointsRead{
+		Stamp: h.stamp(), AskedAt: h.now, Complete: true, Entries: []rpfleet.Endpoint{testEndpoint("s1", testPlain, homeDomain)},
+	})
+	confirm()
+	h.arriveWithKey("no configuration", "/place/1", "", testKey)
+	g.Expect(h.refusalCode("no configuration")).To(Equal(rpverdict.CodeNoDocument))
+	// The statement of the planner came before the reading, so it says nothing of it.
+	h.apply(rpfleet.ConfigRead{Stamp: h.stamp(), Config: accountConfig(2, testKey)})
+	h.arriveWithKey("not confirmed", "/place/1", "", testKey)
+	g.Expect(h.refusalCode("not confirmed")).To(Equal(rpverdict.CodeAccountsUnconfirmed))
+	confirm()
+	h.arriveWithKey("confirmed", "/place/1", "", testKey)
+	g.Expect(h.lastAttempt("confirmed").Account).To(Equal(testAccount))
+}
