--- a/pkg/rpfleet/demand_answers.go
+++ b/pkg/rpfleet/demand_answers.go
@@ -53,6 +53,7 @@
 	if d.Instance != s.self.Instance {
 		s.poolEvidence(&d.Evidence)
 	}
+	s.recordUse(&d)
 	s.storeDemand(d)
 	if len(d.Rates) > 0 && s.plan.firstArrivalAt.IsZero() {
 		s.plan.firstArrivalAt = s.now
