--- a/internal/rpcommand/commands.go
+++ b/internal/rpcommand/commands.go
@@ -42,6 +42,10 @@
 			name: "gateway", help: "Run one entry instance on the users' platform.",
 			detail: "Routes and the list of endpoints come from the platform's store. SIGTERM starts a planned stop, SIGHUP reads the settings again. The log goes to standard output.",
 		}, gateway),
+		newCommand(command{
+			name: "config check", aliases: []string{"validate"}, help: "Check a configuration of the users' platform before it is sent.",
+			detail: "With --against, it also says what changes for callers. It exits with 0 without findings, with 1 if there are any, and with 2 if a file can't be read.",
+		}, configCheck),
 		newCommand(command{
 			name: "demo", help: "Run the whole system with stand-ins in one process.",
 			detail: "Nothing else is needed. Use it to try the system.",
--- a/internal/rpcommand/exit.go
+++ b/internal/rpcommand/exit.go
@@ -51,7 +51,7 @@
 }
 
 // advice returns the message with the advice for an error. The code of a refusal
-// takes precedence over the exit code.
+// or of an exitError takes precedence over the exit code.
 func advice(err error, code ExitCode) rpmessage.Message {
 	var refusal *rpoperator.Refusal
 	if errors.As(err, &refusal) {
@@ -59,6 +59,11 @@
 			return message
 		}
 	}
+	var exit *exitError
+	if errors.As(err, &exit) && exit.message != "" {
+		message, _ := rpmessage.Find(rpmessage.AreaExit, exit.message)
+		return message
+	}
 	message, _ := rpmessage.Find(rpmessage.AreaExit, ExitCodes[code].Message)
 	return message
 }
@@ -66,7 +71,10 @@
 // exitError is an error that determines the exit code.
 type exitError struct {
 	code ExitCode
-	err  error
+	// message is the code of the message with the advice, or "" for that of the
+	// exit code.
+	message string
+	err     error
 }
 
 func (e *exitError) Error() string { return e.err.Error() }
--- a/internal/rpmessage/docs.go
+++ b/internal/rpmessage/docs.go
@@ -15,7 +15,7 @@
 	{AreaOperator, "Refusals to operators", "The field `code` of an answer of the operators' interface."},
 	{AreaExit, "Ends of a command", "The exit codes are in [commands](commands.md#exit-codes)."},
 	{AreaTimeline, "Remarks of the time line", "They say what a time line does not show."},
-	{AreaProblem, "Problems of settings and documents", "The code at the end of a line of `document check` and `settings check`, and the field `code` of their JSON."},
+	{AreaProblem, "Problems of settings and documents", "The code at the end of a line of `document check`, `settings check` and `config check`, and the field `code` of their JSON."},
 	{AreaLog, "Lines of the log", "The field `code` of a line."},
 	{AreaNote, "Notes", "The field `code` of a line of the log. The same text is in the time line."},
 }
--- a/internal/rpmessage/problems.go
+++ b/internal/rpmessage/problems.go
@@ -23,5 +23,12 @@
 	problem("address_unusable", "Others can't connect to the address.", "Write the IP address of this instance."),
 	problem("certificate_wrong", "The file has no certificate, or one that other instances refuse.", "Name a certificate that is valid and signed by the authority."),
 	problem("private_key_wrong", "The file has no private key, or the key of another certificate.", "Name the key of the certificate."),
+	problem("never_matches", "No request can match this entry of a configuration.", "Correct the value that is named, or remove the entry."),
+	problem("account_without_keys", "The account of a configuration has no keys.", "Add a key, or remove the account."),
+	problem("key_shared", "Two accounts of a configuration have the same key.", "Give each account keys of its own."),
+	problem("service_unknown", "A route of a configuration names a service that the file lacks.", "Add the service, or correct its name."),
+	problem("weight_zero", "A part of a split has the weight 0.", "Write a weight above 0, or remove the part."),
+	problem("model_too_large", "A model of a configuration does not fit into an engine.", "Correct one of the sizes, or remove the model."),
+	problem("version_old", "The version of a configuration is not higher than that in force.", "Write a higher version."),
 	problem("platform_key_missing", "A key for the platform's services is empty.", "Write the key, or the name of a file that holds it."),
 }
--- a/internal/rpmessage/refusals.go
+++ b/internal/rpmessage/refusals.go
@@ -57,6 +57,8 @@
 	exit("exit_done", "The command did what it was asked.", nothing),
 	exit("exit_failed", "The command failed for another reason. The message says why.", "Remove the cause that the message names, then run the command again."),
 	exit("exit_usage", "The arguments are wrong. Nothing was done.", "Run the command with --help and correct the arguments."),
+	exit("config_findings", "A configuration has findings: entries that have no effect, or limits that contradict each other.", "Correct the findings that are listed, then check the file again."),
+	exit("config_unreadable", "A configuration can't be read, or it is not JSON.", "Check the name of the file and the line that is named."),
 	exit("exit_invalid", "A settings file or a document has problems. Nothing was done.", "Correct the problems that are listed."),
 	exit("exit_refused", "The credential does not allow this, or the instance refused the request.", "Read the reason in the message."),
 	exit("exit_conflict", "Another version of the document was accepted first. Yours was not accepted.", "Get the version in force, apply your change to it, and submit it again."),
