--- a/pkg/rpfleet/doc.go
+++ b/pkg/rpfleet/doc.go
@@ -18,7 +18,8 @@
 // # Parts
 //
 // Every instance routes the requests of its own callers: request.go queues and
-// refuses them, routing.go chooses endpoints, attempt.go handles the end of
+// refuses them in the order of queue_order.go, routing.go chooses endpoints, with
+// the rule of long_prompts.go for long prompts, attempt.go handles the end of
 // attempts and retries, within the budget of retry_budget.go. silence.go decides
 // whether a request leaves an endpoint that sends no data, health.go ejects
 // endpoints that fail.
