--- a/internal/rpgateway/caller_server.go
+++ b/internal/rpgateway/caller_server.go
@@ -187,7 +187,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			x.abandon()
+			x.abandon(false)
 			return
 		case command := <-x.queue.commands:
 			if x.runCommand(ctx, command) {
@@ -197,9 +197,11 @@
 	}
 }
 
-func (x *exchange) abandon() {
+// abandon reports that the caller disconnected. notRun says that the attempt in progress
+// has not run.
+func (x *exchange) abandon(notRun bool) {
 	x.observer.requestEnded(0, rpmetric.CodeAbandoned)
-	x.loop.apply(rpfleet.RequestAbandoned{Stamp: x.loop.stamp(), Request: x.request.ID})
+	x.loop.apply(rpfleet.RequestAbandoned{Stamp: x.loop.stamp(), Request: x.request.ID, NotRun: notRun})
 }
 
 // runCommand executes one command and reports whether the request has ended.
@@ -236,7 +238,8 @@
 	cancel(nil)
 	x.observer.attemptEnded(ended.Reason)
 	if callerGone || ctx.Err() != nil && ended.Reason != rpcore.AttemptComplete {
-		x.abandon()
+		// A caller that is gone while it gets the response leaves the verdict open.
+		x.abandon(!callerGone && ended.Verdict == rpverdict.NotRun)
 		// A slow reader may still keep the connection open.
 		x.response.abort()
 	}
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -131,6 +131,8 @@
 type RequestAbandoned struct {
 	Stamp
 	Request rpcore.RequestID
+	// NotRun says that the attempt that the caller left has the verdict NotRun.
+	NotRun bool
 }
 
 // AttemptStarted says that the first event of a stream was sent on to the
--- a/pkg/rpfleet/quota.go
+++ b/pkg/rpfleet/quota.go
@@ -83,9 +83,9 @@
 }
 
 // refundUnlessRun returns the cost of a request that ends and that no endpoint may have
-// run. An attempt in progress may run.
-func (s *State) refundUnlessRun(r *request) {
-	if r.charged.cost > 0 && r.possibleRuns == 0 && r.endpoint == nil {
+// run. An attempt in progress may run unless attemptNotRun is set.
+func (s *State) refundUnlessRun(r *request, attemptNotRun bool) {
+	if r.charged.cost > 0 && r.possibleRuns == 0 && (r.endpoint == nil || attemptNotRun) {
 		s.quota.meter.Refund(s.now, r.charged.account, r.charged.cost)
 		r.charged = charge{}
 	}
--- a/pkg/rpfleet/quota_test.go
+++ b/pkg/rpfleet/quota_test.go
@@ -87,6 +87,13 @@
 			func(h *harness) { h.apply(rpfleet.RequestAbandoned{Stamp: h.stamp(), Request: "r1"}) },
 			340,
 		},
+		"abandoned before the attempt ran": {
+			"/place/1", "",
+			func(h *harness) {
+				h.apply(rpfleet.RequestAbandoned{Stamp: h.stamp(), Request: "r1", NotRun: true})
+			},
+			0,
+		},
 		"stopped": {
 			"/place/1", "",
 			func(h *harness) {
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -358,7 +358,7 @@
 	if refusal.Code != rpverdict.CodePromptQuarantined {
 		s.keepDemandForRetry(r, refusal.RetryAfter)
 	}
-	s.refundUnlessRun(r)
+	s.refundUnlessRun(r, false)
 	s.finishRequest(r)
 	s.emit(RefuseRequest{Request: r.ID, Refusal: *refusal})
 }
@@ -371,14 +371,14 @@
 	delete(s.requests, r.ID)
 }
 
-func (s *State) handleRequestAbandoned(id rpcore.RequestID) {
-	r := s.requests[id]
+func (s *State) handleRequestAbandoned(ev RequestAbandoned) {
+	r := s.requests[ev.Request]
 	if r == nil {
 		return
 	}
 	s.noteRequest(r, "the caller closed the connection", Field{"route", r.route.Name}, Field{"after", s.now.Sub(r.arrivedAt)},
 		Field{"attempts", r.attemptCount}, Field{"answer_started", r.responseStarted})
-	s.refundUnlessRun(r)
+	s.refundUnlessRun(r, ev.NotRun)
 	if r.phase == phaseRunning {
 		s.emit(CancelAttempt{Request: r.ID, Attempt: r.attemptID})
 		s.releaseAttempt(r)
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -194,7 +194,7 @@
 	case RequestArrived:
 		s.handleRequestArrived(ev.Request)
 	case RequestAbandoned:
-		s.handleRequestAbandoned(ev.Request)
+		s.handleRequestAbandoned(ev)
 	case AttemptStarted:
 		s.handleAttemptStarted(ev)
 	case AttemptStalled:
