--- a/pkg/rpaccount/fair.go
+++ b/pkg/rpaccount/fair.go
@@ -39,6 +39,10 @@
 // Tag returns the virtual start time of the next request of an account.
 func (f *FairShare) Tag(account string) float64 { return max(f.finish[account], f.virtual) }
 
+// Now returns the virtual time. An account whose tag is later has used more than its
+// part.
+func (f *FairShare) Now() float64 { return f.virtual }
+
 // Advance sets the virtual time to the tag of the request that starts. It never
 // goes back.
 func (f *FairShare) Advance(virtual float64) {
--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -28,6 +28,7 @@
 		s.countBudgetRetry(r.service)
 	}
 	r.phase = phaseRunning
+	s.chargeFairShare(r)
 	r.attemptCount++
 	r.endpoint = e
 	r.sentAt = s.now
--- a/pkg/rpfleet/queue_order.go
+++ b/pkg/rpfleet/queue_order.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpaccount"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpqueue"
 )
 
@@ -21,6 +22,8 @@
 // serviceOrder is the order of the waiting requests of a service.
 type serviceOrder struct {
 	rpqueue.Order
+	// fair divides what this instance starts between client accounts.
+	fair          rpaccount.FairShare
 	configVersion uint64
 	// uniform says that all routes of the service have the same rank and target.
 	// Its requests are then ordered by arrival.
@@ -71,7 +74,7 @@
 func (s *State) queueRequest(r *request) {
 	o := s.orderOf(r.service)
 	r.queued.Request = rpqueue.Request{
-		ID: string(r.ID), Rank: r.route.Rank, Kind: r.route.Name, Arrived: r.arrivedAt, Deadline: r.waitDeadline(),
+		ID: string(r.ID), Rank: r.route.Rank, Kind: r.route.Name, Account: r.account, Arrived: r.arrivedAt, Deadline: r.waitDeadline(),
 		Work: max(prefillTime(r.prefillTokens()), s.serviceStats(r.service).latency),
 	}
 	switch {
@@ -94,6 +97,7 @@
 	if len(queue) < 2 {
 		return
 	}
+	s.setFairTags(service)
 	rpqueue.Sort(&s.orderOf(service).Order, s.now, queue, func(r *request) *rpqueue.Entry { return &r.queued })
 }
 
--- a/pkg/rpfleet/quota.go
+++ b/pkg/rpfleet/quota.go
@@ -1,7 +1,6 @@
 package rpfleet
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -92,7 +91,7 @@
 }
 
 // quotaInstances returns the number of instances that share the quotas.
-func (s *State) quotaInstances() int { return cmp.Or(s.demand.instanceCount, defaultInstanceCount) }
+func (s *State) quotaInstances() int { return s.sharingInstances() }
 
 // reportUse reports the use of the accounts before the next regular demand.
 func (s *State) reportUse() {
