--- a/pkg/rpfleet/account_fairness_test.go
+++ b/pkg/rpfleet/account_fairness_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpaccount"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
 // Guards against an account with many waiting requests whose requests all start before
@@ -29,6 +31,14 @@
 			PromptTokens: 650, MaxTokens: 80, TokensCounted: true,
 		}})
 	}
+	// Both accounts were served, so that neither is starved.
+	for i, key := range []string{testKey, testRankKey, testKey, testRankKey} {
+		id := fmt.Sprintf("served-%d", i)
+		arrive(id, key)
+		a := h.lastAttempt(id)
+		h.apply(rpfleet.AttemptStarted{Stamp: h.stamp(), Request: a.Request, Attempt: a.Attempt})
+		h.endAttempt(a, rpcore.AttemptComplete, rpverdict.Ran)
+	}
 	var running []rpfleet.StartAttempt
 	for i := range 4 {
 		id := fmt.Sprintf("running-%d", i)
@@ -38,6 +48,7 @@
 	for i := range 3 {
 		arrive(fmt.Sprintf("shop-%d", i), testKey)
 	}
+	h.advance(time.Millisecond)
 	arrive("lab-0", testRankKey)
 	arrive("lab-1", testRankKey)
 	g.Expect(h.startedAfter(running[0])).To(Equal("lab-0"))
