--- a/internal/rpendpoint/forward_stream.go
+++ b/internal/rpendpoint/forward_stream.go
@@ -23,7 +23,7 @@
 func (r *forwardAttempt) relayStream(ctx context.Context, resp *http.Response) {
 	events := newRawEvents(resp.Body, r.limits.LineBytes)
 	started := false
-	last := time.Now()
+	var first, last time.Time
 	for {
 		part, lastID, err := events.next()
 		if !r.answering && r.repeatsEvents(part) {
@@ -34,8 +34,12 @@
 			now := time.Now()
 			if started {
 				r.ended.LongestPause = max(r.ended.LongestPause, now.Sub(last))
+			} else {
+				first = now
 			}
 			last = now
+			r.ended.Events++
+			r.ended.EventSpan = last.Sub(first)
 			// An endpoint that only sends comments does not work on the request.
 			working := hasData(part)
 			if working {
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -171,6 +171,10 @@
 	Unresumable bool
 	// LongestPause is the longest time between two events of the stream.
 	LongestPause time.Duration
+	// Events is the number of events of this attempt that arrived separately, and
+	// EventSpan the time from the first to the last one.
+	Events    int
+	EventSpan time.Duration
 	// Version is the version of the weights that produced the response, or
 	// "".
 	Version string
