--- a/internal/rpgateway/peers_test.go
+++ b/internal/rpgateway/peers_test.go
@@ -139,4 +139,16 @@
 	t.Logf("89 engines: report %d bytes, summary %d bytes", size(report), size(summary))
 	g.Expect(size(report)).To(BeNumerically("<", 25*len(report.Engines)))
 	g.Expect(size(summary)).To(BeNumerically("<", 25*len(summary.Engines)))
+
+	// An exchange has at most 6 engines in the report and 10 in the summary, without
+	// prompt tokens, and comes every 0.58 s at 58 instances.
+	report.Engines, summary.Engines = report.Engines[:6], summary.Engines[:10]
+	for i := range report.Engines {
+		report.Engines[i].Prefill = 0
+	}
+	for i := range summary.Engines {
+		summary.Engines[i].Prefill = 0
+	}
+	t.Logf("speeds: report %d bytes, summary %d bytes", size(report), size(summary))
+	g.Expect(float64(size(report)+size(summary)) / 0.58).To(BeNumerically("<", 500))
 }
--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -34,6 +34,7 @@
 	r.attemptID = rpcore.AttemptID(fmt.Sprintf("%s#%d", r.ID, r.attemptCount))
 	r.retryReserved, r.stayNoted, r.silenceRecorded = false, false, false
 	r.sentToBusy = r.engineSpec != nil && s.isBusy(e)
+	r.sentLoad = s.loadOf(e)
 	e.inFlight++
 	r.pendingPrefill = r.prefillTokens()
 	e.pendingPrefill += r.pendingPrefill
@@ -116,6 +117,7 @@
 	r.responseStarted = true
 	s.releasePrefill(r)
 	s.recordLatency(r)
+	s.recordFirstEvent(r)
 	s.recordPartsUsed(r)
 }
 
@@ -135,6 +137,7 @@
 		s.orderOf(r.service).RecordServed(s.now, &r.queued.Request)
 		s.recordLatency(r)
 	}
+	s.recordEvents(r, &ev)
 	s.releaseAttempt(r)
 	r.responseStarted = r.responseStarted || ev.ResponseStarted
 	if ev.LastEvent != "" {
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -74,6 +74,8 @@
 	postedAt time.Time
 	// fullSentAt is when the last full demand was sent.
 	fullSentAt time.Time
+	// observationTurn is the index of the engine with which the next report begins.
+	observationTurn int
 	// seenEpoch, seenChange and seenListChange come from the last placement.
 	seenEpoch      uint64
 	seenChange     uint64
@@ -221,6 +223,7 @@
 		demand := s.currentDemand()
 		s.recordDemand(demand)
 		s.applyOwnUse(&demand)
+		s.learnPooledSpeeds()
 		s.runOrSchedulePlan()
 		s.applyExpectedModels(s.expectedModels(demand.Needs))
 		s.updateInstanceCount(len(s.plan.demands))
@@ -247,13 +250,13 @@
 	d := Demand{
 		Instance: s.self.Instance, Epoch: s.demand.seenEpoch, SeenChange: s.demand.seenChange, SeenListChange: s.demand.seenListChange, Needs: s.currentNeeds(),
 		StoreAge: s.now.Sub(maxTime(s.listReadAt, s.demand.leaseReadAt)),
-		Evidence: s.ownEvidence(), Load: s.loadReport(),
+		Evidence: s.ownEvidence(), Full: s.now.Sub(s.demand.fullSentAt) >= demandInterval-minDemandInterval,
 	}
-	if s.now.Sub(s.demand.fullSentAt) < demandInterval-minDemandInterval {
+	d.Load = s.loadReport(d.Full)
+	if !d.Full {
 		return d
 	}
 	s.demand.fullSentAt = s.now
-	d.Full = true
 	d.Extension.Leaving = s.leavingReports()
 	for _, id := range sortedModels(s.demand.arrivalRates) {
 		a := s.demand.arrivalRates[id]
--- a/pkg/rpfleet/demand_answers.go
+++ b/pkg/rpfleet/demand_answers.go
@@ -54,6 +54,7 @@
 		s.poolEvidence(&d.Evidence)
 	}
 	s.recordUse(&d)
+	s.recordObservations(&d)
 	s.storeDemand(d)
 	if len(d.Rates) > 0 && s.plan.firstArrivalAt.IsZero() {
 		s.plan.firstArrivalAt = s.now
@@ -66,7 +67,11 @@
 	if known != nil && !d.Full {
 		d.Rates, d.InFlight, d.Ejected, d.Extension = known.Rates, known.InFlight, known.Ejected, known.Extension
 	}
-	s.plan.demands[d.Instance] = &receivedDemand{Demand: d, at: s.now}
+	received := &receivedDemand{Demand: d, at: s.now}
+	if known != nil {
+		received.engineTurn = known.engineTurn
+	}
+	s.plan.demands[d.Instance] = received
 }
 
 // inFlightOfOthers returns the attempts of all instances but self, by endpoint.
--- a/pkg/rpfleet/endpoint.go
+++ b/pkg/rpfleet/endpoint.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpestimate"
 )
 
 // HeldModel is a model that an engine holds, with its adapters.
@@ -93,6 +94,13 @@
 	// inFlightModels counts this instance's attempts by weightsName.
 	inFlightModels map[string]int
 
+	// joinedAt is when this incarnation was first seen in the list.
+	joinedAt time.Time
+	// speed is what this instance knows of the speed of an engine, and pooledSpeed
+	// what it pools as the planner.
+	speed       rpestimate.Engine
+	pooledSpeed rpestimate.Pooled
+
 	health health
 	engine engineState
 }
@@ -219,7 +227,7 @@
 }
 
 func (s *State) addEndpoint(entry Endpoint) {
-	e := &endpoint{Endpoint: entry, entrySeenAt: s.now, listChange: s.nextListChange(), listChangedAt: s.now, inFlightModels: map[string]int{}}
+	e := &endpoint{Endpoint: entry, entrySeenAt: s.now, joinedAt: s.now, listChange: s.nextListChange(), listChangedAt: s.now, inFlightModels: map[string]int{}}
 	if s.hasDeparted(e.ID, e.Incarnation) {
 		e.Leaving = true
 	}
--- a/pkg/rpfleet/health.go
+++ b/pkg/rpfleet/health.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpestimate"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpreducer"
 )
 
@@ -100,6 +101,8 @@
 	latency     time.Duration
 	// attemptEnds is the rate of attempts that end, per second.
 	attemptEnds decayingRate
+	// times is what the attempts at engines showed.
+	times rpestimate.Times
 }
 
 func (s *State) serviceStats(service string) *serviceStats {
--- a/pkg/rpfleet/lease.go
+++ b/pkg/rpfleet/lease.go
@@ -244,6 +244,7 @@
 		s.note("replicas", "this instance is now the planner", Field{"epoch", ev.Row.Epoch}, Field{"holder_before", string(before.Holder)},
 			Field{"orders_in", max(0, l.ordersFrom.Sub(s.now))})
 		s.adoptQuotas()
+		s.adoptSpeeds()
 		s.beginPlanning()
 	}
 	if s.draining {
--- a/pkg/rpfleet/load_exchange.go
+++ b/pkg/rpfleet/load_exchange.go
@@ -3,26 +3,43 @@
 import "time"
 
 // exchangesLoad reports whether demands carry a LoadReport and their answers a
-// LoadSummary.
-func (s *State) exchangesLoad() bool { return s.accounts() != nil }
+// LoadSummary. With few instances, each one sees enough of the requests itself.
+func (s *State) exchangesLoad() bool { return s.accounts() != nil || s.manyInstances() }
 
-// loadReport returns the load report of the next demand, or nil.
-func (s *State) loadReport() *LoadReport {
-	if !s.exchangesLoad() {
+// loadReport returns the load report of the next demand, or nil. The speeds of engines
+// change slowly, so only full demands carry them.
+func (s *State) loadReport(full bool) *LoadReport {
+	if !s.exchangesLoad() || s.accounts() == nil && !full {
 		return nil
 	}
-	return &LoadReport{Process: s.process, Accounts: s.quota.meter.Report(s.now)}
+	report := &LoadReport{Process: s.process}
+	if s.accounts() != nil {
+		report.Accounts = s.quota.meter.Report(s.now)
+	}
+	if full {
+		report.Engines = s.engineObservations()
+	}
+	return report
 }
 
 // loadSummary returns the answer to the load report of a demand, or nil.
 func (s *State) loadSummary(d *Demand) *LoadSummary {
-	if !s.exchangesLoad() {
+	if !s.exchangesLoad() || s.accounts() == nil && d.Load == nil {
 		return nil
 	}
-	summary := &LoadSummary{ConfigAge: s.ConfigAge()}
-	if d.Load != nil {
+	summary := &LoadSummary{ConfigAge: -1}
+	if s.accounts() != nil {
+		summary.ConfigAge = s.ConfigAge()
+	}
+	if d.Load == nil {
+		return summary
+	}
+	if s.accounts() != nil {
 		summary.Accounts = s.quota.pool.Summarize(s.now, d.Load.Accounts)
 	}
+	if d.Full {
+		summary.Engines = s.engineSummaries(d.Instance)
+	}
 	return summary
 }
 
@@ -40,4 +57,5 @@
 	if s.accounts() != nil {
 		s.quota.meter.Apply(s.now, asOf, summary.Accounts)
 	}
+	s.learnSpeeds(summary.Engines, asOf)
 }
--- a/pkg/rpfleet/plan.go
+++ b/pkg/rpfleet/plan.go
@@ -91,6 +91,8 @@
 type receivedDemand struct {
 	Demand
 	at time.Time
+	// engineTurn is the index of the endpoint with which the next LoadSummary begins.
+	engineTurn int
 }
 
 // planState is the planner's state, beyond what it knows of each engine.
--- a/pkg/rpfleet/quota.go
+++ b/pkg/rpfleet/quota.go
@@ -114,7 +114,7 @@
 
 // applyOwnUse answers the planner's own demand.
 func (s *State) applyOwnUse(d *Demand) {
-	if d.Load != nil {
+	if d.Load != nil && s.accounts() != nil {
 		s.quota.meter.Apply(s.now, s.now, s.quota.pool.Summarize(s.now, d.Load.Accounts))
 	}
 }
--- a/pkg/rpfleet/request.go
+++ b/pkg/rpfleet/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpcore"
+	"github.com/rattanpaddle/rattanpaddle/pkg/rpestimate"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpqueue"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
@@ -48,6 +49,8 @@
 	pendingPrefill int
 	endpoint       *endpoint
 	sentAt         time.Time
+	// sentLoad is the load that the running attempt met at its engine.
+	sentLoad rpestimate.Load
 	// responseStarted says that a part of the response reached the caller.
 	responseStarted bool
 	firstByteAt     time.Time
