--- a/pkg/rpfleet/engine_speed.go
+++ b/pkg/rpfleet/engine_speed.go
@@ -133,3 +133,25 @@
 		e.pooledSpeed.Add(s.now, takeoverSamples, e.speed.Speed(s.now))
 	}
 }
+
+const (
+	// slownessCostPerPace is the cost, in seconds of load time, of a replica of a busy
+	// model at an engine that takes twice as long as its service. An engine of speed
+	// 0.8 costs one second more than one of 1.8. That decides between engines that have
+	// the checkpoint, whose loads take about a second, but is no reason to load from
+	// the weight store, which takes 6 s or more.
+	slownessCostPerPace = 1.5
+	// minCostSpeed and maxCostSpeed bound the speeds that the cost depends on.
+	minCostSpeed = 0.5
+	maxCostSpeed = 2.0
+)
+
+// slownessCost returns the cost, in seconds, of a replica of a busy model at an engine,
+// relative to one as fast as its service. It is negative for a fast engine.
+func (p *servicePlan) slownessCost(w wantedReplica, e *endpoint) float64 {
+	speed := e.speed.Speed(p.state.now)
+	if speed == 0 || w.model.rate < domainSpreadRate {
+		return 0
+	}
+	return slownessCostPerPace * (1/min(max(speed, minCostSpeed), maxCostSpeed) - 1)
+}
--- a/pkg/rpfleet/loads.go
+++ b/pkg/rpfleet/loads.go
@@ -220,6 +220,7 @@
 	if remote {
 		choice.cost += cachedCheckpointCost * float64(len(e.Cached))
 	}
+	choice.cost += p.slownessCost(w, e)
 	choice.cost += p.delayToOtherModels(w, e, choice.loadTime)
 	return choice, true
 }
--- a/pkg/rpfleet/long_prompts.go
+++ b/pkg/rpfleet/long_prompts.go
@@ -39,23 +39,24 @@
 	return shortest
 }
 
-// longPromptAllowed reports whether a waiting request may go to an engine that can
-// serve it, as far as long prompts are concerned. A long prompt goes to one replica
-// as long as that begins with it in time; see rpqueue.LongPromptReplica. At least
-// one of the replicas that can take the request is always allowed, so the rule
-// never makes a request wait.
-func (s *State) longPromptAllowed(r *request, e *endpoint) bool {
+// longPromptEngine returns the only engine that a waiting request with a long prompt may
+// go to, or nil if it may go to any. A long prompt goes to one replica as long as that
+// begins with it in time; see rpqueue.LongPromptReplica. The engine can take the
+// request, so the rule never makes a request wait.
+func (s *State) longPromptEngine(r *request) *endpoint {
 	if r.engineSpec == nil || r.responseStarted {
-		return true
+		return nil
 	}
 	work := prefillTime(r.prefillTokens())
 	if !rpqueue.IsLong(work, s.orderOf(r.service).shortestOtherTarget(r.route, s.now)) {
-		return true
+		return nil
 	}
 	endpoints, replicas := s.longPromptReplicas(r)
 	slack := r.arrivedAt.Add(r.route.Target).Sub(s.now) - work
-	chosen := rpqueue.LongPromptReplica(replicas, slack)
-	return chosen < 0 || endpoints[chosen] == e
+	if chosen := rpqueue.LongPromptReplica(replicas, slack); chosen >= 0 {
+		return endpoints[chosen]
+	}
+	return nil
 }
 
 // longPromptReplicas returns the engines that can take a waiting request now.
@@ -71,7 +72,7 @@
 		}
 		endpoints = append(endpoints, e)
 		replicas = append(replicas, rpqueue.Replica{
-			Near: e.FailureDomain == s.self.FailureDomain, Affinity: rpreducer.Rendezvous(key, string(e.ID)),
+			Speed: e.speed.Speed(s.now), Near: e.FailureDomain == s.self.FailureDomain, Affinity: rpreducer.Rendezvous(key, string(e.ID)),
 			Unread: prefillTime(e.pendingPrefill),
 		})
 	}
--- a/pkg/rpfleet/routing.go
+++ b/pkg/rpfleet/routing.go
@@ -14,6 +14,9 @@
 	// prefillTokensPerRequest is the number of prompt tokens whose prefill
 	// slows down an engine about as much as one more request in progress.
 	prefillTokensPerRequest = 500
+	// minSpeedPrompt is the number of prompt tokens above which the speed of an engine
+	// counts. An engine of usual speed needs 57 ms for them, a slow one 100 ms.
+	minSpeedPrompt = 2000
 	// maxPrefixCacheGain bounds the advantage of the engine that probably has
 	// the prefix of the prompt in its cache.
 	maxPrefixCacheGain = 10.0
@@ -63,9 +66,9 @@
 	var best, ejected *endpoint
 	bestCost, totalWeight := 0.0, 0.0
 	spreads := s.spreads(r)
-	preferred := s.prefixCacheEngine(r)
+	preferred, only := s.prefixCacheEngine(r), s.longPromptEngine(r)
 	for _, e := range s.endpointsOf(r.service) {
-		if !s.canServe(r, e) || !s.longPromptAllowed(r, e) {
+		if only != nil && e != only || !s.canServe(r, e) {
 			continue
 		}
 		if e.health.isEjected(s.now) {
@@ -114,11 +117,24 @@
 	if e.Warming > s.now.Sub(e.entrySeenAt) {
 		cost += warmingCost
 	}
-	cost += float64(e.pendingPrefill) / prefillTokensPerRequest
+	cost += s.prefillCost(r, e)
 	cost += e.health.failureRate * float64(max(1, e.Slots))
 	return cost + s.rng.Float64()/2
 }
 
+// prefillCost returns the cost of the prompts that an engine has to read before the
+// first event of a request. A long prompt also costs what a slow engine takes longer to
+// read it than one as fast as its service. Short prompts don't: their time to the first
+// event hardly depends on the speed, and many of them would make the fast engines slow.
+func (s *State) prefillCost(r *request, e *endpoint) float64 {
+	speed := e.speed.Speed(s.now)
+	tokens := r.prefillTokens()
+	if tokens <= minSpeedPrompt || speed == 0 {
+		return float64(e.pendingPrefill) / prefillTokensPerRequest
+	}
+	return (float64(e.pendingPrefill+tokens)/speed - float64(tokens)) / prefillTokensPerRequest
+}
+
 // prefillTokens returns the number of prompt tokens that an engine has to read
 // before the first event; 0 for plain services.
 func (r *request) prefillTokens() int {
