--- a/internal/rpgateway/peers.go
+++ b/internal/rpgateway/peers.go
@@ -57,7 +57,10 @@
 	}
 	call, answered := p.registerCall()
 	event.Call = call
-	event.Stamp = p.loop.stamp()
+	// The exact time decides about the age that the answer gives for the
+	// configuration. A demand that was sent during a suspension of the machine is read
+	// in the first milliseconds after it.
+	event.Stamp = rpfleet.Stamp{At: p.loop.clock.ExactNow()}
 	p.loop.apply(event)
 	select {
 	case placement := <-answered:
--- a/internal/rpgateway/peers_test.go
+++ b/internal/rpgateway/peers_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -140,3 +143,31 @@
 	g.Expect(size(report)).To(BeNumerically("<", 25*len(report.Engines)))
 	g.Expect(size(summary)).To(BeNumerically("<", 25*len(summary.Engines)))
 }
+
+// Guards against a planner that gives an age of its configuration without a suspension
+// of its machine that has just ended. Instances without the store would accept withdrawn
+// keys longer by that time.
+func TestAnswerCountsRecentSuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		suspended := time.Duration(0)
+		l := &loop{clock: &clock{Suspended: func() (time.Duration, error) { return suspended, nil }}}
+		p := &peerAPI{loop: l}
+		l.execute = func(effect rpfleet.Effect) {
+			if answer, ok := effect.(rpfleet.AnswerDemand); ok {
+				p.deliverAnswer(answer)
+			}
+		}
+		defer l.close()
+		l.apply(rpfleet.Start{Stamp: l.stamp(), Seed: 1})
+		l.apply(rpfleet.ConfigRead{Stamp: l.stamp(), Config: &rpfleet.Config{Version: 1}})
+		l.apply(rpfleet.ConfigChecked{Stamp: l.stamp(), AskedAt: l.clock.Now()})
+		body, err := encodeDemand(&rpfleet.Demand{Instance: "front-2"})
+		g.Expect(err).NotTo(HaveOccurred())
+		suspended = 8 * time.Second
+		w := httptest.NewRecorder()
+		p.serveDemand(w, httptest.NewRequest(http.MethodPost, pathDemand, bytes.NewReader(body)))
+		g.Expect(w.Code).To(Equal(http.StatusOK))
+		g.Expect(l.state.ConfigAge()).To(Equal(8 * time.Second))
+	})
+}
