--- a/pkg/rpaccount/meter.go
+++ b/pkg/rpaccount/meter.go
@@ -159,6 +159,10 @@
 		return true, 0
 	}
 	s := m.account(now, a.Name, a.Quota)
+	if cost > s.most {
+		// It never runs, so it does not count as offered, either.
+		return false, m.Limits.window()
+	}
 	s.offered.Add(now, shareWindow, cost)
 	s.usedAt = now
 	s.accrue(now, m.instanceCount())
--- a/pkg/rpaccount/meter_test.go
+++ b/pkg/rpaccount/meter_test.go
@@ -1,6 +1,7 @@
 package rpaccount_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -48,3 +49,23 @@
 		g.Expect(ok).To(BeTrue())
 	}
 }
+
+// Guards against one request with a stated cost that no window can hold, which would
+// count as offered for minutes: the account would be refused below its limit, and two
+// such requests would overflow the offered cost of the report.
+func TestImpossibleCostIsNotOffered(t *testing.T) {
+	g := NewWithT(t)
+	account := rpaccount.Account{Name: "a", Quota: rpaccount.Quota{Rate: 1000, Burst: 500, Unit: rpaccount.UnitTokens}}
+	m := rpaccount.Meter{Limits: rpaccount.Limits{Window: 8 * time.Second, Overage: 0.1, Slack: 1000}}
+	m.SetDirectory(begin, rpaccount.NewDirectory([]rpaccount.Account{account}, nil))
+	cost := account.Quota.Cost(math.MaxInt64, math.MaxInt64, true)
+	for range 4 {
+		ok, retryAfter := m.Admit(begin, &account, cost)
+		g.Expect(ok).To(BeFalse())
+		g.Expect(retryAfter).To(Equal(8 * time.Second))
+	}
+	m.Admit(begin, &account, 100)
+	offered := m.Report(begin.Add(time.Second))[0].Offered
+	g.Expect(offered).To(BeNumerically(">", 0))
+	g.Expect(offered).To(BeNumerically("<=", 200))
+}
--- a/pkg/rpaccount/metered.go
+++ b/pkg/rpaccount/metered.go
@@ -95,9 +95,6 @@
 // missing returns how much is missing in the quota's bucket for a request. All
 // instances together are expected to use what they offer, at most the rate.
 func (s *meteredAccount) missing(now time.Time, cost float64) float64 {
-	if cost > s.most {
-		return cost
-	}
 	need := min(cost-overdraft*s.reserve, s.depth)
 	return need - s.estimate(now, min(s.total, s.quota.Rate))
 }
