--- a/pkg/rpfleet/account.go
+++ b/pkg/rpfleet/account.go
@@ -103,11 +103,15 @@
 }
 
 // identifyAgain identifies a waiting request. Its rank stays, because it orders the
-// queue that holds the request.
+// queue that holds the request. If it has another account now, that one is charged.
 func (s *State) identifyAgain(r *request) {
-	route := r.route
+	route, account := r.route, r.account
 	refusal := s.identify(r)
 	r.route = route
+	if refusal == nil && r.account != account {
+		s.refundUnlessRun(r)
+		refusal = s.chargeQuota(r)
+	}
 	if refusal != nil {
 		s.refuseRequest(r, refusal)
 	}
--- a/pkg/rpfleet/quota_test.go
+++ b/pkg/rpfleet/quota_test.go
@@ -273,3 +273,33 @@
 	h.arriveCounted("second", "/stock/1", "", 300)
 	g.Expect(h.refusalCode("second")).To(Equal(rpverdict.CodeQuotaExceeded))
 }
+
+// Guards against a waiting request whose key moves to another account and which runs
+// there at the expense of the first one, and against one that is not charged at all
+// because its key was not known when it arrived.
+func TestChargeFollowsKey(t *testing.T) {
+	g := NewWithT(t)
+	config := func(version uint64, account string) *rpfleet.Config {
+		config := accountConfig(version, testKey)
+		quota := rpaccount.Quota{Rate: 20_000, Burst: 40_000, Unit: rpaccount.UnitTokens}
+		config.Accounts = rpaccount.NewDirectory([]rpaccount.Account{{Name: testAccount, Quota: quota}, {Name: "lab", Quota: quota}},
+			map[rpaccount.Credential]string{rpaccount.NewCredential(testKey): account})
+		return config
+	}
+	h := withQuotaHarness(t, 20_000, 40_000)
+	h.apply(rpfleet.ConfigRead{Stamp: h.stamp(), Config: config(4, testAccount)})
+	h.withPlannerElsewhere()
+	h.arriveCounted("r1", "/later/1", "m1", 300)
+	h.apply(rpfleet.ConfigRead{Stamp: h.stamp(), Config: config(5, "lab")})
+	// A demand that is not answered may be on its way.
+	h.apply(rpfleet.PlacementReceived{Stamp: h.stamp(), AskedAt: h.now, Failed: true})
+	h.discardEffects()
+	h.advance(time.Second)
+	demands := effectsOf[rpfleet.SendDemand](h)
+	g.Expect(demands).NotTo(BeEmpty())
+	used := map[string]int64{}
+	for _, usage := range demands[0].Demand.Load.Accounts {
+		used[usage.Account] = usage.Used
+	}
+	g.Expect(used).To(Equal(map[string]int64{testAccount: 0, "lab": 340}))
+}
