--- a/internal/rpmessage/gateway.go
+++ b/internal/rpmessage/gateway.go
@@ -41,7 +41,7 @@
 var gatewayNotes = []Message{
 	note("note_configuration", "a new configuration is in force", "A new version of the operators' configuration came into force.", nothing),
 	note("note_configuration_newer", "the planner has a newer configuration", "The planner has a newer version of the configuration, and the instance reads it now.", "If it happens often, check the connections of the instance to the store."),
-	note("note_keys_refused", "this instance no longer accepts keys", "The configuration was not confirmed for 0.9 of accounts.withdrawal_bound, so a key of it may have been withdrawn. Requests with keys are refused.", "Look at the reason in the line, then at the connections of the instance to the planner and to the store."),
+	note("note_keys_refused", "this instance no longer accepts keys", "The configuration was not confirmed for 0.8 of accounts.withdrawal_bound, so a key of it may have been withdrawn. Requests with keys are refused.", "Look at the reason in the line, then at the connections of the instance to the planner and to the store."),
 	note("note_keys_accepted", "this instance accepts keys again", "The configuration in force is confirmed again.", nothing),
 	note("note_over_quota", "an account is over its quota", "Requests of a client account were refused with 429, as many as the line says since the last one. There is at most one line a second for an account.", "Compare the rate and the burst in the line with what the account sends; see docs/operators/accounts.md."),
 	note("note_quotas_lowered", "quotas of accounts were lowered", "A new configuration has lower quotas for the accounts in the line.", nothing),
--- a/pkg/rpaccount/currency.go
+++ b/pkg/rpaccount/currency.go
@@ -8,9 +8,10 @@
 // DefaultBound is the Bound of a Currency that states none.
 const DefaultBound = 5 * time.Second
 
-// acceptShare is the share of Bound up to which keys are accepted. The rest covers
-// the time between the check of a request and its start.
-const acceptShare = 0.9
+// acceptShare is the share of Bound up to which keys are accepted. The store may hold
+// back changes from calls for up to a second, so a statement may be untrue for a second
+// before its time: 0.2 of the bound of 5 s.
+const acceptShare = 0.8
 
 // Currency tells whether the instance's configuration is recent enough to be trusted
 // with respect to withdrawn keys. A key that is not in a configuration must not be
--- a/pkg/rpfleet/withdrawal.go
+++ b/pkg/rpfleet/withdrawal.go
@@ -6,7 +6,7 @@
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
-// Where Policy.StrictWithdrawal is set, keys are accepted only up to 0.9 of
+// Where Policy.StrictWithdrawal is set, keys are accepted only up to 0.8 of
 // Policy.WithdrawalBound after the time as of which the configuration was known to be
 // the newest one. These constants keep that age low enough while an instance reaches
 // the planner or the store, as docs/design/account-keys.md computes:
@@ -18,8 +18,8 @@
 //   - An instance whose own statement gets too old asks the store itself. The first
 //     call doesn't wait for changes.
 const (
-	plannerConfirmWaitShare = 0.06
-	ownConfirmAgeShare      = 0.5
+	plannerConfirmWaitShare = 0.03
+	ownConfirmAgeShare      = 0.4
 	ownConfirmWaitShare     = 0.2
 	// unconfirmedRetryAfter is the Retry-After while keys are not accepted. After a
 	// freeze or a cut, the store answers within about this time.
