--- a/pkg/rpaccount/meter.go
+++ b/pkg/rpaccount/meter.go
@@ -180,8 +180,13 @@
 
 // Refund returns the cost of a request that did not run.
 func (m *Meter) Refund(_ time.Time, account string, cost float64) {
-	if _, charged := m.used[account]; charged && cost > 0 {
-		m.add(account, -cost)
+	if _, charged := m.used[account]; !charged || !(cost > 0) {
+		return
+	}
+	m.add(account, -cost)
+	if s := m.accounts[account]; s != nil {
+		// The next summary may be seconds away.
+		s.allowance = min(s.allowance+cost, s.share*s.depth)
 	}
 }
 
--- a/pkg/rpaccount/meter_test.go
+++ b/pkg/rpaccount/meter_test.go
@@ -69,3 +69,26 @@
 	g.Expect(offered).To(BeNumerically(">", 0))
 	g.Expect(offered).To(BeNumerically("<=", 200))
 }
+
+// Guards against an account that is refused below its limit because requests that did
+// not run took its allowance, while no summary renews it.
+func TestRefundReturnsAllowance(t *testing.T) {
+	g := NewWithT(t)
+	account := rpaccount.Account{Name: "a", Quota: rpaccount.Quota{Rate: 1000, Burst: 500, Unit: rpaccount.UnitTokens}}
+	m := rpaccount.Meter{Limits: rpaccount.Limits{Window: 8 * time.Second, Overage: 0.1, Slack: 10_000}}
+	m.SetInstances(1)
+	m.SetDirectory(begin, rpaccount.NewDirectory([]rpaccount.Account{account}, nil))
+	for range 20 {
+		// Each cost is refunded, so all requests are admitted.
+		ok, _ := m.Admit(begin, &account, 100)
+		g.Expect(ok).To(BeTrue())
+		m.Refund(begin, account.Name, 100)
+	}
+	admitted := 0
+	for range 20 {
+		if ok, _ := m.Admit(begin, &account, 100); ok {
+			admitted++
+		}
+	}
+	g.Expect(admitted).To(BeNumerically("<", 20), "the cost of requests that run counts")
+}
