--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -6,9 +6,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,7 +29,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body contains the segments of the body. Each attempt sends it anew.
+	Body [][]byte
 }
 
 // Forwarder forwards requests to endpoints and relays the responses. A request
@@ -234,19 +237,35 @@
 		// Prevents net/http from adding its own User-Agent.
 		header["User-Agent"] = nil
 	}
+	length := 0
+	for _, segment := range a.Body {
+		length += len(segment)
+	}
 	req := &http.Request{
 		Method:        a.Method,
 		URL:           &url.URL{Scheme: "http", Host: a.Command.Address.String(), Opaque: a.Target},
 		Host:          a.Host,
 		Header:        header,
-		ContentLength: int64(len(a.Body)),
+		ContentLength: int64(length),
 	}
-	if len(a.Body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(a.Body))
+	if length > 0 {
+		req.Body = io.NopCloser(bodyReader(a.Body))
 	}
 	return req.WithContext(ctx)
 }
 
+// bodyReader returns a reader of the segments of a body.
+func bodyReader(segments [][]byte) io.Reader {
+	if len(segments) == 1 {
+		// net/http writes such a body together with the header, and others in a
+		// packet of their own.
+		return bytes.NewReader(segments[0])
+	}
+	// A read consumes the list.
+	body := net.Buffers(slices.Clone(segments))
+	return &body
+}
+
 // handleResponse maps a response to a result from its headers, or relays it.
 func (r *forwardAttempt) handleResponse(ctx context.Context, resp *http.Response) {
 	head := r.ReadHead(resp)
--- a/internal/rpendpoint/forward_stream.go
+++ b/internal/rpendpoint/forward_stream.go
@@ -31,11 +31,9 @@
 			return
 		}
 		if len(part) > 0 {
-			now := time.Now()
 			if started {
-				r.ended.LongestPause = max(r.ended.LongestPause, now.Sub(last))
+				r.ended.LongestPause = max(r.ended.LongestPause, time.Since(last))
 			}
-			last = now
 			// An endpoint that only sends comments does not work on the request.
 			working := hasData(part)
 			if working {
@@ -47,6 +45,8 @@
 				r.finish(relayErr)
 				return
 			}
+			// A caller that reads slowly is not a pause of the endpoint.
+			last = time.Now()
 			if working {
 				r.noteAnswering()
 				r.ended.Unresumable = r.ended.LastEvent == ""
--- a/internal/rpendpoint/late_reader_test.go
+++ b/internal/rpendpoint/late_reader_test.go
@@ -45,7 +45,7 @@
 	f.Limits.AckTimeout = ackTimeout
 	var got []byte
 	ended, _ := f.Run(context.Background(), ForwardRequest{
-		Method: http.MethodPost, Target: "/x", Header: http.Header{}, Body: body,
+		Method: http.MethodPost, Target: "/x", Header: http.Header{}, Body: [][]byte{body},
 		Command: rpfleet.StartAttempt{
 			Address: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), Kind: rpfleet.KindNonIdempotent,
 			Deadline: time.Now().Add(20 * time.Second),
--- a/internal/rpendpoint/limits.go
+++ b/internal/rpendpoint/limits.go
@@ -25,6 +25,9 @@
 	AckTimeout time.Duration
 	// IdleConnections is the maximum number of idle connections per endpoint.
 	IdleConnections int
+	// TotalIdleConnections is the maximum number of idle connections to all
+	// endpoints. The default is no maximum.
+	TotalIdleConnections int
 	// LineBytes limits one line and one event of a stream.
 	LineBytes int
 	// ResponseBytes limits the body of an inference response that is not a stream.
--- a/internal/rpendpoint/transport.go
+++ b/internal/rpendpoint/transport.go
@@ -127,6 +127,7 @@
 		},
 		DisableKeepAlives:      !keepAlive,
 		DisableCompression:     true,
+		MaxIdleConns:           l.TotalIdleConnections,
 		MaxIdleConnsPerHost:    l.IdleConnections,
 		IdleConnTimeout:        l.IdleTimeout,
 		MaxResponseHeaderBytes: MaxResponseHeaderBytes,
--- a/internal/rpgateway/caller_server.go
+++ b/internal/rpgateway/caller_server.go
@@ -126,7 +126,7 @@
 	}
 	defer c.inProgress.remove(request.ID)
 	x := &exchange{callerServer: c, queue: queue, response: response, arrivedAt: at, request: request, forward: rpendpoint.ForwardRequest{
-		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: [][]byte{body},
 	}}
 	x.run(r.Context())
 }
--- a/internal/rpgateway/endless_test.go
+++ b/internal/rpgateway/endless_test.go
@@ -117,7 +117,7 @@
 func runAttempt(f *rpendpoint.Forwarder, address netip.AddrPort, kind rpfleet.RouteKind, repeatable bool) (rpfleet.AttemptEnded, int) {
 	relayed := 0
 	ended, _ := f.Run(context.Background(), rpendpoint.ForwardRequest{
-		Method: http.MethodPost, Target: "/x", Host: "shop.example", Header: http.Header{}, Body: []byte("body"),
+		Method: http.MethodPost, Target: "/x", Host: "shop.example", Header: http.Header{}, Body: [][]byte{[]byte("body")},
 		Command: rpfleet.StartAttempt{
 			Request: "r", Attempt: "r#1", Endpoint: "e1", Address: address, Kind: kind, Repeatable: repeatable,
 			Deadline: time.Now().Add(endlessDeadline),
--- a/internal/rpgateway/silent_host_linux_test.go
+++ b/internal/rpgateway/silent_host_linux_test.go
@@ -95,7 +95,7 @@
 func (s silentHost) run(t *testing.T) rpfleet.AttemptEnded {
 	t.Helper()
 	ended, _ := newTestForwarder(endpointLimits).Run(context.Background(), rpendpoint.ForwardRequest{
-		Method: http.MethodPost, Target: "/x", Header: http.Header{}, Body: []byte("prompt"),
+		Method: http.MethodPost, Target: "/x", Header: http.Header{}, Body: [][]byte{[]byte("prompt")},
 		Command: rpfleet.StartAttempt{
 			Request: "r", Address: s.start(t), Kind: rpfleet.KindStream, Repeatable: true, Deadline: time.Now().Add(20 * time.Second),
 		},
