--- a/internal/rpabuse/process_linux_test.go
+++ b/internal/rpabuse/process_linux_test.go
@@ -28,7 +28,7 @@
 )
 
 // limitsSection is the part of the settings that tells the process its bounds.
-const limitsSection = ""
+var limitsSection = fmt.Sprintf("[limits]\nmemory = \"%dMB\"\ndescriptors = %d\n", maxMemoryMB, maxDescriptors)
 
 const (
 	// waitTimeout limits the wait for what takes less than a second on an idle
--- a/internal/rpcommand/gateway.go
+++ b/internal/rpcommand/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"github.com/rattanpaddle/rattanpaddle/internal/rpgateway"
 	"github.com/rattanpaddle/rattanpaddle/internal/rplog"
@@ -38,6 +39,8 @@
 // RunGateway runs an instance on the users' platform until the context ends, then
 // performs a planned stop. The main program uses it for Gateway.
 func (p *Program) RunGateway(ctx context.Context, args GatewayArgs) error {
+	// GOMEMLIMIT may be lower.
+	debug.SetMemoryLimit(min(debug.SetMemoryLimit(-1), args.Settings.Limits.Callers().RuntimeBytes()))
 	metrics := rpmetric.New()
 	log, closeLog := rplog.NewNonBlocking(p.Stdout, rplog.Format(args.Settings.Log.Format), args.Settings.Log.Levels.Levels, metrics.LogDropped)
 	log.RedirectStandard("endpoint")
--- a/internal/rpgateway/caller_conn.go
+++ b/internal/rpgateway/caller_conn.go
@@ -1,6 +1,7 @@
 package rpgateway
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"net"
@@ -8,6 +9,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/rattanpaddle/rattanpaddle/internal/rpcaller"
 )
 
 const (
@@ -27,12 +30,33 @@
 // callerConns holds the open connections of callers and closes the idle ones in a
 // planned stop. http.Server.Shutdown closes a connection as idle until it has read
 // the whole header of the next request. A request that has arrived by then, or of
-// which a part has arrived, would end without a response. The zero value is ready
-// to use.
+// which a part has arrived, would end without a response.
+//
+// It also bounds the number of connections and what arrives on them before a request
+// is complete. The zero value is ready to use and has no bounds.
 type callerConns struct {
+	// budget bounds the memory of requests, including headers that are not
+	// complete.
+	budget rpcaller.Budget
+	// maxOpen is the largest number of open connections; 0 means no bound.
+	maxOpen int
+	// headerLimits returns the limits of a header; nil means none.
+	headerLimits func() headerLimits
+
 	mu       sync.Mutex
 	retiring bool
 	open     map[*callerConn]bool
+	// waiting contains the connections without a request in progress, by the time
+	// at which they were accepted, became idle or began to send a header.
+	waiting list.List
+	stats   connStats
+}
+
+// connStats counts connections that ended because of the bounds.
+type connStats struct {
+	// closed counts those that were closed for a new one, rejected the new ones
+	// that were closed because all others had requests in progress.
+	closed, rejected int
 }
 
 // callerListener wraps the connections that it accepts in callerConns.
@@ -43,24 +67,77 @@
 
 // Accept waits for the next connection.
 func (l callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.conns.add(conn); c != nil {
+			return c, nil
+		}
+		_ = conn.Close()
 	}
-	return l.conns.add(conn), nil
 }
 
+// add adds a new connection. At the bound, it closes the one that has waited for
+// longest. If all have requests in progress, it returns nil.
 func (s *callerConns) add(conn net.Conn) *callerConn {
-	c := &callerConn{Conn: conn, acceptedAt: time.Now()}
+	limitKernelBuffers(conn)
+	c := &callerConn{Conn: conn, conns: s, acceptedAt: time.Now()}
+	c.hold.Budget, c.hold.Evict = &s.budget, c.interrupt
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for s.maxOpen > 0 && len(s.open) >= s.maxOpen {
+		if !s.closeLongestWaiting() {
+			s.stats.rejected++
+			return nil
+		}
+	}
 	if s.open == nil {
 		s.open = map[*callerConn]bool{}
 	}
 	s.open[c] = true
+	s.setWaiting(c, true)
 	return c
 }
 
+// closeLongestWaiting closes the connection that has waited for longest, and reports
+// whether there was one. s.mu must be held.
+func (s *callerConns) closeLongestWaiting() bool {
+	first := s.waiting.Front()
+	if first == nil {
+		return false
+	}
+	c := first.Value.(*callerConn)
+	s.setWaiting(c, false)
+	delete(s.open, c)
+	s.stats.closed++
+	// Its goroutine then ends with a failed read.
+	_ = c.Conn.Close()
+	return true
+}
+
+// setWaiting puts a connection at the end of the waiting ones, or takes it out. s.mu
+// must be held.
+func (s *callerConns) setWaiting(c *callerConn, waiting bool) {
+	if c.waiting != nil {
+		s.waiting.Remove(c.waiting)
+		c.waiting = nil
+	}
+	if waiting {
+		c.waiting = s.waiting.PushBack(c)
+	}
+}
+
+// headerBegan is called when the first byte of a request has arrived.
+func (s *callerConns) headerBegan(c *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.waiting != nil {
+		s.setWaiting(c, true)
+	}
+}
+
 // onState is the ConnState hook of the server.
 func (s *callerConns) onState(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*callerConn)
@@ -72,10 +149,14 @@
 	switch state {
 	case http.StateClosed, http.StateHijacked:
 		delete(s.open, c)
+		s.setWaiting(c, false)
+		c.hold.Release()
 	case http.StateActive:
 		c.setPhase(phaseActive)
+		s.setWaiting(c, false)
 	case http.StateIdle:
 		c.setPhase(phaseIdle)
+		s.setWaiting(c, s.open[c])
 		if s.retiring {
 			c.retire()
 		}
@@ -143,13 +224,24 @@
 // the request that has arrived.
 type callerConn struct {
 	net.Conn
+	conns      *callerConns
 	acceptedAt time.Time
+	// hold is the memory of the request that arrives or is in progress. Only the
+	// goroutine that serves the connection uses it.
+	hold rpcaller.Hold
+	// header meters the header that arrives. Only Read uses it.
+	header headerMeter
+	// waiting is the connection's place in conns.waiting, guarded by conns.mu.
+	waiting *list.Element
 
 	mu      sync.Mutex
 	phase   connPhase
 	retired bool
 	// deadline is the read deadline that net/http has set last.
 	deadline time.Time
+	// headerDeadline is the end of the time for the header that arrives; zero means
+	// that there is none.
+	headerDeadline time.Time
 }
 
 // retire ends the wait for the next request, and reports whether the connection
@@ -192,9 +284,22 @@
 func (c *callerConn) changePhase(phase connPhase) {
 	waiting := c.isWaiting()
 	c.phase = phase
-	if waiting && !c.isWaiting() {
-		_ = c.Conn.SetReadDeadline(c.deadline)
+	c.headerDeadline = time.Time{}
+	if timeout := c.conns.limitsOfHeader().timeout; phase == phaseHeader && timeout > 0 {
+		c.headerDeadline = time.Now().Add(timeout)
+	}
+	if waiting && !c.isWaiting() || !c.headerDeadline.IsZero() {
+		_ = c.Conn.SetReadDeadline(c.readDeadline())
+	}
+}
+
+// readDeadline returns the earlier one of the read deadline of net/http and that of
+// the header. c.mu must be held.
+func (c *callerConn) readDeadline() time.Time {
+	if c.headerDeadline.IsZero() || !c.deadline.IsZero() && c.deadline.Before(c.headerDeadline) {
+		return c.deadline
 	}
+	return c.headerDeadline
 }
 
 // Read reads from the connection. On a retired connection it fails if nothing has
@@ -205,8 +310,10 @@
 		// A read may miss its deadline although data has arrived.
 		n, err = c.Conn.Read(p)
 	}
-	if n > 0 {
-		c.noteRead()
+	if n > 0 && c.noteRead() {
+		if refusal := c.meterHeader(p[:n]); refusal != nil {
+			return 0, refusal
+		}
 	}
 	return n, err
 }
@@ -217,12 +324,20 @@
 	return c.isWaiting() && c.Conn.SetReadDeadline(time.Now().Add(lastReadTimeout)) == nil
 }
 
-func (c *callerConn) noteRead() {
+// noteRead is called after bytes were read, and reports whether they belong to a
+// header.
+func (c *callerConn) noteRead() bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase < phaseHeader {
+	phase := c.phase
+	if phase < phaseHeader {
 		c.changePhase(phaseHeader)
 	}
+	c.mu.Unlock()
+	if phase < phaseHeader {
+		c.header = headerMeter{}
+		c.conns.headerBegan(c)
+	}
+	return phase <= phaseHeader
 }
 
 // SetReadDeadline sets the read deadline, or stores it for the time after the
@@ -234,7 +349,33 @@
 	if c.isWaiting() {
 		return nil
 	}
-	return c.Conn.SetReadDeadline(t)
+	if t.IsZero() {
+		// net/http clears the deadline when it has read the header.
+		c.headerDeadline = t
+	}
+	return c.Conn.SetReadDeadline(c.readDeadline())
+}
+
+// Write writes to the caller. It fails if the caller takes nothing for
+// writeTimeout.
+func (c *callerConn) Write(p []byte) (int, error) {
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// interrupt ends the request that arrives on the connection because its memory is
+// needed. A header is cut; the read of a body fails, and the request is refused.
+func (c *callerConn) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// An error means that the connection is closed already.
+	if c.phase == phaseActive {
+		_ = c.Conn.SetReadDeadline(c.acceptedAt)
+		return
+	}
+	_ = c.Conn.Close()
 }
 
 // CloseWrite closes the sending direction. net/http does so after the last
--- a/internal/rpgateway/caller_response.go
+++ b/internal/rpgateway/caller_response.go
@@ -12,8 +12,10 @@
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpverdict"
 )
 
-// writeTimeout limits one write to a caller that reads slowly.
-const writeTimeout = 10 * time.Second
+// writeTimeout limits one write to a caller that reads slowly. Engines cut a response
+// that is not read after some seconds. The caller must be disconnected before that,
+// so that its failure is not taken for one of the engine.
+const writeTimeout = 3 * time.Second
 
 // callerResponse writes the response to one caller. It is not safe for
 // concurrent use.
@@ -54,9 +56,6 @@
 
 // write sends and flushes a part of the body.
 func (r *callerResponse) write(p []byte) error {
-	if err := r.control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
 	if _, err := r.w.Write(p); err != nil {
 		return err
 	}
--- a/internal/rpgateway/caller_server.go
+++ b/internal/rpgateway/caller_server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log"
 	"net"
 	"net/http"
@@ -64,7 +63,11 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          log.New(c.log, "", 0),
 		ConnState:         c.conns.onState,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
 	}
+	c.conns.headerLimits = c.headerLimits
 }
 
 func (c *callerServer) serve(listener net.Listener) error {
@@ -114,7 +117,9 @@
 		c.reject(response, request.ID, rpverdict.Refuse(rpverdict.CodeInvalidHeader, err.Error()))
 		return
 	}
-	body, refusal := c.readBody(w, r)
+	hold := c.holdOf(r)
+	defer hold.Release()
+	body, refusal := c.readBody(w, r, hold)
 	if refusal != nil {
 		c.reject(response, request.ID, *refusal)
 		return
@@ -126,7 +131,7 @@
 	}
 	defer c.inProgress.remove(request.ID)
 	x := &exchange{callerServer: c, queue: queue, response: response, arrivedAt: at, request: request, forward: rpendpoint.ForwardRequest{
-		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: [][]byte{body},
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
 	}}
 	x.run(r.Context())
 }
@@ -139,33 +144,6 @@
 	response.refuse(id, refusal)
 }
 
-func (c *callerServer) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *rpverdict.Refusal) {
-	limit := int64(maxBodyBytes)
-	if limits := c.limits.Load(); limits != nil && limits.BodyBytes > 0 {
-		limit = limits.BodyBytes
-	}
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		c.log.Debug().Err(err).Msg("failed to set the read deadline of a request body")
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		refusal := rpverdict.Refuse(rpverdict.CodeBodyTooLarge, "The body is larger than the limit of the configuration.")
-		return nil, &refusal
-	}
-	if err != nil {
-		refusal := rpverdict.Refuse(rpverdict.CodeMalformedRequest, "The body did not arrive whole and in time.")
-		return nil, &refusal
-	}
-	// Clears the deadline because net/http detects a closed connection with a
-	// background read, which would time out.
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		c.log.Debug().Err(err).Msg("failed to clear the read deadline of a request body")
-	}
-	return body, nil
-}
-
 // exchange runs one request until its response is complete, it is refused or
 // the caller disconnects.
 type exchange struct {
--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -167,14 +167,18 @@
 	}
 	signal.Notify(c.hangups, syscall.SIGHUP)
 	c.loop = &loop{clock: c.clock, execute: c.executeEffect}
+	forwarderLimits := endpointLimits
+	forwarderLimits.TotalIdleConnections = i.Settings.Limits.Callers().IdleEndpointConnections()
 	c.forwarder = &rpendpoint.Forwarder{
-		Limits: endpointLimits, SetHeaders: rpwire.SetAttemptHeaders, ReadHead: rpwire.ReadResponseHead,
+		Limits: forwarderLimits, SetHeaders: rpwire.SetAttemptHeaders, ReadHead: rpwire.ReadResponseHead,
 		OnNotice: c.loop.applyNotice, OnConnection: c.observer.connectionUsed,
 	}
 	client := &http.Client{Transport: newTransport()}
 	c.store = &rpwire.Store{Address: i.Settings.Store.Address.AddrPort, Do: client.Do, OnCall: c.observer.storeCalled}
 	c.callers = &callerServer{loop: c.loop, forwarder: c.forwarder, log: i.Log.Part("front"), observer: c.observer}
 	c.callers.init()
+	limits := i.Settings.Limits.Callers()
+	c.callers.conns.budget.Limit, c.callers.conns.maxOpen = limits.RequestBytes(), limits.Connections()
 	c.orders = &orderSender{loop: c.loop, forwarder: c.forwarder, holder: i.Settings.identity().Instance, log: i.Log.Part("endpoint"), observer: c.observer}
 	c.peers = &peerAPI{loop: c.loop, client: client, log: i.Log.Part("peer")}
 	c.leases = &leaseClient{loop: c.loop, store: c.store, log: i.Log.Part("platform")}
--- a/internal/rpgateway/settings.go
+++ b/internal/rpgateway/settings.go
@@ -23,6 +23,7 @@
 	Members  Members             `toml:"members"`
 	Drain    Drain               `toml:"drain"`
 	Log      rpsettings.Log      `toml:"log"`
+	Limits   Limits              `toml:"limits"`
 }
 
 // Listen holds the addresses that the instance listens on.
@@ -142,6 +143,7 @@
 	rptoml.CheckRange(r, "members.config_bound", s.Members.ConfigBound, 0, maxTime)
 	rptoml.CheckRange(r, "drain.balancer_delay", s.Drain.BalancerDelay, 0, maxTime)
 	rptoml.CheckRange(r, "drain.timeout", s.Drain.Timeout, 0, maxTime)
+	s.Limits.check(r)
 	if s.Drain.Timeout > 0 && s.Drain.BalancerDelay >= s.Drain.Timeout {
 		r.Add("drain.balancer_delay", rptoml.CodeContradiction, "The delay is not shorter than drain.timeout.", "Write a shorter delay.")
 	}
--- a/internal/rpmessage/refusals.go
+++ b/internal/rpmessage/refusals.go
@@ -26,6 +26,7 @@
 	caller("outcome_not_kept", "An earlier request with this idempotency key ran. Its answer was too large to keep.", "Do not send the request again; get the outcome from the endpoint."),
 	caller("too_many_streams", "This instance has reached its limit of requests in progress.", "Add instances, or raise limits.requests_in_progress in the settings."),
 	caller("prompt_quarantined", "Engines crashed on a part of the prompt, so the request is kept away from them.", "Find out from the part that the detail names why engines crash on it."),
+	caller("memory_short", "The memory of this instance for requests is used up. Another instance can serve the request.", "Find out who holds the memory: docs/operators/memory.md."),
 }
 
 // operatorRefusals contains the codes of internal/rpoperator.
--- a/internal/rpmetric/table.go
+++ b/internal/rpmetric/table.go
@@ -138,6 +138,7 @@
 	rpverdict.CodeStreamBroken, rpverdict.CodeEarlierAttemptUnknown, rpverdict.CodeOutcomeNotKept,
 	rpverdict.CodeTooManyStreams,
 	rpverdict.CodePromptQuarantined,
+	rpverdict.CodeMemoryShort,
 }
 
 func reasonNames() []string {
--- a/pkg/rpverdict/refusal.go
+++ b/pkg/rpverdict/refusal.go
@@ -36,6 +36,7 @@
 	CodeOutcomeNotKept         Code = "outcome_not_kept"
 	CodeTooManyStreams         Code = "too_many_streams"
 	CodePromptQuarantined      Code = "prompt_quarantined"
+	CodeMemoryShort            Code = "memory_short"
 )
 
 type codeInfo struct {
@@ -68,6 +69,7 @@
 	CodeOutcomeNotKept:         {http.StatusConflict, "An earlier request with this idempotency key ran. Its answer was too large to keep."},
 	CodeTooManyStreams:         {http.StatusServiceUnavailable, "This instance has reached its limit of requests in progress."},
 	CodePromptQuarantined:      {http.StatusServiceUnavailable, "Engines crashed on a part of the prompt, so the request is kept away from them."},
+	CodeMemoryShort:            {http.StatusServiceUnavailable, "The memory of this instance for requests is used up. Another instance can serve the request."},
 }
 
 // CodeCount returns the number of codes.
