--- a/internal/rpendpoint/forward_stream.go
+++ b/internal/rpendpoint/forward_stream.go
@@ -59,7 +59,7 @@
 		}
 		if err != nil {
 			r.ended.StoppedAtStart = !r.answering && ctx.Err() == nil
-			r.setFailure(ctx, rpcore.AttemptBroken, rpverdict.MayHaveRun, err)
+			r.endRelay(ctx, err)
 			return
 		}
 	}
@@ -85,7 +85,7 @@
 			return err
 		}
 	}
-	if err := r.relay.Write(part); err != nil {
+	if err := r.write(part); err != nil {
 		return err
 	}
 	r.ended.ResponseStarted = true
