--- a/internal/rpgateway/caller_conn.go
+++ b/internal/rpgateway/caller_conn.go
@@ -55,8 +55,9 @@
 // connStats counts connections that ended because of the bounds.
 type connStats struct {
 	// closed counts those that were closed for a new one, rejected the new ones
-	// that were closed because all others had requests in progress.
-	closed, rejected int
+	// that were closed because all others had requests in progress, and
+	// headerTooLarge those whose header exceeded the limit.
+	closed, rejected, headerTooLarge int64
 }
 
 // callerListener wraps the connections that it accepts in callerConns.
@@ -217,6 +218,7 @@
 	phaseHeader
 	// phaseActive lasts from there to the end of the response.
 	phaseActive
+	connPhases
 )
 
 // callerConn is a connection of a caller. retire makes reads fail as soon as
--- a/internal/rpgateway/caller_header.go
+++ b/internal/rpgateway/caller_header.go
@@ -100,6 +100,7 @@
 func (c *callerConn) meterHeader(p []byte) error {
 	c.header.add(p)
 	if limit := c.conns.limitsOfHeader().bytes; limit > 0 && c.header.bytes > limit+headerSlack {
+		c.conns.countHeaderTooLarge()
 		return c.refuseHeader(http.StatusRequestHeaderFieldsTooLarge, "")
 	}
 	cost := c.header.cost()
@@ -116,6 +117,12 @@
 	return nil
 }
 
+func (s *callerConns) countHeaderTooLarge() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.headerTooLarge++
+}
+
 // refuseHeader responds to a request whose header is not complete, and returns the
 // error of the read. Such a request was not forwarded.
 func (c *callerConn) refuseHeader(status int, header string) error {
--- a/internal/rpgateway/caller_server.go
+++ b/internal/rpgateway/caller_server.go
@@ -136,10 +136,15 @@
 	x.run(r.Context())
 }
 
-// reject refuses an invalid request, which the reducer never sees.
+// reject refuses a request that is invalid or that did not arrive, which the reducer
+// never sees.
 func (c *callerServer) reject(response *callerResponse, id rpcore.RequestID, refusal rpverdict.Refusal) {
-	c.log.Info().Str("request_id", string(id)).Str("refusal", string(refusal.Code)).Str("detail", refusal.Detail).
-		Msg("rejected an invalid request")
+	// A request that was refused for lack of memory is not invalid. watchUsage logs
+	// how many there are.
+	if refusal.Code != rpverdict.CodeMemoryShort {
+		c.log.Info().Str("request_id", string(id)).Str("refusal", string(refusal.Code)).Str("detail", refusal.Detail).
+			Msg("rejected an invalid request")
+	}
 	c.observer.requestEnded(0, string(refusal.Code))
 	response.refuse(id, refusal)
 }
--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -281,6 +281,7 @@
 	c.running.Go(func() { c.storeDemands.follower().run(background) })
 	c.running.Go(func() { c.storeEvidence.follower().run(background) })
 	c.running.Go(func() { c.watchSettings(background) })
+	c.running.Go(func() { c.callers.watchUsage(background) })
 	c.log.Info().Str("instance", c.settings.Instance.Name).Str("failure_domain", c.settings.Instance.FailureDomain).
 		Str("callers", listen.Callers.String()).Str("peers", listen.Peers.String()).
 		Str("store", c.settings.Store.Address.String()).Msg("The instance listens.")
--- a/internal/rpmessage/gateway.go
+++ b/internal/rpmessage/gateway.go
@@ -35,6 +35,8 @@
 	logLine("log_engine_header_ignored", "ignoring a header of an engine", "A header in the response of an engine has a value that can't be read.", "Correct the engine."),
 	logLine("log_library", "a library reports a problem", "A library of the program reports a problem, for example bytes of an endpoint that belong to no request.", "If it happens often, look at the log of the endpoints."),
 	logLine("log_body_time_bounded", "failed to clear the read deadline of a request body", "The time limit for receiving a request body could not be removed.", "Report the line as a bug."),
+	logLine("log_memory_short", "memory for requests of callers is short", "Requests were given up or refused in the last second because the memory for requests is used up. The line says for what it is held.", "Find out who holds it: docs/operators/memory.md."),
+	logLine("log_connections_bound", "the bound of open connections of callers is reached", "Connections were closed in the last second because callers hold as many as the process may have. The line says in which state they are.", "Find out who holds them: docs/operators/memory.md."),
 }
 
 // gatewayNotes contains the notes of the gateway's reducer in rpfleet.
--- a/internal/rpmetric/metric.go
+++ b/internal/rpmetric/metric.go
@@ -212,3 +212,16 @@
 
 // LogDropped counts log lines that were dropped.
 func (m *Metrics) LogDropped(lines int) { m.add(nameLogDropped, float64(lines)) }
+
+// CallerMemory sets the memory that is held for requests of callers for a use.
+func (m *Metrics) CallerMemory(use string, bytes int64) {
+	m.set(nameCallerMemory, float64(bytes), use)
+}
+
+// CallerConnections sets the number of open connections of callers in a state.
+func (m *Metrics) CallerConnections(state string, n int) {
+	m.set(nameCallerConns, float64(n), state)
+}
+
+// CallerLimit counts what a limit ended, by its cause.
+func (m *Metrics) CallerLimit(cause string, n int64) { m.add(nameCallerLimits, float64(n), cause) }
--- a/internal/rpmetric/metric_test.go
+++ b/internal/rpmetric/metric_test.go
@@ -52,6 +52,9 @@
 	m.ReducerEvent(time.Millisecond)
 	m.SubmissionEnded(rpcore.SubmissionConflict)
 	m.SetDocumentsInForce(2)
+	m.CallerMemory("body", 5)
+	m.CallerConnections("idle", 6)
+	m.CallerLimit("evicted", 7)
 	answer := httptest.NewRecorder()
 	m.Handler().ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
 	for _, line := range []string{
@@ -74,6 +77,9 @@
 		`rattanpaddle_reducer_seconds_total 0.001`,
 		`rattanpaddle_document_submissions_total{result="conflict"} 1`,
 		`rattanpaddle_documents_in_force 2`,
+		`rattanpaddle_caller_memory_bytes{use="body"} 5`,
+		`rattanpaddle_caller_connections{state="idle"} 6`,
+		`rattanpaddle_caller_limits_total{cause="evicted"} 7`,
 	} {
 		g.Expect(answer.Body.String()).To(ContainSubstring(line + "\n"))
 	}
--- a/internal/rpmetric/table.go
+++ b/internal/rpmetric/table.go
@@ -63,6 +63,9 @@
 	nameRoutedFirst    = "rattanpaddle_routed_first_event_seconds"
 	nameOrders         = "rattanpaddle_engine_orders_total"
 	nameLogDropped     = "rattanpaddle_log_lines_dropped_total"
+	nameCallerMemory   = "rattanpaddle_caller_memory_bytes"
+	nameCallerConns    = "rattanpaddle_caller_connections"
+	nameCallerLimits   = "rattanpaddle_caller_limits_total"
 )
 
 // Upper bounds of buckets, in seconds. The target of 0.56 s for the first token
@@ -97,6 +100,9 @@
 	{name: nameRoutedFirst, kind: kindHistogram, unit: "seconds", help: "Time from the arrival of such a request to the first event of its stream, by rank (0 is the most urgent).", labels: []label{{"rank", []string{"0", "1", "2", "3"}}}, buckets: firstTokenBuckets},
 	{name: nameOrders, kind: kindCounter, unit: "orders", help: "Orders to the engines of a platform, by kind and outcome.", labels: []label{{"kind", stringValues(rpfleet.OrderLoad, rpfleet.OrderUnload)}, {"outcome", stringValues(rpfleet.OrderAccepted, rpfleet.OrderHolds, rpfleet.OrderConflict, rpfleet.OrderRejected, rpfleet.OrderNotSent, rpfleet.OrderUnknown)}}},
 	{name: nameLogDropped, kind: kindCounter, unit: "lines", help: "Lines of the log that were dropped because standard output was not read fast enough."},
+	{name: nameCallerMemory, kind: kindGauge, unit: "bytes", help: "Memory that the gateway holds for requests of callers, by use, once a second: header sections, bodies, and requests in progress without both.", labels: []label{{"use", []string{"header", "body", "request"}}}},
+	{name: nameCallerConns, kind: kindGauge, unit: "connections", help: "Open connections of callers of the gateway, by state, once a second: no byte has come yet, idle after a response, a header arrives, or a request is in progress.", labels: []label{{"state", []string{"new", "idle", "header", "active"}}}},
+	{name: nameCallerLimits, kind: kindCounter, unit: "events", help: "Times that a limit of the gateway ended what a caller did, by cause: header_too_large (431), evicted (for another request that needed memory), memory_short (no memory could be had), connection_closed (for a new one) and connection_rejected (all others had requests in progress).", labels: []label{{"cause", []string{"header_too_large", "evicted", "memory_short", "connection_closed", "connection_rejected"}}}},
 	{name: nameDocuments, kind: kindGauge, unit: "documents", help: "Documents in force at this instance."},
 }
 
