--- a/internal/rpabuse/bodies_linux_test.go
+++ b/internal/rpabuse/bodies_linux_test.go
@@ -93,3 +93,21 @@
 	})
 	gw.expectWithinBounds()
 }
+
+// Guards against a request that is refused before its body has come and keeps its
+// connection for as long as the caller sends nothing more.
+func TestRefusedRequestsWithoutBody(t *testing.T) {
+	for name, headers := range map[string][]string{
+		"invalid header":  {"X-Rattanpaddle-Token-Counts: x\r\n", "Content-Length: 200000\r\n"},
+		"body too large":  {fmt.Sprintf("Content-Length: %d\r\n", maxBodyBytes+1)},
+		"repeated length": {"Content-Length: 1\r\n", "Content-Length: 1\r\n", "X-Rattanpaddle-Token-Counts: x\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gw := withGateway(t, &rpfake.Endpoint{})
+			gw.connect(300, func(i int, conn net.Conn) {
+				sendAll(conn, head("POST", "/place/1", fmt.Sprintf("refused-%d", i), headers...), "\r\n")
+			})
+			gw.expectWithinBounds()
+		})
+	}
+}
--- a/internal/rpcaller/budget.go
+++ b/internal/rpcaller/budget.go
@@ -228,13 +228,27 @@
 		if now.Sub(victim.grantedAt) < evictionAge {
 			return
 		}
-		if victim == h || victim.size == 0 {
-			continue
+		if victim != h {
+			b.evict(victim)
 		}
-		b.unlist(victim)
-		victim.evicted = true
-		b.leaving += victim.size
-		b.stats.Evicted++
-		victim.Evict()
+	}
+}
+
+// evict evicts a hold. b.mu must be held.
+func (b *Budget) evict(victim *Hold) {
+	b.unlist(victim)
+	victim.evicted = true
+	b.leaving += victim.size
+	b.stats.Evicted++
+	victim.Evict()
+}
+
+// EvictOldest evicts the hold whose last grant is the longest ago, if it may be
+// evicted. It is called when something else that requests hold is short.
+func (b *Budget) EvictOldest() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.receiving.Front(); e != nil && time.Since(e.Value.(*Hold).grantedAt) >= evictionAge {
+		b.evict(e.Value.(*Hold))
 	}
 }
--- a/internal/rpcaller/budget_test.go
+++ b/internal/rpcaller/budget_test.go
@@ -50,6 +50,27 @@
 	})
 }
 
+// Guards against requests whose bodies have stopped that keep all connections although
+// there is memory, and against the eviction of one that has just begun.
+func TestEvictOldest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := &Budget{}
+		stalled, complete := withHold(b), withHold(b)
+		g.Expect(complete.Grow(UseRequest, 1)).To(Succeed())
+		g.Expect(complete.Keep()).To(Succeed())
+		g.Expect(stalled.Grow(UseRequest, 1)).To(Succeed())
+		b.EvictOldest()
+		g.Expect(b.Stats().Evicted).To(BeZero())
+		time.Sleep(evictionAge)
+		b.EvictOldest()
+		b.EvictOldest()
+		g.Expect(b.Stats().Evicted).To(Equal(int64(1)))
+		g.Expect(stalled.Keep()).To(MatchError(ErrEvicted))
+		g.Expect(complete.Keep()).To(Succeed())
+	})
+}
+
 // Guards against a request that waits for memory without end, and against the
 // eviction of requests that have just got theirs.
 func TestWaitForMemoryEnds(t *testing.T) {
--- a/internal/rpgateway/caller_body.go
+++ b/internal/rpgateway/caller_body.go
@@ -44,7 +44,6 @@
 func (c *callerServer) readBody(w http.ResponseWriter, r *http.Request, hold *rpcaller.Hold) ([][]byte, *rpverdict.Refusal) {
 	limit := c.maxBodyBytes()
 	if r.ContentLength > limit {
-		w.Header().Set("Connection", "close")
 		return nil, refuseBody(rpverdict.CodeBodyTooLarge, "The body is larger than the limit of the configuration.")
 	}
 	control := http.NewResponseController(w)
@@ -62,7 +61,6 @@
 	switch {
 	case errors.Is(err, rpcaller.ErrShort), errors.Is(err, rpcaller.ErrEvicted):
 		hold.Release()
-		w.Header().Set("Connection", "close")
 		refusal := refuseBody(rpverdict.CodeMemoryShort, "")
 		refusal.RetryAfter = rpcaller.RetryAfter
 		return nil, refusal
@@ -79,6 +77,15 @@
 	return body, nil
 }
 
+// abandonBody limits the time for which net/http reads a body that was not read
+// before the refusal of its request. The connection is closed after the refusal.
+func (c *callerServer) abandonBody(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedReadTimeout)); err != nil {
+		c.log.Debug().Err(err).Msg("failed to set the read deadline of a request body")
+	}
+}
+
 func refuseBody(code rpverdict.Code, detail string) *rpverdict.Refusal {
 	refusal := rpverdict.Refuse(code, detail)
 	return &refusal
--- a/internal/rpgateway/caller_server.go
+++ b/internal/rpgateway/caller_server.go
@@ -114,6 +114,9 @@
 	}
 	request, err := rpwire.ReadRequest(r, at)
 	if err != nil {
+		if r.ContentLength != 0 {
+			c.abandonBody(w)
+		}
 		c.reject(response, request.ID, rpverdict.Refuse(rpverdict.CodeInvalidHeader, err.Error()))
 		return
 	}
@@ -121,6 +124,7 @@
 	defer hold.Release()
 	body, refusal := c.readBody(w, r, hold)
 	if refusal != nil {
+		c.abandonBody(w)
 		c.reject(response, request.ID, *refusal)
 		return
 	}
