--- a/internal/rpendpoint/forward_stream.go
+++ b/internal/rpendpoint/forward_stream.go
@@ -23,7 +23,7 @@
 func (r *forwardAttempt) relayStream(ctx context.Context, resp *http.Response) {
 	events := newRawEvents(resp.Body, r.limits.LineBytes)
 	started := false
-	var first, last time.Time
+	last := time.Now()
 	for {
 		part, lastID, err := events.next()
 		if !r.answering && r.repeatsEvents(part) {
@@ -31,15 +31,12 @@
 			return
 		}
 		if len(part) > 0 {
-			now := time.Now()
 			if started {
-				r.ended.LongestPause = max(r.ended.LongestPause, now.Sub(last))
-			} else {
-				first = now
+				pause := time.Since(last)
+				r.ended.LongestPause = max(r.ended.LongestPause, pause)
+				r.ended.EventSpan += pause
 			}
-			last = now
 			r.ended.Events++
-			r.ended.EventSpan = last.Sub(first)
 			// An endpoint that only sends comments does not work on the request.
 			working := hasData(part)
 			if working {
@@ -51,6 +48,8 @@
 				r.finish(relayErr)
 				return
 			}
+			// A caller that reads slowly is not a pause of the endpoint.
+			last = time.Now()
 			if working {
 				r.noteAnswering()
 				r.ended.Unresumable = r.ended.LastEvent == ""
@@ -63,7 +62,7 @@
 		}
 		if err != nil {
 			r.ended.StoppedAtStart = !r.answering && ctx.Err() == nil
-			r.setFailure(ctx, rpcore.AttemptBroken, rpverdict.MayHaveRun, err)
+			r.endRelay(ctx, err)
 			return
 		}
 	}
@@ -89,7 +88,7 @@
 			return err
 		}
 	}
-	if err := r.relay.Write(part); err != nil {
+	if err := r.write(part); err != nil {
 		return err
 	}
 	r.ended.ResponseStarted = true
--- a/internal/rpgateway/caller_server.go
+++ b/internal/rpgateway/caller_server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log"
 	"net"
 	"net/http"
@@ -64,7 +63,11 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          log.New(c.log, "", 0),
 		ConnState:         c.conns.onState,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
 	}
+	c.conns.headerLimits = c.headerLimits
 }
 
 func (c *callerServer) serve(listener net.Listener) error {
@@ -111,11 +114,17 @@
 	}
 	request, err := rpwire.ReadRequest(r, at)
 	if err != nil {
+		if r.ContentLength != 0 {
+			c.abandonBody(w)
+		}
 		c.reject(response, request.ID, rpverdict.Refuse(rpverdict.CodeInvalidHeader, err.Error()))
 		return
 	}
-	body, refusal := c.readBody(w, r)
+	hold := c.holdOf(r)
+	defer hold.Release()
+	body, refusal := c.readBody(w, r, hold)
 	if refusal != nil {
+		c.abandonBody(w)
 		c.reject(response, request.ID, *refusal)
 		return
 	}
@@ -131,41 +140,19 @@
 	x.run(r.Context())
 }
 
-// reject refuses an invalid request, which the reducer never sees.
+// reject refuses a request that is invalid or that did not arrive, which the reducer
+// never sees.
 func (c *callerServer) reject(response *callerResponse, id rpcore.RequestID, refusal rpverdict.Refusal) {
-	c.log.Info().Str("request_id", string(id)).Str("refusal", string(refusal.Code)).Str("detail", refusal.Detail).
-		Msg("rejected an invalid request")
+	// A request that was refused for lack of memory is not invalid. watchUsage logs
+	// how many there are.
+	if refusal.Code != rpverdict.CodeMemoryShort {
+		c.log.Info().Str("request_id", string(id)).Str("refusal", string(refusal.Code)).Str("detail", refusal.Detail).
+			Msg("rejected an invalid request")
+	}
 	c.observer.requestEnded(0, string(refusal.Code))
 	response.refuse(id, refusal)
 }
 
-func (c *callerServer) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *rpverdict.Refusal) {
-	limit := int64(maxBodyBytes)
-	if limits := c.limits.Load(); limits != nil && limits.BodyBytes > 0 {
-		limit = limits.BodyBytes
-	}
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		c.log.Debug().Err(err).Msg("failed to set the read deadline of a request body")
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		refusal := rpverdict.Refuse(rpverdict.CodeBodyTooLarge, "The body is larger than the limit of the configuration.")
-		return nil, &refusal
-	}
-	if err != nil {
-		refusal := rpverdict.Refuse(rpverdict.CodeMalformedRequest, "The body did not arrive whole and in time.")
-		return nil, &refusal
-	}
-	// Clears the deadline because net/http detects a closed connection with a
-	// background read, which would time out.
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		c.log.Debug().Err(err).Msg("failed to clear the read deadline of a request body")
-	}
-	return body, nil
-}
-
 // exchange runs one request until its response is complete, it is refused or
 // the caller disconnects.
 type exchange struct {
--- a/internal/rpgateway/settings.go
+++ b/internal/rpgateway/settings.go
@@ -24,6 +24,7 @@
 	Accounts Accounts            `toml:"accounts"`
 	Drain    Drain               `toml:"drain"`
 	Log      rpsettings.Log      `toml:"log"`
+	Limits   Limits              `toml:"limits"`
 }
 
 // Listen holds the addresses that the instance listens on.
@@ -163,6 +164,7 @@
 	rptoml.CheckRange(r, "accounts.quota_slack", s.Accounts.QuotaSlack, 0, maxQuotaSlack)
 	rptoml.CheckRange(r, "drain.balancer_delay", s.Drain.BalancerDelay, 0, maxTime)
 	rptoml.CheckRange(r, "drain.timeout", s.Drain.Timeout, 0, maxTime)
+	s.Limits.check(r)
 	if s.Drain.Timeout > 0 && s.Drain.BalancerDelay >= s.Drain.Timeout {
 		r.Add("drain.balancer_delay", rptoml.CodeContradiction, "The delay is not shorter than drain.timeout.", "Write a shorter delay.")
 	}
--- a/internal/rpmessage/refusals.go
+++ b/internal/rpmessage/refusals.go
@@ -29,6 +29,7 @@
 	caller("unknown_key", "The request has no key of a client account.", "Compare the digest in the log line with the keys of the account; see docs/operators/accounts.md."),
 	caller("accounts_unconfirmed", "This instance can't confirm that the key was not withdrawn.", "Check the connections of the instance to the planner and to the store."),
 	caller("quota_exceeded", "The client account has used its quota.", "Raise the quota of the account, or ask the caller to send less."),
+	caller("memory_short", "The memory of this instance for requests is used up. Another instance can serve the request.", "Find out who holds the memory: docs/operators/memory.md."),
 }
 
 // operatorRefusals contains the codes of internal/rpoperator.
--- a/internal/rpmetric/table.go
+++ b/internal/rpmetric/table.go
@@ -66,6 +66,9 @@
 	nameConfigAge      = "rattanpaddle_config_confirmed_age_seconds"
 	nameKeysAccepted   = "rattanpaddle_keys_accepted"
 	nameLogDropped     = "rattanpaddle_log_lines_dropped_total"
+	nameCallerMemory   = "rattanpaddle_caller_memory_bytes"
+	nameCallerConns    = "rattanpaddle_caller_connections"
+	nameCallerLimits   = "rattanpaddle_caller_limits_total"
 )
 
 // Upper bounds of buckets, in seconds. The target of 0.56 s for the first token
@@ -103,6 +106,9 @@
 	{name: nameConfigAge, kind: kindGauge, unit: "seconds", help: "Time since the configuration in force was last known to be the newest one, or -1 if it never was."},
 	{name: nameKeysAccepted, kind: kindGauge, unit: "0 or 1", help: "1 if the instance accepts keys of client accounts, 0 if the configuration was not confirmed for too long."},
 	{name: nameLogDropped, kind: kindCounter, unit: "lines", help: "Lines of the log that were dropped because standard output was not read fast enough."},
+	{name: nameCallerMemory, kind: kindGauge, unit: "bytes", help: "Memory that the gateway holds for requests of callers, by use, once a second: header sections, bodies, and requests in progress without both.", labels: []label{{"use", []string{"header", "body", "request"}}}},
+	{name: nameCallerConns, kind: kindGauge, unit: "connections", help: "Open connections of callers of the gateway, by state, once a second: no byte has come yet, idle after a response, a header arrives, or a request is in progress.", labels: []label{{"state", []string{"new", "idle", "header", "active"}}}},
+	{name: nameCallerLimits, kind: kindCounter, unit: "events", help: "Times that a limit of the gateway ended what a caller did, by cause: header_too_large (431), evicted (for another request that needed memory), memory_short (no memory could be had), connection_closed (for a new one) and connection_rejected (all others had requests in progress).", labels: []label{{"cause", []string{"header_too_large", "evicted", "memory_short", "connection_closed", "connection_rejected"}}}},
 	{name: nameDocuments, kind: kindGauge, unit: "documents", help: "Documents in force at this instance."},
 }
 
@@ -145,6 +151,7 @@
 	rpverdict.CodeTooManyStreams,
 	rpverdict.CodePromptQuarantined,
 	rpverdict.CodeUnknownKey, rpverdict.CodeAccountsUnconfirmed, rpverdict.CodeQuotaExceeded,
+	rpverdict.CodeMemoryShort,
 }
 
 func reasonNames() []string {
--- a/pkg/rpverdict/refusal.go
+++ b/pkg/rpverdict/refusal.go
@@ -39,6 +39,7 @@
 	CodeUnknownKey             Code = "unknown_key"
 	CodeAccountsUnconfirmed    Code = "accounts_unconfirmed"
 	CodeQuotaExceeded          Code = "quota_exceeded"
+	CodeMemoryShort            Code = "memory_short"
 )
 
 type codeInfo struct {
@@ -74,6 +75,7 @@
 	CodeUnknownKey:             {http.StatusUnauthorized, "The request has no key of a client account."},
 	CodeAccountsUnconfirmed:    {http.StatusServiceUnavailable, "This instance can't confirm that the key was not withdrawn."},
 	CodeQuotaExceeded:          {http.StatusTooManyRequests, "The client account has used its quota."},
+	CodeMemoryShort:            {http.StatusServiceUnavailable, "The memory of this instance for requests is used up. Another instance can serve the request."},
 }
 
 // CodeCount returns the number of codes.
