--- a/internal/rpgateway/caller_server.go
+++ b/internal/rpgateway/caller_server.go
@@ -220,13 +220,16 @@
 	x.forward.Command.Deadline = x.loop.clock.runtimeTime(cmd.Deadline)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer context.AfterFunc(x.attempts, func() { cancel(errStopping) })()
+	sentAt := x.loop.clock.Now()
 	x.queue.attemptStarted(cmd.Attempt, func() { cancel(rpendpoint.ErrEndpointSilent) })
 	ended, callerGone := x.callerServer.forwarder.Run(attemptCtx, x.forward, rpendpoint.Relay{
 		SendHeader: x.response.sendHeader,
 		Write:      x.response.write,
 		OnFirstWrite: func() {
 			x.loop.apply(rpfleet.AttemptStarted{Stamp: x.loop.stamp(), Request: cmd.Request, Attempt: cmd.Attempt})
-			x.observer.firstEvent(cmd.Rank, x.loop.clock.Now().Sub(x.arrivedAt))
+			now := x.loop.clock.Now()
+			x.observer.firstEvent(cmd.Rank, now.Sub(x.arrivedAt))
+			x.observer.firstEventEstimated(cmd.Estimate, now.Sub(sentAt))
 		},
 		OnSilence: func(unresumable bool) {
 			x.loop.apply(rpfleet.AttemptStalled{Stamp: x.loop.stamp(), Request: cmd.Request, Attempt: cmd.Attempt, Unresumable: unresumable})
--- a/internal/rpgateway/observer.go
+++ b/internal/rpgateway/observer.go
@@ -44,6 +44,18 @@
 
 func (o *observer) firstEvent(rank int, took time.Duration) { o.metrics.RoutedFirstEvent(rank, took) }
 
+// firstEventEstimated records the error of an estimate.
+func (o *observer) firstEventEstimated(estimate rpfleet.FirstEventEstimate, actual time.Duration) {
+	prompt, engine := rpmetric.PromptShort, rpmetric.EngineFree
+	if estimate.LongPrompt {
+		prompt = rpmetric.PromptLong
+	}
+	if estimate.BusyEngine {
+		engine = rpmetric.EngineBusy
+	}
+	o.metrics.FirstEventEstimated(prompt, engine, actual, estimate.Expected)
+}
+
 func (o *observer) attemptEnded(reason rpcore.AttemptReason) { o.metrics.AttemptEnded(reason) }
 
 func (o *observer) orderEnded(kind rpfleet.OrderKind, outcome rpfleet.OrderOutcome) {
--- a/internal/rpgateway/observer_test.go
+++ b/internal/rpgateway/observer_test.go
@@ -2,14 +2,34 @@
 
 import (
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	. "github.com/onsi/gomega"
+
 	"github.com/rattanpaddle/rattanpaddle/internal/rplog"
 	"github.com/rattanpaddle/rattanpaddle/internal/rpmetric"
 	"github.com/rattanpaddle/rattanpaddle/pkg/rpfleet"
 )
 
+// Guards against estimates that are not recorded, or under the labels of others.
+func TestObserverRecordsEstimates(t *testing.T) {
+	g := NewWithT(t)
+	metrics := rpmetric.New()
+	observe := newObserver(rplog.New(io.Discard, rplog.FormatJSON, rplog.Levels{}), metrics)
+	observe.firstEventEstimated(rpfleet.FirstEventEstimate{Expected: 200 * time.Millisecond, LongPrompt: true}, 300*time.Millisecond)
+	observe.firstEventEstimated(rpfleet.FirstEventEstimate{Expected: 20 * time.Millisecond, BusyEngine: true}, 40*time.Millisecond)
+	observe.firstEventEstimated(rpfleet.FirstEventEstimate{}, time.Second)
+	answer := httptest.NewRecorder()
+	metrics.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	body := answer.Body.String()
+	g.Expect(body).To(ContainSubstring(`rattanpaddle_first_event_estimate_ratio_sum{engine="free",prompt="long"} 1.5`))
+	g.Expect(body).To(ContainSubstring(`rattanpaddle_first_event_estimate_ratio_sum{engine="busy",prompt="short"} 2`))
+	g.Expect(body).NotTo(ContainSubstring(`engine="free",prompt="short"`))
+}
+
 // BenchmarkNote measures the CPU time of the most frequent log line: an attempt
 // that ended.
 func BenchmarkNote(b *testing.B) {
--- a/internal/rpmetric/docs.go
+++ b/internal/rpmetric/docs.go
@@ -20,7 +20,7 @@
 			fmt.Fprintf(&b, "| `%s` | `%s` | %s |\n", row.name, label.name, strings.Join(label.values, ", "))
 		}
 	}
-	b.WriteString("\n## Histograms\n\nUpper bounds of the buckets, in seconds.\n\n| metric | bounds |\n| --- | --- |\n")
+	b.WriteString("\n## Histograms\n\nUpper bounds of the buckets, in the unit of the metric.\n\n| metric | bounds |\n| --- | --- |\n")
 	for _, row := range table {
 		if row.kind == kindHistogram {
 			fmt.Fprintf(&b, "| `%s` | %s |\n", row.name, formatBounds(row.buckets))
--- a/internal/rpmetric/metric.go
+++ b/internal/rpmetric/metric.go
@@ -105,8 +105,12 @@
 }
 
 func (m *Metrics) observe(name string, d time.Duration, values ...string) {
+	m.observeNumber(name, d.Seconds(), values...)
+}
+
+func (m *Metrics) observeNumber(name string, n float64, values ...string) {
 	if vec := m.histograms[name]; vec != nil {
-		vec.WithLabelValues(m.replaceUnlistedValues(name, values)...).Observe(d.Seconds())
+		vec.WithLabelValues(m.replaceUnlistedValues(name, values)...).Observe(n)
 	}
 }
 
@@ -207,6 +211,22 @@
 	m.observe(nameRoutedFirst, d, strconv.Itoa(rank))
 }
 
+// The labels of FirstEventEstimated.
+const (
+	PromptShort = "short"
+	PromptLong  = "long"
+	EngineFree  = "free"
+	EngineBusy  = "busy"
+)
+
+// FirstEventEstimated records the error of the expected time to the first event of an
+// attempt at an engine. An estimate of 0 is ignored.
+func (m *Metrics) FirstEventEstimated(prompt, engine string, actual, expected time.Duration) {
+	if expected > 0 {
+		m.observeNumber(nameEstimateRatio, float64(actual)/float64(expected), prompt, engine)
+	}
+}
+
 // OrderEnded counts an order to an engine of a platform that ended.
 func (m *Metrics) OrderEnded(kind, outcome string) { m.add(nameOrders, 1, kind, outcome) }
 
--- a/internal/rpmetric/metric_test.go
+++ b/internal/rpmetric/metric_test.go
@@ -54,6 +54,9 @@
 	m.SetDocumentsInForce(2)
 	m.Accounts(16, 700*time.Millisecond, true)
 	m.RoutedFirstEvent(12, time.Second)
+	m.FirstEventEstimated(PromptLong, EngineBusy, 300*time.Millisecond, 200*time.Millisecond)
+	m.FirstEventEstimated("engine-7", EngineFree, time.Second, time.Second)
+	m.FirstEventEstimated(PromptShort, EngineFree, time.Second, 0)
 	answer := httptest.NewRecorder()
 	m.Handler().ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
 	for _, line := range []string{
@@ -62,6 +65,8 @@
 		`rattanpaddle_config_confirmed_age_seconds 0.7`,
 		`rattanpaddle_keys_accepted 1`,
 		`rattanpaddle_routed_first_event_seconds_count{rank="other"} 1`,
+		`rattanpaddle_first_event_estimate_ratio_sum{engine="busy",prompt="long"} 1.5`,
+		`rattanpaddle_first_event_estimate_ratio_bucket{engine="free",prompt="other",le="1"} 1`,
 		`rattanpaddle_requests_total{code="ok",rank="urgent"} 1`,
 		`rattanpaddle_first_token_seconds_bucket{rank="urgent",le="0.56"} 1`,
 		`rattanpaddle_first_token_seconds_bucket{rank="urgent",le="0.4"} 0`,
@@ -83,5 +88,6 @@
 	} {
 		g.Expect(answer.Body.String()).To(ContainSubstring(line + "\n"))
 	}
+	g.Expect(answer.Body.String()).NotTo(ContainSubstring(`prompt="short"`), "there was no estimate")
 	new(Metrics).RequestEnded(rpdocument.RankUrgent, CodeOK)
 }
--- a/internal/rpmetric/table.go
+++ b/internal/rpmetric/table.go
@@ -61,6 +61,7 @@
 	nameRouted         = "rattanpaddle_routed_requests_total"
 	nameRoutedSeconds  = "rattanpaddle_routed_request_seconds"
 	nameRoutedFirst    = "rattanpaddle_routed_first_event_seconds"
+	nameEstimateRatio  = "rattanpaddle_first_event_estimate_ratio"
 	nameOrders         = "rattanpaddle_engine_orders_total"
 	nameAccounts       = "rattanpaddle_accounts_in_force"
 	nameConfigAge      = "rattanpaddle_config_confirmed_age_seconds"
@@ -73,6 +74,7 @@
 var (
 	firstTokenBuckets = []float64{0.05, 0.1, 0.2, 0.3, 0.4, 0.56, 0.8, 1.2, 2, 3, 5, 10, 30, 60, 300}
 	loadBuckets       = []float64{0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 15, 30, 60, 120}
+	ratioBuckets      = []float64{0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.5, 2, 3, 5, 10, 20}
 	tableBuckets      = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5}
 )
 
@@ -98,6 +100,7 @@
 	{name: nameRouted, kind: kindCounter, unit: "requests", help: "Requests on the routes of a platform that ended, by code. The code is ok, abandoned or that of the refusal.", labels: []label{{"code", codeNames()}}},
 	{name: nameRoutedSeconds, kind: kindHistogram, unit: "seconds", help: "Time from the arrival of such a request to its end, by code.", labels: []label{{"code", codeNames()}}, buckets: firstTokenBuckets},
 	{name: nameRoutedFirst, kind: kindHistogram, unit: "seconds", help: "Time from the arrival of such a request to the first event of its stream, by rank (0 is the most urgent).", labels: []label{{"rank", []string{"0", "1", "2", "3"}}}, buckets: firstTokenBuckets},
+	{name: nameEstimateRatio, kind: kindHistogram, unit: "ratio", help: "Time from the start of an attempt at an engine to its first event, divided by the time that was expected at the start: above 1, the event came later. By length of the prompt (long is more than 2,000 tokens) and by whether most request slots of the engine were in use.", labels: []label{{"prompt", []string{PromptShort, PromptLong}}, {"engine", []string{EngineFree, EngineBusy}}}, buckets: ratioBuckets},
 	{name: nameOrders, kind: kindCounter, unit: "orders", help: "Orders to the engines of a platform, by kind and outcome.", labels: []label{{"kind", stringValues(rpfleet.OrderLoad, rpfleet.OrderUnload)}, {"outcome", stringValues(rpfleet.OrderAccepted, rpfleet.OrderHolds, rpfleet.OrderConflict, rpfleet.OrderRejected, rpfleet.OrderNotSent, rpfleet.OrderUnknown)}}},
 	{name: nameAccounts, kind: kindGauge, unit: "accounts", help: "Client accounts of the configuration in force."},
 	{name: nameConfigAge, kind: kindGauge, unit: "seconds", help: "Time since the configuration in force was last known to be the newest one, or -1 if it never was."},
--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -69,6 +69,7 @@
 		RetryFailure:    r.mayRunAgain() && s.retryBudgetAllows(r.service) && s.hasOtherEndpoint(r, e, true),
 		FirstTimeout:    first,
 		EventTimeout:    event,
+		Estimate:        s.estimateFirstEvent(r),
 	})
 }
 
--- a/pkg/rpfleet/effect.go
+++ b/pkg/rpfleet/effect.go
@@ -61,6 +61,18 @@
 	// between two events. Zero means never.
 	FirstTimeout time.Duration
 	EventTimeout time.Duration
+	// Estimate is what is expected of an attempt at an engine. It is for metrics only.
+	Estimate FirstEventEstimate
+}
+
+// FirstEventEstimate is the expected time to the first event of an attempt.
+type FirstEventEstimate struct {
+	// Expected is 0 if nothing is expected.
+	Expected time.Duration
+	// LongPrompt says that the prompt has more than 2,000 tokens, and BusyEngine that
+	// most request slots of the engine were in use.
+	LongPrompt bool
+	BusyEngine bool
 }
 
 // CancelAttempt stops an attempt. AttemptEnded still follows.
--- a/pkg/rpfleet/engine_speed.go
+++ b/pkg/rpfleet/engine_speed.go
@@ -29,6 +29,18 @@
 	}
 }
 
+// estimateFirstEvent returns what is expected of the running attempt of a request.
+func (s *State) estimateFirstEvent(r *request) FirstEventEstimate {
+	if r.engineSpec == nil || r.route.Kind != KindStream {
+		return FirstEventEstimate{}
+	}
+	tokens := r.prefillTokens()
+	return FirstEventEstimate{
+		Expected:   s.serviceStats(r.service).times.FirstEvent(r.sentLoad, tokens),
+		LongPrompt: tokens > minSpeedPrompt, BusyEngine: r.sentToBusy,
+	}
+}
+
 // recordFirstEvent records the time to the first event of an attempt at an engine.
 func (s *State) recordFirstEvent(r *request) {
 	if r.engineSpec != nil {
@@ -149,8 +161,11 @@
 // slownessCost returns the cost, in seconds, of a replica of a busy model at an engine,
 // relative to one as fast as its service. It is negative for a fast engine.
 func (p *servicePlan) slownessCost(w wantedReplica, e *endpoint) float64 {
+	if w.model.rate < domainSpreadRate {
+		return 0
+	}
 	speed := e.speed.Speed(p.state.now)
-	if speed == 0 || w.model.rate < domainSpreadRate {
+	if speed == 0 {
 		return 0
 	}
 	return slownessCostPerPace * (1/min(max(speed, minCostSpeed), maxCostSpeed) - 1)
--- a/pkg/rpfleet/routing.go
+++ b/pkg/rpfleet/routing.go
@@ -127,9 +127,11 @@
 // read it than one as fast as its service. Short prompts don't: their time to the first
 // event hardly depends on the speed, and many of them would make the fast engines slow.
 func (s *State) prefillCost(r *request, e *endpoint) float64 {
-	speed := e.speed.Speed(s.now)
-	tokens := r.prefillTokens()
-	if tokens <= minSpeedPrompt || speed == 0 {
+	tokens, speed := r.prefillTokens(), 0.0
+	if tokens > minSpeedPrompt {
+		speed = e.speed.Speed(s.now)
+	}
+	if speed == 0 {
 		return float64(e.pendingPrefill) / prefillTokensPerRequest
 	}
 	return (float64(e.pendingPrefill+tokens)/speed - float64(tokens)) / prefillTokensPerRequest
--- a/pkg/rpfleet/speed_use_test.go
+++ b/pkg/rpfleet/speed_use_test.go
@@ -92,3 +92,20 @@
 		})
 	}
 }
+
+// Guards against an estimate that ignores what the engine reads before, or its speed, and
+// against one for an endpoint that has no prompts to read.
+func TestAttemptHasEstimate(t *testing.T) {
+	g := NewWithT(t)
+	h := withHarness(t)
+	h.configure(testEndpoint("e1", testService, "zone-b", "m0"), testEndpoint("p1", testPlain, homeDomain))
+	h.learnSpeeds(map[rpcore.EndpointID]int{"e1": 500})
+	first := h.arriveLong("long-1").Estimate
+	g.Expect(first.LongPrompt).To(BeTrue())
+	g.Expect(first.BusyEngine).To(BeFalse())
+	// 9,200 tokens at 35 a millisecond and half the speed.
+	g.Expect(first.Expected).To(BeNumerically("~", 525*time.Millisecond, 2*time.Millisecond))
+	g.Expect(h.arriveLong("long-2").Estimate.Expected).To(BeNumerically("~", 2*first.Expected, 2*time.Millisecond))
+	h.arriveRequest("plain", "/stock/1", "")
+	g.Expect(h.lastAttempt("plain").Estimate).To(BeZero())
+}
