--- a/pkg/rpaccount/meter.go
+++ b/pkg/rpaccount/meter.go
@@ -57,7 +57,10 @@
 	accounts  map[string]*meteredAccount
 	// used is the cost charged minus refunded per account. It outlives the
 	// rest of an account's state, because the planner takes differences.
-	used           map[string]float64
+	used map[string]float64
+	// removedAt is when the configuration ceased to have an account. Its counter
+	// stays for counterTTL: the planner may not have read that version.
+	removedAt      map[string]time.Time
 	reportedAt     time.Time
 	fullReportedAt time.Time
 	// fullFrom and activeFrom rotate the reported accounts if there are more
@@ -85,10 +88,23 @@
 		}
 		s.setQuota(now, a.Quota, m.Limits)
 	}
-	maps.DeleteFunc(m.used, func(name string, _ float64) bool {
-		_, ok := d.Account(name)
-		return !ok
-	})
+	for name := range m.used {
+		noteRemoved(&m.removedAt, name, d, now)
+	}
+}
+
+// noteRemoved keeps the time since which the directory lacks an account.
+func noteRemoved(removedAt *map[string]time.Time, name string, d *Directory, now time.Time) {
+	if _, ok := d.Account(name); ok {
+		delete(*removedAt, name)
+		return
+	}
+	if *removedAt == nil {
+		*removedAt = map[string]time.Time{}
+	}
+	if _, ok := (*removedAt)[name]; !ok {
+		(*removedAt)[name] = now
+	}
 }
 
 // limited returns the names of the accounts with a quota in sorted order.
@@ -256,6 +272,12 @@
 		return
 	}
 	m.sweptAt = now
+	for name, at := range m.removedAt {
+		if now.Sub(at) > counterTTL {
+			delete(m.used, name)
+			delete(m.removedAt, name)
+		}
+	}
 	maps.DeleteFunc(m.accounts, func(_ string, s *meteredAccount) bool {
 		return now.Sub(s.usedAt) > idleTTL && now.Sub(s.appliedAt) > idleTTL
 	})
--- a/pkg/rpaccount/pool.go
+++ b/pkg/rpaccount/pool.go
@@ -35,6 +35,10 @@
 	// reportedAt is when each instance last reported.
 	reportedAt map[rpcore.InstanceID]time.Time
 	presumedAt time.Time
+	// removedAt is when the configuration ceased to have an account. Its bucket
+	// stays for counterTTL: the account may come back with its use of the last
+	// window.
+	removedAt map[string]time.Time
 }
 
 // pooledAccount is the token bucket of an account and the counters of the
@@ -76,8 +80,12 @@
 	p.start(now)
 	p.directory = d
 	for name, a := range p.accounts {
+		noteRemoved(&p.removedAt, name, d, now)
 		account, ok := d.Account(name)
-		if !ok || account.Quota.IsZero() {
+		if !ok {
+			continue
+		}
+		if account.Quota.IsZero() {
 			delete(p.accounts, name)
 			continue
 		}
@@ -206,6 +214,12 @@
 			p.presumeInstance(now, instance, at.Add(reservedFor))
 		}
 	}
+	for name, at := range p.removedAt {
+		if now.Sub(at) > counterTTL {
+			delete(p.accounts, name)
+			delete(p.removedAt, name)
+		}
+	}
 	for name, a := range p.accounts {
 		a.presumeUse(now, &a.unseen, p.startedAt.Add(reservedFor))
 		if len(a.instances) == 0 && now.Sub(a.settledAt) > counterTTL {
