--- a/pkg/rpfleet/quota.go
+++ b/pkg/rpfleet/quota.go
@@ -49,12 +49,12 @@
 	s.applyQuotaDirectory()
 }
 
-// applyQuotaDirectory passes the accounts of the configuration in force on.
+// applyQuotaDirectory passes the accounts of the configuration in force on. The planner's
+// side gets them in any case: a late renewal of the lease may make this instance the
+// planner again without a takeover.
 func (s *State) applyQuotaDirectory() {
 	s.quota.meter.SetDirectory(s.now, s.accounts())
-	if s.isPlanner() {
-		s.quota.pool.SetDirectory(s.now, s.accounts())
-	}
+	s.quota.pool.SetDirectory(s.now, s.accounts())
 }
 
 // adoptQuotas takes over the quotas from the previous planner, as far as this instance
--- a/pkg/rpfleet/quota_test.go
+++ b/pkg/rpfleet/quota_test.go
@@ -303,3 +303,30 @@
 	}
 	g.Expect(used).To(Equal(map[string]int64{testAccount: 0, "lab": 340}))
 }
+
+// Guards against a planner that does not know a lowered quota because it read the
+// configuration while a renewal of its lease was late.
+func TestQuotaLoweredDuringLateRenewal(t *testing.T) {
+	g := NewWithT(t)
+	h := withQuotaHarness(t, 20_000, 40_000)
+	h.becomePlanner()
+	h.advanceRenewingLease(10 * time.Second)
+	h.discardEffects()
+	for len(effectsOf[rpfleet.WriteLease](h)) == 0 {
+		h.advance(10 * time.Millisecond)
+	}
+	row, begin := effectsOf[rpfleet.WriteLease](h)[0].Row, h.now
+	// The lease ends 1.4 s after the begin of the renewal before, 0.4 s earlier.
+	h.now = begin.Add(1200 * time.Millisecond)
+	h.apply(rpfleet.ConfigRead{Stamp: h.stamp(), Config: quotaConfig(4, 200, 400)})
+	g.Expect(h.state.IsPlanner()).To(BeFalse())
+	row.Revision = h.lease.Revision + 1
+	h.lease = row
+	h.apply(rpfleet.LeaseWritten{Stamp: h.stamp(), AskedAt: begin, Outcome: rpcore.WriteApplied, Row: row})
+	g.Expect(h.state.IsPlanner()).To(BeTrue())
+	h.discardEffects()
+	h.apply(rpfleet.DemandReceived{Stamp: h.stamp(), Call: 1, Demand: rpfleet.Demand{Instance: "front-2", Load: &rpfleet.LoadReport{
+		Process: 9, Accounts: []rpaccount.Usage{{Account: testAccount}},
+	}}})
+	g.Expect(effectsOf[rpfleet.AnswerDemand](h)[0].Placement.Load.Accounts[0].Level).To(BeNumerically("<=", 400))
+}
