--- a/pkg/rpaccount/metered.go
+++ b/pkg/rpaccount/metered.go
@@ -267,7 +267,7 @@
 	if now.After(s.debtUntil) {
 		s.debt = 0
 	}
-	if s.known && asOf.Sub(s.summaryOf) > m.freshFor() && s.summaryOf.After(s.usedAt.Add(-idleTTL)) {
+	if s.known && asOf.Sub(s.summaryOf) > m.freshFor() {
 		s.accrue(now, m)
 		s.debt, s.debtUntil = max(-s.allowance, 0), now.Add(m.Limits.window())
 	}
--- a/pkg/rpaccount/pool.go
+++ b/pkg/rpaccount/pool.go
@@ -54,11 +54,9 @@
 	// whose instances have not reported to this one.
 	unseen instanceUse
 	// adopted says that unseen came from the previous planner, with the
-	// offered cost that it knew. seen is the number of instances that have
-	// reported.
+	// offered cost that it knew.
 	adopted        bool
 	adoptedOffered float64
-	seen           int
 }
 
 // instanceUse is the last report of an instance. presumed is the use that was
@@ -185,11 +183,18 @@
 	taken := min(offered, a.unseen.offered)
 	a.unseen.offered -= taken
 	a.offered -= taken
-	a.seen++
-	a.unseen.share = 0
-	if a.adopted {
-		a.unseen.share = max(1-float64(a.seen)/p.adoptedInstances, a.unseen.offered/max(a.adoptedOffered, 1))
+	a.unseen.share = p.unseenShare(a)
+}
+
+// unseenShare returns the share of the instances that have not reported to this
+// planner: the larger one of their number and of what they offered, because the
+// load may have grown since.
+func (p *Pool) unseenShare(a *pooledAccount) float64 {
+	byCount := 1 - float64(len(p.reportedAt))/max(p.adoptedInstances, 1)
+	if !a.adopted || byCount <= 0 {
+		return 0
 	}
+	return max(byCount, a.unseen.offered/max(a.adoptedOffered, 1))
 }
 
 // presume charges the use of instances that do not report: they may be cut off
@@ -214,6 +219,9 @@
 	}
 	for name, a := range p.accounts {
 		a.presumeUse(now, &a.unseen, p.startedAt.Add(reservedFor))
+		if a.unseen.share > 0 {
+			a.unseen.share = p.unseenShare(a)
+		}
 		if len(a.instances) == 0 && now.Sub(a.settledAt) > counterTTL {
 			delete(p.accounts, name)
 		}
