--- a/pkg/rpaccount/pool.go
+++ b/pkg/rpaccount/pool.go
@@ -39,6 +39,9 @@
 	// stays for counterTTL: the account may come back with its use of the last
 	// window.
 	removedAt map[string]time.Time
+	// adoptedInstances is the number of instances that the previous planner
+	// knew. It takes a report interval until all of them have reported.
+	adoptedInstances float64
 }
 
 // pooledAccount is the token bucket of an account and the counters of the
@@ -55,11 +58,9 @@
 	// whose instances have not reported to this one.
 	unseen instanceUse
 	// adopted says that unseen came from the previous planner, with the
-	// offered cost and the number of instances that it knew. seen is the number
-	// of instances that have reported.
-	adopted                          bool
-	adoptedOffered, adoptedInstances float64
-	seen                             int
+	// offered cost that it knew.
+	adopted        bool
+	adoptedOffered float64
 }
 
 // instanceUse is the last report of an instance. presumed is the use that was
@@ -162,7 +163,7 @@
 	if known == nil {
 		known = &instanceUse{}
 		a.instances[instance] = known
-		a.takeUnseen(now, offered, p.startedAt.Add(reservedFor))
+		p.takeUnseen(now, a, offered)
 	}
 	used := float64(u.Used - known.used)
 	first := known.presumedTo.IsZero()
@@ -185,16 +186,23 @@
 
 // takeUnseen reduces the unseen part by that of an instance that reports for the
 // first time.
-func (a *pooledAccount) takeUnseen(now time.Time, offered float64, until time.Time) {
-	a.presumeUse(now, &a.unseen, until)
+func (p *Pool) takeUnseen(now time.Time, a *pooledAccount, offered float64) {
+	a.presumeUse(now, &a.unseen, p.startedAt.Add(reservedFor))
 	taken := min(offered, a.unseen.offered)
 	a.unseen.offered -= taken
 	a.offered -= taken
-	a.seen++
-	a.unseen.share = 0
-	if a.adopted {
-		a.unseen.share = max(1-float64(a.seen)/a.adoptedInstances, a.unseen.offered/max(a.adoptedOffered, 1))
+	a.unseen.share = p.unseenShare(a)
+}
+
+// unseenShare returns the share of the instances that have not reported to this
+// planner: the larger one of their number and of what they offered, because the
+// load may have grown since.
+func (p *Pool) unseenShare(a *pooledAccount) float64 {
+	byCount := 1 - float64(len(p.reportedAt))/max(p.adoptedInstances, 1)
+	if !a.adopted || byCount <= 0 {
+		return 0
 	}
+	return max(byCount, a.unseen.offered/max(a.adoptedOffered, 1))
 }
 
 // presume charges the use of instances that do not report: they may be cut off
@@ -206,7 +214,8 @@
 	}
 	p.presumedAt = now
 	// As many regular reports as there are instances share reportsPerSecond.
-	lost := max(lostAfter, time.Duration(2*float64(len(p.reportedAt))/reportsPerSecond*float64(time.Second)))
+	instances := max(float64(len(p.reportedAt)), p.adoptedInstances)
+	lost := max(lostAfter, time.Duration(2*instances/reportsPerSecond*float64(time.Second)))
 	for _, instance := range slices.Sorted(maps.Keys(p.reportedAt)) {
 		at := p.reportedAt[instance]
 		switch silent := now.Sub(at); {
@@ -224,6 +233,9 @@
 	}
 	for name, a := range p.accounts {
 		a.presumeUse(now, &a.unseen, p.startedAt.Add(reservedFor))
+		if a.unseen.share > 0 {
+			a.unseen.share = p.unseenShare(a)
+		}
 		if len(a.instances) == 0 && now.Sub(a.settledAt) > counterTTL {
 			delete(p.accounts, name)
 		}
@@ -306,7 +318,7 @@
 // called when the instance becomes the planner, and discards what the pool knew
 // before.
 func (p *Pool) Adopt(now time.Time, m *Meter) {
-	*p = Pool{Limits: p.Limits, directory: m.directory, startedAt: now}
+	*p = Pool{Limits: p.Limits, directory: m.directory, startedAt: now, adoptedInstances: m.instanceCount()}
 	for _, name := range slices.Sorted(maps.Keys(m.accounts)) {
 		s := m.accounts[name]
 		if !s.known {
@@ -323,6 +335,6 @@
 		a.level = max(min(s.level+a.quota.Rate*elapsed, a.startLevel(), a.quota.Burst), a.leastLevel)
 		a.unseen = instanceUse{offered: s.total, share: 1, presumedTo: now}
 		a.offered, a.adopted = s.total, true
-		a.adoptedOffered, a.adoptedInstances = s.total, m.instanceCount()
+		a.adoptedOffered = s.total
 	}
 }
