--- a/pkg/rpfleet/freshness.go
+++ b/pkg/rpfleet/freshness.go
@@ -136,7 +136,7 @@
 func (s *State) handleConfigChecked(ev ConfigChecked) {
 	s.configConfirmedAt = s.now
 	s.configAskedAt, s.configUndecoded = ev.AskedAt, ev.Undecoded
-	if s.config != nil && !ev.Undecoded && !ev.AskedAt.IsZero() {
+	if s.config != nil && !ev.Undecoded && !s.configLowered && !ev.AskedAt.IsZero() {
 		s.confirmConfig(ev.AskedAt)
 	}
 }
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -122,6 +122,9 @@
 	currency        rpaccount.Currency
 	configAskedAt   time.Time
 	configUndecoded bool
+	// configLowered says that the last version in the store is lower than the one in
+	// force.
+	configLowered bool
 	// keysRefusedSince is when this instance began to refuse keys, or zero.
 	keysRefusedSince time.Time
 	endpoints        map[rpcore.EndpointID]*endpoint
@@ -255,6 +258,7 @@
 
 // handleConfigRead puts a configuration in force unless a newer one already is.
 func (s *State) handleConfigRead(config *Config) {
+	s.configLowered = config.Version < s.configVersion()
 	if s.config != nil && config.Version <= s.config.Version {
 		return
 	}
--- a/pkg/rpfleet/withdrawal.go
+++ b/pkg/rpfleet/withdrawal.go
@@ -120,6 +120,8 @@
 	switch {
 	case s.configUndecoded:
 		return "the newest configuration can't be decoded"
+	case s.configLowered:
+		return "the store has a lower version of the configuration than the one in force"
 	case s.ConfigAge() < 0:
 		return "the configuration was never confirmed"
 	case s.now.Sub(s.demand.placementAsOf) < s.currency.Age(s.now):
--- a/pkg/rpfleet/withdrawal_bound_test.go
+++ b/pkg/rpfleet/withdrawal_bound_test.go
@@ -12,7 +12,9 @@
 // withdraw withdraws the key in the store. From the bound after the withdrawal on, it
 // checks at each step that the instance does not accept the key.
 func (f *strictFleet) withdraw(g *WithT, d time.Duration) {
-	f.store.config = accountConfig(f.store.config.Version+1, testRankKey)
+	if !f.lowered {
+		f.store.config = accountConfig(f.store.config.Version+1, testRankKey)
+	}
 	end := f.instance.now.Add(withdrawalBound)
 	f.run(withdrawalBound)
 	for f.instance.now.Before(end.Add(d)) {
@@ -67,6 +69,11 @@
 			f.instance.frozenUntil = f.instance.now.Add(8 * time.Second)
 			return func() { f.cut = false }
 		},
+		"version lowered": func(f *strictFleet) func() {
+			f.store.config = accountConfig(0, testRankKey)
+			f.lowered = true
+			return func() { f.store.config = accountConfig(3, testRankKey) }
+		},
 		"configuration undecoded": func(f *strictFleet) func() {
 			f.planner.undecoded, f.instance.undecoded = true, true
 			return func() { f.planner.undecoded, f.instance.undecoded = false, false }
--- a/pkg/rpfleet/withdrawal_test.go
+++ b/pkg/rpfleet/withdrawal_test.go
@@ -118,6 +118,8 @@
 	planner, instance *strictInstance
 	// cut says that the instance does not reach the planner.
 	cut bool
+	// lowered says that the key is already withdrawn, in a version that is lower.
+	lowered bool
 	// instances is the number of instances that the planner reports.
 	instances int
 	// worst is the highest age of the configuration at the instance, and ages the sum
