--- a/internal/rpgateway/account_test.go
+++ b/internal/rpgateway/account_test.go
@@ -59,7 +59,7 @@
 	for name, values := range map[string][]string{
 		"missing": nil, "empty": {""}, "no key": {"Bearer "}, "other scheme": {"Basic " + testKey},
 		"twice": {"Bearer " + testKey, "Bearer " + testKey}, "unknown": {"Bearer k-other-0815"},
-		"very long": {"Bearer " + strings.Repeat("k", 64<<10)},
+		"very long": {"Bearer " + strings.Repeat("k", 12<<10)},
 	} {
 		resp := gw.sendAuthorization("refused "+name, "/place/1", values...)
 		g.Expect(resp.StatusCode).To(Equal(http.StatusUnauthorized), name)
@@ -67,6 +67,12 @@
 		g.Expect(service.Runs("refused "+name)).To(BeZero(), name)
 		g.Expect(gw.sendAuthorization("open "+name, "/open/1", values...).StatusCode).To(Equal(http.StatusOK), name)
 	}
+	// A key beyond the limit of the header section is refused by that limit, on any route.
+	for _, path := range []string{"/place/1", "/open/1"} {
+		resp := gw.sendAuthorization("beyond "+path, path, "Bearer "+strings.Repeat("k", 64<<10))
+		g.Expect(resp.StatusCode).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+		g.Expect(service.Runs("beyond " + path)).To(BeZero())
+	}
 	g.Expect(gw.sendAuthorization("known", "/place/1", "Bearer "+testKey).StatusCode).To(Equal(http.StatusOK))
 	g.Expect(gw.sendAuthorization("no route", "/nowhere/1", "Bearer "+testKey).StatusCode).To(Equal(http.StatusNotFound))
 	for _, arrival := range service.Arrivals() {
