--- a/internal/rpabuse/bodies_linux_test.go
+++ b/internal/rpabuse/bodies_linux_test.go
@@ -98,9 +98,9 @@
 // connection for as long as the caller sends nothing more.
 func TestRefusedRequestsWithoutBody(t *testing.T) {
 	for name, headers := range map[string][]string{
-		"invalid header":  {"X-Rattanpaddle-Token-Counts: x\r\n", "Content-Length: 200000\r\n"},
+		"invalid header":  {rpfake.HeaderTokenCounts + ": x\r\n", "Content-Length: 200000\r\n"},
 		"body too large":  {fmt.Sprintf("Content-Length: %d\r\n", maxBodyBytes+1)},
-		"repeated length": {"Content-Length: 1\r\n", "Content-Length: 1\r\n", "X-Rattanpaddle-Token-Counts: x\r\n"},
+		"repeated length": {"Content-Length: 1\r\n", "Content-Length: 1\r\n", rpfake.HeaderTokenCounts + ": x\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			gw := withGateway(t, &rpfake.Endpoint{})
--- a/internal/rpabuse/connections_linux_test.go
+++ b/internal/rpabuse/connections_linux_test.go
@@ -53,7 +53,7 @@
 	gw.connect(320, func(i int, conn net.Conn) {
 		shrinkReadBuffer(conn)
 		id := fmt.Sprintf("stream-%d", i)
-		headers := []string{"X-Rattanpaddle-Model: m0\r\n", "Content-Length: 1\r\n"}
+		headers := []string{rpfake.HeaderModel + ": m0\r\n", "Content-Length: 1\r\n"}
 		if sendAll(conn, head("POST", "/tips/1", id, headers...), "\r\nx") {
 			readSlowly(conn)
 		}
--- a/internal/rpgateway/caller_fuzz_test.go
+++ b/internal/rpgateway/caller_fuzz_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rattanpaddle/rattanpaddle/internal/rpcaller"
 	rpwire "github.com/rattanpaddle/rattanpaddle/platform"
+	"github.com/rattanpaddle/rattanpaddle/platform/rpfake"
 )
 
 const fuzzHead = "POST /place/1 HTTP/1.1\r\nHost: shop.example\r\n"
@@ -22,8 +23,8 @@
 	for _, seed := range []string{
 		fuzzHead + "\r\n", fuzzHead + strings.Repeat("a:\r\n", 200) + "\r\n", fuzzHead + "A: b\r\n" + strings.Repeat(" x\r\n", 200) + "\r\n",
 		"\r\n\r\n\r\n" + fuzzHead, fuzzHead + strings.Repeat("n", 5000) + ":\r\n\r\n", fuzzHead + "A: b\n\nbody\n\n",
-		fuzzHead + "X-Rattanpaddle-Deadline-Ms: 99999999999999999999\r\n\r\n", fuzzHead + "X-Rattanpaddle-Prompt-Prefix: a:1,,b\r\n\r\n",
-		fuzzHead + "X-Rattanpaddle-Token-Counts: 1,2,3\r\n\r\n", "GET /\rx HTTP/1.1\r\nHost: a\r\n\r\n", "GET " + strings.Repeat("x", 5000),
+		fuzzHead + rpfake.HeaderDeadline + ": 99999999999999999999\r\n\r\n", fuzzHead + rpfake.HeaderPromptParts + ": a:1,,b\r\n\r\n",
+		fuzzHead + rpfake.HeaderTokenCounts + ": 1,2,3\r\n\r\n", "GET /\rx HTTP/1.1\r\nHost: a\r\n\r\n", "GET " + strings.Repeat("x", 5000),
 	} {
 		f.Add([]byte(seed))
 	}
