--- a/pkg/rpfleet/long_prompts.go
+++ b/pkg/rpfleet/long_prompts.go
@@ -66,8 +66,7 @@
 		key = r.Model
 	}
 	for _, e := range s.endpointsOf(r.service) {
-		if e.Leaving || e.isHeldOff(s.now) || r.excludedEndpoints[e.ID] || e.health.isEjected(s.now) ||
-			!e.modelReady(r.Model, s.now) || !e.adapterReady(r.Model, r.Adapter, s.now) || !s.hasCapacity(r, e) {
+		if !s.canServe(r, e) || e.health.isEjected(s.now) {
 			continue
 		}
 		endpoints = append(endpoints, e)
