Log what an instance knows of the quarantine when it sends a request

The logs could not tell whether an instance that sends a request with a deadly part has not been told of the quarantine, was told a wrong one, or has released the part. A request's line now has quarantine_known and quarantined_parts; one line tells when and by whom an instance was told first, one tells what it adopts from the store.

--- a/internal/rpmessage/gateway.go
+++ b/internal/rpmessage/gateway.go
@@ -69,6 +69,8 @@
 	note("note_engine_crashed", "an engine crashed as it began to answer a request", "The engine of a stream that stopped at its start no longer runs.", "If a part is named often, find out why engines crash on it."),
 	note("note_part_quarantined", "a prompt part that crashes engines is put into quarantine", "Several engines crashed on requests with this part. Such requests are refused.", "Find out why engines crash on the part."),
 	note("note_part_released", "a prompt part is released from quarantine", "Other parts explain the crashes.", nothing),
+	note("note_quarantine_known", "this instance was told which prompt parts are in quarantine", "The planner or the store told this instance for the first time since its start which parts of prompts are in quarantine.", nothing),
+	note("note_quarantine_adopted", "prompt parts that the store has in quarantine were adopted", "The store holds a quarantine of parts of prompts that this instance did not know.", nothing),
 	note("note_quarantine_changed", "the planner's quarantine of prompt parts changed", "The planner told this instance which parts of prompts are in quarantine.", nothing),
 	note("note_lease_ended", "the planner's lease has ended", "The planner's lease has ended, and this instance tries to acquire it.", nothing),
 	note("note_planner_silent", "the planner does not answer or no longer holds its lease", "The planner did not answer, or answered that it no longer holds the lease.", "If no instance is the planner for 10 seconds, check the store."),
--- a/pkg/rpfleet/attempt.go
+++ b/pkg/rpfleet/attempt.go
@@ -50,7 +50,8 @@
 		Field{"route", r.route.Name}, Field{"service", r.service}, Field{"model", r.Model}, Field{"adapter", r.Adapter}, Field{"account", r.account},
 		Field{"waited", s.now.Sub(r.arrivedAt)}, Field{"in_flight", e.inFlight}, Field{"in_flight_others", e.inFlightElsewhere},
 		Field{"others_age", s.now.Sub(s.demand.placementAsOf)}, Field{"entry_age", s.now.Sub(e.entrySeenAt)},
-		Field{"config_version", s.configVersion()}, Field{"prompt_parts", strings.Join(reportedPrompt(r.sharedParts()), ",")})
+		Field{"config_version", s.configVersion()}, Field{"prompt_parts", strings.Join(reportedPrompt(r.sharedParts()), ",")},
+		Field{"quarantine_known", s.quarantine.known}, Field{"quarantined_parts", len(s.quarantine.parts)})
 	s.emit(StartAttempt{
 		Request:         r.ID,
 		Attempt:         r.attemptID,
--- a/pkg/rpfleet/crash_evidence.go
+++ b/pkg/rpfleet/crash_evidence.go
@@ -167,6 +167,16 @@
 	return decision
 }
 
+// noteQuarantineKnown records that this process was told the parts in quarantine.
+func (s *State) noteQuarantineKnown(source string) {
+	if s.quarantine.known {
+		return
+	}
+	s.quarantine.known = true
+	s.note("requests", "this instance was told which prompt parts are in quarantine", Field{"source", source},
+		Field{"prompt_parts", strings.Join(sortedKeys(s.quarantine.parts), ",")}, Field{"watched", len(s.quarantine.watched)})
+}
+
 // applyQuarantine replaces what this instance knows by the planner's decision.
 func (s *State) applyQuarantine(decision *Quarantine) {
 	q := &s.quarantine
@@ -178,6 +188,7 @@
 		watched[part] = slices.Contains(decision.Unused, part)
 	}
 	s.setWatched(watched)
+	s.noteQuarantineKnown("planner")
 	if after := sortedKeys(q.parts); !slices.Equal(before, after) {
 		s.note("requests", "the planner's quarantine of prompt parts changed", Field{"prompt_parts", strings.Join(after, ",")})
 		s.dispatchAll()
@@ -215,7 +226,11 @@
 	for i := range ev.Evidence {
 		s.poolEvidence(&ev.Evidence[i])
 	}
+	if ev.Complete {
+		s.noteQuarantineKnown("store")
+	}
 	if added {
+		s.note("requests", "prompt parts that the store has in quarantine were adopted", Field{"prompt_parts", strings.Join(sortedKeys(s.quarantine.parts), ",")})
 		s.evaluateEvidence()
 		s.dispatchAll()
 	}
--- a/pkg/rpfleet/event.go
+++ b/pkg/rpfleet/event.go
@@ -304,9 +304,11 @@
 }
 
 // EvidenceRead carries what the store holds of crashes: the evidence that
-// instances wrote, and the parts in quarantine that a planner wrote.
+// instances wrote, and the parts in quarantine that a planner wrote. Complete says
+// that it is all of it, not only what has changed.
 type EvidenceRead struct {
 	Stamp
+	Complete    bool
 	Evidence    []CrashEvidence
 	Quarantined []PartTime
 }
--- a/pkg/rpfleet/quarantine.go
+++ b/pkg/rpfleet/quarantine.go
@@ -103,6 +103,9 @@
 	// far as known.
 	ownCrashes map[crashID]*crash
 	crashes    map[crashID]*crash
+	// known says that this process was told the parts in quarantine, by the planner
+	// or by the store.
+	known bool
 	// parts holds the end of the quarantine of each part.
 	parts map[string]time.Time
 	// unusedWhenFound says of parts in quarantine that this instance knew no use of
