Keep requests with shared prompt parts until the quarantine is known

Cause: an instance that was told nothing took the quarantine for empty and sent such requests; a new planner told all others that nothing is in quarantine before it had read the store.

Change: until the store or the planner has told it the quarantine, an instance is not ready and refuses requests with shared parts (503 quarantine_unknown). A planner that does not know it tells no decision. Parts adopted after a demand was sent outlive its answer. The planner writes the quarantine every 10 s and after a takeover.

--- a/internal/rpmessage/refusals.go
+++ b/internal/rpmessage/refusals.go
@@ -26,6 +26,7 @@
 	caller("outcome_not_kept", "An earlier request with this idempotency key ran. Its answer was too large to keep.", "Do not send the request again; get the outcome from the endpoint."),
 	caller("too_many_streams", "This instance has reached its limit of requests in progress.", "Add instances, or raise limits.requests_in_progress in the settings."),
 	caller("prompt_quarantined", "Engines crashed on a part of the prompt, so the request is kept away from them.", "Find out from the part that the detail names why engines crash on it."),
+	caller("quarantine_unknown", "This instance has just started and does not know yet which prompts crash engines.", "If it lasts, check the connections of the instance to the store and to the planner."),
 	caller("unknown_key", "The request has no key of a client account.", "Compare the digest in the log line with the keys of the account; see docs/operators/accounts.md."),
 	caller("accounts_unconfirmed", "This instance can't confirm that the key was not withdrawn.", "Check the connections of the instance to the planner and to the store."),
 	caller("quota_exceeded", "The client account has used its quota.", "Raise the quota of the account, or ask the caller to send less."),
--- a/internal/rpmetric/table.go
+++ b/internal/rpmetric/table.go
@@ -152,7 +152,7 @@
 	rpverdict.CodeAcceleratorHoursUsed, rpverdict.CodeNoEndpoint, rpverdict.CodeTableUnavailable, rpverdict.CodeAttemptFailed,
 	rpverdict.CodeStreamBroken, rpverdict.CodeEarlierAttemptUnknown, rpverdict.CodeOutcomeNotKept,
 	rpverdict.CodeTooManyStreams,
-	rpverdict.CodePromptQuarantined,
+	rpverdict.CodePromptQuarantined, rpverdict.CodeQuarantineUnknown,
 	rpverdict.CodeUnknownKey, rpverdict.CodeAccountsUnconfirmed, rpverdict.CodeQuotaExceeded,
 	rpverdict.CodeMemoryShort,
 }
--- a/pkg/rpfleet/crash_evidence.go
+++ b/pkg/rpfleet/crash_evidence.go
@@ -154,10 +154,14 @@
 	return added
 }
 
-// describeQuarantine returns the decision for the answer to a demand.
-func (s *State) describeQuarantine() Quarantine {
+// describeQuarantine returns the decision for the answer to a demand, or nil if this
+// instance has just started and does not know the one of the planner before.
+func (s *State) describeQuarantine() *Quarantine {
 	q := &s.quarantine
-	decision := Quarantine{Quarantined: q.describeParts(s.now)}
+	if !q.known {
+		return nil
+	}
+	decision := &Quarantine{Quarantined: q.describeParts(s.now)}
 	for _, part := range sortedKeys(q.watched) {
 		decision.Watched = append(decision.Watched, part)
 		if q.watched[part] {
@@ -173,15 +177,20 @@
 		return
 	}
 	s.quarantine.known = true
+	s.updateReadiness()
 	s.note("requests", "this instance was told which prompt parts are in quarantine", Field{"source", source},
 		Field{"prompt_parts", strings.Join(sortedKeys(s.quarantine.parts), ",")}, Field{"watched", len(s.quarantine.watched)})
 }
 
-// applyQuarantine replaces what this instance knows by the planner's decision.
-func (s *State) applyQuarantine(decision *Quarantine) {
+// applyQuarantine replaces what this instance knows by the planner's decision. Parts
+// that it adopted after its demand are kept: the planner learns of them with the next
+// one.
+func (s *State) applyQuarantine(decision *Quarantine, askedAt time.Time) {
 	q := &s.quarantine
 	before := sortedKeys(q.parts)
-	clear(q.parts)
+	if !askedAt.Before(q.adoptedAt) {
+		clear(q.parts)
+	}
 	q.adoptParts(decision.Quarantined, s.now)
 	watched := make(map[string]bool, len(decision.Watched))
 	for _, part := range decision.Watched {
@@ -208,7 +217,26 @@
 	s.emit(PostEvidence{Instance: s.self.Instance, Evidence: s.ownEvidence()})
 }
 
+// postQuarantine writes the planner's quarantine to the store if it has changed or was
+// written long ago. Instances that start read it there.
+func (s *State) postQuarantine() {
+	q := &s.quarantine
+	if !s.isPlanner() || !q.known {
+		return
+	}
+	parts := sortedKeys(q.parts)
+	if slices.Equal(parts, q.postedParts) && (len(parts) == 0 || s.now.Sub(q.partsPostedAt) < repostQuarantineInterval) {
+		return
+	}
+	q.postedParts, q.partsPostedAt = parts, s.now
+	s.emit(PostQuarantine{Parts: q.describeParts(s.now)})
+}
+
 const (
+	// repostQuarantineInterval is the time after which the planner writes a quarantine
+	// again: a write may have failed for good, and the one of an earlier planner may
+	// have been carried out late.
+	repostQuarantineInterval = 10 * time.Second
 	// postEvidenceInterval is the time between two writes of evidence to the store.
 	postEvidenceInterval = 100 * time.Millisecond
 	// repostEvidenceInterval is the time after which evidence is written again while
@@ -223,6 +251,9 @@
 		return
 	}
 	added := s.quarantine.adoptParts(ev.Quarantined, s.now)
+	if added {
+		s.quarantine.adoptedAt = s.now
+	}
 	for i := range ev.Evidence {
 		s.poolEvidence(&ev.Evidence[i])
 	}
--- a/pkg/rpfleet/demand.go
+++ b/pkg/rpfleet/demand.go
@@ -371,7 +371,7 @@
 	s.applyExpectedModels(p.Expected)
 	s.quarantine.plannerLacksQuarantine = p.Quarantine == nil
 	if p.Quarantine != nil {
-		s.applyQuarantine(p.Quarantine)
+		s.applyQuarantine(p.Quarantine, ev.AskedAt)
 	} else {
 		s.postEvidence()
 	}
--- a/pkg/rpfleet/demand_answers.go
+++ b/pkg/rpfleet/demand_answers.go
@@ -36,8 +36,7 @@
 		WeightLimit:   s.weightLimit(),
 		CheckStore:    s.lease.failedRenewals > 0 && s.rng.Float64()*float64(len(s.plan.demands)) < storeProbeInstances,
 	}
-	quarantine := s.describeQuarantine()
-	placement.Quarantine = &quarantine
+	placement.Quarantine = s.describeQuarantine()
 	placement.Load = s.loadSummary(d)
 	if d.Full {
 		placement.HasOtherLoad = true
--- a/pkg/rpfleet/harness_test.go
+++ b/pkg/rpfleet/harness_test.go
@@ -140,8 +140,10 @@
 	return e
 }
 
-// configure puts testConfig and a list of endpoints in force.
+// configure puts testConfig and a list of endpoints in force. No prompt part is in
+// quarantine.
 func (h *harness) configure(endpoints ...rpfleet.Endpoint) {
+	h.apply(rpfleet.EvidenceRead{Stamp: h.stamp(), Complete: true})
 	h.apply(rpfleet.ConfigRead{Stamp: h.stamp(), Config: testConfig(1)})
 	h.apply(rpfleet.EndpointsRead{Stamp: h.stamp(), AskedAt: h.now, Complete: true, Entries: endpoints})
 	// Without a placement of a planner, an instance assumes that it shares the
--- a/pkg/rpfleet/lease.go
+++ b/pkg/rpfleet/lease.go
@@ -206,6 +206,7 @@
 	}
 	l.writing = true
 	l.writeBeganAt = s.now
+	s.postQuarantine()
 	row := l.row
 	row.Renewals++
 	row.ValidUntil = s.latestStoreTime(s.now) + StoreTime(leaseDuration)
--- a/pkg/rpfleet/quarantine.go
+++ b/pkg/rpfleet/quarantine.go
@@ -17,7 +17,8 @@
 // The evidence is a stream that stopped between its head and its first event while
 // its engine crashed. All instances pool their evidence, since each sees only a few
 // of the requests: the planner does so from their demands and passes the result on
-// with its answers. An instance that the planner does not answer uses the store.
+// with its answers. An instance that the planner does not answer uses the store, and
+// so does one that has just started: no process remembers what it knew before.
 const (
 	// minCrashes is the number of crashed engines that puts a part into quarantine
 	// if no request with it is known to have had a first event.
@@ -104,8 +105,10 @@
 	ownCrashes map[crashID]*crash
 	crashes    map[crashID]*crash
 	// known says that this process was told the parts in quarantine, by the planner
-	// or by the store.
-	known bool
+	// or by the store. Until then, it sends no request with shared parts and, as the
+	// planner, tells no decision. adoptedAt is when it last added parts of the store.
+	known     bool
+	adoptedAt time.Time
 	// parts holds the end of the quarantine of each part.
 	parts map[string]time.Time
 	// unusedWhenFound says of parts in quarantine that this instance knew no use of
@@ -117,12 +120,16 @@
 	watched   map[string]bool
 	watchedAt time.Time
 	// plannerLacksQuarantine says that the planner's last answer had no decision on
-	// parts: its version is an earlier one.
+	// parts: its version is an earlier one, or it has not read the quarantine yet.
 	plannerLacksQuarantine bool
 	// postedAt is when evidence was last written to the store, and unposted says
 	// that there is newer evidence.
 	postedAt time.Time
 	unposted bool
+	// postedParts are the parts that this instance, as the planner, last wrote to the
+	// store, at partsPostedAt.
+	postedParts   []string
+	partsPostedAt time.Time
 }
 
 func (s *State) initQuarantine() {
@@ -273,15 +280,18 @@
 }
 
 // withoutPlanner reports whether no planner decides on parts for this instance: the
-// planner does not answer it, its own lease has ended, or the planner is of an
-// earlier version.
+// planner does not answer it, its own lease has ended, or the planner tells no
+// decision.
 func (s *State) withoutPlanner() bool {
 	return !s.isPlanner() && (s.lease.holderUnavailable || s.lease.row.Holder == s.self.Instance || s.quarantine.plannerLacksQuarantine)
 }
 
 // FollowsEvidence reports whether this instance follows the evidence in the store:
-// it is the planner, or the planner does not answer it.
-func (s *State) FollowsEvidence() bool { return s.isPlanner() || s.withoutPlanner() }
+// it is the planner, the planner does not answer it, or it was not told of a
+// quarantine yet.
+func (s *State) FollowsEvidence() bool {
+	return s.isPlanner() || s.withoutPlanner() || !s.quarantine.known
+}
 
 // evaluateEvidence puts parts into quarantine that explain the known crashes, and
 // releases those whose crashes other parts explain.
@@ -323,9 +333,7 @@
 	if !changed {
 		return
 	}
-	if s.isPlanner() {
-		s.emit(PostQuarantine{Parts: q.describeParts(s.now)})
-	}
+	s.postQuarantine()
 	s.dispatchAll()
 }
 
@@ -364,9 +372,12 @@
 
 // quarantineRefusal returns the refusal of a request with a part in quarantine, or
 // nil. Without the planner's knowledge, a part that one engine crashed on counts
-// too.
+// too, and before this instance was told of the quarantine, any part.
 func (s *State) quarantineRefusal(r *request) *rpverdict.Refusal {
 	q := &s.quarantine
+	if !q.known && len(r.sharedParts()) > 0 {
+		return newRefusal(rpverdict.CodeQuarantineUnknown, "This instance was not told yet which prompt parts are in quarantine.", startupRetryAfter)
+	}
 	if len(q.parts) == 0 && len(q.watched) == 0 {
 		return nil
 	}
--- a/pkg/rpfleet/quarantine_load_test.go
+++ b/pkg/rpfleet/quarantine_load_test.go
@@ -32,6 +32,8 @@
 	engines     map[rpcore.EndpointID]*crashEngine
 	later       []delayedStep
 	evidence    []rpfleet.CrashEvidence
+	// quarantined is what a planner last wrote to the store.
+	quarantined []rpfleet.PartTime
 	crashes     []time.Time
 	// reached are the times at which requests with a deadly part reached engines.
 	reached []time.Time
@@ -83,6 +85,7 @@
 	}
 	defer func() { f.now = f.instances[f.planner].now }()
 	for i, h := range f.instances {
+		h.apply(rpfleet.EvidenceRead{Stamp: h.stamp(), Complete: true})
 		h.apply(rpfleet.ConfigRead{Stamp: h.stamp(), Config: testConfig(1)})
 		h.apply(rpfleet.EndpointsRead{Stamp: h.stamp(), Complete: true, Entries: f.list()})
 		if i == f.planner {
@@ -210,6 +213,7 @@
 			f.evidence = append(f.evidence, effect.Evidence)
 			f.after(20*time.Millisecond, func() { f.readEvidence(rpfleet.EvidenceRead{Evidence: []rpfleet.CrashEvidence{effect.Evidence}}) })
 		case rpfleet.PostQuarantine:
+			f.quarantined = effect.Parts
 			f.after(20*time.Millisecond, func() { f.readEvidence(rpfleet.EvidenceRead{Quarantined: effect.Parts}) })
 		case rpfleet.WriteLease:
 			f.after(5*time.Millisecond, f.event(i, func(h *harness) {
--- a/pkg/rpfleet/state.go
+++ b/pkg/rpfleet/state.go
@@ -289,6 +289,8 @@
 	case !s.lease.answered:
 		// The row says how many instances share the retry budget.
 		ready, reason = false, "the planner's lease was not read yet"
+	case !s.quarantine.known:
+		ready, reason = false, "the quarantine of prompt parts was not read yet"
 	}
 	if ready == s.ready && reason == s.readyReason {
 		return
--- a/pkg/rpverdict/refusal.go
+++ b/pkg/rpverdict/refusal.go
@@ -36,6 +36,7 @@
 	CodeOutcomeNotKept         Code = "outcome_not_kept"
 	CodeTooManyStreams         Code = "too_many_streams"
 	CodePromptQuarantined      Code = "prompt_quarantined"
+	CodeQuarantineUnknown      Code = "quarantine_unknown"
 	CodeUnknownKey             Code = "unknown_key"
 	CodeAccountsUnconfirmed    Code = "accounts_unconfirmed"
 	CodeQuotaExceeded          Code = "quota_exceeded"
@@ -72,6 +73,7 @@
 	CodeOutcomeNotKept:         {http.StatusConflict, "An earlier request with this idempotency key ran. Its answer was too large to keep."},
 	CodeTooManyStreams:         {http.StatusServiceUnavailable, "This instance has reached its limit of requests in progress."},
 	CodePromptQuarantined:      {http.StatusServiceUnavailable, "Engines crashed on a part of the prompt, so the request is kept away from them."},
+	CodeQuarantineUnknown:      {http.StatusServiceUnavailable, "This instance has just started and does not know yet which prompts crash engines."},
 	CodeUnknownKey:             {http.StatusUnauthorized, "The request has no key of a client account."},
 	CodeAccountsUnconfirmed:    {http.StatusServiceUnavailable, "This instance can't confirm that the key was not withdrawn."},
 	CodeQuotaExceeded:          {http.StatusTooManyRequests, "The client account has used its quota."},
