Tell a reset during an upload from the end of a response

Cause: the kernel reports the reset once. The write in progress gets it, the next read finds a plain end, and that ends a response without a length.

Change: below each connection that this program opens, a read that finds the end lets the write in progress end and fails if a write has failed.

A response that ends in order during an upload stays complete (TestEndDuringUploadIsEnd).

--- a/internal/rpendpoint/transport.go
+++ b/internal/rpendpoint/transport.go
@@ -111,10 +111,10 @@
 // newTransport returns a transport with tracked connections. setup is called for
 // each new connection, unless it is nil.
 func newTransport(l Limits, keepAlive bool, setup func(net.Conn) error) *http.Transport {
-	dialer := NewDialer(l)
+	dial := DialContext(l)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
@@ -137,6 +137,9 @@
 // resetOnClose makes the kernel reset a connection on close and discard data that
 // the other side has not received yet, even if this process is killed.
 func resetOnClose(conn net.Conn) error {
+	if tracked, ok := conn.(*resetConn); ok {
+		conn = tracked.Conn
+	}
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return nil
--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -193,7 +193,7 @@
 // writes of the lease are conditional, and a demand may be repeated.
 func newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         rpendpoint.NewDialer(rpendpoint.Limits{DialTimeout: internalDialTimeout}).DialContext,
+		DialContext:         rpendpoint.DialContext(rpendpoint.Limits{DialTimeout: internalDialTimeout}),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     time.Minute,
