Reject responses with a malformed head

A status of 000 counted as the answer to an order or a report.

Cause: net/http takes any number for a status and accepts blanks in names of fields.

Change: the transport to endpoints, the store and other instances fails for such heads. The attempt is broken and may have run. An engine that answers so has not crashed.

--- a/internal/rpendpoint/client.go
+++ b/internal/rpendpoint/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"net/netip"
 	"net/url"
 	"sync"
@@ -28,7 +27,7 @@
 	// an endpoint may close an idle connection just as a request is written to
 	// it, and then it would be unknown whether a request that may run only once
 	// has run.
-	pooled, singleUse *http.Transport
+	pooled, singleUse Transport
 	ctx               context.Context
 	stop              context.CancelFunc
 	background        sync.WaitGroup
--- a/internal/rpendpoint/forward.go
+++ b/internal/rpendpoint/forward.go
@@ -54,7 +54,7 @@
 	limits Limits
 	// pooled reuses connections. singleUse and resetting open a connection for
 	// each request; resetting also resets it when the request is given up.
-	pooled, singleUse, resetting *http.Transport
+	pooled, singleUse, resetting Transport
 	// kept holds the connections of pooled.
 	kept connRegistry
 }
--- a/internal/rpendpoint/registry.go
+++ b/internal/rpendpoint/registry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync"
 )
@@ -17,7 +16,7 @@
 }
 
 // watch adds the connections that a transport of newTransport opens from now on.
-func (c *connRegistry) watch(t *http.Transport) {
+func (c *connRegistry) watch(t Transport) {
 	dial := t.DialContext
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
--- a/internal/rpendpoint/transport.go
+++ b/internal/rpendpoint/transport.go
@@ -110,9 +110,9 @@
 
 // newTransport returns a transport with tracked connections. setup is called for
 // each new connection, unless it is nil.
-func newTransport(l Limits, keepAlive bool, setup func(net.Conn) error) *http.Transport {
+func newTransport(l Limits, keepAlive bool, setup func(net.Conn) error) Transport {
 	dial := DialContext(l)
-	return &http.Transport{
+	return Transport{&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
 			if err != nil {
@@ -131,7 +131,7 @@
 		MaxIdleConnsPerHost:    l.IdleConnections,
 		IdleConnTimeout:        l.IdleTimeout,
 		MaxResponseHeaderBytes: MaxResponseHeaderBytes,
-	}
+	}}
 }
 
 // resetOnClose makes the kernel reset a connection on close and discard data that
--- a/internal/rpgateway/evidence_review_test.go
+++ b/internal/rpgateway/evidence_review_test.go
@@ -116,6 +116,7 @@
 	g.Expect(checkAgainst(t, "", respond(200, `{"born":7}`))).To(BeTrue(), "the incarnation is not known")
 	g.Expect(checkAgainst(t, "7", respond(503, ""))).To(BeTrue())
 	g.Expect(checkAgainst(t, "7", respond(429, ""))).To(BeTrue())
+	g.Expect(checkAgainst(t, "7", "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n")).To(BeTrue(), "a malformed answer")
 	g.Expect(checkAgainst(t, "7", respond(200, `{"born":8}`))).To(BeFalse(), "a new incarnation")
 	g.Expect(checkAgainst(t, "7", respond(421, ""))).To(BeFalse(), "another engine has the address")
 	g.Expect(checkAgainst(t, "7", "")).To(BeFalse())
--- a/internal/rpgateway/instance.go
+++ b/internal/rpgateway/instance.go
@@ -191,15 +191,15 @@
 // newTransport returns the transport for the store and for other instances.
 // net/http may send a request again on another connection. That does no harm:
 // writes of the lease are conditional, and a demand may be repeated.
-func newTransport() *http.Transport {
-	return &http.Transport{
+func newTransport() rpendpoint.Transport {
+	return rpendpoint.Transport{Transport: &http.Transport{
 		DialContext:         rpendpoint.DialContext(rpendpoint.Limits{DialTimeout: internalDialTimeout}),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     time.Minute,
 
 		MaxResponseHeaderBytes: rpendpoint.MaxResponseHeaderBytes,
-	}
+	}}
 }
 
 // executeEffect executes an effect without blocking.
--- a/internal/rpgateway/orders.go
+++ b/internal/rpgateway/orders.go
@@ -126,10 +126,10 @@
 	report, err := s.fetchReport(rpfleet.ReadReport{Endpoint: cmd.Endpoint, Incarnation: cmd.Incarnation, Address: cmd.Address})
 	if err != nil {
 		s.log.Info().Err(err).Str("endpoint", string(cmd.Endpoint)).Msg("an engine does not answer after it broke a stream off")
-		// A busy engine rejects the call. 421 means that another engine has the
-		// address.
+		// A busy engine rejects the call, and one in trouble may send a malformed
+		// head. 421 means that another engine has the address.
 		var status rpwire.ReportStatusError
-		event.Alive = errors.As(err, &status) && status.Status != http.StatusMisdirectedRequest
+		event.Alive = errors.As(err, &status) && status.Status != http.StatusMisdirectedRequest || errors.Is(err, rpendpoint.ErrMalformedHead)
 		return event
 	}
 	event.Alive = report.Incarnation == "" || cmd.Incarnation == "" || report.Incarnation == cmd.Incarnation
