--- a/internal/rpsoak/doc.go
+++ b/internal/rpsoak/doc.go
@@ -12,7 +12,7 @@
 //   - connections are delayed, reset, silent or one-way;
 //   - processes are stopped, paused, killed and restarted by signals;
 //   - the store is unavailable or slow, drops responses or drops its change
-//     history;
+//     history, or comes back from a copy that is some seconds old;
 //   - endpoints leave, say so in their responses only, shed requests, say for how
 //     long, drop or corrupt responses, send them twice, without end, or with
 //     neither a length nor chunks;
@@ -37,5 +37,7 @@
 //
 //   - planned work and silent engines cut no response;
 //   - requests with a part that has crashed engines soon reach no more of them, while
-//     sound requests that share their other parts are served.
+//     sound requests that share their other parts are served;
+//   - they reach none after all instances have restarted, or after the store came back
+//     from a copy without the quarantine.
 package rpsoak
--- a/internal/rpsoak/environment_test.go
+++ b/internal/rpsoak/environment_test.go
@@ -1,6 +1,7 @@
 package rpsoak
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"math/rand/v2"
@@ -62,6 +63,8 @@
 	accounts []rpfake.Account
 	// settings is appended to the settings of the instances.
 	settings string
+	// drills lets the store tell its era, so that drillStore can be used.
+	drills bool
 }
 
 // environment holds the gateway processes, the stand-ins of the platform and the
@@ -93,6 +96,9 @@
 	// which an engine is back.
 	deadlyParts map[string]time.Duration
 
+	// copies are copies of the store, the oldest first.
+	copies []storeCopy
+
 	// ready holds the instances that the balancer currently sends requests to.
 	ready atomic.Pointer[[]*process]
 }
@@ -103,7 +109,7 @@
 	shape.eventDelay = cmp.Or(shape.eventDelay, 5*time.Millisecond)
 	shape.retryRatio, shape.retrySlack = cmp.Or(shape.retryRatio, 0.2), cmp.Or(shape.retrySlack, 50)
 	env := &environment{
-		t: t, shape: shape, dir: t.TempDir(), binary: binary, store: &rpfake.Store{},
+		t: t, shape: shape, dir: t.TempDir(), binary: binary, store: &rpfake.Store{TellsEra: shape.drills},
 		endpointFaults: map[string]func(int) rpfake.EndpointFault{}, requestCounts: map[string]int{},
 	}
 	env.store.Fault = func(*http.Request) rpfake.StoreFault {
@@ -190,6 +196,11 @@
 // route named after the version.
 func (env *environment) writeNextConfig() {
 	env.configVersion++
+	env.writeConfig()
+}
+
+// writeConfig writes the present version of the configuration.
+func (env *environment) writeConfig() {
 	config := &rpfake.Config{
 		Version: env.configVersion, ModelService: modelService, PlainService: plainService, Models: env.shape.models, RemoteLoad: 1,
 		Accounts: env.shape.accounts,
@@ -251,6 +262,7 @@
 window = "10s"
 [planner]
 holder_gap = %q
+first_start = %t
 weight_loads = 4
 [members]
 leaving_bound = "2s"
@@ -258,7 +270,7 @@
 balancer_delay = "300ms"
 timeout = "5s"
 `, p.name, string("abc"[i%3]), p.callerAddress, p.readinessAddress, freeAddress(env.t), env.storeLink.address(),
-		env.shape.retryRatio, env.shape.retrySlack, holderGap) + env.shape.settings
+		env.shape.retryRatio, env.shape.retrySlack, holderGap, true) + env.shape.settings
 	env.requireNoError(os.WriteFile(p.settingsFile, []byte(text), 0o600))
 	log, err := os.Create(filepath.Join(env.dir, p.name+".log"))
 	env.requireNoError(err)
@@ -273,6 +285,14 @@
 	return p
 }
 
+// endFirstStart changes the settings of a process that starts again, as the platform
+// does.
+func (env *environment) endFirstStart(p *process) {
+	text, err := os.ReadFile(p.settingsFile)
+	env.requireNoError(err)
+	env.requireNoError(os.WriteFile(p.settingsFile, bytes.Replace(text, []byte("first_start = true"), []byte("first_start = false"), 1), 0o600))
+}
+
 // start starts a process that is not running.
 func (env *environment) start(p *process) {
 	p.mu.Lock()
--- a/internal/rpsoak/soak_test.go
+++ b/internal/rpsoak/soak_test.go
@@ -168,6 +168,9 @@
 	if _, ok := regressions[seed]; ok {
 		kinds = regressionFaults
 	}
+	if env.shape.drills {
+		running.Go(func() { env.runDrills(seed, from) })
+	}
 	for range faultCount {
 		at := time.Duration(rng.Int64N(int64(faultDuration - 2*time.Second)))
 		e := entry{at: at, duration: 500*time.Millisecond + time.Duration(rng.Int64N(int64(1500*time.Millisecond))), run: env.pickFault(rng, kinds)}
@@ -274,6 +277,7 @@
 	defer env.faultMu.Unlock()
 	select {
 	case <-p.exited:
+		env.endFirstStart(p)
 		env.start(p)
 	default:
 	}
--- a/internal/rpsoak/tainted_restart_test.go
+++ b/internal/rpsoak/tainted_restart_test.go
@@ -28,9 +28,16 @@
 )
 
 // Guards against requests with a part in quarantine that reach engines again after all
-// instances, or one after another, were killed and started.
+// instances, or one after another, were killed and started, or after the store came back
+// from a copy without the quarantine.
 func TestSoakQuarantineOutlivesInstances(t *testing.T) {
-	for name, restart := range map[string]func(*environment){"together": (*environment).restartTogether, "in turn": (*environment).restartInTurn} {
+	for name, restart := range map[string]func(*environment){
+		"together": (*environment).restartTogether, "in turn": (*environment).restartInTurn,
+		"drill": (*environment).drillToBegin, "drill and in turn": func(env *environment) {
+			env.drillToBegin()
+			env.restartInTurn()
+		},
+	} {
 		for i := range max(1, *seedCount/4) {
 			t.Run(name+" "+strconv.FormatUint(*firstSeed+i, 10), func(t *testing.T) {
 				t.Parallel()
@@ -41,7 +48,8 @@
 }
 
 func runTaintedRestart(t *testing.T, seed uint64, restart func(*environment)) {
-	env, load := withRunningEnvironment(t, seed, shape{directEngines: true, eventDelay: taintEventDelay, models: taintFewModels})
+	env, load := withRunningEnvironment(t, seed, shape{directEngines: true, eventDelay: taintEventDelay, models: taintFewModels, drills: true})
+	env.copies = append(env.copies, storeCopy{env.store.Copy(), time.Now()})
 	load.neverCancel = true
 	load.choosePrompt = func(rng *rand.Rand) []rpfake.PromptPart { return soundPrompt(rng, rng.IntN(soundCallers)) }
 	rng := rand.New(rand.NewPCG(seed, 6))
@@ -90,6 +98,11 @@
 	}
 }
 
+// drillToBegin lets the store come back from its first copy.
+func (env *environment) drillToBegin() {
+	env.drillStore(env.copies[0].StoreCopy, 500*time.Millisecond, 100*time.Millisecond)
+}
+
 func (env *environment) restartInTurn() {
 	for _, p := range env.processes {
 		env.killProcess(p, 0)
