--- a/internal/rpsoak/drill_test.go
+++ b/internal/rpsoak/drill_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"strconv"
 	"sync"
 	"testing"
@@ -89,18 +88,19 @@
 	}
 }
 
+func (env *environment) setStoreAway(away bool) {
+	env.faultMu.Lock()
+	defer env.faultMu.Unlock()
+	env.storeAway = away
+}
+
 // drillStore lets the store come back from a copy after a time away. Operators and
 // endpoints then write their rows again within rewrite.
 func (env *environment) drillStore(from rpfake.StoreCopy, away, rewrite time.Duration) {
-	env.faultMu.Lock()
-	before := env.storeFault
-	env.storeFault = rpfake.StoreFault{Status: http.StatusServiceUnavailable}
-	env.faultMu.Unlock()
+	env.setStoreAway(true)
 	time.Sleep(away)
-	env.faultMu.Lock()
 	env.store.Restore(from)
-	env.storeFault = before
-	env.faultMu.Unlock()
+	env.setStoreAway(false)
 	time.Sleep(rewrite / 2)
 	env.faultMu.Lock()
 	env.writeConfig()
--- a/internal/rpsoak/environment_test.go
+++ b/internal/rpsoak/environment_test.go
@@ -85,7 +85,9 @@
 	faultMu sync.Mutex
 	// storeFault and endpointFaults are the currently injected faults. A function
 	// in endpointFaults gets the number of the request at its endpoint.
-	storeFault     rpfake.StoreFault
+	storeFault rpfake.StoreFault
+	// storeAway says that a drill has taken the store away.
+	storeAway      bool
 	endpointFaults map[string]func(n int) rpfake.EndpointFault
 	requestCounts  map[string]int
 	disruptions    []disruption
@@ -115,6 +117,9 @@
 	env.store.Fault = func(*http.Request) rpfake.StoreFault {
 		env.faultMu.Lock()
 		defer env.faultMu.Unlock()
+		if env.storeAway {
+			return rpfake.StoreFault{Status: http.StatusServiceUnavailable}
+		}
 		return env.storeFault
 	}
 	address, stop, err := rpfake.Serve(env.store)
--- a/pkg/rpfleet/store_era.go
+++ b/pkg/rpfleet/store_era.go
@@ -43,7 +43,8 @@
 	// The copy lacks the entries of endpoints that joined since.
 	s.storeRestoredAt = s.now
 	s.quarantine.postedParts, s.quarantine.partsPostedAt = nil, time.Time{}
-	s.quarantine.unposted = s.quarantine.unposted || len(s.quarantine.ownCrashes) > 0
+	// If the planner does not answer, others are told what the store has lost.
+	s.quarantine.unposted = s.quarantine.unposted || len(s.quarantine.ownCrashes) > 0 || len(s.quarantine.parts) > 0
 	s.postEvidence()
 	s.demand.postedAt = time.Time{}
 }
--- a/pkg/rpfleet/store_era_test.go
+++ b/pkg/rpfleet/store_era_test.go
@@ -31,6 +31,29 @@
 	g.Expect(partNames(posted[0].Parts)).To(ConsistOf("deadly"))
 }
 
+// Guards against a quarantine that only instances without a planner know after a drill in
+// which the planner was lost.
+func TestInstancesWithoutPlannerWriteLostQuarantine(t *testing.T) {
+	g := NewWithT(t)
+	h := withHarness(t)
+	h.beginEra(1)
+	h.configure(manyEngines(6)...)
+	h.readPlacement(h.now, &rpfleet.Quarantine{Quarantined: []rpfleet.PartTime{{Part: "deadly", Time: time.Minute}}})
+	fail := func() { h.apply(rpfleet.PlacementReceived{Stamp: h.stamp(), AskedAt: h.now, Failed: true}) }
+	h.advance(time.Second)
+	fail()
+	g.Expect(effectsOf[rpfleet.PostEvidence](h)).To(BeEmpty(), "the store has it")
+	h.beginEra(2)
+	posted := effectsOf[rpfleet.PostEvidence](h)
+	g.Expect(posted).To(HaveLen(1))
+	g.Expect(partNames(posted[0].Evidence.Quarantined)).To(ConsistOf("deadly"))
+	for range 10 {
+		h.advance(time.Second)
+		fail()
+	}
+	g.Expect(effectsOf[rpfleet.PostEvidence](h)).To(HaveLen(1), "the write is repeated until it succeeds")
+}
+
 // Guards against an instance that starts right after the store came back from a copy, and
 // takes the copy's table of evidence for all that the planner knows.
 func TestStartedInstanceAwaitsLostQuarantine(t *testing.T) {
