Ask the store earlier while the planner does not answer

Cause: what a planner had named counted for 0.75 of the bound, also at an instance whose demands it no longer answered, and again after each own call to the store.

Change: it counts for 0.4 of the bound after a demand without an answer.

--- a/pkg/rpfleet/freshness.go
+++ b/pkg/rpfleet/freshness.go
@@ -10,6 +10,8 @@
 //   - While the planner answers, it names what is new, and its answers may be
 //     plannerAgeShare old. A change takes that long at most. After a new planner's
 //     first answer, the instance reads the list once itself.
+//   - A planner that did not answer the last demand may name nothing for long. What
+//     it named counts for unansweredAgeShare only.
 //   - Without the planner, the instance asks the store itself, at once and then
 //     every readIntervalShare.
 //   - While the store can't be reached, a call is given up after callTimeoutShare
@@ -20,6 +22,7 @@
 // cut off from the store together with its callers and endpoints.
 const (
 	plannerAgeShare       = 0.75
+	unansweredAgeShare    = 0.4
 	readIntervalShare     = 0.6
 	callTimeoutShare      = 0.5
 	unreachableRetryShare = 0.3
@@ -64,9 +67,17 @@
 // shorterBound returns the bound that applies to calls for either table.
 func (s *State) shorterBound() time.Duration { return min(s.policy.LeavingBound, s.policy.ConfigBound) }
 
+// newsAgeShare returns the share of a bound for which the planner's news count.
+func (s *State) newsAgeShare() float64 {
+	if s.lease.holderUnavailable {
+		return unansweredAgeShare
+	}
+	return plannerAgeShare
+}
+
 // plannerListRecent reports whether the planner's last answer is recent.
 func (s *State) plannerListRecent() bool {
-	return s.now.Sub(s.listChanges.plannerListAsOf) < shareOf(s.policy.LeavingBound, plannerAgeShare)
+	return s.now.Sub(s.listChanges.plannerListAsOf) < shareOf(s.policy.LeavingBound, s.newsAgeShare())
 }
 
 // plannerListFresh reports whether the planner's list changes replace reads by this
@@ -95,7 +106,7 @@
 // ConfigFollowed reports whether the planner confirmed the version of the
 // configuration so recently that this instance need not ask the store for changes.
 func (s *State) ConfigFollowed() bool {
-	return !s.isPlanner() && s.config != nil && s.now.Sub(s.configConfirmedAt) < shareOf(s.policy.ConfigBound, plannerAgeShare) &&
+	return !s.isPlanner() && s.config != nil && s.now.Sub(s.configConfirmedAt) < shareOf(s.policy.ConfigBound, s.newsAgeShare()) &&
 		!s.needsOwnConfirmation()
 }
 
--- a/pkg/rpfleet/freshness_test.go
+++ b/pkg/rpfleet/freshness_test.go
@@ -65,6 +65,26 @@
 	g.Expect(h.state.ConfigWait()).To(BeNumerically("<=", rpfleet.DefaultConfigBound/2))
 }
 
+// Guards against changes that take almost their whole bound because an instance waits for
+// news of a planner that does not answer it, or reads the store itself and then waits again.
+func TestSilentPlannerIsNotAwaited(t *testing.T) {
+	g := NewWithT(t)
+	h := withHarness(t)
+	h.configure(testEndpoint("e1", testService, homeDomain, "m0"))
+	h.answerOfPlanner(3, 1)
+	h.advance(rpfleet.DefaultConfigBound / 2)
+	g.Expect(h.state.ConfigFollowed()).To(BeTrue())
+	h.apply(rpfleet.PlacementReceived{Stamp: h.stamp(), AskedAt: h.now, Failed: true})
+	g.Expect(h.state.ConfigFollowed()).To(BeFalse())
+	g.Expect(h.state.ListInterval()).To(BeNumerically("<", rpfleet.DefaultLeavingBound*7/10))
+	h.apply(rpfleet.ConfigChecked{Stamp: h.stamp()})
+	g.Expect(h.state.ConfigFollowed()).To(BeTrue(), "versions in quick succession cause few reads")
+	h.advance(rpfleet.DefaultConfigBound / 2)
+	g.Expect(h.state.ConfigFollowed()).To(BeFalse())
+	h.answerOfPlanner(3, 1)
+	g.Expect(h.state.ConfigFollowed()).To(BeTrue())
+}
+
 // Guards against instances of a large deployment that read the list all the time
 // because the planner's answers come less often than they count as recent.
 func TestAnswersOfPlannerReplaceReads(t *testing.T) {
