Simplify how a reset during an upload is told

The lock of the writes and one flag say all that the counter said. No change of behaviour: TestResetDuringUploadIsNoEnd and TestReadAwaitsWriteInProgress pass 10 times with the race detector.

--- a/internal/rpendpoint/reset.go
+++ b/internal/rpendpoint/reset.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -22,11 +23,9 @@
 	net.Conn
 	// writes is held for reading by each write in progress.
 	writes sync.RWMutex
-	mu     sync.Mutex
-	// activeWrites counts the writes in progress. writeFailed says that one failed
-	// for another reason than the deadline that Read sets.
-	activeWrites int
-	writeFailed  bool
+	// writeFailed says that a write failed for another reason than the deadline that
+	// wasReset sets.
+	writeFailed atomic.Bool
 }
 
 // DialContext returns a dial function for an http.Transport. Its connections are those
@@ -55,14 +54,10 @@
 func (c *resetConn) Write(p []byte) (int, error) {
 	c.writes.RLock()
 	defer c.writes.RUnlock()
-	c.mu.Lock()
-	c.activeWrites++
-	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.activeWrites--
-	c.writeFailed = c.writeFailed || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.writeFailed.Store(true)
+	}
 	return n, err
 }
 
@@ -70,20 +65,15 @@
 // progress may be about to report it, so wasReset ends such a write: the other side has
 // ended the connection and needs no more of the request.
 func (c *resetConn) wasReset() bool {
-	c.mu.Lock()
-	active := c.activeWrites > 0
-	c.mu.Unlock()
-	if active {
+	if !c.writes.TryLock() {
 		if err := c.SetWriteDeadline(time.Unix(1, 0)); err != nil {
 			// The connection is closed, so the write ends.
 			return true
 		}
 		c.writes.Lock()
-		defer c.writes.Unlock()
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.writeFailed
+	defer c.writes.Unlock()
+	return c.writeFailed.Load()
 }
 
 // SyscallConn implements syscall.Conn.
--- a/pkg/rpfleet/config.go
+++ b/pkg/rpfleet/config.go
@@ -127,7 +127,7 @@
 }
 
 // Config is one version of the operators' configuration. It must not change
-// after it was given to a State.
+// after it was given to a State, which only raises its Revision.
 type Config struct {
 	Version uint64
 	// Revision is the store's revision of the row, and Sum the SHA-256 sum of its value.
