Show that a planned stop cuts requests that it accepts late

Cause: a stopping instance keeps its listener open for up to 1 s longer while headers of other callers are arriving, and accepts requests although the stop ends before their answers can. It cuts them off 7.5 s after SIGTERM.

Two of three machines of a zone get SIGTERM 1 s apart.

--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -34,6 +34,7 @@
 // cases are the functions that play the cases, by name.
 var cases = map[string]func(context.Context, *lab) error{
 	"replaced-planner": replacedPlanner,
+	"late-arrival":     lateArrival,
 }
 
 func main() { os.Exit(run()) }
