Show that OPTIONS * gets a success that no endpoint gave

Cause: net/http.Server answers OPTIONS with the target * itself, with 200, because DisableGeneralOptionsHandler is not set. No route matches this request, so its response must be 404.

--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -35,6 +35,7 @@
 var cases = map[string]func(context.Context, *lab) error{
 	"replaced-planner": replacedPlanner,
 	"late-arrival":     lateArrival,
+	"no-route":         noRoute,
 }
 
 func main() { os.Exit(run()) }
