Show that a row of another part is taken for the configuration

Cause: Store.Changes drops the part of the rows that the store's feed returns, so that a row of the operator's table with the key config and another part replaces op/config.

--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -36,6 +36,7 @@
 	"replaced-planner": replacedPlanner,
 	"late-arrival":     lateArrival,
 	"no-route":         noRoute,
+	"other-part":       otherPart,
 }
 
 func main() { os.Exit(run()) }
