Show that an order outlives a planned stop at a silent engine

Cause: the next holder of the lease takes an order without an answer as arrived within 400 ms of the release, because its connection is reset. An engine that is silent for a second has received the order and accepts it later.

--- a/review/probe/lab.go
+++ b/review/probe/lab.go
@@ -26,6 +26,8 @@
 	trouble bool
 	// rename says that a machine that replaces another one has a name of its own.
 	rename bool
+	// steady says that no engine falls silent.
+	steady bool
 }
 
 // lab holds the platform's store, the endpoints and the machines of one case.
@@ -38,6 +40,7 @@
 	storeAt   netip.AddrPort
 	stopStore func()
 	endpoints []*rpfake.Endpoint
+	engines   []*engineProcess
 	machines  []*machine
 
 	mu     sync.Mutex
@@ -70,6 +73,9 @@
 	for _, e := range l.endpoints {
 		e.Stop()
 	}
+	for _, e := range l.engines {
+		e.stop()
+	}
 	l.stopStore()
 	_ = l.file.Close()
 	_ = os.RemoveAll(l.dir)
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -37,6 +37,7 @@
 	"late-arrival":     lateArrival,
 	"no-route":         noRoute,
 	"other-part":       otherPart,
+	"silent-engine":    silentEngine,
 }
 
 func main() { os.Exit(run()) }
@@ -44,9 +45,13 @@
 func run() int {
 	trouble := flag.Bool("trouble", true, "play the disruption of the case")
 	rename := flag.Bool("rename", false, "give a machine that replaces another one a name of its own")
+	steady := flag.Bool("steady", false, "let no engine fall silent")
 	file := flag.String("record", "record.txt", "the file for what was sent, answered and run")
 	program := flag.String("program", "target/rattanpaddle", "the program of the deploy file")
 	flag.Parse()
+	if flag.Arg(0) == engineCommand {
+		return runEngine(flag.Arg(1))
+	}
 	play, ok := cases[flag.Arg(0)]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "probe: unknown case %q\n", flag.Arg(0))
@@ -56,7 +61,7 @@
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, maxDuration)
 	defer cancel()
-	l, err := newLab(options{program: *program, record: *file, trouble: *trouble, rename: *rename})
+	l, err := newLab(options{program: *program, record: *file, trouble: *trouble, rename: *rename, steady: *steady})
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "probe: %v\n", err)
 		return exitNotRun
--- a/review/probe/other_part.go
+++ b/review/probe/other_part.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -59,7 +58,7 @@
 	}
 	pause(ctx, 3*time.Second)
 	if l.trouble {
-		if err := l.writePart(ctx, draftPart, next); err != nil {
+		if err := writeRow(ctx, l.storeAt.String(), "op", draftPart, "config", next); err != nil {
 			return err
 		}
 		l.note("the operator wrote version 2 to the table op, part %q, key config; op/config has version 1", draftPart)
@@ -105,29 +104,6 @@
 	return current, next, err
 }
 
-// writePart writes a row with the key config into a part of the operator's table.
-func (l *lab) writePart(ctx context.Context, part string, value []byte) error {
-	body, err := json.Marshal(map[string]any{
-		"expected": []any{}, "remove": []any{},
-		"writes": []any{map[string]any{"table": "op", "part": part, "key": "config", "value": value}},
-	})
-	if err != nil {
-		return err
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.storeAt.String()+"/rows-tx", bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return errors.Join(fmt.Errorf("the store answered with status %d", resp.StatusCode), resp.Body.Close())
-	}
-	return resp.Body.Close()
-}
-
 // lookUp sends requests on the route, one after the other.
 func (l *lab) lookUp(ctx context.Context, m *machine) {
 	client := &http.Client{Transport: &http.Transport{}}
