--- a/review/probe/late_arrival.go
+++ b/review/probe/late_arrival.go
@@ -239,7 +239,8 @@
 		return err
 	}
 	defer func() { _ = conn.Close() }()
-	req, err := rpfake.CallerRequest{ID: rpfake.NewID(), Path: "/stock/1", Method: http.MethodGet, Deadline: 4 * time.Second}.HTTPRequest(ctx, m.callers)
+	id := rpfake.NewID()
+	req, err := rpfake.CallerRequest{ID: id, Path: "/stock/1", Method: http.MethodGet, Deadline: 4 * time.Second}.HTTPRequest(ctx, m.callers)
 	if err != nil {
 		return err
 	}
@@ -253,14 +254,17 @@
 		}
 		pause(ctx, slowHeaderPause)
 	}
+	m.lab.note("request %s to %s: sent slowly", id, m.name)
 	if err := conn.SetDeadline(time.Now().Add(callerDeadline)); err != nil {
 		return err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
 	if err != nil {
+		m.lab.note("request %s to %s: no answer", id, m.name)
 		return err
 	}
 	_, err = io.Copy(io.Discard, resp.Body)
+	m.lab.note("request %s to %s: status %d, complete: %t", id, m.name, resp.StatusCode, err == nil)
 	return errors.Join(err, resp.Body.Close())
 }
 
